Lay out the workspace, shared types and interfaces

Cause: an empty repository. The packages, the ids, the error kinds with the table from kind to answer, the settings types and the wire interfaces are fixed first, so that the packages can be built side by side. Not measured yet.

--- /dev/null
+++ b/crates/celeryknot_callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' side: HTTP server, request checks, problem answers.
--- /dev/null
+++ b/crates/celeryknot_core/src/id.rs
@@ -0,0 +1,313 @@
+//! Names and numeric ids, each a type of its own.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Longest accepted name in bytes.
+pub const NAME_LEN_MAX_BYTES: usize = 63;
+
+/// The reason why a text is not a valid id.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct IdError {
+    kind: &'static str,
+    text: String,
+}
+
+impl IdError {
+    fn new(kind: &'static str, text: &str) -> Self {
+        let text = text.chars().take(NAME_LEN_MAX_BYTES + 1).collect();
+        Self { kind, text }
+    }
+}
+
+impl fmt::Display for IdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "`{}` is not a {}: use 1 to {NAME_LEN_MAX_BYTES} of a-z, 0-9, `-`, `_` and `.`",
+            self.text.escape_debug(),
+            self.kind
+        )
+    }
+}
+
+impl std::error::Error for IdError {}
+
+fn is_name(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= NAME_LEN_MAX_BYTES
+        && text.bytes().all(|b| {
+            b.is_ascii_lowercase() || b.is_ascii_digit() || matches!(b, b'-' | b'_' | b'.')
+        })
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:?}", &*self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                if !is_name(text) {
+                    return Err(IdError::new($kind, text));
+                }
+                Ok(Self(Arc::from(text)))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<Self, IdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.to_string()
+            }
+        }
+    };
+}
+
+name_type!(
+    /// The name of a team, the owner of one subtree of the settings.
+    TeamName, "team name"
+);
+name_type!(
+    /// The name of a customer.
+    CustomerName, "customer name"
+);
+name_type!(
+    /// The name of a service, such as `wakai-llm` or `case-svc`.
+    ServiceName, "service name"
+);
+name_type!(
+    /// The name of a model that a service offers.
+    ModelName, "model name"
+);
+name_type!(
+    /// The name of an availability zone.
+    ZoneName, "zone name"
+);
+name_type!(
+    /// The name of a daemon in the platform's instance list.
+    MemberName, "member name"
+);
+name_type!(
+    /// The name of an endpoint in the platform's instance list.
+    EndpointName, "endpoint name"
+);
+
+/// Longest accepted settings path in bytes.
+pub const PATH_LEN_MAX_BYTES: usize = 255;
+
+/// The path of a value in the configuration service, such as
+/// `teams/kinrin/services/wakai-llm`.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::SettingPath;
+///
+/// let path: SettingPath = "teams/kinrin/services/wakai-llm".parse()?;
+/// assert_eq!(path.team().map(|team| team.to_string()), Some("kinrin".to_owned()));
+/// # Ok::<(), celeryknot_core::IdError>(())
+/// ```
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct SettingPath(Arc<str>);
+
+impl SettingPath {
+    /// Returns the path as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Returns the team whose subtree holds the path, if it lies in one.
+    pub fn team(&self) -> Option<TeamName> {
+        let rest = self.0.strip_prefix("teams/")?;
+        rest.split('/').next()?.parse().ok()
+    }
+}
+
+impl fmt::Display for SettingPath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for SettingPath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}", &*self.0)
+    }
+}
+
+impl FromStr for SettingPath {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        if text.len() > PATH_LEN_MAX_BYTES || !text.split('/').all(is_name) {
+            return Err(IdError::new("settings path", text));
+        }
+        Ok(Self(Arc::from(text)))
+    }
+}
+
+impl TryFrom<String> for SettingPath {
+    type Error = IdError;
+
+    fn try_from(text: String) -> Result<Self, IdError> {
+        text.parse()
+    }
+}
+
+impl From<SettingPath> for String {
+    fn from(path: SettingPath) -> String {
+        path.0.to_string()
+    }
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                text.parse().map(Self).map_err(|_| IdError::new($kind, text))
+            }
+        }
+    };
+}
+
+number_type!(
+    /// The revision of a value or list as the platform numbers it; it only rises.
+    Revision, "revision"
+);
+
+macro_rules! hex_type {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:016x}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                if text.len() != 16 {
+                    return Err(IdError::new($kind, text));
+                }
+                u64::from_str_radix(text, 16)
+                    .map(Self)
+                    .map_err(|_| IdError::new($kind, text))
+            }
+        }
+    };
+}
+
+hex_type!(
+    /// One life of a daemon process: drawn at random when it starts.
+    Incarnation, "incarnation"
+);
+hex_type!(
+    /// One request as it passes from the caller to the endpoint and back.
+    RequestId, "request id"
+);
+hex_type!(
+    /// The hash that stands for one chat of one customer with one model.
+    ChatKey, "chat key"
+);
+
+impl ChatKey {
+    /// Hashes what identifies a chat.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::ChatKey;
+    ///
+    /// let service = "wakai-llm".parse()?;
+    /// let model = "wakai-8b".parse()?;
+    /// let one = ChatKey::new(&service, &model, &"otaru".parse()?, "chat-1");
+    /// let other = ChatKey::new(&service, &model, &"hakodate".parse()?, "chat-1");
+    /// assert_ne!(one, other);
+    /// # Ok::<(), celeryknot_core::IdError>(())
+    /// ```
+    pub fn new(
+        service: &ServiceName,
+        model: &ModelName,
+        customer: &CustomerName,
+        chat: &str,
+    ) -> Self {
+        let text = format!("{service}\0{model}\0{customer}\0{chat}");
+        Self(xxh3_64(text.as_bytes()))
+    }
+}
+
+/// Scores a holder for a key by highest-random-weight (rendezvous) hashing.
+///
+/// Every process that ranks the same holders for the same key gets the same
+/// order, and a change of one holder moves only the keys that it held.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::id::rendezvous_score;
+///
+/// assert_eq!(rendezvous_score(7, "engine-1"), rendezvous_score(7, "engine-1"));
+/// assert_ne!(rendezvous_score(7, "engine-1"), rendezvous_score(7, "engine-2"));
+/// ```
+pub fn rendezvous_score(key: u64, holder: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(holder.as_bytes(), key)
+}
--- /dev/null
+++ b/crates/celeryknot_core/src/keyed_hash.rs
@@ -0,0 +1,80 @@
+//! Message authentication codes under keys from the settings.
+
+use std::fmt;
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+/// Shortest accepted key in bytes.
+pub const KEY_LEN_MIN_BYTES: usize = 16;
+
+/// Length of a code in bytes.
+pub const CODE_LEN_BYTES: usize = 16;
+
+/// A truncated HMAC-SHA256 code.
+pub type Code = [u8; CODE_LEN_BYTES];
+
+/// One or two secret keys: the first signs, all verify, so that keys can be rotated.
+#[derive(Clone, PartialEq, Eq)]
+pub struct KeyRing {
+    current: Vec<u8>,
+    previous: Option<Vec<u8>>,
+}
+
+impl fmt::Debug for KeyRing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeyRing").finish_non_exhaustive()
+    }
+}
+
+impl KeyRing {
+    /// Builds a ring from the current key and, during a rotation, the previous one.
+    pub fn new(current: &str, previous: Option<&str>) -> Self {
+        Self {
+            current: current.as_bytes().to_vec(),
+            previous: previous.map(|key| key.as_bytes().to_vec()),
+        }
+    }
+
+    /// Signs the parts under the current key.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::keyed_hash::KeyRing;
+    ///
+    /// let ring = KeyRing::new("an example key of 24 byte", None);
+    /// let code = ring.sign("ticket", &[b"one", b"two"]);
+    /// assert!(ring.verify("ticket", &[b"one", b"two"], &code));
+    /// assert!(!ring.verify("ticket", &[b"onet", b"wo"], &code));
+    /// ```
+    pub fn sign(&self, purpose: &str, parts: &[&[u8]]) -> Code {
+        let mut code = [0; CODE_LEN_BYTES];
+        let full = keyed(&self.current, purpose, parts).finalize().into_bytes();
+        code.copy_from_slice(&full[..CODE_LEN_BYTES]);
+        code
+    }
+
+    /// Tells whether a code was signed for the same purpose and parts under a key of the ring.
+    pub fn verify(&self, purpose: &str, parts: &[&[u8]], code: &[u8]) -> bool {
+        if code.len() != CODE_LEN_BYTES {
+            return false;
+        }
+        std::iter::once(&self.current)
+            .chain(self.previous.as_ref())
+            .any(|key| {
+                keyed(key, purpose, parts)
+                    .verify_truncated_left(code)
+                    .is_ok()
+            })
+    }
+}
+
+fn keyed(key: &[u8], purpose: &str, parts: &[&[u8]]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length");
+    for part in std::iter::once(purpose.as_bytes()).chain(parts.iter().copied()) {
+        mac.update(&(part.len() as u64).to_be_bytes());
+        mac.update(part);
+    }
+    mac
+}
--- /dev/null
+++ b/crates/celeryknot_core/src/lib.rs
@@ -0,0 +1,19 @@
+//! Shared types of the celeryknot router: ids, sizes, rates, times, and the
+//! closed list of error kinds with the table from kind to answer.
+//!
+//! This crate does no I/O and reads no clock.
+
+pub mod error_kind;
+pub mod header;
+pub mod id;
+pub mod keyed_hash;
+pub mod quantity;
+pub mod time;
+
+pub use error_kind::{Answer, ErrorKind, Execution, Refusal, RetryAdvice};
+pub use id::{
+    ChatKey, CustomerName, EndpointName, IdError, Incarnation, MemberName, ModelName, RequestId,
+    Revision, ServiceName, SettingPath, TeamName, ZoneName,
+};
+pub use quantity::{QuantityError, RatePerS, SizeBytes, TokenCount};
+pub use time::{DurationMs, MonotonicMs};
--- /dev/null
+++ b/crates/celeryknot_endpoints/src/lib.rs
@@ -0,0 +1,1 @@
+//! The endpoints' side: connections, attempts, load reports, cache events and orders.
--- /dev/null
+++ b/crates/celeryknot_operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' side: metrics, status, explanations and health.
--- /dev/null
+++ b/crates/celeryknot_peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between daemons: messages, transport and authentication.
--- /dev/null
+++ b/crates/celeryknot_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform's configuration service and instance list, read and watched.
--- /dev/null
+++ b/crates/celeryknotd/src/main.rs
@@ -0,0 +1,3 @@
+//! Thin binary around the library's run.
+
+fn main() {}
