--- a/crates/celeryknot_core/src/lib.rs
+++ b/crates/celeryknot_core/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! This crate does no I/O and reads no clock.
 
+pub mod endpoint;
 pub mod error_kind;
 pub mod header;
 pub mod id;
@@ -10,6 +11,7 @@
 pub mod quantity;
 pub mod time;
 
+pub use endpoint::{EndpointCondition, EndpointSummary};
 pub use error_kind::{Answer, ErrorKind, Execution, Refusal, RetryAdvice};
 pub use id::{
     ChatKey, CustomerName, EndpointName, IdError, Incarnation, MemberName, ModelName, RequestId,
--- a/crates/celeryknot_settings/src/daemon.rs
+++ b/crates/celeryknot_settings/src/daemon.rs
@@ -32,6 +32,8 @@
     pub callers_address: SocketAddr,
     /// `[listen] peers`: where other daemons connect.
     pub peers_address: SocketAddr,
+    /// `[listen] forwards`: where other daemons hand over requests.
+    pub forwards_address: SocketAddr,
     /// `[listen] operators`: health, metrics, status and explanations.
     pub operators_address: SocketAddr,
     /// `[platform] addresses`: replicas of the platform's service, tried in turn.
--- /dev/null
+++ b/crates/celeryknotd/src/event.rs
@@ -0,0 +1,20 @@
+//! What traffic threads tell the control thread.
+
+use celeryknot_core::{EndpointName, EndpointSummary, MemberName};
+
+/// A message from a traffic thread to the control thread.
+#[derive(Debug, Clone, PartialEq)]
+pub enum TrafficEvent {
+    /// The state of an endpoint that this daemon owns has changed.
+    EndpointChanged {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Its state now.
+        summary: EndpointSummary,
+    },
+    /// A peer could not be reached while a request was handed to it.
+    PeerUnreachable {
+        /// The peer.
+        member: MemberName,
+    },
+}
--- a/crates/celeryknotd/src/lib.rs
+++ b/crates/celeryknotd/src/lib.rs
@@ -1,1 +1,4 @@
-//! The daemon: one control thread, traffic threads, and the wiring between the peers' packages.
+//! The daemon: one control thread, traffic threads, and the wiring between the packages.
+
+pub mod event;
+pub mod snapshot;
