--- /dev/null
+++ b/crates/celeryknot_policy/src/admission/limits.rs
@@ -0,0 +1,95 @@
+//! The limits under which one endpoint's work is admitted.
+
+use celeryknot_core::DurationMs;
+use celeryknot_settings::ServiceSettings;
+
+/// The limits of one endpoint, taken from its service's settings.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_policy::admission::AdmissionLimits;
+/// use celeryknot_settings::ServiceSettings;
+///
+/// let limits = AdmissionLimits::from(&ServiceSettings::default()).with_in_flight_max(8);
+/// assert_eq!(limits.in_flight_max, 8);
+/// assert_eq!(limits.cold_in_flight_max, 2);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionLimits {
+    /// Most requests in flight at the warm endpoint.
+    pub in_flight_max: u32,
+    /// Most requests in flight at the endpoint in cold start.
+    pub cold_in_flight_max: u32,
+    /// Time over which the warmed-up endpoint is ramped to its full load.
+    pub ramp_ms: DurationMs,
+    /// Most requests that wait for the endpoint.
+    pub queue_len_max: u32,
+    /// Longest wait in the queue.
+    pub queue_wait_max_ms: DurationMs,
+    /// Most load of the endpoint, as a multiple of the mean of its service.
+    pub load_multiple: f64,
+}
+
+impl Default for AdmissionLimits {
+    fn default() -> Self {
+        Self::from(&ServiceSettings::default())
+    }
+}
+
+impl From<&ServiceSettings> for AdmissionLimits {
+    fn from(settings: &ServiceSettings) -> Self {
+        Self {
+            in_flight_max: settings.in_flight_max,
+            cold_in_flight_max: settings.cold_in_flight_max,
+            ramp_ms: settings.ramp_ms,
+            queue_len_max: settings.queue_len_max,
+            queue_wait_max_ms: settings.queue_wait_max_ms,
+            load_multiple: settings.load_multiple,
+        }
+    }
+}
+
+impl AdmissionLimits {
+    /// Sets the most requests in flight at the warm endpoint.
+    #[must_use]
+    pub fn with_in_flight_max(mut self, in_flight_max: u32) -> Self {
+        self.in_flight_max = in_flight_max;
+        self
+    }
+
+    /// Sets the most requests in flight at the endpoint in cold start.
+    #[must_use]
+    pub fn with_cold_in_flight_max(mut self, cold_in_flight_max: u32) -> Self {
+        self.cold_in_flight_max = cold_in_flight_max;
+        self
+    }
+
+    /// Sets the time over which the warmed-up endpoint is ramped to its full load.
+    #[must_use]
+    pub fn with_ramp_ms(mut self, ramp_ms: DurationMs) -> Self {
+        self.ramp_ms = ramp_ms;
+        self
+    }
+
+    /// Sets the most requests that wait.
+    #[must_use]
+    pub fn with_queue_len_max(mut self, queue_len_max: u32) -> Self {
+        self.queue_len_max = queue_len_max;
+        self
+    }
+
+    /// Sets the longest wait in the queue.
+    #[must_use]
+    pub fn with_queue_wait_max_ms(mut self, queue_wait_max_ms: DurationMs) -> Self {
+        self.queue_wait_max_ms = queue_wait_max_ms;
+        self
+    }
+
+    /// Sets the multiple of the mean load.
+    #[must_use]
+    pub fn with_load_multiple(mut self, load_multiple: f64) -> Self {
+        self.load_multiple = load_multiple;
+        self
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_policy/src/affinity.rs
@@ -0,0 +1,84 @@
+//! The opaque value that a caller sends back so that its chat finds its context again.
+
+use celeryknot_core::keyed_hash::{CODE_LEN_BYTES, KeyRing};
+use celeryknot_core::{ChatKey, EndpointName};
+
+const PURPOSE: &str = "affinity";
+const VERSION: &str = "a1";
+const SEPARATOR: char = '~';
+/// Longest accepted text of an affinity value.
+pub const AFFINITY_LEN_MAX_BYTES: usize = 160;
+
+/// Where a chat's context was last held.
+///
+/// A hint, never an authority: the worst that a wrong one does is a missed cache.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::{ChatKey, keyed_hash::KeyRing};
+/// use celeryknot_policy::affinity::AffinityValue;
+///
+/// let keys = KeyRing::new("an example key of 24 byte", None);
+/// let value = AffinityValue { endpoint: "engine-1".parse()?, chat: ChatKey(7), tokens: 900 };
+/// let text = value.to_text(&keys);
+/// assert_eq!(AffinityValue::parse(&text, &keys), Some(value));
+/// # Ok::<(), celeryknot_core::IdError>(())
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AffinityValue {
+    /// The endpoint that answered last.
+    pub endpoint: EndpointName,
+    /// The chat.
+    pub chat: ChatKey,
+    /// Tokens of the chat's context at that endpoint.
+    pub tokens: u32,
+}
+
+impl AffinityValue {
+    /// Writes the value as URL-safe text signed under the current key.
+    pub fn to_text(&self, keys: &KeyRing) -> String {
+        let body = format!(
+            "{VERSION}{SEPARATOR}{}{SEPARATOR}{}{SEPARATOR}{}",
+            self.endpoint, self.chat, self.tokens
+        );
+        let code = u128::from_be_bytes(keys.sign(PURPOSE, &[body.as_bytes()]));
+        format!("{body}{SEPARATOR}{code:032x}")
+    }
+
+    /// Reads and verifies a value; `None` for anything that this fleet did not sign.
+    pub fn parse(text: &str, keys: &KeyRing) -> Option<Self> {
+        if text.len() > AFFINITY_LEN_MAX_BYTES {
+            return None;
+        }
+        let (body, code) = text.rsplit_once(SEPARATOR)?;
+        if !keys.verify(PURPOSE, &[body.as_bytes()], &parse_code(code)?) {
+            return None;
+        }
+        let mut fields = body.split(SEPARATOR);
+        if fields.next()? != VERSION {
+            return None;
+        }
+        let endpoint = fields.next()?.parse().ok()?;
+        let chat = fields.next()?.parse().ok()?;
+        let tokens = fields.next()?.parse().ok()?;
+        if fields.next().is_some() {
+            return None;
+        }
+        Some(Self {
+            endpoint,
+            chat,
+            tokens,
+        })
+    }
+}
+
+/// Reads a code in lower-case hex.
+pub(crate) fn parse_code(text: &str) -> Option<[u8; CODE_LEN_BYTES]> {
+    let is_hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    if text.len() != 2 * CODE_LEN_BYTES || !text.bytes().all(is_hex) {
+        return None;
+    }
+    let code = u128::from_str_radix(text, 16).ok()?;
+    Some(code.to_be_bytes())
+}
--- /dev/null
+++ b/crates/celeryknot_policy/src/pause.rs
@@ -0,0 +1,53 @@
+//! Detection of pauses of the own process from ticks that arrive late.
+
+use celeryknot_core::{DurationMs, MonotonicMs};
+
+/// Watches the times of a regular tick.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::{DurationMs, MonotonicMs};
+/// use celeryknot_policy::pause::PauseDetector;
+///
+/// let mut detector = PauseDetector::new(DurationMs(100), DurationMs(500), MonotonicMs(0));
+/// assert_eq!(detector.tick(MonotonicMs(130)), None);
+/// assert_eq!(detector.tick(MonotonicMs(1_230)), Some(DurationMs(1_000)));
+/// ```
+#[derive(Debug, Clone)]
+pub struct PauseDetector {
+    period_ms: DurationMs,
+    threshold_ms: DurationMs,
+    last_at: MonotonicMs,
+}
+
+impl PauseDetector {
+    /// Expects a tick each `period_ms` and calls it a pause when one is late by more than
+    /// `threshold_ms`.
+    pub fn new(period_ms: DurationMs, threshold_ms: DurationMs, now: MonotonicMs) -> Self {
+        Self {
+            period_ms,
+            threshold_ms,
+            last_at: now,
+        }
+    }
+
+    /// Takes in a tick and returns by how much it was late, if that was a pause.
+    pub fn tick(&mut self, now: MonotonicMs) -> Option<DurationMs> {
+        let late_ms = self.late_ms(now);
+        self.last_at = self.last_at.max(now);
+        (late_ms > self.threshold_ms).then_some(late_ms)
+    }
+
+    /// Tells without a tick whether the process has been paused since the last one.
+    ///
+    /// A traffic thread asks this after its last await and before the first byte, since it may
+    /// run before the tick does.
+    pub fn is_overdue(&self, now: MonotonicMs) -> bool {
+        self.late_ms(now) > self.threshold_ms
+    }
+
+    fn late_ms(&self, now: MonotonicMs) -> DurationMs {
+        now - (self.last_at + self.period_ms)
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_policy/src/placement.rs
@@ -0,0 +1,165 @@
+//! Placement at the entry daemon: which endpoint a request is best sent to.
+
+pub mod baseline;
+pub mod context_aware;
+
+use celeryknot_core::{ChatKey, DurationMs, EndpointName, EndpointSummary, MonotonicMs};
+use rand::Rng;
+use smallvec::SmallVec;
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+pub use baseline::{ConsistentHash, LeastLoad, Random, RoundRobin};
+pub use context_aware::ContextAware;
+
+/// Most candidates of one decision.
+pub const CANDIDATES_MAX: usize = 4;
+
+/// The candidates of one decision, the best first.
+pub type Candidates = SmallVec<[Candidate; CANDIDATES_MAX]>;
+
+/// One endpoint of a service, prepared once for each snapshot of the fleet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacementEndpoint {
+    /// The endpoint's name.
+    pub name: EndpointName,
+    /// The hash of the name, by which chats remember endpoints.
+    pub name_hash: EndpointHash,
+    /// Whether the endpoint may get new work: it is not leaving and its zone is in.
+    pub takes_new_work: bool,
+    /// Whether the endpoint stands in the entry daemon's own zone.
+    pub is_own_zone: bool,
+    /// The last summary of the endpoint's owner.
+    pub summary: Option<EndpointSummary>,
+}
+
+/// The hash of an endpoint's name.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointHash(pub u64);
+
+impl EndpointHash {
+    /// Hashes a name.
+    pub fn new(name: &EndpointName) -> Self {
+        Self(celeryknot_core::id::rendezvous_score(0, name.as_str()))
+    }
+}
+
+impl PlacementEndpoint {
+    /// Builds an endpoint of which no summary has come.
+    pub fn new(name: EndpointName) -> Self {
+        Self {
+            name_hash: EndpointHash::new(&name),
+            name,
+            takes_new_work: true,
+            is_own_zone: false,
+            summary: None,
+        }
+    }
+
+    /// Sets whether the endpoint may get new work.
+    #[must_use]
+    pub fn with_takes_new_work(mut self, takes_new_work: bool) -> Self {
+        self.takes_new_work = takes_new_work;
+        self
+    }
+
+    /// Sets whether the endpoint stands in the entry daemon's own zone.
+    #[must_use]
+    pub fn with_own_zone(mut self, is_own_zone: bool) -> Self {
+        self.is_own_zone = is_own_zone;
+        self
+    }
+
+    /// Sets the last summary.
+    #[must_use]
+    pub fn with_summary(mut self, summary: Option<EndpointSummary>) -> Self {
+        self.summary = summary;
+        self
+    }
+}
+
+/// What is known of a request when it is placed.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PlacementRequest {
+    /// The chat, for model services.
+    pub chat: Option<ChatKey>,
+    /// The endpoint that the caller's affinity value names.
+    pub affinity: Option<EndpointName>,
+    /// Tokens that the affinity value says are cached there.
+    pub cached_tokens_hint: u32,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Endpoints that refused this request already.
+    pub excluded: SmallVec<[EndpointName; CANDIDATES_MAX]>,
+}
+
+/// Why an endpoint is a candidate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum CandidateReason {
+    /// The caller's affinity value names it.
+    Affinity,
+    /// This daemon saw the chat there.
+    Recent,
+    /// A cache event names it.
+    CacheEvent,
+    /// It comes first, or next, in the chat's rendezvous order.
+    Order,
+    /// It has the shortest wait.
+    LeastWait,
+    /// A draw at random.
+    Random,
+    /// The next one in turn.
+    Turn,
+}
+
+/// An endpoint that a request may be sent to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// The endpoint's place in the list that was given.
+    pub index: usize,
+    /// The expected wait before the endpoint starts the request.
+    pub wait_ms: DurationMs,
+    /// Tokens of the prompt that are not expected in the endpoint's cache.
+    pub uncached_tokens: u32,
+    /// The expected time to the first token, with what speaks against the endpoint.
+    pub cost_ms: f64,
+    /// Why the endpoint is a candidate.
+    pub reason: CandidateReason,
+}
+
+/// Ranks the endpoints of a service for a request.
+pub trait Placement {
+    /// Returns up to four endpoints that may get the request, the best first.
+    ///
+    /// Endpoints that take no new work or are excluded are never among them.
+    fn rank<R: Rng>(
+        &mut self,
+        now: MonotonicMs,
+        request: &PlacementRequest,
+        endpoints: &[PlacementEndpoint],
+        rng: &mut R,
+    ) -> Candidates;
+
+    /// Learns where a chat was answered and how many tokens of context it has there now.
+    fn observe_answer(
+        &mut self,
+        _now: MonotonicMs,
+        _chat: ChatKey,
+        _endpoint: EndpointHash,
+        _context_tokens: u32,
+    ) {
+    }
+}
+
+/// Tells whether the endpoint may get the request at all.
+pub(crate) fn is_eligible(endpoint: &PlacementEndpoint, request: &PlacementRequest) -> bool {
+    endpoint.takes_new_work && !request.excluded.contains(&endpoint.name)
+}
+
+/// Scores an endpoint in the rendezvous order of a chat; the highest score comes first.
+pub(crate) fn order_score(chat: ChatKey, endpoint: EndpointHash) -> u64 {
+    let mut x = chat.0 ^ endpoint.0.rotate_left(32) ^ 0x9e37_79b9_7f4a_7c15;
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/celeryknot_policy/src/placement/baseline.rs
@@ -0,0 +1,130 @@
+//! The usual placements, to measure ours against.
+
+use celeryknot_core::{ChatKey, DurationMs, MonotonicMs};
+use rand::{Rng, RngExt};
+
+use super::{
+    CANDIDATES_MAX, Candidate, CandidateReason, Candidates, Placement, PlacementEndpoint,
+    PlacementRequest, is_eligible, order_score,
+};
+
+/// Places at random.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Random;
+
+/// Places in turn.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+/// Places at the endpoint with the fewest requests in flight and waiting.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LeastLoad;
+
+/// Places at the first endpoint in the chat's rendezvous order, whatever its load.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ConsistentHash;
+
+impl Placement for Random {
+    fn rank<R: Rng>(
+        &mut self,
+        _now: MonotonicMs,
+        request: &PlacementRequest,
+        endpoints: &[PlacementEndpoint],
+        rng: &mut R,
+    ) -> Candidates {
+        rank_from(request, endpoints, CandidateReason::Random, |_, _| {
+            rng.random::<f64>()
+        })
+    }
+}
+
+impl Placement for RoundRobin {
+    fn rank<R: Rng>(
+        &mut self,
+        _now: MonotonicMs,
+        request: &PlacementRequest,
+        endpoints: &[PlacementEndpoint],
+        _rng: &mut R,
+    ) -> Candidates {
+        let count = endpoints.len().max(1);
+        let start = self.next % count;
+        let candidates = rank_from(request, endpoints, CandidateReason::Turn, |at, _| {
+            ((at + count - start) % count) as f64
+        });
+        if let Some(first) = candidates.first() {
+            self.next = first.index + 1;
+        }
+        candidates
+    }
+}
+
+impl Placement for LeastLoad {
+    fn rank<R: Rng>(
+        &mut self,
+        _now: MonotonicMs,
+        request: &PlacementRequest,
+        endpoints: &[PlacementEndpoint],
+        rng: &mut R,
+    ) -> Candidates {
+        rank_from(
+            request,
+            endpoints,
+            CandidateReason::LeastWait,
+            |_, endpoint| {
+                let summary = endpoint.summary.unwrap_or_default();
+                // Ties are broken at random, so that daemons don't all pick the same one.
+                f64::from(summary.in_flight + summary.queued) + rng.random::<f64>() / 2.0
+            },
+        )
+    }
+}
+
+impl Placement for ConsistentHash {
+    fn rank<R: Rng>(
+        &mut self,
+        _now: MonotonicMs,
+        request: &PlacementRequest,
+        endpoints: &[PlacementEndpoint],
+        rng: &mut R,
+    ) -> Candidates {
+        let chat = request.chat.unwrap_or_else(|| ChatKey(rng.random()));
+        rank_from(request, endpoints, CandidateReason::Order, |_, endpoint| {
+            -(order_score(chat, endpoint.name_hash) as f64)
+        })
+    }
+}
+
+/// Returns the eligible endpoints with the least values, the least first.
+fn rank_from(
+    request: &PlacementRequest,
+    endpoints: &[PlacementEndpoint],
+    reason: CandidateReason,
+    mut value: impl FnMut(usize, &PlacementEndpoint) -> f64,
+) -> Candidates {
+    let mut candidates = Candidates::new();
+    for (index, endpoint) in endpoints.iter().enumerate() {
+        if !is_eligible(endpoint, request) {
+            continue;
+        }
+        let cost_ms = value(index, endpoint);
+        let wait_ms = endpoint.summary.map_or(DurationMs(0), |s| s.wait_ms);
+        let at = candidates.partition_point(|held: &Candidate| held.cost_ms <= cost_ms);
+        if at >= CANDIDATES_MAX {
+            continue;
+        }
+        candidates.truncate(CANDIDATES_MAX - 1);
+        candidates.insert(
+            at,
+            Candidate {
+                index,
+                wait_ms,
+                uncached_tokens: request.prompt_tokens,
+                cost_ms,
+                reason,
+            },
+        );
+    }
+    candidates
+}
--- /dev/null
+++ b/crates/celeryknot_policy/src/retry.rs
@@ -0,0 +1,9 @@
+//! Retries and hedges within a budget.
+
+pub mod backoff;
+pub mod budget;
+pub mod hedge;
+
+pub use backoff::Backoff;
+pub use budget::RetryBudget;
+pub use hedge::HedgeTimer;
--- /dev/null
+++ b/crates/celeryknot_policy/src/retry/budget.rs
@@ -0,0 +1,106 @@
+//! The budget that keeps retries and hedges to a share of fresh requests.
+
+use celeryknot_core::{DurationMs, MonotonicMs};
+
+/// Length of one slot of the window.
+const SLOT_MS: u64 = 1_000;
+/// Slots of the window.
+const SLOTS: usize = 10;
+/// Retries in a window that are allowed however few fresh requests there were.
+const RETRIES_MIN: u32 = 3;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Slot {
+    number: u64,
+    fresh: u32,
+    retries: u32,
+    refused: u32,
+}
+
+/// Allows retries as a share of the fresh requests of the last ten seconds.
+///
+/// A service that goes down whole makes every request fail; the budget then bounds the load
+/// that retries add, whatever the callers do.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::MonotonicMs;
+/// use celeryknot_policy::retry::RetryBudget;
+///
+/// let mut budget = RetryBudget::new(20);
+/// let now = MonotonicMs(0);
+/// (0..100).for_each(|_| budget.observe_fresh(now));
+/// let taken = (0..100).filter(|_| budget.try_take(now)).count();
+/// assert_eq!(taken, 20);
+/// ```
+#[derive(Debug, Clone)]
+pub struct RetryBudget {
+    percent_max: u32,
+    slots: [Slot; SLOTS],
+}
+
+impl RetryBudget {
+    /// Allows `percent_max` retries for each hundred fresh requests.
+    pub fn new(percent_max: u32) -> Self {
+        Self {
+            percent_max,
+            slots: [Slot::default(); SLOTS],
+        }
+    }
+
+    /// Replaces the share.
+    pub fn set_percent_max(&mut self, percent_max: u32) {
+        self.percent_max = percent_max;
+    }
+
+    /// Counts a fresh request.
+    pub fn observe_fresh(&mut self, now: MonotonicMs) {
+        let slot = self.slot_mut(now);
+        slot.fresh = slot.fresh.saturating_add(1);
+    }
+
+    /// Takes one retry or hedge from the budget, if one is left.
+    pub fn try_take(&mut self, now: MonotonicMs) -> bool {
+        let (fresh, retries) = self.totals(now);
+        let allowed = u64::from(fresh) * u64::from(self.percent_max) / 100;
+        let allowed = match self.percent_max {
+            0 => 0,
+            _ => allowed.max(u64::from(RETRIES_MIN)),
+        };
+        let slot = self.slot_mut(now);
+        if u64::from(retries) >= allowed {
+            slot.refused = slot.refused.saturating_add(1);
+            return false;
+        }
+        slot.retries += 1;
+        true
+    }
+
+    /// Returns when a slot of the window ends, so that a retry may be allowed again.
+    pub fn retry_after_ms(&self, now: MonotonicMs) -> DurationMs {
+        DurationMs(SLOT_MS - now.0 % SLOT_MS)
+    }
+
+    fn totals(&self, now: MonotonicMs) -> (u32, u32) {
+        let current = now.0 / SLOT_MS;
+        self.slots
+            .iter()
+            .filter(|slot| slot.number <= current && slot.number + SLOTS as u64 > current)
+            .fold((0, 0), |(fresh, retries), slot| {
+                (fresh + slot.fresh, retries + slot.retries)
+            })
+    }
+
+    fn slot_mut(&mut self, now: MonotonicMs) -> &mut Slot {
+        let number = now.0 / SLOT_MS;
+        let slot = &mut self.slots[(number % SLOTS as u64) as usize];
+        if slot.number != number {
+            *slot = Slot {
+                number,
+                ..Slot::default()
+            };
+        }
+        slot
+    }
+}
