Admit work under exact bounds with a fair queue

The owner of an endpoint sees all its work, so the bounds can be exact there. Weighed for the queue: deficit round robin (rounds make a quiet customer wait for a whole turn of each large one) against start-time fair queueing (chosen: one tag a customer, a quiet one goes next). Urgency orders the requests of one customer and moves them among customers by a bounded amount only, since a customer could otherwise gain a share by calling all its work urgent.

The load bound takes off what old summaries can add: the fall of the mean that goes on, and three standard deviations of arrivals and ends.

--- /dev/null
+++ b/crates/celeryknot_policy/src/admission/fair_queue.rs
@@ -0,0 +1,278 @@
+//! The queue of one endpoint: start-time fair queueing over customers by cost in tokens.
+//!
+//! Each customer has a tag in virtual time that moves on by cost over weight with every request
+//! it starts, queued or not. The customer with the lowest tag goes next. Within a customer the
+//! more urgent request goes first, and waiting makes a request more urgent. Between customers
+//! urgency moves a request by a bounded amount of virtual time only, and what it costs is
+//! charged in full, so that calling everything urgent gains no share.
+
+use std::collections::BTreeMap;
+
+use celeryknot_core::{CustomerName, DurationMs, MonotonicMs, RequestId};
+
+use super::flow::{Flow, QueuedRequest};
+use super::request::{AdmissionRequest, URGENCY_DEFAULT};
+
+/// Tokens by which one class of urgency moves a request ahead of other customers.
+const URGENCY_STEP_TOKENS: f64 = 100.0;
+/// How long a customer counts as active after its last request.
+const ACTIVE_MS: DurationMs = DurationMs(60_000);
+/// The part of an endpoint's slots that is kept from customers above their share: one in this.
+const RESERVE_DIVISOR: u32 = 8;
+/// Customers over which the expected wait of the summary is averaged.
+const WAIT_FLOWS_MAX: usize = 16;
+
+/// A request taken out of the queue.
+#[derive(Debug, Clone)]
+pub(super) struct Taken {
+    pub(super) customer: CustomerName,
+    pub(super) request: QueuedRequest,
+}
+
+/// The queued work of all customers.
+#[derive(Debug, Clone, Default)]
+pub(super) struct FairQueue {
+    flows: BTreeMap<CustomerName, Flow>,
+    virtual_time: f64,
+    next_sequence: u64,
+    len: usize,
+}
+
+/// The slots of the endpoint, for shares of them.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Slots {
+    /// The most that the endpoint itself can bear.
+    pub(super) own_max: u32,
+    /// Requests in flight now, from all daemons.
+    pub(super) in_flight: u32,
+}
+
+impl FairQueue {
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    pub(super) fn contains(&self, id: RequestId) -> bool {
+        self.requests().any(|held| held.id == id)
+    }
+
+    pub(super) fn requests(&self) -> impl Iterator<Item = &QueuedRequest> {
+        self.flows.values().flat_map(|flow| &flow.queue)
+    }
+
+    pub(super) fn queued_of(&self, customer: &CustomerName) -> usize {
+        self.flows.get(customer).map_or(0, |flow| flow.queue.len())
+    }
+
+    pub(super) fn id_at(&self, customer: &CustomerName, at: usize) -> Option<RequestId> {
+        let flow = self.flows.get(customer)?;
+        flow.queue.get(at).map(|held| held.id)
+    }
+
+    pub(super) fn push(&mut self, now: MonotonicMs, request: &AdmissionRequest) {
+        let virtual_time = self.virtual_time;
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let flow = self.flow_mut(now, &request.customer);
+        flow.weight = request.weight;
+        if flow.queue.is_empty() {
+            flow.start_tag = virtual_time.max(flow.finish_tag);
+        }
+        flow.queue.push(QueuedRequest::new(now, sequence, request));
+        self.len += 1;
+    }
+
+    /// Names the request that goes next, if one may take a slot.
+    pub(super) fn next(&self, now: MonotonicMs, slots: Slots) -> Option<(CustomerName, usize)> {
+        let total_weight = self.active_weight(now);
+        let mut best: Option<(f64, u64, &CustomerName, usize)> = None;
+        for (customer, flow) in &self.flows {
+            let Some(at) = flow.next(now) else { continue };
+            if self.is_held_back(flow, slots, total_weight) {
+                continue;
+            }
+            let request = &flow.queue[at];
+            let offset = urgency_offset(request.urgency) / flow.weight;
+            let key = (flow.start_tag + offset, request.sequence);
+            if best.is_none_or(|(tag, sequence, ..)| key < (tag, sequence)) {
+                best = Some((key.0, key.1, customer, at));
+            }
+        }
+        best.map(|(_, _, customer, at)| (customer.clone(), at))
+    }
+
+    /// Takes the request at a place named by `next` and charges its customer for it.
+    pub(super) fn start(
+        &mut self,
+        now: MonotonicMs,
+        customer: &CustomerName,
+        at: usize,
+    ) -> Option<Taken> {
+        let flow = self.flows.get_mut(customer)?;
+        let request = flow.queue.remove(at);
+        flow.finish_tag = flow.start_tag + f64::from(request.cost_tokens) / flow.weight;
+        let started = flow.start_tag;
+        flow.start_tag = flow.finish_tag;
+        flow.in_flight += 1;
+        flow.active_at = now;
+        self.len -= 1;
+        let lowest = self
+            .flows
+            .values()
+            .filter(|flow| !flow.queue.is_empty())
+            .fold(started, |lowest, flow| lowest.min(flow.start_tag));
+        self.virtual_time = self.virtual_time.max(lowest);
+        Some(Taken {
+            customer: customer.clone(),
+            request,
+        })
+    }
+
+    /// Takes a request out without starting it; its customer is not charged.
+    pub(super) fn remove(&mut self, id: RequestId) -> Option<QueuedRequest> {
+        let (flow, at) = self.flows.values_mut().find_map(|flow| {
+            let at = flow.queue.iter().position(|held| held.id == id)?;
+            Some((flow, at))
+        })?;
+        self.len -= 1;
+        Some(flow.queue.remove(at))
+    }
+
+    /// Takes out the last request of the customer that is furthest above its share of the queue,
+    /// if it is further above than `customer` would be with one request more.
+    pub(super) fn push_out(
+        &mut self,
+        now: MonotonicMs,
+        customer: &CustomerName,
+        weight: f64,
+    ) -> Option<RequestId> {
+        let wanted = (self.queued_of(customer) + 1) as f64 / weight;
+        let (_, flow) = self
+            .flows
+            .iter_mut()
+            .map(|(name, flow)| (flow.queue.len() as f64 / flow.weight, name, flow))
+            .filter(|(filled, name, _)| *filled > wanted && *name != customer)
+            .max_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(filled, _, flow)| (filled, flow))?;
+        let at = flow.last(now)?;
+        self.len -= 1;
+        Some(flow.queue.remove(at).id)
+    }
+
+    /// Returns the ids of all queued requests and empties the queue.
+    pub(super) fn drain(&mut self) -> Vec<RequestId> {
+        self.len = 0;
+        self.flows
+            .values_mut()
+            .flat_map(|flow| flow.queue.drain(..))
+            .map(|held| held.id)
+            .collect()
+    }
+
+    /// Takes in the end of a request that was started.
+    pub(super) fn finish(&mut self, now: MonotonicMs, customer: &CustomerName) {
+        if let Some(flow) = self.flows.get_mut(customer) {
+            flow.in_flight = flow.in_flight.saturating_sub(1);
+            flow.active_at = now;
+        }
+        self.forget_idle(now);
+    }
+
+    /// The most requests of a customer that may wait, out of a queue of `queue_len_max`.
+    ///
+    /// Room for one more customer of the mean weight is always left.
+    pub(super) fn queue_share(
+        &self,
+        now: MonotonicMs,
+        customer: &CustomerName,
+        weight: f64,
+        queue_len_max: u32,
+    ) -> usize {
+        let others = self.active(now).filter(|(name, _)| *name != customer);
+        let (count, total) = others.fold((1, weight), |(count, total), (_, flow)| {
+            (count + 1, total + flow.weight)
+        });
+        let newcomer = total / f64::from(count);
+        let share = f64::from(queue_len_max) * weight / (total + newcomer);
+        (share.ceil() as usize).max(1)
+    }
+
+    /// Queued work that goes before a new request of the customer.
+    pub(super) fn tokens_ahead(
+        &self,
+        now: MonotonicMs,
+        customer: &CustomerName,
+        weight: f64,
+        urgency: u8,
+    ) -> f64 {
+        let own = self.flows.get(customer);
+        let own_before = own.map_or(0.0, |flow| flow.tokens_before(now, urgency));
+        let own_tag = match own {
+            Some(flow) if !flow.queue.is_empty() => flow.start_tag,
+            Some(flow) => flow.finish_tag.max(self.virtual_time),
+            None => self.virtual_time,
+        };
+        let tag = own_tag + (own_before + urgency_offset(urgency)) / weight;
+        let others = self.flows.iter().filter(|(name, _)| *name != customer);
+        let others_before: f64 = others
+            .map(|(_, flow)| {
+                let room = ((tag - flow.start_tag) * flow.weight).max(0.0);
+                flow.queued_tokens().min(room)
+            })
+            .sum();
+        own_before + others_before
+    }
+
+    /// Mean over the active customers of the work that goes before a new request.
+    pub(super) fn mean_tokens_ahead(&self, now: MonotonicMs) -> f64 {
+        let mut count = 0;
+        let mut total = 0.0;
+        for (customer, flow) in self.active(now).take(WAIT_FLOWS_MAX) {
+            count += 1;
+            total += self.tokens_ahead(now, customer, flow.weight, URGENCY_DEFAULT);
+        }
+        total / f64::from(count.max(1))
+    }
+
+    /// A customer above its share leaves the last slots to the others.
+    fn is_held_back(&self, flow: &Flow, slots: Slots, total_weight: f64) -> bool {
+        let reserve = slots.own_max / RESERVE_DIVISOR;
+        if reserve == 0 || total_weight <= flow.weight {
+            return false;
+        }
+        let share = f64::from(slots.own_max) * flow.weight / total_weight;
+        f64::from(flow.in_flight) >= share && slots.in_flight + reserve >= slots.own_max
+    }
+
+    fn active(&self, now: MonotonicMs) -> impl Iterator<Item = (&CustomerName, &Flow)> {
+        self.flows
+            .iter()
+            .filter(move |(_, flow)| !flow.is_idle() || flow.idle_ms(now) < ACTIVE_MS)
+    }
+
+    fn active_weight(&self, now: MonotonicMs) -> f64 {
+        self.active(now).map(|(_, flow)| flow.weight).sum()
+    }
+
+    fn flow_mut(&mut self, now: MonotonicMs, customer: &CustomerName) -> &mut Flow {
+        let flow = self
+            .flows
+            .entry(customer.clone())
+            .or_insert_with(|| Flow::new(now));
+        flow.active_at = now;
+        flow
+    }
+
+    fn forget_idle(&mut self, now: MonotonicMs) {
+        self.flows
+            .retain(|_, flow| !flow.is_idle() || flow.idle_ms(now) < ACTIVE_MS);
+    }
+}
+
+fn urgency_offset(urgency: u8) -> f64 {
+    (f64::from(urgency) - f64::from(URGENCY_DEFAULT)) * URGENCY_STEP_TOKENS
+}
--- /dev/null
+++ b/crates/celeryknot_policy/src/admission/flow.rs
@@ -0,0 +1,103 @@
+//! The queued and running work of one customer at one endpoint.
+
+use celeryknot_core::{DurationMs, MonotonicMs, RequestId};
+
+use super::request::AdmissionRequest;
+
+/// Wait after which a request counts as one class more urgent within its customer.
+const AGE_STEP_MS: u64 = 1_000;
+
+/// One request that waits.
+#[derive(Debug, Clone)]
+pub(super) struct QueuedRequest {
+    pub(super) id: RequestId,
+    pub(super) sequence: u64,
+    pub(super) queued_at: MonotonicMs,
+    pub(super) urgency: u8,
+    pub(super) cost_tokens: u32,
+    pub(super) deadline_at: Option<MonotonicMs>,
+    pub(super) needs_whole_answer: bool,
+}
+
+impl QueuedRequest {
+    pub(super) fn new(now: MonotonicMs, sequence: u64, request: &AdmissionRequest) -> Self {
+        Self {
+            id: request.id,
+            sequence,
+            queued_at: now,
+            urgency: request.urgency,
+            cost_tokens: request.cost_tokens,
+            deadline_at: request.deadline_at,
+            needs_whole_answer: request.needs_whole_answer,
+        }
+    }
+
+    /// The urgency after ageing; lower is more urgent, without a lower end.
+    pub(super) fn aged_urgency(&self, now: MonotonicMs) -> i64 {
+        i64::from(self.urgency) - ((now - self.queued_at).0 / AGE_STEP_MS) as i64
+    }
+
+    fn rank(&self, now: MonotonicMs) -> (i64, u64) {
+        (self.aged_urgency(now), self.sequence)
+    }
+}
+
+/// One customer's work, with its tag in virtual time.
+#[derive(Debug, Clone)]
+pub(super) struct Flow {
+    pub(super) weight: f64,
+    /// Virtual time at which the customer's next request starts while it has queued ones.
+    pub(super) start_tag: f64,
+    /// Virtual time at which the customer's last started request ends.
+    pub(super) finish_tag: f64,
+    pub(super) queue: Vec<QueuedRequest>,
+    pub(super) in_flight: u32,
+    pub(super) active_at: MonotonicMs,
+}
+
+impl Flow {
+    pub(super) fn new(now: MonotonicMs) -> Self {
+        Self {
+            weight: 1.0,
+            start_tag: 0.0,
+            finish_tag: 0.0,
+            queue: Vec::new(),
+            in_flight: 0,
+            active_at: now,
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.in_flight == 0
+    }
+
+    /// The place of the request that goes next.
+    pub(super) fn next(&self, now: MonotonicMs) -> Option<usize> {
+        (0..self.queue.len()).min_by_key(|at| self.queue[*at].rank(now))
+    }
+
+    /// The place of the request that is given up first.
+    pub(super) fn last(&self, now: MonotonicMs) -> Option<usize> {
+        (0..self.queue.len()).max_by_key(|at| self.queue[*at].rank(now))
+    }
+
+    pub(super) fn queued_tokens(&self) -> f64 {
+        self.queue
+            .iter()
+            .map(|held| f64::from(held.cost_tokens))
+            .sum()
+    }
+
+    /// Work of this customer that goes before a new request of the urgency.
+    pub(super) fn tokens_before(&self, now: MonotonicMs, urgency: u8) -> f64 {
+        self.queue
+            .iter()
+            .filter(|held| held.aged_urgency(now) <= i64::from(urgency))
+            .map(|held| f64::from(held.cost_tokens))
+            .sum()
+    }
+
+    pub(super) fn idle_ms(&self, now: MonotonicMs) -> DurationMs {
+        now - self.active_at
+    }
+}
--- a/crates/celeryknot_policy/src/bound.rs
+++ b/crates/celeryknot_policy/src/bound.rs
@@ -1,6 +1,8 @@
 //! The load bound: the most requests that one endpoint may carry, from the mean of its service.
 
-use celeryknot_core::{EndpointCondition, EndpointSummary};
+use std::collections::VecDeque;
+
+use celeryknot_core::{DurationMs, EndpointCondition, EndpointSummary, MonotonicMs};
 
 /// The load of a service over its endpoints, as old as the summaries it was made from.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -9,6 +11,10 @@
     pub endpoint_count: u32,
     /// Mean requests in flight at such an endpoint.
     pub mean_in_flight: f64,
+    /// How fast the mean falls, in requests a second; 0 while it rises or where unknown.
+    pub fall_per_s: f64,
+    /// How old the summaries are.
+    pub age_ms: DurationMs,
 }
 
 impl ServiceLoad {
@@ -37,6 +43,13 @@
         }
         if warm.count > 0 { warm } else { all }.mean()
     }
+
+    /// Sets how old the summaries are, from the state of an endpoint to its use here.
+    #[must_use]
+    pub fn with_age_ms(mut self, age_ms: DurationMs) -> Self {
+        self.age_ms = age_ms;
+        self
+    }
 }
 
 #[derive(Default)]
@@ -55,16 +68,31 @@
         ServiceLoad {
             endpoint_count: self.count,
             mean_in_flight: self.in_flight as f64 / f64::from(self.count.max(1)),
+            fall_per_s: 0.0,
+            age_ms: SUMMARY_AGE_DEFAULT_MS,
         }
     }
 }
 
 /// The rule from the mean of a service to the most load of one endpoint.
+///
+/// The summaries that the mean is made from are old, so that the mean may have fallen by the
+/// time the bound is used. What that can add is taken off in advance: the fall that goes on as
+/// it did in the last second, and a few standard deviations of the arrivals and ends of
+/// requests within the age of the summaries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadBound {
     multiple: f64,
+    service_ms: f64,
 }
 
+/// Standard deviations of the mean that are taken off.
+const DEVIATIONS: f64 = 3.0;
+/// Time that a request is in flight where nothing is known.
+const SERVICE_DEFAULT_MS: f64 = 1_000.0;
+/// Time from the state of an endpoint to its use in another owner's bound.
+pub const SUMMARY_AGE_DEFAULT_MS: DurationMs = DurationMs(500);
+
 impl LoadBound {
     /// Builds the rule for a multiple of the mean; multiples below 1 count as 1.
     pub fn new(multiple: f64) -> Self {
@@ -73,24 +101,78 @@
         } else {
             1.0
         };
-        Self { multiple }
+        Self {
+            multiple,
+            service_ms: SERVICE_DEFAULT_MS,
+        }
+    }
+
+    /// Sets how long a request is in flight; the longer, the slower the mean changes.
+    #[must_use]
+    pub fn with_service_ms(mut self, service_ms: DurationMs) -> Self {
+        self.service_ms = (service_ms.0 as f64).max(1.0);
+        self
     }
 
     /// Returns the most requests in flight at one endpoint.
     ///
+    /// It is never below one more than the mean that is expected now, since a bound at the mean
+    /// would stop all growth.
+    ///
     /// # Examples
     ///
     /// ```
     /// use celeryknot_policy::bound::{LoadBound, ServiceLoad};
     ///
-    /// let load = ServiceLoad { endpoint_count: 10, mean_in_flight: 8.0 };
-    /// assert_eq!(LoadBound::new(1.25).in_flight_max(&load), 10);
+    /// let load = ServiceLoad { endpoint_count: 10, mean_in_flight: 8.0, ..Default::default() };
+    /// assert_eq!(LoadBound::new(1.25).in_flight_max(&load), 11);
     /// ```
     pub fn in_flight_max(&self, load: &ServiceLoad) -> u32 {
         if load.endpoint_count < 2 {
             return u32::MAX;
         }
-        let mean = load.mean_in_flight;
-        (self.multiple * mean).max(mean + 1.0).floor() as u32
+        let age_s = load.age_ms.0 as f64 / 1_000.0;
+        let expected = (load.mean_in_flight - load.fall_per_s * age_s).max(0.0);
+        let low = (expected - DEVIATIONS * self.deviation(load)).max(0.0);
+        let bound = (self.multiple * low + 1.0).max(expected + 1.0);
+        bound.floor() as u32
+    }
+
+    /// The standard deviation of the mean's change within the age of the summaries.
+    ///
+    /// Arrivals and ends are each taken as a Poisson process.
+    fn deviation(&self, load: &ServiceLoad) -> f64 {
+        let turned_over = load.mean_in_flight * load.age_ms.0 as f64 / self.service_ms;
+        (2.0 * turned_over / f64::from(load.endpoint_count)).sqrt()
     }
 }
+
+/// Time over which a fall of the mean is measured.
+const TREND_MS: u64 = 1_000;
+
+/// Measures how fast the mean falls.
+#[derive(Debug, Clone, Default)]
+pub struct MeanTrend {
+    seen: VecDeque<(MonotonicMs, f64)>,
+}
+
+impl MeanTrend {
+    /// Takes in a mean and returns how fast it falls, in requests a second; 0 while it rises.
+    pub fn observe(&mut self, now: MonotonicMs, mean_in_flight: f64) -> f64 {
+        while self.seen.len() > 1 && (now - self.seen[1].0).0 >= TREND_MS {
+            self.seen.pop_front();
+        }
+        if self.seen.len() == TREND_SAMPLES_MAX {
+            self.seen.pop_front();
+        }
+        self.seen.push_back((now, mean_in_flight));
+        let Some((since, first)) = self.seen.front() else {
+            return 0.0;
+        };
+        let elapsed_ms = (now - *since).0.max(TREND_MS / 4) as f64;
+        ((first - mean_in_flight) * 1_000.0 / elapsed_ms).max(0.0)
+    }
+}
+
+/// Most means held.
+const TREND_SAMPLES_MAX: usize = 64;
