Place chats by the expected time to the first token

Weighed: stickiness (drowns an engine that a few chats share), bounded consistent hashing alone (moves a chat at the first full queue, however long its context), and cost. Cost is the wait, plus the tokens that are not expected in the cache over the prefill rate, or their import from an endpoint that holds them, also one that leaves. Hints come from the affinity value, what this daemon saw and cache events; without one the chat's rendezvous order stands in. How long a context stays cached is learned from the cached tokens in answers, by its age.

One pass finds the few endpoints that stand out; nothing is sorted.

--- a/crates/celeryknot_policy/src/placement.rs
+++ b/crates/celeryknot_policy/src/placement.rs
@@ -1,7 +1,14 @@
 //! Placement at the entry daemon: which endpoint a request is best sent to.
 
+mod base_cost;
 pub mod baseline;
+mod best;
 pub mod context_aware;
+pub mod explain;
+mod hint;
+pub mod holder_table;
+pub mod survival;
+pub mod two_choices;
 
 use celeryknot_core::{ChatKey, DurationMs, EndpointName, EndpointSummary, MonotonicMs};
 use rand::Rng;
@@ -10,6 +17,10 @@
 
 pub use baseline::{ConsistentHash, LeastLoad, Random, RoundRobin};
 pub use context_aware::ContextAware;
+pub use explain::{EndpointExplanation, Objection};
+pub use holder_table::{Holder, HolderTable};
+pub use survival::CacheSurvival;
+pub use two_choices::TwoChoices;
 
 /// Most candidates of one decision.
 pub const CANDIDATES_MAX: usize = 4;
@@ -20,16 +31,19 @@
 /// One endpoint of a service, prepared once for each snapshot of the fleet.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PlacementEndpoint {
-    /// The endpoint's name.
-    pub name: EndpointName,
     /// The hash of the name, by which chats remember endpoints.
     pub name_hash: EndpointHash,
+    /// The expected time to the first token that does not depend on the chat.
+    base_ms: f64,
     /// Whether the endpoint may get new work: it is not leaving and its zone is in.
     pub takes_new_work: bool,
     /// Whether the endpoint stands in the entry daemon's own zone.
     pub is_own_zone: bool,
-    /// The last summary of the endpoint's owner.
-    pub summary: Option<EndpointSummary>,
+    /// Whether the owner would start a request at once.
+    has_room: bool,
+    summary: Option<EndpointSummary>,
+    /// The endpoint's name.
+    pub name: EndpointName,
 }
 
 /// The hash of an endpoint's name.
@@ -48,10 +62,12 @@
     pub fn new(name: EndpointName) -> Self {
         Self {
             name_hash: EndpointHash::new(&name),
-            name,
+            base_ms: base_cost::base_ms(None),
             takes_new_work: true,
             is_own_zone: false,
+            has_room: false,
             summary: None,
+            name,
         }
     }
 
@@ -73,8 +89,21 @@
     #[must_use]
     pub fn with_summary(mut self, summary: Option<EndpointSummary>) -> Self {
         self.summary = summary;
+        self.base_ms = base_cost::base_ms(summary.as_ref());
+        self.has_room = base_cost::has_room(summary.as_ref());
         self
     }
+
+    /// Returns the last summary.
+    pub fn summary(&self) -> Option<&EndpointSummary> {
+        self.summary.as_ref()
+    }
+
+    /// Returns the wait that the endpoint's owner expects, or none where nothing is known.
+    pub fn wait_ms(&self) -> DurationMs {
+        self.summary
+            .map_or(DurationMs(0), |summary| summary.wait_ms)
+    }
 }
 
 /// What is known of a request when it is placed.
@@ -123,6 +152,9 @@
     pub uncached_tokens: u32,
     /// The expected time to the first token, with what speaks against the endpoint.
     pub cost_ms: f64,
+    /// The place in the list of an endpoint from which the chat's KV cache is worth importing;
+    /// it may be one that takes no new work.
+    pub kv_source: Option<usize>,
     /// Why the endpoint is a candidate.
     pub reason: CandidateReason,
 }
@@ -140,15 +172,21 @@
         rng: &mut R,
     ) -> Candidates;
 
-    /// Learns where a chat was answered and how many tokens of context it has there now.
-    fn observe_answer(
-        &mut self,
-        _now: MonotonicMs,
-        _chat: ChatKey,
-        _endpoint: EndpointHash,
-        _context_tokens: u32,
-    ) {
-    }
+    /// Learns where a chat was answered.
+    fn observe_answer(&mut self, _now: MonotonicMs, _answer: &ChatAnswer) {}
+}
+
+/// What a whole answer says about a chat's context.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ChatAnswer {
+    /// The chat.
+    pub chat: ChatKey,
+    /// The endpoint that answered.
+    pub endpoint: EndpointHash,
+    /// Tokens of the chat's context there now: prompt and answer.
+    pub context_tokens: u32,
+    /// Tokens of the prompt that the endpoint found in its cache, where it says so.
+    pub cached_tokens: Option<u32>,
 }
 
 /// Tells whether the endpoint may get the request at all.
@@ -157,9 +195,9 @@
 }
 
 /// Scores an endpoint in the rendezvous order of a chat; the highest score comes first.
+#[inline]
 pub(crate) fn order_score(chat: ChatKey, endpoint: EndpointHash) -> u64 {
-    let mut x = chat.0 ^ endpoint.0.rotate_left(32) ^ 0x9e37_79b9_7f4a_7c15;
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
+    // Both are hashes already, so that one wide multiplication mixes them well enough.
+    let product = u128::from(chat.0 ^ 0x9e37_79b9_7f4a_7c15) * u128::from(endpoint.0 | 1);
+    (product >> 64) as u64 ^ product as u64
 }
--- a/crates/celeryknot_policy/src/placement/baseline.rs
+++ b/crates/celeryknot_policy/src/placement/baseline.rs
@@ -1,6 +1,6 @@
 //! The usual placements, to measure ours against.
 
-use celeryknot_core::{ChatKey, DurationMs, MonotonicMs};
+use celeryknot_core::{ChatKey, MonotonicMs};
 use rand::{Rng, RngExt};
 
 use super::{
@@ -109,7 +109,7 @@
             continue;
         }
         let cost_ms = value(index, endpoint);
-        let wait_ms = endpoint.summary.map_or(DurationMs(0), |s| s.wait_ms);
+        let wait_ms = endpoint.wait_ms();
         let at = candidates.partition_point(|held: &Candidate| held.cost_ms <= cost_ms);
         if at >= CANDIDATES_MAX {
             continue;
@@ -122,6 +122,7 @@
                 wait_ms,
                 uncached_tokens: request.prompt_tokens,
                 cost_ms,
+                kv_source: None,
                 reason,
             },
         );
