--- /dev/null
+++ b/crates/celeryknot_policy/tests/streams.rs
@@ -0,0 +1,73 @@
+//! Streams that break and are resumed, and pauses.
+
+use celeryknot_core::{DurationMs, MonotonicMs};
+use celeryknot_policy::pause::PauseDetector;
+use celeryknot_policy::stream::{StreamCursor, TokenVerdict};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+#[test]
+fn stream_with_another_count_is_not_whole() {
+    let mut cursor = StreamCursor::new();
+    assert_eq!(cursor.accept(0), TokenVerdict::Pass);
+    assert!(!cursor.finish(Some(2)));
+    assert!(!cursor.is_finished());
+    assert_eq!(cursor.resume(1), Some(1));
+    assert_eq!(cursor.resume(1), None);
+    assert_eq!(cursor.accept(1), TokenVerdict::Pass);
+    assert!(cursor.finish(Some(2)));
+    assert_eq!(cursor.accept(2), TokenVerdict::AfterEnd);
+}
+
+#[test]
+fn late_ticks_are_pauses() {
+    let mut detector = PauseDetector::new(DurationMs(100), DurationMs(500), MonotonicMs(0));
+    for (now, expected) in [
+        (100, None),
+        (700, None),
+        (1_301, Some(501)),
+        (1_400, None),
+        (1_350, None),
+        (61_500, Some(60_000)),
+    ] {
+        assert_eq!(
+            detector.tick(MonotonicMs(now)),
+            expected.map(DurationMs),
+            "at {now}"
+        );
+    }
+    assert!(!detector.is_overdue(MonotonicMs(62_000)));
+    assert!(detector.is_overdue(MonotonicMs(62_200)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_024, rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Sources resume where they are asked to, or earlier, or skip; some tokens come twice.
+    #[test]
+    fn resumed_stream_has_each_token_once_and_in_order(
+        sources in proptest::collection::vec((0..5u64, proptest::collection::vec(0..10u8, 0..20)), 1..8),
+    ) {
+        let mut cursor = StreamCursor::new();
+        let mut passed = Vec::new();
+        for (earlier, noise) in sources {
+            let mut index = cursor.resume_index().saturating_sub(earlier);
+            for kind in noise {
+                // One token in ten is sent twice, one in ten is left out.
+                let sent = match kind {
+                    0 => index.saturating_sub(1),
+                    1 => index + 1,
+                    _ => index,
+                };
+                match cursor.accept(sent) {
+                    TokenVerdict::Pass => passed.push(sent),
+                    TokenVerdict::Duplicate => {}
+                    TokenVerdict::Gap | TokenVerdict::AfterEnd => break,
+                }
+                index = sent + 1;
+            }
+        }
+        let expected: Vec<u64> = (0..cursor.resume_index()).collect();
+        prop_assert_eq!(passed, expected);
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_policy/tests/tickets.rs
@@ -0,0 +1,262 @@
+//! Tickets run at most once, for any interleaving of submissions.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use celeryknot_core::keyed_hash::KeyRing;
+use celeryknot_core::{Incarnation, SizeBytes};
+use celeryknot_policy::affinity::AffinityValue;
+use celeryknot_policy::ticket::{Claim, Ticket, TicketBook, TicketBookLimits, TicketError};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn keys() -> KeyRing {
+    KeyRing::new("a current key of some bytes", None)
+}
+
+fn book(limits: TicketBookLimits) -> TicketBook<u64> {
+    TicketBook::new("daemon-1".parse().unwrap(), Incarnation(7), limits)
+}
+
+fn issue(book: &mut TicketBook<u64>) -> Ticket {
+    book.issue("otaru".parse().unwrap(), "case-svc".parse().unwrap())
+}
+
+#[test]
+fn ticket_belongs_to_one_life_of_its_issuer() {
+    let mut book = book(TicketBookLimits::default());
+    let ticket = issue(&mut book);
+    let mut replaced = TicketBook::<u64>::new(
+        "daemon-1".parse().unwrap(),
+        Incarnation(8),
+        TicketBookLimits::default(),
+    );
+    issue(&mut replaced);
+    assert_eq!(replaced.claim(&ticket, 1), Claim::Gone);
+    let never_issued = Ticket {
+        counter: 50,
+        ..ticket.clone()
+    };
+    assert_eq!(book.claim(&never_issued, 1), Claim::Invalid);
+    assert_eq!(book.claim(&ticket, 1), Claim::Run);
+}
+
+#[test]
+fn known_not_run_frees_the_ticket_and_unknown_ends_it() {
+    let mut book = book(TicketBookLimits::default());
+    let ticket = issue(&mut book);
+    assert_eq!(book.claim(&ticket, 1), Claim::Run);
+    assert!(book.release_not_run(&ticket));
+    assert_eq!(book.claim(&ticket, 2), Claim::Run);
+    assert!(book.set_unknown(&ticket));
+    assert_eq!(book.claim(&ticket, 2), Claim::Unknown);
+    assert!(!book.complete(&ticket, 5, SizeBytes(1)));
+    assert!(!book.release_not_run(&ticket));
+    assert_eq!(book.claim(&ticket, 2), Claim::Unknown);
+}
+
+#[test]
+fn answers_are_bounded_in_number_and_size() {
+    let limits = TicketBookLimits {
+        answers_max: 3,
+        answers_size_max_bytes: SizeBytes(100),
+        ..TicketBookLimits::default()
+    };
+    let mut book = book(limits);
+    let mut run = |size| {
+        let ticket = issue(&mut book);
+        assert_eq!(book.claim(&ticket, 1), Claim::Run);
+        book.complete(&ticket, 9, SizeBytes(size));
+        (ticket, book.answers(), book.answers_size())
+    };
+    let (first, ..) = run(10);
+    run(10);
+    run(10);
+    assert_eq!(run(10).1, 3);
+    assert_eq!(run(95).2, SizeBytes(95));
+    assert_eq!(run(500).1, 0);
+    assert_eq!(book.claim(&first, 1), Claim::Spent);
+}
+
+#[test]
+fn oldest_tickets_are_refused_rather_than_forgotten() {
+    let limits = TicketBookLimits {
+        tickets_max: 2_048,
+        answers_max: 0,
+        ..TicketBookLimits::default()
+    };
+    let mut book = book(limits);
+    let unused = issue(&mut book);
+    let used = issue(&mut book);
+    assert_eq!(book.claim(&used, 1), Claim::Run);
+    book.complete(&used, 1, SizeBytes(1));
+    for _ in 0..10_000 {
+        let ticket = issue(&mut book);
+        assert_eq!(book.claim(&ticket, 1), Claim::Run);
+        book.complete(&ticket, 1, SizeBytes(1));
+    }
+    assert_eq!(book.claim(&used, 1), Claim::Gone);
+    assert_eq!(book.claim(&unused, 1), Claim::Gone);
+}
+
+#[test]
+fn most_calls_in_progress_are_bounded() {
+    let mut book = book(TicketBookLimits {
+        in_progress_max: 1,
+        ..TicketBookLimits::default()
+    });
+    let (one, other) = (issue(&mut book), issue(&mut book));
+    assert_eq!(book.claim(&one, 1), Claim::Run);
+    assert_eq!(book.claim(&other, 1), Claim::Busy);
+    book.complete(&one, 1, SizeBytes(1));
+    assert_eq!(book.claim(&other, 1), Claim::Run);
+}
+
+#[test]
+fn text_is_verified() {
+    let mut book = book(TicketBookLimits::default());
+    let ticket = issue(&mut book);
+    let text = ticket.to_text(&keys());
+    assert_eq!(Ticket::parse(&text, &keys()), Ok(ticket.clone()));
+    assert_eq!(
+        Ticket::parse(&format!("\"{text}\""), &keys()),
+        Ok(ticket.clone())
+    );
+    assert!(
+        text.bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b"-._~".contains(&b))
+    );
+    for (name, changed) in [
+        ("other customer", text.replace("otaru", "otara")),
+        ("other service", text.replace("case-svc", "case-svd")),
+        ("cut", text[..text.len() - 1].to_owned()),
+        ("longer", format!("{text}0")),
+        ("upper case", text.to_uppercase().replacen("T1", "t1", 1)),
+    ] {
+        assert_eq!(
+            Ticket::parse(&changed, &keys()),
+            Err(TicketError::Forged),
+            "{name}"
+        );
+    }
+    let own_key = "8e03978e-40d5-43e8-bc93-6894a57f9324";
+    assert_eq!(
+        Ticket::parse(own_key, &keys()),
+        Err(TicketError::NotATicket)
+    );
+    let rotated = KeyRing::new(
+        "a newer key of some bytes",
+        Some("a current key of some bytes"),
+    );
+    assert_eq!(Ticket::parse(&text, &rotated), Ok(ticket));
+    let replaced = KeyRing::new("a newer key of some bytes", None);
+    assert_eq!(Ticket::parse(&text, &replaced), Err(TicketError::Forged));
+}
+
+#[test]
+fn ticket_is_no_affinity_value_and_the_other_way_round() {
+    let mut book = book(TicketBookLimits::default());
+    let ticket = issue(&mut book).to_text(&keys());
+    assert_eq!(AffinityValue::parse(&ticket, &keys()), None);
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Issue,
+    Submit(usize, u64),
+    Complete(usize),
+    Release(usize),
+    SetUnknown(usize),
+}
+
+fn steps() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        2 => Just(Step::Issue),
+        6 => (0..8usize, 0..2u64).prop_map(|(at, fingerprint)| Step::Submit(at, fingerprint)),
+        3 => (0..8usize).prop_map(Step::Complete),
+        1 => (0..8usize).prop_map(Step::Release),
+        1 => (0..8usize).prop_map(Step::SetUnknown),
+    ]
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Model {
+    Fresh,
+    Running(u64),
+    Ended,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 4_096, rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn ticket_runs_at_most_once(steps in proptest::collection::vec(steps(), 0..80), answers_max in 0..4usize) {
+        let mut book = book(TicketBookLimits { answers_max, ..TicketBookLimits::default() });
+        let mut tickets = Vec::new();
+        let mut models: BTreeMap<usize, Model> = BTreeMap::new();
+        for step in steps {
+            match step {
+                Step::Issue => {
+                    models.insert(tickets.len(), Model::Fresh);
+                    tickets.push(issue(&mut book));
+                }
+                Step::Submit(at, fingerprint) => {
+                    let Some(ticket) = tickets.get(at) else { continue };
+                    let claim = book.claim(ticket, fingerprint);
+                    match models[&at] {
+                        Model::Fresh => {
+                            prop_assert_eq!(claim, Claim::Run);
+                            models.insert(at, Model::Running(fingerprint));
+                        }
+                        Model::Running(held) if held == fingerprint => prop_assert_eq!(claim, Claim::InProgress),
+                        Model::Running(_) => prop_assert_eq!(claim, Claim::Mismatched),
+                        Model::Ended => prop_assert!(!matches!(claim, Claim::Run | Claim::InProgress), "{:?}", claim),
+                    }
+                }
+                Step::Complete(at) => end(&mut book, &tickets, &mut models, at, Model::Ended, |book, ticket| book.complete(ticket, 1, SizeBytes(1)))?,
+                Step::Release(at) => end(&mut book, &tickets, &mut models, at, Model::Fresh, TicketBook::release_not_run)?,
+                Step::SetUnknown(at) => end(&mut book, &tickets, &mut models, at, Model::Ended, TicketBook::set_unknown)?,
+            }
+            prop_assert!(book.answers() <= answers_max);
+        }
+    }
+
+    #[test]
+    fn parsers_survive_any_text(text in "\\PC{0,400}", prefix in prop_oneof![Just("t1~"), Just("a1~"), Just("")]) {
+        let text = format!("{prefix}{text}");
+        prop_assert!(Ticket::parse(&text, &keys()).is_err());
+        prop_assert!(AffinityValue::parse(&text, &keys()).is_none());
+    }
+
+    #[test]
+    fn signed_rubbish_is_no_ticket(body in "[a-z0-9~.-]{0,80}") {
+        let signed = |purpose: &str, version: &str| {
+            let body = format!("{version}~{body}");
+            let code = u128::from_be_bytes(keys().sign(purpose, &[body.as_bytes()]));
+            format!("{body}~{code:032x}")
+        };
+        let _ = Ticket::parse(&signed("ticket", "t1"), &keys());
+        let _ = AffinityValue::parse(&signed("affinity", "a1"), &keys());
+        prop_assert!(Ticket::parse(&signed("affinity", "t1"), &keys()).is_err());
+    }
+}
+
+fn end(
+    book: &mut TicketBook<u64>,
+    tickets: &[Ticket],
+    models: &mut BTreeMap<usize, Model>,
+    at: usize,
+    next: Model,
+    call: impl Fn(&mut TicketBook<u64>, &Ticket) -> bool,
+) -> Result<(), TestCaseError> {
+    let Some(ticket) = tickets.get(at) else {
+        return Ok(());
+    };
+    let is_running = matches!(models[&at], Model::Running(_));
+    prop_assert_eq!(call(book, ticket), is_running);
+    if is_running {
+        models.insert(at, next);
+    }
+    Ok(())
+}
