Weigh evictions, waiting requests and held-down endpoints in placement and the load bound

- A token that must be read evicts a token of another chat, so it counts three times its own time; with one time, contexts moved at the first short wait.
- An import of the KV cache from the engine that held it, also a leaving one, is weighed as a candidate's own way to the context.
It is off until the daemon passes the source on.
- The bound counts one waiting request of each owner with a queue: such an owner starts it under the same bound.
Without it the bound grew too slowly and requests waited for nothing.
- Endpoints in cold start lower the mean over all, so the others' multiple is lowered as far as they can still carry the load.

--- a/crates/celeryknot_policy/src/admission/capacity.rs
+++ b/crates/celeryknot_policy/src/admission/capacity.rs
@@ -8,7 +8,7 @@
 use crate::health::HealthState;
 
 /// How long a new owner starts nothing while it waits for the endpoint's first report.
-pub const FIRST_REPORT_GRACE_MS: DurationMs = DurationMs(1_000);
+pub const FIRST_REPORT_GRACE_MS: DurationMs = DurationMs(300);
 /// How old the state may be that a report shows.
 const REPORT_AGE_MS: DurationMs = DurationMs(200);
 /// How long a request is in flight before any was seen to end.
--- a/crates/celeryknot_policy/src/bound.rs
+++ b/crates/celeryknot_policy/src/bound.rs
@@ -11,6 +11,11 @@
     pub endpoint_count: u32,
     /// Mean requests in flight at such an endpoint.
     pub mean_in_flight: f64,
+    /// By how much less, as a share, the mean over all endpoints is, since some are held down by
+    /// their own condition.
+    pub held_down_share: f64,
+    /// Mean of one for each such endpoint with requests that wait at its owner.
+    pub mean_waiting: f64,
     /// How fast the mean falls, in requests a second; 0 while it rises or where unknown.
     pub fall_per_s: f64,
     /// How old the summaries are.
@@ -20,8 +25,8 @@
 impl ServiceLoad {
     /// Averages over the endpoints that take new work.
     ///
-    /// Endpoints that are held down by their own condition can't carry a share and are left
-    /// out, unless no other endpoint is there.
+    /// The mean is that of the warm endpoints, if there are any; what endpoints that are held
+    /// down by their own condition miss is given apart.
     ///
     /// # Examples
     ///
@@ -36,12 +41,21 @@
     pub fn from_summaries<'a>(summaries: impl IntoIterator<Item = &'a EndpointSummary>) -> Self {
         let (mut warm, mut all) = (Sum::default(), Sum::default());
         for summary in summaries {
-            all.add(summary.in_flight);
+            all.add(summary);
             if summary.condition == EndpointCondition::Warm {
-                warm.add(summary.in_flight);
+                warm.add(summary);
             }
         }
-        if warm.count > 0 { warm } else { all }.mean()
+        if warm.count == 0 {
+            return all.mean();
+        }
+        let all_mean = all.mean().mean_in_flight;
+        let load = warm.mean();
+        let held_down = 1.0 - all_mean / load.mean_in_flight.max(all_mean).max(f64::MIN_POSITIVE);
+        Self {
+            held_down_share: if all_mean > 0.0 { held_down } else { 0.0 },
+            ..load
+        }
     }
 
     /// Sets how old the summaries are, from the state of an endpoint to its use here.
@@ -56,18 +70,23 @@
 struct Sum {
     count: u32,
     in_flight: u64,
+    waiting: u64,
 }
 
 impl Sum {
-    fn add(&mut self, in_flight: u32) {
+    fn add(&mut self, summary: &EndpointSummary) {
         self.count += 1;
-        self.in_flight += u64::from(in_flight);
+        self.in_flight += u64::from(summary.in_flight);
+        self.waiting += u64::from(summary.queued.min(1));
     }
 
     fn mean(self) -> ServiceLoad {
+        let count = f64::from(self.count.max(1));
         ServiceLoad {
             endpoint_count: self.count,
-            mean_in_flight: self.in_flight as f64 / f64::from(self.count.max(1)),
+            mean_in_flight: self.in_flight as f64 / count,
+            held_down_share: 0.0,
+            mean_waiting: self.waiting as f64 / count,
             fall_per_s: 0.0,
             age_ms: SUMMARY_AGE_DEFAULT_MS,
         }
@@ -79,7 +98,8 @@
 /// The summaries that the mean is made from are old, so that the mean may have fallen by the
 /// time the bound is used. What that can add is taken off in advance: the fall that goes on as
 /// it did in the last second, and a few standard deviations of the arrivals and ends of
-/// requests within the age of the summaries.
+/// requests within the age of the summaries. What is known to come counts, too: an endpoint
+/// with a queue will have started one of its requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadBound {
     multiple: f64,
@@ -133,8 +153,11 @@
         }
         let age_s = load.age_ms.0 as f64 / 1_000.0;
         let expected = (load.mean_in_flight - load.fall_per_s * age_s).max(0.0);
-        let low = (expected - DEVIATIONS * self.deviation(load)).max(0.0);
-        let bound = (self.multiple * low + 1.0).max(expected + 1.0);
+        let started = load.mean_waiting * waiting_share(load.age_ms);
+        let low = (expected + started - DEVIATIONS * self.deviation(load)).max(0.0);
+        // Where many are held down, the others must still carry the load.
+        let multiple = (self.multiple * (1.0 - load.held_down_share)).max(1.0);
+        let bound = (multiple * low + 1.0).max(expected + 1.0);
         bound.floor() as u32
     }
 
@@ -147,6 +170,22 @@
     }
 }
 
+/// The share of waiting requests that count as started.
+///
+/// An owner with a queue starts a request as soon as its bound allows, as this one does; the
+/// older the summary, the less sure is it that the queue is still there.
+fn waiting_share(age_ms: DurationMs) -> f64 {
+    let late_ms = (age_ms.0 as f64 - WAITING_FULL_AGE_MS).max(0.0);
+    (1.0 - late_ms / WAITING_FADE_MS).max(0.0)
+}
+
+/// Age of summaries up to which waiting requests count in full.
+const WAITING_FULL_AGE_MS: f64 = 500.0;
+/// Time after that over which they come to count for nothing.
+const WAITING_FADE_MS: f64 = 1_000.0;
+
+/// Least time between two means that are held.
+const TREND_STEP_MS: u64 = 100;
 /// Time over which a fall of the mean is measured.
 const TREND_MS: u64 = 1_000;
 
@@ -162,10 +201,13 @@
         while self.seen.len() > 1 && (now - self.seen[1].0).0 >= TREND_MS {
             self.seen.pop_front();
         }
-        if self.seen.len() == TREND_SAMPLES_MAX {
-            self.seen.pop_front();
+        let is_due = self
+            .seen
+            .back()
+            .is_none_or(|(at, _)| (now - *at).0 >= TREND_STEP_MS);
+        if is_due {
+            self.seen.push_back((now, mean_in_flight));
         }
-        self.seen.push_back((now, mean_in_flight));
         let Some((since, first)) = self.seen.front() else {
             return 0.0;
         };
@@ -173,6 +215,3 @@
         ((first - mean_in_flight) * 1_000.0 / elapsed_ms).max(0.0)
     }
 }
-
-/// Most means held.
-const TREND_SAMPLES_MAX: usize = 64;
--- a/crates/celeryknot_policy/src/placement/context_aware.rs
+++ b/crates/celeryknot_policy/src/placement/context_aware.rs
@@ -25,6 +25,9 @@
 const FIRST_IN_ORDER_SHARE: f64 = 0.5;
 /// The same for the next endpoint in the order.
 const NEXT_IN_ORDER_SHARE: f64 = 0.2;
+/// What a token that must be read costs in all, as a multiple of its own time: it takes the
+/// place of a token of another chat, which will have to be read again.
+const EVICTION_FACTOR: f64 = 3.0;
 /// Time to set up an import of a KV cache.
 const IMPORT_SETUP_MS: f64 = 30.0;
 /// How many times faster a token is imported than read.
@@ -63,6 +66,7 @@
     cached: HolderTable,
     survival: CacheSurvival,
     prefill_tokens_per_ms: f64,
+    imports_kv: bool,
 }
 
 /// An endpoint that is weighed, before its cost is known.
@@ -95,9 +99,19 @@
             cached: HolderTable::new(chats_max),
             survival: CacheSurvival::default(),
             prefill_tokens_per_ms: prefill_tokens_per_s.max(1.0) / 1_000.0,
+            imports_kv: false,
         }
     }
 
+    /// Sets whether engines import a chat's KV cache from the candidate's `kv_source`.
+    ///
+    /// Only then is a context that lies elsewhere taken to be cheaper than one that is lost.
+    #[must_use]
+    pub fn with_kv_import(mut self, imports_kv: bool) -> Self {
+        self.imports_kv = imports_kv;
+        self
+    }
+
     /// Replaces the speed at which engines read prompts.
     pub fn set_prefill_tokens_per_s(&mut self, prefill_tokens_per_s: f64) {
         self.prefill_tokens_per_ms = prefill_tokens_per_s.max(1.0) / 1_000.0;
@@ -164,7 +178,7 @@
         let cached = cached_tokens.min(prompt_tokens);
         let read_ms = (prompt_tokens - cached) / self.prefill_tokens_per_ms;
         let gained = importable_tokens.min(prompt_tokens) - cached;
-        if gained < IMPORT_TOKENS_MIN {
+        if !self.imports_kv || gained < IMPORT_TOKENS_MIN {
             return (read_ms, false);
         }
         let import_ms = IMPORT_SETUP_MS + gained / (self.prefill_tokens_per_ms * IMPORT_SPEEDUP);
@@ -238,7 +252,7 @@
             index: weighed.index,
             wait_ms: DurationMs(0),
             uncached_tokens: (prompt_tokens - cached.min(prompt_tokens)).round() as u32,
-            cost_ms: weighed.base_ms + prompt_ms,
+            cost_ms: weighed.base_ms + prompt_ms * EVICTION_FACTOR,
             kv_source: holder.filter(|_| imports).map(|(index, _)| index),
             reason: weighed.reason,
         }
@@ -259,7 +273,7 @@
         let hints = self.hints(now, request);
         let outstanding = Self::scan(&hints, request, endpoints, rng);
         let prompt_tokens = f64::from(request.prompt_tokens);
-        let weighed = outstanding.weighed(prompt_tokens, hints.is_empty());
+        let weighed = outstanding.weighed(prompt_tokens, request.affinity.is_none());
         let mut candidates: SmallVec<[Candidate; WEIGHED_MAX]> = weighed
             .iter()
             .map(|held| self.cost(held, prompt_tokens, outstanding.best_holder))
@@ -296,14 +310,14 @@
         }
     }
 
-    fn weighed(&self, prompt_tokens: f64, is_without_hint: bool) -> WeighedList {
+    fn weighed(&self, prompt_tokens: f64, is_order_trusted: bool) -> WeighedList {
         let mut list = self.hinted.clone();
         let mut add = |index: usize, base_ms: f64, share: f64, reason| {
             if !list.iter().any(|held: &Weighed| held.index == index) {
                 list.push(Weighed {
                     index,
                     base_ms,
-                    cached_tokens: if is_without_hint {
+                    cached_tokens: if is_order_trusted {
                         share * prompt_tokens
                     } else {
                         0.0
--- a/crates/celeryknot_policy/src/placement/hint.rs
+++ b/crates/celeryknot_policy/src/placement/hint.rs
@@ -53,10 +53,6 @@
         }
         self.hints.iter().find(|held| held.endpoint == endpoint)
     }
-
-    pub(super) fn is_empty(&self) -> bool {
-        self.hints.is_empty()
-    }
 }
 
 fn bit(endpoint: EndpointHash) -> u64 {
--- /dev/null
+++ b/crates/celeryknot_policy/tests/fleet_fake/engine.rs
@@ -0,0 +1,118 @@
+//! A fake engine with its owner's admission and a short cache memory.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use celeryknot_core::{EndpointName, MonotonicMs};
+use celeryknot_policy::admission::{AdmissionLimits, EndpointAdmission, ReportedLoad};
+
+use super::Request;
+
+/// How long an engine that left stays away.
+const AWAY_MS: u64 = 6_000;
+/// How long a new engine is cold.
+const COLD_MS: u64 = 2_000;
+const COLD_BOUND: u32 = 2;
+
+#[derive(Debug, Clone)]
+pub(super) struct Running {
+    pub(super) request: Request,
+    pub(super) cached_tokens: u32,
+    pub(super) started_at: u64,
+    pub(super) first_token_at: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) name: EndpointName,
+    pub(super) admission: EndpointAdmission,
+    running: BTreeMap<(u64, u64), Running>,
+    cache: VecDeque<(usize, u32)>,
+    cache_tokens_max: u32,
+    away_until: Option<u64>,
+    cold_until: u64,
+}
+
+impl Engine {
+    pub(super) fn new(number: usize, limits: AdmissionLimits, cache_tokens_max: u32) -> Self {
+        Self {
+            name: format!("engine-{number}").parse().unwrap(),
+            admission: EndpointAdmission::new(limits, MonotonicMs(0)),
+            running: BTreeMap::new(),
+            cache: VecDeque::new(),
+            cache_tokens_max,
+            away_until: None,
+            cold_until: 0,
+        }
+    }
+
+    pub(super) fn takes_new_work(&self) -> bool {
+        self.away_until.is_none()
+    }
+
+    pub(super) fn in_flight(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    pub(super) fn leave(&mut self, now: u64) {
+        self.away_until = Some(now + AWAY_MS);
+        self.admission.set_takes_new_work(false);
+    }
+
+    /// Comes back as a new engine, cold and with an empty cache.
+    pub(super) fn advance(&mut self, now: u64) {
+        if self.away_until.is_some_and(|until| now >= until) && self.running.is_empty() {
+            self.away_until = None;
+            self.cold_until = now + COLD_MS;
+            self.cache.clear();
+            let load = self.load(now);
+            self.admission.set_takes_new_work(true);
+            self.admission.observe_load(MonotonicMs(now), load);
+        }
+    }
+
+    pub(super) fn load(&self, now: u64) -> ReportedLoad {
+        let is_cold = now < self.cold_until;
+        ReportedLoad {
+            in_flight: self.in_flight(),
+            queued: 0,
+            is_cold,
+            bound: is_cold.then_some(COLD_BOUND),
+        }
+    }
+
+    pub(super) fn is_above_cold_bound(&self, now: u64) -> bool {
+        now < self.cold_until && self.in_flight() > COLD_BOUND
+    }
+
+    pub(super) fn cached(&self, chat: usize) -> u32 {
+        let held = self.cache.iter().find(|(held, _)| *held == chat);
+        held.map_or(0, |(_, tokens)| *tokens)
+    }
+
+    /// Keeps a chat's context and evicts the ones that were not used for longest.
+    pub(super) fn store(&mut self, chat: usize, tokens: u32) {
+        self.cache.retain(|(held, _)| *held != chat);
+        self.cache.push_back((chat, tokens));
+        let mut total: u32 = self.cache.iter().map(|(_, tokens)| tokens).sum();
+        while total > self.cache_tokens_max {
+            let Some((_, tokens)) = self.cache.pop_front() else {
+                return;
+            };
+            total -= tokens;
+        }
+    }
+
+    pub(super) fn start(&mut self, id: u64, running: Running, ends_at: u64) {
+        self.running.insert((ends_at, id), running);
+    }
+
+    pub(super) fn pop_ended(&mut self, now: u64) -> Option<(u64, Running)> {
+        let ((ends_at, id), _) = self.running.first_key_value()?;
+        let (ends_at, id) = (*ends_at, *id);
+        if ends_at > now {
+            return None;
+        }
+        let running = self.running.remove(&(ends_at, id))?;
+        Some((id, running))
+    }
+}
