Test customers' shares of a busy endpoint

Backlogged customers stay within two requests and the urgency's bounded lead of their weights, a late quiet customer goes next, all that waits is served, and urgency gains no share.

--- /dev/null
+++ b/crates/celeryknot_policy/tests/fair_shares.rs
@@ -0,0 +1,174 @@
+//! Customers' shares of a busy endpoint, by cost.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use celeryknot_core::{DurationMs, MonotonicMs, RequestId};
+use celeryknot_policy::admission::{
+    AdmissionAction, AdmissionLimits, AdmissionRequest, Decision, EndpointAdmission, FinishOutcome,
+    FinishStatus, ReportedLoad,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const SLOTS: u32 = 4;
+const BACKLOG: usize = 40;
+/// The most virtual time by which urgency moves a request, in tokens at the weight 1.
+const URGENCY_TOKENS: f64 = 700.0;
+
+#[derive(Debug, Clone)]
+struct Customer {
+    weight: f64,
+    cost_tokens: u32,
+    urgency: u8,
+}
+
+struct Busy {
+    endpoint: EndpointAdmission,
+    customers: Vec<Customer>,
+    next_id: u64,
+    owners: BTreeMap<RequestId, usize>,
+    in_flight: Vec<RequestId>,
+    served_tokens: Vec<f64>,
+    started: Vec<usize>,
+}
+
+impl Busy {
+    /// An endpoint whose slots are all taken, with every customer's backlog queued.
+    fn new(customers: Vec<Customer>) -> Self {
+        let limits = AdmissionLimits::default()
+            .with_in_flight_max(SLOTS)
+            .with_ramp_ms(DurationMs(0))
+            .with_queue_len_max(100_000)
+            .with_queue_wait_max_ms(DurationMs(u64::MAX / 4));
+        let mut endpoint = EndpointAdmission::new(limits, MonotonicMs(0));
+        endpoint.observe_load(MonotonicMs(0), ReportedLoad::default());
+        let mut busy = Self {
+            endpoint,
+            served_tokens: vec![0.0; customers.len()],
+            customers,
+            next_id: 0,
+            owners: BTreeMap::new(),
+            in_flight: Vec::new(),
+            started: Vec::new(),
+        };
+        for _ in 0..BACKLOG {
+            (0..busy.customers.len()).for_each(|at| busy.offer(at));
+        }
+        busy.served_tokens.fill(0.0);
+        busy.started.clear();
+        busy
+    }
+
+    fn offer(&mut self, at: usize) {
+        let customer = &self.customers[at];
+        let id = RequestId(self.next_id);
+        self.next_id += 1;
+        let request = AdmissionRequest::builder(id, format!("customer-{at}").parse().unwrap())
+            .weight(customer.weight)
+            .cost_tokens(customer.cost_tokens)
+            .urgency(customer.urgency)
+            .build();
+        self.owners.insert(id, at);
+        match self.endpoint.offer(MonotonicMs(0), request) {
+            Decision::Start => self.start(id),
+            Decision::Queued => {}
+            Decision::Refuse(refusal) => panic!("refused: {refusal:?}"),
+        }
+    }
+
+    fn start(&mut self, id: RequestId) {
+        let at = self.owners[&id];
+        self.in_flight.push(id);
+        self.served_tokens[at] += f64::from(self.customers[at].cost_tokens);
+        self.started.push(at);
+    }
+
+    /// Ends the request that has run for longest and starts the next one.
+    fn step(&mut self) {
+        let ended = self.in_flight.remove(0);
+        let outcome = FinishOutcome::new(FinishStatus::Succeeded);
+        self.endpoint.finish(MonotonicMs(0), ended, outcome);
+        while let Some(action) = self.endpoint.poll(MonotonicMs(0)) {
+            match action {
+                AdmissionAction::Start(id) => self.start(id),
+                AdmissionAction::Refuse(id, refusal) => panic!("{id} refused: {refusal:?}"),
+            }
+        }
+    }
+
+    fn queued(&self) -> u32 {
+        self.endpoint.summary(MonotonicMs(0)).queued
+    }
+}
+
+fn customers() -> impl Strategy<Value = Vec<Customer>> {
+    let one = (0.5..4.0f64, 10..1_000u32, 0..8u8);
+    let one = one.prop_map(|(weight, cost_tokens, urgency)| Customer {
+        weight,
+        cost_tokens,
+        urgency,
+    });
+    proptest::collection::vec(one, 2..5)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Start-time fair queueing serves backlogged customers by weight up to one request each.
+    #[test]
+    fn backlogged_customers_are_served_by_weight(customers in customers()) {
+        let mut busy = Busy::new(customers.clone());
+        // While all have a backlog: the smallest share of any customer is not used up.
+        for _ in 0..BACKLOG / 2 {
+            busy.step();
+            let served = |at: usize| busy.served_tokens[at] / customers[at].weight;
+            let slack = |at: usize| (2.0 * f64::from(customers[at].cost_tokens) + URGENCY_TOKENS) / customers[at].weight;
+            for one in 0..customers.len() {
+                for other in 0..one {
+                    let gap = (served(one) - served(other)).abs();
+                    prop_assert!(gap <= slack(one) + slack(other), "{one} and {other} are {gap} apart");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn everything_queued_is_served(customers in customers()) {
+        let mut busy = Busy::new(customers);
+        let queued = busy.queued();
+        (0..queued).for_each(|_| busy.step());
+        prop_assert_eq!(busy.queued(), 0);
+    }
+
+    /// A customer that comes late goes next, however long the queue of the others is.
+    #[test]
+    fn quiet_customer_goes_before_a_backlog(cost_tokens in 10..1_000u32, backlog in 10..200usize) {
+        let customer = |weight| Customer { weight, cost_tokens, urgency: 3 };
+        let mut busy = Busy::new(vec![customer(1.0)]);
+        (0..backlog).for_each(|_| busy.offer(0));
+        busy.customers.push(customer(1.0));
+        busy.served_tokens.push(0.0);
+        busy.offer(1);
+        (0..2).for_each(|_| busy.step());
+        prop_assert!(busy.started.contains(&1), "{:?}", busy.started);
+    }
+}
+
+#[test]
+fn calling_everything_urgent_gains_no_share() {
+    let customer = |urgency| Customer {
+        weight: 1.0,
+        cost_tokens: 100,
+        urgency,
+    };
+    let mut busy = Busy::new(vec![customer(0), customer(7)]);
+    (0..60).for_each(|_| busy.step());
+    let [urgent, patient] = [busy.served_tokens[0], busy.served_tokens[1]];
+    assert!(
+        urgent - patient <= URGENCY_TOKENS + 200.0,
+        "{urgent} and {patient}"
+    );
+    assert!(urgent > patient, "urgency had no effect");
+}
