--- a/crates/celeryknot_policy/tests/attempts.rs
+++ b/crates/celeryknot_policy/tests/attempts.rs
@@ -244,3 +244,24 @@
         }
     }
 }
+
+#[test]
+fn send_that_was_noted_late_stops_the_next_attempt() {
+    let mut submission = Submission::new(CallSafety::NonIdempotent);
+    let attempts = [(); 2].map(|()| {
+        let attempt = submission.start_attempt();
+        if let Ok(index) = attempt {
+            submission.apply(index, AttemptEvent::ConnectFailed);
+        }
+        attempt
+    });
+    let [Ok(first), Ok(_)] = attempts else {
+        panic!("attempts that were not sent may be repeated: {attempts:?}");
+    };
+    let Ok(third) = submission.start_attempt() else {
+        panic!("nothing was sent yet");
+    };
+    submission.apply(first, AttemptEvent::SendStarted);
+    assert!(!submission.may_send(third));
+    assert_eq!(submission.judge().execution(), Execution::Unknown);
+}
--- a/crates/celeryknot_policy/tests/fair_shares.rs
+++ b/crates/celeryknot_policy/tests/fair_shares.rs
@@ -172,3 +172,21 @@
     );
     assert!(urgent > patient, "urgency had no effect");
 }
+
+#[test]
+fn idle_customer_saves_no_credit() {
+    let customer = Customer {
+        weight: 1.0,
+        cost_tokens: 100,
+        urgency: 3,
+    };
+    let mut busy = Busy::new(vec![customer.clone()]);
+    (0..30).for_each(|_| busy.step());
+    busy.customers.push(customer);
+    busy.served_tokens.push(0.0);
+    (0..10).for_each(|_| busy.offer(1));
+    busy.started.clear();
+    (0..10).for_each(|_| busy.step());
+    let late = busy.started.iter().filter(|at| **at == 1).count();
+    assert!((4..=6).contains(&late), "{late} of {}", busy.started.len());
+}
