Serve callers and call endpoints over HTTP

Two packages of the thin path: the callers' server (HTTP/1.1 and HTTP/2 told apart by the preface, request checks, problem answers) and the endpoints' client (calls, load reports, token events, orders, cache events).

A connection to an endpoint is driven by whoever holds it, without a task of its own: dropping the holder closes it, and one look at an idle connection tells whether it still stands. Weighed against a task for each connection: one wake-up less for each frame, and cancellation needs no message.

--- /dev/null
+++ b/crates/celeryknot_callers/src/limits.rs
@@ -0,0 +1,95 @@
+//! What a caller may cost.
+
+use celeryknot_core::{DurationMs, SizeBytes};
+
+/// Smallest header limit that the HTTP/1.1 parser takes.
+const HEADER_SIZE_MIN_BYTES: u64 = 8 << 10;
+
+/// Limits on the connections and requests of callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallerLimits {
+    pub(crate) header_size_max_bytes: SizeBytes,
+    pub(crate) header_timeout_ms: DurationMs,
+    pub(crate) body_timeout_ms: DurationMs,
+    pub(crate) streams_max: u32,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_size_max_bytes: SizeBytes(16 << 10),
+            header_timeout_ms: DurationMs(5_000),
+            body_timeout_ms: DurationMs(5_000),
+            streams_max: 256,
+        }
+    }
+}
+
+impl CallerLimits {
+    /// Starts from the defaults.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_callers::CallerLimits;
+    /// use celeryknot_core::DurationMs;
+    ///
+    /// let limits = CallerLimits::builder()
+    ///     .header_timeout_ms(DurationMs(500))
+    ///     .build();
+    /// assert_eq!(limits.header_timeout(), DurationMs(500));
+    /// ```
+    pub fn builder() -> CallerLimitsBuilder {
+        CallerLimitsBuilder(Self::default())
+    }
+
+    /// Returns the longest time for a header block to arrive.
+    pub fn header_timeout(&self) -> DurationMs {
+        self.header_timeout_ms
+    }
+
+    /// Returns the longest silence within a request body.
+    pub fn body_timeout(&self) -> DurationMs {
+        self.body_timeout_ms
+    }
+
+    pub(crate) fn header_size_bytes(&self) -> usize {
+        let size_bytes = self.header_size_max_bytes.0.max(HEADER_SIZE_MIN_BYTES);
+        usize::try_from(size_bytes).unwrap_or(usize::MAX)
+    }
+}
+
+/// Builds [`CallerLimits`].
+#[derive(Debug, Clone)]
+pub struct CallerLimitsBuilder(CallerLimits);
+
+impl CallerLimitsBuilder {
+    /// Sets the largest header block; values under 8 KiB count as 8 KiB.
+    pub fn header_size_max_bytes(mut self, size: SizeBytes) -> Self {
+        self.0.header_size_max_bytes = size;
+        self
+    }
+
+    /// Sets the longest time for a header block to arrive.
+    pub fn header_timeout_ms(mut self, timeout: DurationMs) -> Self {
+        self.0.header_timeout_ms = timeout;
+        self
+    }
+
+    /// Sets the longest silence within a request body.
+    pub fn body_timeout_ms(mut self, timeout: DurationMs) -> Self {
+        self.0.body_timeout_ms = timeout;
+        self
+    }
+
+    /// Sets the most concurrent streams of an HTTP/2 connection.
+    pub fn streams_max(mut self, count: u32) -> Self {
+        self.0.streams_max = count;
+        self
+    }
+
+    /// Returns the limits.
+    pub fn build(self) -> CallerLimits {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_callers/src/problem.rs
@@ -0,0 +1,80 @@
+//! Turns a refusal into an `application/problem+json` answer (RFC 9457).
+
+use bytes::Bytes;
+use celeryknot_core::{Refusal, RequestId, header};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+/// The media type of a problem.
+pub const MEDIA_TYPE: &str = "application/problem+json";
+
+/// The body of a refusal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// Always `about:blank`: the code tells kinds apart.
+    #[serde(rename = "type")]
+    pub type_uri: String,
+    /// One line for people.
+    pub title: String,
+    /// The HTTP status code.
+    pub status: u16,
+    /// The stable code.
+    pub code: String,
+    /// Whether the request was run.
+    pub execution: String,
+    /// What the caller may do with the same request.
+    pub retry: String,
+    /// The time to come back.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// The router's id of the request.
+    pub request_id: String,
+}
+
+impl Problem {
+    /// Describes a refusal of one request.
+    pub fn new(refusal: Refusal, request_id: RequestId) -> Self {
+        let answer = refusal.kind.answer();
+        Self {
+            type_uri: "about:blank".to_owned(),
+            title: answer.title.to_owned(),
+            status: answer.status,
+            code: refusal.kind.code().to_owned(),
+            execution: answer.execution.to_string(),
+            retry: answer.retry.to_string(),
+            retry_after_ms: refusal.retry_after_ms.map(|after| after.0),
+            request_id: request_id.to_string(),
+        }
+    }
+}
+
+/// Builds the answer to a refused request.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_callers::problem::problem_answer;
+/// use celeryknot_core::{DurationMs, ErrorKind, Refusal, RequestId};
+///
+/// let refusal = Refusal::after(ErrorKind::QueueFull, DurationMs(850));
+/// let answer = problem_answer(refusal, RequestId(7));
+/// assert_eq!(answer.status(), 503);
+/// assert_eq!(answer.headers()["retry-after"], "1");
+/// assert_eq!(answer.headers()["celeryknot-execution"], "not-run");
+/// ```
+pub fn problem_answer(refusal: Refusal, request_id: RequestId) -> Response<Bytes> {
+    let problem = Problem::new(refusal, request_id);
+    let body = serde_json::to_vec(&problem).expect("a problem has string keys only");
+    let mut answer = Response::new(Bytes::from(body));
+    *answer.status_mut() =
+        StatusCode::from_u16(problem.status).expect("the table holds valid status codes");
+    let execution: &'static str = refusal.kind.answer().execution.into();
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
+    headers.insert(header::EXECUTION, HeaderValue::from_static(execution));
+    if let Some(after) = refusal.retry_after_ms {
+        headers.insert(RETRY_AFTER, HeaderValue::from(after.as_secs_rounded_up()));
+    }
+    answer
+}
--- /dev/null
+++ b/crates/celeryknot_callers/src/request.rs
@@ -0,0 +1,320 @@
+//! What the router reads from a caller's request before it looks at its settings.
+
+use celeryknot_core::{
+    CustomerName, DurationMs, ErrorKind, ModelName, RequestId, ServiceName, TokenCount, header,
+};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+
+use crate::framing::check_framing;
+
+/// Longest name of a chat in bytes.
+pub const CHAT_LEN_MAX_BYTES: usize = 128;
+
+/// Urgency of a request without a `Priority` field (RFC 9218).
+pub const URGENCY_DEFAULT: u8 = 3;
+
+/// Least urgent value (RFC 9218).
+const URGENCY_MAX: u8 = 7;
+
+/// Most tickets in one request.
+const TICKETS_MAX: u32 = 100;
+
+/// Size of a token of a prompt, for estimates.
+const TOKEN_SIZE_BYTES: usize = 4;
+
+/// Path of chat completions within a model service.
+pub const CHAT_COMPLETIONS_PATH: &str = "/v1/chat/completions";
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Target {
+    /// A call of a service.
+    Service {
+        /// The service.
+        service: ServiceName,
+        /// The path and query as the endpoint sees them.
+        path_and_query: String,
+    },
+    /// Fresh tickets.
+    Tickets {
+        /// The service that the tickets are for.
+        service: ServiceName,
+        /// How many.
+        count: u32,
+    },
+}
+
+/// The typed head of a caller's request.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// What is asked for.
+    pub target: Target,
+    /// The method.
+    pub method: Method,
+    /// The customer that the caller names.
+    pub customer: CustomerName,
+    /// The chat, where one is named.
+    pub chat: Option<String>,
+    /// How long the caller will still wait.
+    pub deadline_ms: Option<DurationMs>,
+    /// The urgency, 0 to 7.
+    pub urgency: u8,
+    /// The affinity value of an earlier answer.
+    pub affinity: Option<String>,
+    /// The ticket or other key.
+    pub idempotency_key: Option<String>,
+}
+
+impl CallerRequest {
+    /// Checks the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// The kind of the first fault found.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_callers::CallerRequest;
+    /// use celeryknot_core::ErrorKind;
+    ///
+    /// let (parts, ()) = http::Request::get("/case-svc/records/7").body(()).unwrap().into_parts();
+    /// assert_eq!(CallerRequest::parse(&parts).unwrap_err(), ErrorKind::MissingCustomer);
+    /// ```
+    pub fn parse(parts: &Parts) -> Result<Self, ErrorKind> {
+        check_framing(&parts.headers)?;
+        let target = parse_target(parts)?;
+        let customer = single(&parts.headers, header::CUSTOMER)?
+            .ok_or(ErrorKind::MissingCustomer)?
+            .parse()
+            .map_err(|_| ErrorKind::UnknownCustomer)?;
+        Ok(Self {
+            target,
+            method: parts.method.clone(),
+            customer,
+            chat: parse_chat(&parts.headers)?,
+            deadline_ms: parse_deadline(&parts.headers)?,
+            urgency: parse_urgency(&parts.headers),
+            affinity: single(&parts.headers, header::AFFINITY)?.map(str::to_owned),
+            idempotency_key: single(&parts.headers, header::IDEMPOTENCY_KEY)?.map(unquote),
+        })
+    }
+}
+
+fn parse_target(parts: &Parts) -> Result<Target, ErrorKind> {
+    let path = parts.uri.path();
+    if path == "/-/tickets" {
+        return parse_tickets(parts);
+    }
+    let rest = path.strip_prefix('/').ok_or(ErrorKind::MalformedRequest)?;
+    let (service, _) = rest.split_once('/').ok_or(ErrorKind::UnknownService)?;
+    if has_dot_segment(path) {
+        return Err(ErrorKind::MalformedRequest);
+    }
+    let mut path_and_query = path[1 + service.len()..].to_owned();
+    if let Some(query) = parts.uri.query() {
+        path_and_query.push('?');
+        path_and_query.push_str(query);
+    }
+    let service = service.parse().map_err(|_| ErrorKind::UnknownService)?;
+    Ok(Target::Service {
+        service,
+        path_and_query,
+    })
+}
+
+/// A dot segment could lead out of the path prefix that a rule names.
+fn has_dot_segment(path: &str) -> bool {
+    path.split('/').any(|segment| {
+        let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+        matches!(plain.as_str(), "." | "..")
+    })
+}
+
+fn parse_tickets(parts: &Parts) -> Result<Target, ErrorKind> {
+    if parts.method != Method::POST {
+        return Err(ErrorKind::MethodNotAllowed);
+    }
+    let mut service = None;
+    let mut count = 1;
+    for pair in parts.uri.query().unwrap_or_default().split('&') {
+        match pair.split_once('=') {
+            Some(("service", name)) => service = name.parse().ok(),
+            Some(("count", text)) => {
+                count = text.parse().map_err(|_| ErrorKind::MalformedRequest)?;
+            }
+            Some(_) | None => return Err(ErrorKind::MalformedRequest),
+        }
+    }
+    if count == 0 || count > TICKETS_MAX {
+        return Err(ErrorKind::MalformedRequest);
+    }
+    let service = service.ok_or(ErrorKind::UnknownService)?;
+    Ok(Target::Tickets { service, count })
+}
+
+/// Reads a field that may be given once only.
+fn single<'h>(headers: &'h HeaderMap, name: &str) -> Result<Option<&'h str>, ErrorKind> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(ErrorKind::MalformedRequest);
+    }
+    let text = value.to_str().map_err(|_| ErrorKind::MalformedRequest)?;
+    Ok(Some(text.trim()))
+}
+
+fn parse_chat(headers: &HeaderMap) -> Result<Option<String>, ErrorKind> {
+    let Some(chat) = single(headers, header::CHAT)? else {
+        return Ok(None);
+    };
+    let is_visible = chat.bytes().all(|byte| byte.is_ascii_graphic());
+    if chat.is_empty() || chat.len() > CHAT_LEN_MAX_BYTES || !is_visible {
+        return Err(ErrorKind::MalformedRequest);
+    }
+    Ok(Some(chat.to_owned()))
+}
+
+fn parse_deadline(headers: &HeaderMap) -> Result<Option<DurationMs>, ErrorKind> {
+    let Some(text) = single(headers, header::DEADLINE_MS)? else {
+        return Ok(None);
+    };
+    let is_number = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    if !is_number {
+        return Err(ErrorKind::MalformedRequest);
+    }
+    let deadline_ms = text.parse().map_err(|_| ErrorKind::MalformedRequest)?;
+    if deadline_ms == 0 {
+        return Err(ErrorKind::DeadlinePast);
+    }
+    Ok(Some(DurationMs(deadline_ms)))
+}
+
+/// RFC 9218 has a server ignore what it can't read.
+fn parse_urgency(headers: &HeaderMap) -> u8 {
+    headers
+        .get_all(header::PRIORITY)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|item| item.trim().strip_prefix("u=")?.parse().ok())
+        .find(|urgency| *urgency <= URGENCY_MAX)
+        .unwrap_or(URGENCY_DEFAULT)
+}
+
+/// A key may be written as a quoted string, as the draft of the header has it.
+fn unquote(text: &str) -> String {
+    text.strip_prefix('"')
+        .and_then(|rest| rest.strip_suffix('"'))
+        .unwrap_or(text)
+        .to_owned()
+}
+
+/// Fields of a caller that an endpoint must not see.
+const CALLER_FIELDS: [&str; 7] = [
+    header::CUSTOMER,
+    header::CHAT,
+    header::DEADLINE_MS,
+    header::AFFINITY,
+    header::IDEMPOTENCY_KEY,
+    header::PRIORITY,
+    "authorization",
+];
+
+/// Turns a caller's headers into those that the router passes on.
+///
+/// Fields of the router's own names and hop-by-hop fields are removed, so that
+/// a caller can't speak in the router's name.
+pub fn keep_end_to_end(headers: &mut HeaderMap) {
+    crate::hop_by_hop::strip(headers);
+    for name in CALLER_FIELDS
+        .into_iter()
+        .chain(["host", "content-length", "expect"])
+    {
+        headers.remove(name);
+    }
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with("celeryknot-"))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// Writes the fields that every request to an endpoint carries.
+pub fn write_router_fields(headers: &mut HeaderMap, request: &CallerRequest, id: RequestId) {
+    let text = |text: String| HeaderValue::from_str(&text).expect("ids are visible ASCII");
+    headers.insert(header::REQUEST_ID, text(id.to_string()));
+    headers.insert(header::CUSTOMER, text(request.customer.to_string()));
+    headers.insert(header::PRIORITY, text(format!("u={}", request.urgency)));
+}
+
+/// What the router reads from the body of a chat completion.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChatCompletion {
+    /// The model, where one is named.
+    pub model: Option<ModelName>,
+    /// Whether the answer is to be streamed.
+    pub stream: bool,
+    /// The most tokens of the answer, where given.
+    pub answer_tokens_max: Option<TokenCount>,
+    /// Tokens of the prompt, estimated.
+    pub prompt_tokens: TokenCount,
+}
+
+#[derive(Deserialize)]
+struct ChatCompletionForm {
+    model: Option<String>,
+    #[serde(default)]
+    stream: Option<bool>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    messages: Vec<IgnoredAny>,
+}
+
+impl ChatCompletion {
+    /// Reads the body of a chat completion.
+    ///
+    /// # Errors
+    ///
+    /// `MalformedRequest` for a body that is not of the form, `UnknownModel`
+    /// for a text that can't be a model's name.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_callers::ChatCompletion;
+    ///
+    /// let body = br#"{"model": "wakai-8b", "messages": [{"role": "user", "content": "hi"}]}"#;
+    /// assert!(!ChatCompletion::parse(body)?.stream);
+    /// # Ok::<(), celeryknot_core::ErrorKind>(())
+    /// ```
+    pub fn parse(body: &[u8]) -> Result<Self, ErrorKind> {
+        let form: ChatCompletionForm =
+            serde_json::from_slice(body).map_err(|_| ErrorKind::MalformedRequest)?;
+        if form.messages.is_empty() {
+            return Err(ErrorKind::MalformedRequest);
+        }
+        let model = form
+            .model
+            .map(|name| name.parse().map_err(|_| ErrorKind::UnknownModel))
+            .transpose()?;
+        let prompt_tokens = u32::try_from(body.len() / TOKEN_SIZE_BYTES).unwrap_or(u32::MAX);
+        Ok(Self {
+            model,
+            stream: form.stream.unwrap_or(false),
+            answer_tokens_max: form
+                .max_completion_tokens
+                .or(form.max_tokens)
+                .map(TokenCount),
+            prompt_tokens: TokenCount(prompt_tokens),
+        })
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_endpoints/src/answer.rs
@@ -0,0 +1,155 @@
+//! The body of an endpoint's answer, checked for size, silence and completeness.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use celeryknot_core::{DurationMs, ErrorKind, SizeBytes};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use crate::connection::{Connections, Link};
+
+/// Why an answer broke after its head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerError(pub ErrorKind);
+
+impl std::fmt::Display for AnswerError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the answer broke: {}", self.0)
+    }
+}
+
+impl std::error::Error for AnswerError {}
+
+/// Where a connection goes after its answer has ended.
+#[derive(Debug)]
+pub(crate) struct ReturnTo {
+    pub(crate) connections: Connections,
+    pub(crate) address: SocketAddr,
+}
+
+/// The body of an answer; dropping it before its end closes the connection,
+/// which cancels the request at the endpoint.
+#[derive(Debug)]
+pub struct AnswerBody {
+    incoming: Incoming,
+    link: Option<Link>,
+    return_to: Option<ReturnTo>,
+    left_bytes: u64,
+    silence_max: DurationMs,
+    silence: Option<smol::Timer>,
+    has_ended: bool,
+}
+
+impl AnswerBody {
+    pub(crate) fn new(
+        incoming: Incoming,
+        link: Link,
+        return_to: Option<ReturnTo>,
+        size_max: SizeBytes,
+        silence_max: DurationMs,
+    ) -> Self {
+        Self {
+            incoming,
+            link: Some(link),
+            return_to,
+            left_bytes: size_max.0,
+            silence_max,
+            silence: None,
+            has_ended: false,
+        }
+    }
+
+    fn poll_incoming(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let poll = Pin::new(&mut self.incoming).poll_frame(context);
+        let Some(link) = &mut self.link else {
+            return poll;
+        };
+        if poll.is_pending() {
+            link.poll_io(context);
+            return Pin::new(&mut self.incoming).poll_frame(context);
+        }
+        poll
+    }
+
+    fn count(&mut self, frame: &Frame<Bytes>) -> Result<(), AnswerError> {
+        let len = frame.data_ref().map_or(0, |data| data.len() as u64);
+        match self.left_bytes.checked_sub(len) {
+            Some(left_bytes) => {
+                self.left_bytes = left_bytes;
+                Ok(())
+            }
+            None => Err(AnswerError(ErrorKind::AnswerTooLarge)),
+        }
+    }
+
+    fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<AnswerError> {
+        let silence_max = self.silence_max.as_std();
+        let silence = self
+            .silence
+            .get_or_insert_with(|| smol::Timer::after(silence_max));
+        Pin::new(silence)
+            .poll(context)
+            .map(|_| AnswerError(ErrorKind::AnswerTimeout))
+    }
+
+    fn end(&mut self, context: &mut Context<'_>) {
+        self.has_ended = true;
+        let (Some(mut link), Some(return_to)) = (self.link.take(), self.return_to.take()) else {
+            return;
+        };
+        link.poll_io(context);
+        if link.is_open() && link.sender().is_ready() {
+            return_to.connections.keep(return_to.address, link);
+        }
+    }
+
+    fn fail(&mut self, error: AnswerError) -> AnswerError {
+        self.has_ended = true;
+        self.link = None;
+        error
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
+        let this = &mut *self;
+        let result = match this.poll_incoming(context) {
+            Poll::Pending => match this.poll_silence(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(error) => Err(error),
+            },
+            Poll::Ready(None) => {
+                this.end(context);
+                return Poll::Ready(None);
+            }
+            Poll::Ready(Some(Err(_))) => Err(AnswerError(ErrorKind::AnswerIncomplete)),
+            Poll::Ready(Some(Ok(frame))) => this.count(&frame).map(|()| frame),
+        };
+        this.silence = None;
+        Poll::Ready(Some(result.map_err(|error| this.fail(error))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // The last poll gives the connection back, so it must not be left out.
+        self.has_ended
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_endpoints/src/connection.rs
@@ -0,0 +1,144 @@
+//! Connections to endpoints, and those that may be used again.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use celeryknot_core::{DurationMs, ErrorKind};
+use futures_lite::future;
+use hyper::client::conn::http1;
+use smallvec::SmallVec;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use crate::request_body::RequestBody;
+
+/// Most idle connections to one endpoint that a thread keeps.
+const IDLE_MAX: usize = 16;
+
+/// Longest time that an idle connection is kept.
+const IDLE_LIFE: Duration = Duration::from_secs(1);
+
+/// Longest header block of an answer.
+const HEADER_SIZE_MAX_BYTES: usize = 64 << 10;
+
+/// One open connection, driven by whoever holds it.
+#[derive(Debug)]
+pub(crate) struct Link {
+    sender: http1::SendRequest<RequestBody>,
+    connection: Option<http1::Connection<FuturesIo<TcpStream>, RequestBody>>,
+    idle_since: Instant,
+}
+
+impl Link {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// `ConnectFailed`: no byte of any request was sent.
+    pub(crate) async fn open(address: SocketAddr, timeout: DurationMs) -> Result<Self, ErrorKind> {
+        let connect = async {
+            let stream = TcpStream::connect(address)
+                .await
+                .map_err(|_| ErrorKind::ConnectFailed)?;
+            stream
+                .set_nodelay(true)
+                .map_err(|_| ErrorKind::ConnectFailed)?;
+            http1::Builder::new()
+                .max_buf_size(HEADER_SIZE_MAX_BYTES)
+                .handshake(FuturesIo::new(stream))
+                .await
+                .map_err(|_| ErrorKind::ConnectFailed)
+        };
+        let give_up = async {
+            smol::Timer::after(timeout.as_std()).await;
+            Err(ErrorKind::ConnectFailed)
+        };
+        let (sender, connection) = future::or(connect, give_up).await?;
+        Ok(Self {
+            sender,
+            connection: Some(connection),
+            idle_since: Instant::now(),
+        })
+    }
+
+    pub(crate) fn sender(&mut self) -> &mut http1::SendRequest<RequestBody> {
+        &mut self.sender
+    }
+
+    /// Moves bytes; afterwards `is_open` tells whether the connection still stands.
+    pub(crate) fn poll_io(&mut self, context: &mut Context<'_>) {
+        let Some(connection) = &mut self.connection else {
+            return;
+        };
+        if Pin::new(connection).poll(context).is_ready() {
+            self.connection = None;
+        }
+    }
+
+    pub(crate) fn is_open(&self) -> bool {
+        self.connection.is_some()
+    }
+
+    /// Tells whether the connection can take a request now.
+    async fn is_usable(&mut self) -> bool {
+        future::poll_fn(|context| {
+            self.poll_io(context);
+            Poll::Ready(())
+        })
+        .await;
+        self.is_open() && self.sender.is_ready()
+    }
+}
+
+/// The idle connections of one thread.
+#[derive(Debug, Clone, Default)]
+pub struct Connections {
+    idle: Rc<RefCell<HashMap<SocketAddr, SmallVec<[Link; 4]>>>>,
+}
+
+impl Connections {
+    /// Builds an empty set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the connection that was used last, if it was idle for less than the given time.
+    pub(crate) async fn take(&self, address: SocketAddr, idle_max: DurationMs) -> Option<Link> {
+        loop {
+            let mut link = self.idle.borrow_mut().get_mut(&address)?.pop()?;
+            if link.idle_since.elapsed() < idle_max.as_std() && link.is_usable().await {
+                return Some(link);
+            }
+        }
+    }
+
+    /// Keeps a connection whose last answer has ended.
+    pub(crate) fn keep(&self, address: SocketAddr, mut link: Link) {
+        link.idle_since = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.entry(address).or_default();
+        if links.len() == IDLE_MAX {
+            links.remove(0);
+        }
+        links.push(link);
+    }
+
+    /// Closes connections that have been idle for long.
+    pub fn close_idle(&self) {
+        self.idle.borrow_mut().retain(|_, links| {
+            links.retain(|link| link.idle_since.elapsed() < IDLE_LIFE);
+            !links.is_empty()
+        });
+    }
+
+    /// Returns the number of idle connections.
+    pub fn idle_count(&self) -> usize {
+        self.idle.borrow().values().map(|links| links.len()).sum()
+    }
+}
--- a/crates/celeryknot_endpoints/src/lib.rs
+++ b/crates/celeryknot_endpoints/src/lib.rs
@@ -1,1 +1,21 @@
-//! The endpoints' side: connections, attempts, load reports, cache events and orders.
+//! The endpoints' side: connections, calls, load reports, streams of tokens, cache events and orders.
+//!
+//! A call is told apart into what certainly was not run and all else; this
+//! crate never sends a call a second time on its own unless it is idempotent.
+
+pub mod answer;
+pub mod cache_events;
+pub mod call;
+pub mod connection;
+pub mod exchange;
+pub mod load;
+pub mod orders;
+pub mod request_body;
+pub mod sse;
+
+pub use answer::{AnswerBody, AnswerError};
+pub use call::{Call, CallFailure, CallTimeouts, EndpointAnswer, Reuse};
+pub use connection::Connections;
+pub use load::LoadReport;
+pub use request_body::RequestBody;
+pub use sse::{SseEvent, SseParser, TokenEvent};
--- /dev/null
+++ b/crates/celeryknot_endpoints/src/load.rs
@@ -0,0 +1,128 @@
+//! Load reports of endpoints: the header of each answer, and the poll of `/v1/load`.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use bytes::Bytes;
+use celeryknot_core::{DurationMs, ErrorKind, SizeBytes, header};
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::BodyExt;
+use serde::{Deserialize, Serialize};
+
+use crate::call::{Call, CallTimeouts, Reuse};
+use crate::connection::Connections;
+use crate::request_body::RequestBody;
+
+/// Largest load report.
+const REPORT_SIZE_MAX: SizeBytes = SizeBytes(16 << 10);
+
+/// What an endpoint says of its own load.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests that wait within the endpoint.
+    pub queued: u32,
+    /// Whether the endpoint is in cold start.
+    pub cold: bool,
+    /// The most work that the endpoint can bear now.
+    #[serde(default)]
+    pub bound: Option<u32>,
+}
+
+/// A load report that can't be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReportError;
+
+impl std::fmt::Display for LoadReportError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("not a load report of the form `in_flight=1;queued=0;cold=0;bound=8`")
+    }
+}
+
+impl std::error::Error for LoadReportError {}
+
+impl FromStr for LoadReport {
+    type Err = LoadReportError;
+
+    /// Reads the form of the header; unknown keys are passed over.
+    fn from_str(text: &str) -> Result<Self, LoadReportError> {
+        let mut report = Self::default();
+        let mut has_in_flight = false;
+        for pair in text.split(';') {
+            let (key, value) = pair.trim().split_once('=').ok_or(LoadReportError)?;
+            let number: u32 = value.trim().parse().map_err(|_| LoadReportError)?;
+            match key.trim() {
+                "in_flight" => {
+                    report.in_flight = number;
+                    has_in_flight = true;
+                }
+                "queued" => report.queued = number,
+                "cold" => report.cold = number != 0,
+                "bound" => report.bound = Some(number),
+                _ => {}
+            }
+        }
+        has_in_flight.then_some(report).ok_or(LoadReportError)
+    }
+}
+
+/// Reads the load from the headers of an answer.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_endpoints::load::load_of;
+///
+/// let mut headers = http::HeaderMap::new();
+/// headers.insert("celeryknot-load", "in_flight=3;queued=1;cold=1;bound=4".parse().unwrap());
+/// let load = load_of(&headers).unwrap();
+/// assert_eq!((load.in_flight, load.cold, load.bound), (3, true, Some(4)));
+/// ```
+pub fn load_of(headers: &HeaderMap) -> Option<LoadReport> {
+    headers.get(header::LOAD)?.to_str().ok()?.parse().ok()
+}
+
+/// Asks an endpoint for its load.
+///
+/// # Errors
+///
+/// Why no report came.
+pub async fn fetch_load(
+    connections: &Connections,
+    address: SocketAddr,
+    timeout: DurationMs,
+) -> Result<LoadReport, ErrorKind> {
+    let body = fetch(connections, address, "/v1/load", timeout).await?;
+    serde_json::from_slice(&body).map_err(|_| ErrorKind::AnswerIncomplete)
+}
+
+/// Reads one small JSON document of an endpoint on a connection of its own.
+pub(crate) async fn fetch(
+    connections: &Connections,
+    address: SocketAddr,
+    path_and_query: &str,
+    timeout: DurationMs,
+) -> Result<Bytes, ErrorKind> {
+    let request = Request::get(path_and_query)
+        .header(http::header::HOST, address.to_string())
+        .body(RequestBody::default())
+        .map_err(|_| ErrorKind::MalformedRequest)?;
+    let call = Call {
+        request,
+        request_id: None,
+        must_echo: false,
+        reuse: Reuse::Never,
+        answer_size_max: REPORT_SIZE_MAX,
+        timeouts: CallTimeouts::all(timeout),
+    };
+    let answer = call
+        .send(connections, address)
+        .await
+        .map_err(|failure| failure.kind)?;
+    if answer.head.status != StatusCode::OK {
+        return Err(ErrorKind::EndpointRefused);
+    }
+    let body = answer.body.collect().await.map_err(|error| error.0)?;
+    Ok(body.to_bytes())
+}
