Parse and check settings from one table of keys

Daemons and operators need the same answer to whether a text is accepted. Every key is declared once with its type, range, default and meaning; the parser, the findings and later the page follow that table. ini_core is kept: its parser tells the line behind it, which is enough for a line a finding. Defaults of the table and of the Rust types stand twice for now; a test is to hold one to the other.

--- a/crates/celeryknot_settings/src/customer.rs
+++ b/crates/celeryknot_settings/src/customer.rs
@@ -1,5 +1,9 @@
 //! Settings of one customer, under `teams/<team>/customers/<customer>`.
 
+use crate::diagnostic::Diagnostic;
+use crate::fields::Fields;
+use crate::key_table::CUSTOMER_KEYS;
+
 /// How one customer's traffic is treated.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CustomerSettings {
@@ -17,3 +21,29 @@
         }
     }
 }
+
+impl CustomerSettings {
+    /// Parses and checks the text of a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings where the text is not accepted.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_settings::CustomerSettings;
+    ///
+    /// let settings = CustomerSettings::parse("[customer]\nshare_weight = 4\n")?;
+    /// assert_eq!(settings.share_weight, 4.0);
+    /// # Ok::<(), Vec<celeryknot_settings::Diagnostic>>(())
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Vec<Diagnostic>> {
+        let fields = Fields::read(CUSTOMER_KEYS, text)?;
+        let token_sha256: Option<String> = fields.optional("customer", "token_sha256");
+        Ok(Self {
+            share_weight: fields.get("customer", "share_weight"),
+            token_sha256: token_sha256.map(|sum| sum.to_ascii_lowercase()),
+        })
+    }
+}
--- a/crates/celeryknot_settings/src/daemon.rs
+++ b/crates/celeryknot_settings/src/daemon.rs
@@ -1,11 +1,16 @@
 //! The daemon's own settings file.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
 use celeryknot_core::keyed_hash::KeyRing;
 use celeryknot_core::{DurationMs, MemberName, SizeBytes, ZoneName};
 use strum::{Display, EnumString, IntoStaticStr, VariantNames};
 
+use crate::builder::setters;
+use crate::diagnostic::{Diagnostic, DiagnosticCode};
+use crate::fields::Fields;
+use crate::key_table::DAEMON_KEYS;
+
 /// The form of log lines.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr, VariantNames,
@@ -59,3 +64,194 @@
     /// `[log] format`: the form of log lines.
     pub log_format: LogFormat,
 }
+
+impl DaemonSettings {
+    /// Starts a builder with the defaults, any free loopback ports and example keys.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_settings::DaemonSettings;
+    ///
+    /// let settings = DaemonSettings::builder("entry-1".parse()?, "hkd-a".parse()?)
+    ///     .traffic_threads(1)
+    ///     .build();
+    /// assert_eq!(settings.traffic_threads, 1);
+    /// # Ok::<(), celeryknot_core::IdError>(())
+    /// ```
+    pub fn builder(name: MemberName, zone: ZoneName) -> DaemonSettingsBuilder {
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        DaemonSettingsBuilder {
+            settings: Self {
+                name,
+                zone,
+                traffic_threads: 2,
+                callers_address: any_port,
+                peers_address: any_port,
+                forwards_address: any_port,
+                operators_address: any_port,
+                platform_addresses: Vec::new(),
+                peer_keys: KeyRing::new("an-example-key-for-peers", None),
+                caller_keys: KeyRing::new("an-example-key-for-callers", None),
+                control_bytes_per_s: SizeBytes(8 << 10),
+                connections_max: 4096,
+                header_size_max_bytes: SizeBytes(16 << 10),
+                header_timeout_ms: DurationMs(5_000),
+                body_timeout_ms: DurationMs(10_000),
+                shutdown_grace_ms: DurationMs(30_000),
+                readers_per_zone: 2,
+                log_format: LogFormat::Human,
+            },
+        }
+    }
+
+    /// Parses and checks the text of a daemon's file.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings; the caller names the file by [`Diagnostic::in_source`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_settings::DaemonSettings;
+    ///
+    /// let findings = DaemonSettings::parse("[daemon]\nnmae = entry-1\n").unwrap_err();
+    /// assert!(findings.iter().any(|finding| finding.nearest.as_deref() == Some("name")));
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Vec<Diagnostic>> {
+        let fields = Fields::read(DAEMON_KEYS, text)?;
+        let settings = Self::from_fields(&fields);
+        let conflicts = settings.conflicts(&fields);
+        if conflicts.is_empty() {
+            return Ok(settings);
+        }
+        Err(conflicts)
+    }
+
+    fn from_fields(fields: &Fields<'_>) -> Self {
+        Self {
+            name: fields.get("daemon", "name"),
+            zone: fields.get("daemon", "zone"),
+            traffic_threads: fields.get("daemon", "traffic_threads"),
+            callers_address: fields.get("listen", "callers"),
+            peers_address: fields.get("listen", "peers"),
+            forwards_address: fields.get("listen", "forwards"),
+            operators_address: fields.get("listen", "operators"),
+            platform_addresses: fields.list("platform", "addresses"),
+            peer_keys: key_ring(fields, "peers", "peers_previous"),
+            caller_keys: key_ring(fields, "callers", "callers_previous"),
+            control_bytes_per_s: fields.get("limits", "control_bytes_per_s"),
+            connections_max: fields.get("limits", "connections_max"),
+            header_size_max_bytes: fields.get("limits", "header_size_max_bytes"),
+            header_timeout_ms: fields.get("limits", "header_timeout_ms"),
+            body_timeout_ms: fields.get("limits", "body_timeout_ms"),
+            shutdown_grace_ms: fields.get("limits", "shutdown_grace_ms"),
+            readers_per_zone: fields.get("limits", "readers_per_zone"),
+            log_format: fields.get("log", "format"),
+        }
+    }
+
+    fn conflicts(&self, fields: &Fields<'_>) -> Vec<Diagnostic> {
+        let mut found = self.address_conflicts(fields);
+        found.extend(key_conflicts(fields));
+        found.sort_by_key(|diagnostic| diagnostic.line);
+        found
+    }
+
+    fn address_conflicts(&self, fields: &Fields<'_>) -> Vec<Diagnostic> {
+        let listens = [
+            ("callers", self.callers_address),
+            ("peers", self.peers_address),
+            ("forwards", self.forwards_address),
+            ("operators", self.operators_address),
+        ];
+        let mut found = Vec::new();
+        for (index, (name, address)) in listens.iter().enumerate() {
+            let line = fields.line("listen", name);
+            // Port 0 asks for any free port, so two of them do not clash.
+            let first = listens[..index]
+                .iter()
+                .find(|(_, other)| address.port() != 0 && clash(*address, *other));
+            if let Some((first, other)) = first {
+                let reason = format!("`{name}` = {address} clashes with `{first}` = {other}");
+                found.push(Diagnostic::new(DiagnosticCode::Conflict, line, reason));
+            }
+            if self.platform_addresses.contains(address) {
+                let reason = format!("`{name}` = {address} is also a platform address");
+                found.push(Diagnostic::new(DiagnosticCode::Conflict, line, reason));
+            }
+        }
+        found
+    }
+}
+
+fn clash(one: SocketAddr, other: SocketAddr) -> bool {
+    let same_ip =
+        one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
+    same_ip && one.port() == other.port()
+}
+
+fn key_ring(fields: &Fields<'_>, current: &str, previous: &str) -> KeyRing {
+    let current: String = fields.get("keys", current);
+    let previous: Option<String> = fields.optional("keys", previous);
+    KeyRing::new(&current, previous.as_deref())
+}
+
+fn key_conflicts(fields: &Fields<'_>) -> Vec<Diagnostic> {
+    const PAIRS: [(&str, &str, &str); 3] = [
+        ("peers", "callers", "peers and callers need different keys"),
+        (
+            "peers",
+            "peers_previous",
+            "the previous key is the same as the current one",
+        ),
+        (
+            "callers",
+            "callers_previous",
+            "the previous key is the same as the current one",
+        ),
+    ];
+    let key = |name| fields.optional::<String>("keys", name);
+    PAIRS
+        .iter()
+        .filter(|(one, other, _)| key(one) == key(other))
+        .map(|(one, other, reason)| {
+            let reason = format!("`{one}` and `{other}`: {reason}");
+            let line = fields.line("keys", other);
+            Diagnostic::new(DiagnosticCode::Conflict, line, reason)
+        })
+        .collect()
+}
+
+/// Builds [`DaemonSettings`].
+#[derive(Debug, Clone)]
+pub struct DaemonSettingsBuilder {
+    settings: DaemonSettings,
+}
+
+impl DaemonSettingsBuilder {
+    setters!(DaemonSettings {
+        traffic_threads: u32,
+        callers_address: SocketAddr,
+        peers_address: SocketAddr,
+        forwards_address: SocketAddr,
+        operators_address: SocketAddr,
+        platform_addresses: Vec<SocketAddr>,
+        peer_keys: KeyRing,
+        caller_keys: KeyRing,
+        control_bytes_per_s: SizeBytes,
+        connections_max: u32,
+        header_size_max_bytes: SizeBytes,
+        header_timeout_ms: DurationMs,
+        body_timeout_ms: DurationMs,
+        shutdown_grace_ms: DurationMs,
+        readers_per_zone: u32,
+        log_format: LogFormat,
+    });
+
+    /// Returns the settings.
+    pub fn build(self) -> DaemonSettings {
+        self.settings
+    }
+}
--- a/crates/celeryknot_settings/src/rollout.rs
+++ b/crates/celeryknot_settings/src/rollout.rs
@@ -2,6 +2,11 @@
 
 use celeryknot_core::ModelName;
 
+use crate::builder::setters;
+use crate::diagnostic::Diagnostic;
+use crate::fields::Fields;
+use crate::key_table::ROLLOUT_KEYS;
+
 /// The model version that the engines of a service are to serve.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RolloutSettings {
@@ -16,3 +21,74 @@
     /// Most errors of an updated engine, in a hundred answers, before the rollout stops.
     pub error_percent_max: u32,
 }
+
+impl RolloutSettings {
+    /// Starts a builder for a model and version, with the defaults for the rest.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_settings::RolloutSettings;
+    ///
+    /// let settings = RolloutSettings::builder("wakai-8b".parse()?, "v2").parallel_max(2).build();
+    /// assert_eq!(settings.parallel_max, 2);
+    /// # Ok::<(), celeryknot_core::IdError>(())
+    /// ```
+    pub fn builder(model: ModelName, version: impl Into<String>) -> RolloutSettingsBuilder {
+        RolloutSettingsBuilder {
+            settings: Self {
+                model,
+                version: version.into(),
+                adapter: None,
+                parallel_max: 1,
+                error_percent_max: 5,
+            },
+        }
+    }
+
+    /// Parses and checks the text of a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings where the text is not accepted.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_settings::RolloutSettings;
+    ///
+    /// let settings = RolloutSettings::parse("[rollout]\nmodel = wakai-8b\nversion = v2\n")?;
+    /// assert_eq!(settings.version, "v2");
+    /// # Ok::<(), Vec<celeryknot_settings::Diagnostic>>(())
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Vec<Diagnostic>> {
+        const S: &str = "rollout";
+        let fields = Fields::read(ROLLOUT_KEYS, text)?;
+        Ok(Self {
+            model: fields.get(S, "model"),
+            version: fields.get(S, "version"),
+            adapter: fields.optional(S, "adapter"),
+            parallel_max: fields.get(S, "parallel_max"),
+            error_percent_max: fields.get(S, "error_percent_max"),
+        })
+    }
+}
+
+/// Builds [`RolloutSettings`].
+#[derive(Debug, Clone)]
+pub struct RolloutSettingsBuilder {
+    settings: RolloutSettings,
+}
+
+impl RolloutSettingsBuilder {
+    setters!(RolloutSettings {
+        adapter: Option<String>,
+        parallel_max: u32,
+        error_percent_max: u32,
+    });
+
+    /// Returns the settings.
+    pub fn build(self) -> RolloutSettings {
+        self.settings
+    }
+}
--- a/crates/celeryknot_settings/src/service.rs
+++ b/crates/celeryknot_settings/src/service.rs
@@ -1,8 +1,16 @@
 //! Settings of one service, under `teams/<team>/services/<service>`.
 
+use std::fmt;
+use std::str::FromStr;
+
 use celeryknot_core::{DurationMs, ModelName, SizeBytes, TokenCount};
 use strum::{Display, EnumString, IntoStaticStr, VariantNames};
 
+use crate::builder::setters;
+use crate::diagnostic::{Diagnostic, DiagnosticCode};
+use crate::fields::Fields;
+use crate::key_table::SERVICE_KEYS;
+
 /// What kind of endpoints a service has.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr, VariantNames,
@@ -17,6 +25,17 @@
 }
 
 /// One rule that names calls of a plain service by method and path prefix.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_settings::RouteRule;
+///
+/// let rule: RouteRule = "POST /search".parse()?;
+/// assert_eq!(rule.method, "POST");
+/// assert_eq!(rule.to_string(), "POST /search");
+/// # Ok::<(), celeryknot_settings::RouteRuleError>(())
+/// ```
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RouteRule {
     /// The HTTP method, in capitals.
@@ -25,6 +44,43 @@
     pub path_prefix: String,
 }
 
+/// The reason why a text is not a route rule.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteRuleError;
+
+impl fmt::Display for RouteRuleError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a rule is a method in capitals and a path that begins with `/`")
+    }
+}
+
+impl std::error::Error for RouteRuleError {}
+
+impl fmt::Display for RouteRule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.method, self.path_prefix)
+    }
+}
+
+impl FromStr for RouteRule {
+    type Err = RouteRuleError;
+
+    fn from_str(text: &str) -> Result<Self, RouteRuleError> {
+        let (method, path_prefix) = text.split_once(' ').ok_or(RouteRuleError)?;
+        let path_prefix = path_prefix.trim_start();
+        let is_method = !method.is_empty() && method.bytes().all(|b| b.is_ascii_uppercase());
+        let is_path =
+            path_prefix.starts_with('/') && path_prefix.bytes().all(|b| b.is_ascii_graphic());
+        if !is_method || !is_path {
+            return Err(RouteRuleError);
+        }
+        Ok(Self {
+            method: method.to_owned(),
+            path_prefix: path_prefix.to_owned(),
+        })
+    }
+}
+
 /// How the requests of one service are treated.
 ///
 /// Calls of a plain service are idempotent when the method is GET, HEAD or
@@ -97,3 +153,146 @@
         }
     }
 }
+
+impl ServiceSettings {
+    /// Starts a builder with the defaults.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_settings::{ServiceKind, ServiceSettings};
+    ///
+    /// let settings = ServiceSettings::builder().kind(ServiceKind::Plain).in_flight_max(16).build();
+    /// assert_eq!(settings.in_flight_max, 16);
+    /// ```
+    pub fn builder() -> ServiceSettingsBuilder {
+        ServiceSettingsBuilder {
+            settings: Self::default(),
+        }
+    }
+
+    /// Parses and checks the text of a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings where the text is not accepted.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_settings::ServiceSettings;
+    ///
+    /// let settings = ServiceSettings::parse("[service]\nmodels = wakai-8b\nramp_ms = 20s\n")?;
+    /// assert_eq!(settings.ramp_ms.to_string(), "20000ms");
+    /// # Ok::<(), Vec<celeryknot_settings::Diagnostic>>(())
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Vec<Diagnostic>> {
+        let fields = Fields::read(SERVICE_KEYS, text)?;
+        let settings = Self::from_fields(&fields);
+        let conflicts = settings.conflicts(&fields);
+        if conflicts.is_empty() {
+            return Ok(settings);
+        }
+        Err(conflicts)
+    }
+
+    fn from_fields(fields: &Fields<'_>) -> Self {
+        const S: &str = "service";
+        Self {
+            kind: fields.get(S, "kind"),
+            models: fields.list(S, "models"),
+            load_multiple: fields.get(S, "load_multiple"),
+            in_flight_max: fields.get(S, "in_flight_max"),
+            cold_in_flight_max: fields.get(S, "cold_in_flight_max"),
+            ramp_ms: fields.get(S, "ramp_ms"),
+            queue_len_max: fields.get(S, "queue_len_max"),
+            queue_wait_max_ms: fields.get(S, "queue_wait_max_ms"),
+            first_byte_timeout_ms: fields.get(S, "first_byte_timeout_ms"),
+            idle_timeout_ms: fields.get(S, "idle_timeout_ms"),
+            request_size_max_bytes: fields.get(S, "request_size_max_bytes"),
+            answer_size_max_bytes: fields.get(S, "answer_size_max_bytes"),
+            prefill_tokens_per_s: fields.get(S, "prefill_tokens_per_s"),
+            answer_tokens_default: fields.get(S, "answer_tokens_default"),
+            retry_percent_max: fields.get(S, "retry_percent_max"),
+            sick_percent_max: fields.get(S, "sick_percent_max"),
+            echoes_request_id: fields.get(S, "echoes_request_id"),
+            idempotent_routes: fields.list(S, "idempotent_routes"),
+            requires_ticket: fields.get(S, "requires_ticket"),
+        }
+    }
+
+    fn conflicts(&self, fields: &Fields<'_>) -> Vec<Diagnostic> {
+        let conflict = |name: &str, reason: &str| {
+            let line = fields.line("service", name);
+            Diagnostic::new(DiagnosticCode::Conflict, line, reason)
+        };
+        let mut found = Vec::new();
+        if self.cold_in_flight_max > self.in_flight_max {
+            found.push(conflict(
+                "cold_in_flight_max",
+                "`cold_in_flight_max` is above `in_flight_max`",
+            ));
+        }
+        match self.kind {
+            ServiceKind::Model => {
+                if self.models.is_empty() {
+                    let reason = "a model service needs `models`";
+                    found.push(Diagnostic::new(
+                        DiagnosticCode::MissingKey,
+                        fields.line("service", "kind"),
+                        reason,
+                    ));
+                }
+                if !self.idempotent_routes.is_empty() {
+                    let reason = "all calls of a model service are idempotent";
+                    found.push(conflict("idempotent_routes", reason));
+                }
+                if self.requires_ticket {
+                    let reason = "calls of a model service take no tickets";
+                    found.push(conflict("requires_ticket", reason));
+                }
+            }
+            ServiceKind::Plain => {
+                if !self.models.is_empty() {
+                    found.push(conflict("models", "a plain service offers no models"));
+                }
+            }
+        }
+        found
+    }
+}
+
+/// Builds [`ServiceSettings`].
+#[derive(Debug, Clone)]
+pub struct ServiceSettingsBuilder {
+    settings: ServiceSettings,
+}
+
+impl ServiceSettingsBuilder {
+    setters!(ServiceSettings {
+        kind: ServiceKind,
+        models: Vec<ModelName>,
+        load_multiple: f64,
+        in_flight_max: u32,
+        cold_in_flight_max: u32,
+        ramp_ms: DurationMs,
+        queue_len_max: u32,
+        queue_wait_max_ms: DurationMs,
+        first_byte_timeout_ms: DurationMs,
+        idle_timeout_ms: DurationMs,
+        request_size_max_bytes: SizeBytes,
+        answer_size_max_bytes: SizeBytes,
+        prefill_tokens_per_s: f64,
+        answer_tokens_default: TokenCount,
+        retry_percent_max: u32,
+        sick_percent_max: u32,
+        echoes_request_id: bool,
+        idempotent_routes: Vec<RouteRule>,
+        requires_ticket: bool,
+    });
+
+    /// Returns the settings.
+    pub fn build(self) -> ServiceSettings {
+        self.settings
+    }
+}
--- a/crates/celeryknot_settings/src/zone.rs
+++ b/crates/celeryknot_settings/src/zone.rs
@@ -2,6 +2,10 @@
 
 use strum::{Display, EnumString, IntoStaticStr, VariantNames};
 
+use crate::diagnostic::Diagnostic;
+use crate::fields::Fields;
+use crate::key_table::ZONE_KEYS;
+
 /// Whether a zone takes new work.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr, VariantNames,
@@ -21,3 +25,26 @@
     /// Whether the zone takes new work.
     pub state: ZoneState,
 }
+
+impl ZoneSettings {
+    /// Parses and checks the text of a value.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings where the text is not accepted.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_settings::{ZoneSettings, ZoneState};
+    ///
+    /// assert_eq!(ZoneSettings::parse("[zone]\nstate = out\n")?.state, ZoneState::Out);
+    /// # Ok::<(), Vec<celeryknot_settings::Diagnostic>>(())
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Vec<Diagnostic>> {
+        let fields = Fields::read(ZONE_KEYS, text)?;
+        Ok(Self {
+            state: fields.get("zone", "state"),
+        })
+    }
+}
