--- a/crates/celeryknot_core/src/lib.rs
+++ b/crates/celeryknot_core/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! This crate does no I/O and reads no clock.
 
+pub mod backoff;
 pub mod endpoint;
 pub mod error_kind;
 pub mod header;
@@ -11,6 +12,7 @@
 pub mod quantity;
 pub mod time;
 
+pub use backoff::Backoff;
 pub use endpoint::{EndpointCondition, EndpointSummary};
 pub use error_kind::{Answer, ErrorKind, Execution, Refusal, RetryAdvice};
 pub use id::{
