Ask for leave directly before the first byte of a call

The deadline and the fleet may have changed while a connection was opened. A call that was asked for leave after an earlier copy was sent is never called not run.

--- a/crates/celeryknot_endpoints/src/call.rs
+++ b/crates/celeryknot_endpoints/src/call.rs
@@ -1,5 +1,6 @@
 //! One call of an endpoint, and what is known when it fails.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 
 use celeryknot_core::{DurationMs, ErrorKind, Execution, RequestId, SizeBytes, header};
@@ -102,63 +103,102 @@
 impl Call {
     /// Sends the call and waits for the head of the answer.
     ///
-    /// Dropping the future cancels the call.
+    /// `may_send` is asked directly before the first byte, with no await in
+    /// between; its error ends the call, which then certainly was not run
+    /// unless an earlier copy of it was sent. Dropping the future cancels the
+    /// call.
     ///
     /// # Errors
     ///
-    /// `ConnectFailed` and `EndpointRefused` where the call certainly was not
-    /// run; all other kinds leave that open.
-    pub async fn send(
+    /// `ConnectFailed`, `EndpointRefused` and the kinds of `may_send` where
+    /// the call certainly was not run; all other kinds leave that open.
+    pub async fn send<M>(
         self,
         connections: &Connections,
         address: SocketAddr,
-    ) -> Result<EndpointAnswer, CallFailure> {
+        may_send: M,
+    ) -> Result<EndpointAnswer, CallFailure>
+    where
+        M: Fn() -> Result<(), ErrorKind>,
+    {
         let first_byte_ms = self.timeouts.first_byte_ms;
-        let sent = self.send_untimed(connections, address);
+        let is_handed = Cell::new(false);
+        let may_send = || match may_send() {
+            Ok(()) => {
+                is_handed.set(true);
+                Ok(())
+            }
+            // An earlier copy of the call may have been run.
+            Err(_) if is_handed.get() => Err(ErrorKind::OutcomeUnknown),
+            Err(kind) => Err(kind),
+        };
+        let sent = self.send_untimed(connections, address, &may_send);
         let give_up = async {
             smol::Timer::after(first_byte_ms.as_std()).await;
-            Err(ErrorKind::AnswerTimeout.into())
+            if is_handed.get() {
+                return Err(ErrorKind::AnswerTimeout.into());
+            }
+            Err(ErrorKind::ConnectFailed.into())
         };
         future::or(sent, give_up).await
     }
 
-    async fn send_untimed(
+    async fn send_untimed<M>(
         self,
         connections: &Connections,
         address: SocketAddr,
-    ) -> Result<EndpointAnswer, CallFailure> {
+        may_send: &M,
+    ) -> Result<EndpointAnswer, CallFailure>
+    where
+        M: Fn() -> Result<(), ErrorKind>,
+    {
         let (used, is_hedged) = match self.reuse {
             Reuse::Never => (None, false),
             Reuse::IdleUnder(idle_max) => (connections.take(address, idle_max).await, false),
             Reuse::Hedged(idle_max) => (connections.take(address, idle_max).await, true),
         };
         let Some(link) = used else {
-            let (link, answer) = self.try_new(address).await?;
+            let (link, answer) = self.try_new(address, may_send).await?;
             return self.check(connections, address, link, answer);
         };
         let result = if is_hedged {
             let hedge = async {
                 smol::Timer::after(SILENT_AFTER.as_std()).await;
-                self.try_new(address).await
+                self.try_new(address, may_send).await
             };
-            future::or(self.try_on(link), hedge).await
+            future::or(self.try_on(link, may_send), hedge).await
         } else {
-            self.try_on(link).await
+            self.try_on(link, may_send).await
         };
         let (link, answer) = match result {
             Ok(answered) => answered,
             // The endpoint closed the idle connection; the call is idempotent.
-            Err(_) => self.try_new(address).await?,
+            Err(_) => self.try_new(address, may_send).await?,
         };
         self.check(connections, address, link, answer)
     }
 
-    async fn try_new(&self, address: SocketAddr) -> Result<(Link, Response<Incoming>), ErrorKind> {
+    async fn try_new<M>(
+        &self,
+        address: SocketAddr,
+        may_send: &M,
+    ) -> Result<(Link, Response<Incoming>), ErrorKind>
+    where
+        M: Fn() -> Result<(), ErrorKind>,
+    {
         let link = Link::open(address, self.timeouts.connect_ms).await?;
-        self.try_on(link).await
+        self.try_on(link, may_send).await
     }
 
-    async fn try_on(&self, mut link: Link) -> Result<(Link, Response<Incoming>), ErrorKind> {
+    async fn try_on<M>(
+        &self,
+        mut link: Link,
+        may_send: &M,
+    ) -> Result<(Link, Response<Incoming>), ErrorKind>
+    where
+        M: Fn() -> Result<(), ErrorKind>,
+    {
+        may_send()?;
         match exchange(&mut link, self.request.clone()).await {
             Ok(answer) => Ok((link, answer)),
             Err(error) => Err(error.kind()),
--- a/crates/celeryknot_endpoints/src/load.rs
+++ b/crates/celeryknot_endpoints/src/load.rs
@@ -117,7 +117,7 @@
         timeouts: CallTimeouts::all(timeout),
     };
     let answer = call
-        .send(connections, address)
+        .send(connections, address, || Ok(()))
         .await
         .map_err(|failure| failure.kind)?;
     if answer.head.status != StatusCode::OK {
--- a/crates/celeryknot_endpoints/src/orders.rs
+++ b/crates/celeryknot_endpoints/src/orders.rs
@@ -89,7 +89,7 @@
         timeouts: CallTimeouts::all(timeout),
     };
     let answer = call
-        .send(&Connections::new(), address)
+        .send(&Connections::new(), address, || Ok(()))
         .await
         .map_err(|failure| failure.kind)?;
     if answer.head.status == StatusCode::ACCEPTED {
