--- /dev/null
+++ b/crates/celeryknotd/src/daemon.rs
@@ -0,0 +1,255 @@
+//! One daemon: its threads, and the stages of its shutdown.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use celeryknot_core::{DurationMs, Incarnation};
+use celeryknot_operators::Metrics;
+use celeryknot_settings::DaemonSettings;
+use eyre::WrapErr;
+
+use crate::clock::Clock;
+use crate::event::TrafficEvent;
+use crate::feed::{FleetFeed, event_channel};
+use crate::listeners::Listeners;
+use crate::operators::run_operators;
+use crate::traffic::shared::{Shared, ShutdownSignals};
+use crate::traffic::thread::{ThreadParts, run_thread};
+
+/// Time for the balancer and the peers to see that the daemon is leaving.
+const SETTLE_TIME: DurationMs = DurationMs(1_000);
+
+/// Time between two looks at what is still in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// How a daemon ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShutdownReport {
+    /// Requests that were still in flight when the grace time was over.
+    pub leftover: u64,
+}
+
+/// The senders whose closing gives the signals of a shutdown.
+#[derive(Debug)]
+struct ShutdownTriggers {
+    callers: Sender<Infallible>,
+    peers: Sender<Infallible>,
+    kill: Sender<Infallible>,
+}
+
+/// A running daemon; dropping it kills it.
+#[derive(Debug)]
+pub struct Daemon {
+    shared: Arc<Shared>,
+    triggers: ShutdownTriggers,
+    threads: Vec<JoinHandle<()>>,
+    drained: Option<JoinHandle<ShutdownReport>>,
+}
+
+impl Daemon {
+    /// Starts the traffic threads on a fleet that somebody else publishes.
+    ///
+    /// Returns the daemon and the events that its traffic threads send.
+    ///
+    /// # Errors
+    ///
+    /// Names the address that could not be bound, or the thread that could not be started.
+    pub fn start_with_feed(
+        mut settings: DaemonSettings,
+        feed: FleetFeed,
+        incarnation: Incarnation,
+    ) -> eyre::Result<(Self, Receiver<TrafficEvent>)> {
+        let listeners = Listeners::bind(&mut settings)?;
+        let (events, received) = event_channel();
+        let daemon = Self::start_traffic(settings, listeners, feed, incarnation, events)?;
+        Ok((daemon, received))
+    }
+
+    fn start_traffic(
+        settings: DaemonSettings,
+        listeners: Listeners,
+        feed: FleetFeed,
+        incarnation: Incarnation,
+        events: Sender<TrafficEvent>,
+    ) -> eyre::Result<Self> {
+        let thread_count = settings.traffic_threads.max(1) as usize;
+        let (admissions, desks): (Vec<_>, Vec<_>) = (0..thread_count)
+            .map(|_| async_channel::unbounded())
+            .unzip();
+        let (tickets, ticket_desk) = async_channel::unbounded();
+        let (triggers, shutdown) = signals();
+        let shared = Arc::new(Shared {
+            settings,
+            incarnation,
+            clock: Clock::start(),
+            feed,
+            events,
+            metrics: Metrics::new(),
+            admissions,
+            tickets,
+            shutdown,
+            is_leaving: AtomicBool::new(false),
+            in_flight: Arc::new(AtomicU64::new(0)),
+            connections: Arc::new(AtomicU64::new(0)),
+            peer_connections: Arc::new(AtomicU64::new(0)),
+        });
+        let mut daemon = Self {
+            shared,
+            triggers,
+            threads: Vec::new(),
+            drained: None,
+        };
+        let mut ticket_desk = Some(ticket_desk);
+        for (index, desk) in desks.into_iter().enumerate() {
+            let parts = ThreadParts {
+                index,
+                callers: share(&listeners.callers)?,
+                forwards: share(&listeners.forwards)?,
+                admissions: desk,
+                tickets: ticket_desk.take(),
+            };
+            let shared = Arc::clone(&daemon.shared);
+            daemon.spawn(format!("traffic-{index}"), move || {
+                run_thread(parts, shared)
+            })?;
+        }
+        let shared = Arc::clone(&daemon.shared);
+        let operators = listeners.operators;
+        daemon.spawn("operators".to_owned(), move || {
+            run_operators(operators, shared);
+        })?;
+        Ok(daemon)
+    }
+
+    fn spawn(&mut self, name: String, run: impl FnOnce() + Send + 'static) -> eyre::Result<()> {
+        let thread = std::thread::Builder::new()
+            .name(name)
+            .spawn(run)
+            .wrap_err("can't start a thread")?;
+        self.threads.push(thread);
+        Ok(())
+    }
+
+    /// Returns the settings, with the addresses that were bound.
+    pub fn settings(&self) -> &DaemonSettings {
+        &self.shared.settings
+    }
+
+    /// Returns the daemon's life.
+    pub fn incarnation(&self) -> Incarnation {
+        self.shared.incarnation
+    }
+
+    /// Returns the daemon's metrics.
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
+    /// Starts a graceful shutdown; [`Self::wait`] waits for its end.
+    ///
+    /// Readiness goes off at once and peers are told. After a short time for
+    /// the balancer, connections end after the requests in flight, at the
+    /// latest after the grace time of the settings.
+    pub fn begin_shutdown(&mut self) {
+        if self.shared.is_leaving.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        tracing::info!(daemon = %self.shared.settings.name, "shutting down");
+        let shared = Arc::clone(&self.shared);
+        let (callers, peers) = (self.triggers.callers.clone(), self.triggers.peers.clone());
+        self.drained = std::thread::Builder::new()
+            .name("shutdown".to_owned())
+            .spawn(move || drain(&shared, &callers, &peers))
+            .ok();
+    }
+
+    /// Waits for the end of a shutdown that has begun.
+    pub fn wait(mut self) -> ShutdownReport {
+        let report = self
+            .drained
+            .take()
+            .and_then(|drained| drained.join().ok())
+            .unwrap_or(ShutdownReport { leftover: 0 });
+        self.end();
+        report
+    }
+
+    /// Ends the daemon at once, as a crash would.
+    pub fn kill(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.triggers.kill.close();
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                tracing::error!("a thread of the daemon panicked");
+            }
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+fn share(listener: &TcpListener) -> eyre::Result<TcpListener> {
+    listener.try_clone().wrap_err("can't share a listener")
+}
+
+fn signals() -> (ShutdownTriggers, ShutdownSignals) {
+    let (callers, callers_signal) = async_channel::bounded(1);
+    let (peers, peers_signal) = async_channel::bounded(1);
+    let (kill, kill_signal) = async_channel::bounded(1);
+    let triggers = ShutdownTriggers {
+        callers,
+        peers,
+        kill,
+    };
+    let signals = ShutdownSignals {
+        callers: callers_signal,
+        peers: peers_signal,
+        kill: kill_signal,
+    };
+    (triggers, signals)
+}
+
+/// Lets the requests in flight end, first those of callers, then those of other daemons.
+fn drain(
+    shared: &Shared,
+    callers: &Sender<Infallible>,
+    peers: &Sender<Infallible>,
+) -> ShutdownReport {
+    let ends_at = Instant::now() + shared.settings.shutdown_grace_ms.as_std();
+    std::thread::sleep(
+        SETTLE_TIME
+            .as_std()
+            .min(shared.settings.shutdown_grace_ms.as_std()),
+    );
+    callers.close();
+    await_zero(&shared.connections, ends_at);
+    peers.close();
+    await_zero(&shared.peer_connections, ends_at);
+    await_zero(&shared.in_flight, ends_at);
+    let leftover = shared.in_flight.load(Ordering::Acquire);
+    shared
+        .metrics
+        .traffic
+        .shutdown_leftover
+        .set(leftover as i64);
+    tracing::info!(daemon = %shared.settings.name, leftover, "shut down");
+    ShutdownReport { leftover }
+}
+
+fn await_zero(counter: &AtomicU64, ends_at: Instant) {
+    while counter.load(Ordering::Acquire) > 0 && Instant::now() < ends_at {
+        std::thread::sleep(DRAIN_POLL);
+    }
+}
--- a/crates/celeryknotd/src/lib.rs
+++ b/crates/celeryknotd/src/lib.rs
@@ -1,4 +1,14 @@
 //! The daemon: one control thread, traffic threads, and the wiring between the packages.
 
+pub mod clock;
+pub mod daemon;
 pub mod event;
+pub mod feed;
+pub mod listeners;
+mod operators;
+pub mod run;
 pub mod snapshot;
+mod traffic;
+
+pub use daemon::{Daemon, ShutdownReport};
+pub use feed::FleetFeed;
--- /dev/null
+++ b/crates/celeryknotd/src/run.rs
@@ -0,0 +1,1 @@
+//! The command `celeryknotd`.
--- /dev/null
+++ b/crates/celeryknotd/src/traffic.rs
@@ -0,0 +1,21 @@
+//! The traffic threads: from a caller's request to an endpoint's answer.
+
+pub(crate) mod admission;
+pub(crate) mod body;
+pub(crate) mod chat;
+pub(crate) mod context;
+pub(crate) mod dispatch;
+pub(crate) mod entry;
+pub(crate) mod failure;
+pub(crate) mod hop;
+pub(crate) mod load_poll;
+pub(crate) mod owner;
+pub(crate) mod peer_link;
+pub(crate) mod peer_server;
+pub(crate) mod places;
+pub(crate) mod shared;
+pub(crate) mod stream;
+pub(crate) mod thread;
+pub(crate) mod ticket_desk;
+pub(crate) mod ticketed;
+pub(crate) mod work;
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/admission.rs
@@ -0,0 +1,423 @@
+//! The admission of the endpoints that this daemon owns, each in one thread.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_channel::{Receiver, Sender};
+use celeryknot_core::{
+    DurationMs, EndpointName, EndpointSummary, ErrorKind, MonotonicMs, Refusal, RequestId,
+};
+use celeryknot_policy::admission::{
+    AdmissionAction, AdmissionLimits, AdmissionRequest, Decision, EndpointAdmission, FinishOutcome,
+    FinishStatus, ReportedLoad,
+};
+use celeryknot_policy::bound::ServiceLoad;
+use futures_lite::future;
+
+use super::context::{TICK, ThreadContext};
+use super::shared::Shared;
+use crate::event::TrafficEvent;
+use crate::snapshot::{EndpointSnapshot, ServiceSnapshot};
+
+/// Age at which the mean load of a service is computed anew.
+const MEAN_AGE_MAX: DurationMs = DurationMs(10);
+
+/// Time without work after which the admission of an endpoint with another owner is dropped.
+const FOREIGN_LIFE: DurationMs = DurationMs(10_000);
+
+/// A message to the thread that admits the work of an endpoint.
+#[derive(Debug)]
+pub(crate) enum AdmissionMessage {
+    /// A request asks for a place.
+    Offer {
+        endpoint: EndpointName,
+        service: Arc<ServiceSnapshot>,
+        request: AdmissionRequest,
+        reply: Sender<Result<(), Refusal>>,
+    },
+    /// A request is no longer wanted, whether it waits or is in flight.
+    Cancel {
+        endpoint: EndpointName,
+        id: RequestId,
+    },
+    /// A request in flight has ended.
+    Finish {
+        endpoint: EndpointName,
+        id: RequestId,
+        outcome: FinishOutcome,
+    },
+    /// The endpoint reported its load.
+    Load {
+        endpoint: EndpointName,
+        load: ReportedLoad,
+    },
+}
+
+/// A place at an endpoint; dropping it gives the place back.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    shared: Arc<Shared>,
+    endpoint: EndpointName,
+    id: RequestId,
+    outcome: Option<FinishOutcome>,
+}
+
+impl Permit {
+    /// Asks for a place and waits for it.
+    ///
+    /// # Errors
+    ///
+    /// The owner's refusal; the request was not run.
+    pub(crate) async fn ask(
+        shared: &Arc<Shared>,
+        endpoint: &EndpointName,
+        service: &Arc<ServiceSnapshot>,
+        request: AdmissionRequest,
+    ) -> Result<Self, Refusal> {
+        let (reply, replies) = async_channel::bounded(1);
+        let mut permit = Self {
+            shared: Arc::clone(shared),
+            endpoint: endpoint.clone(),
+            id: request.id,
+            outcome: None,
+        };
+        permit.send(AdmissionMessage::Offer {
+            endpoint: endpoint.clone(),
+            service: Arc::clone(service),
+            request,
+            reply,
+        });
+        let decision = replies.recv().await;
+        let refusal = match decision {
+            Ok(Ok(())) => {
+                permit.outcome = Some(FinishOutcome::new(FinishStatus::Aborted));
+                return Ok(permit);
+            }
+            Ok(Err(refusal)) => refusal,
+            Err(_) => Refusal::new(ErrorKind::Draining),
+        };
+        Err(refusal)
+    }
+
+    /// Says how the request ended; the last word counts.
+    pub(crate) fn set_outcome(&mut self, outcome: FinishOutcome) {
+        self.outcome = Some(outcome);
+    }
+
+    /// Passes on the load that the endpoint reported.
+    pub(crate) fn report(&self, load: ReportedLoad) {
+        self.send(AdmissionMessage::Load {
+            endpoint: self.endpoint.clone(),
+            load,
+        });
+    }
+
+    fn send(&self, message: AdmissionMessage) {
+        // The channel is closed only when the daemon ends.
+        let _ = self.shared.home_of(&self.endpoint).try_send(message);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let endpoint = self.endpoint.clone();
+        let id = self.id;
+        self.send(match self.outcome {
+            Some(outcome) => AdmissionMessage::Finish {
+                endpoint,
+                id,
+                outcome,
+            },
+            None => AdmissionMessage::Cancel { endpoint, id },
+        });
+    }
+}
+
+/// One endpoint's admission with those who wait for it.
+#[derive(Debug)]
+struct Admitted {
+    admission: EndpointAdmission,
+    service: Arc<ServiceSnapshot>,
+    waiting: HashMap<RequestId, Sender<Result<(), Refusal>>>,
+    told: Option<EndpointSummary>,
+    mean_at: Option<MonotonicMs>,
+    used_at: MonotonicMs,
+}
+
+/// The endpoints whose work one thread admits.
+#[derive(Debug)]
+pub(crate) struct AdmissionDesk {
+    context: Rc<ThreadContext>,
+    endpoints: HashMap<EndpointName, Admitted>,
+}
+
+impl AdmissionDesk {
+    pub(crate) fn new(context: Rc<ThreadContext>) -> Self {
+        Self {
+            context,
+            endpoints: HashMap::new(),
+        }
+    }
+
+    /// Works through messages and ticks until the daemon ends.
+    pub(crate) async fn run(mut self, messages: Receiver<AdmissionMessage>) {
+        let mut next_tick = self.context.now();
+        loop {
+            let now = self.context.now();
+            if now >= next_tick {
+                next_tick = now + TICK;
+                self.tick(now);
+            }
+            let wake_at = self
+                .next_wakeup(now)
+                .map_or(next_tick, |at| at.min(next_tick));
+            let message = async { Some(messages.recv().await) };
+            let wake = async {
+                smol::Timer::after((wake_at - now).as_std()).await;
+                None
+            };
+            match future::or(message, wake).await {
+                Some(Ok(message)) => self.take(message),
+                Some(Err(_)) => return,
+                None => self.settle_all(),
+            }
+        }
+    }
+
+    fn next_wakeup(&self, now: MonotonicMs) -> Option<MonotonicMs> {
+        self.endpoints
+            .values()
+            .filter(|admitted| !admitted.waiting.is_empty())
+            .filter_map(|admitted| admitted.admission.next_wakeup(now))
+            .min()
+    }
+
+    fn take(&mut self, message: AdmissionMessage) {
+        let now = self.context.now();
+        match message {
+            AdmissionMessage::Offer {
+                endpoint,
+                service,
+                request,
+                reply,
+            } => self.offer(now, endpoint, service, request, reply),
+            AdmissionMessage::Cancel { endpoint, id } => {
+                if let Some(admitted) = self.endpoints.get_mut(&endpoint) {
+                    admitted.waiting.remove(&id);
+                    admitted.admission.cancel(now, id);
+                    admitted.settle(now, &self.context.shared);
+                }
+            }
+            AdmissionMessage::Finish {
+                endpoint,
+                id,
+                outcome,
+            } => {
+                if let Some(admitted) = self.endpoints.get_mut(&endpoint) {
+                    admitted.admission.finish(now, id, outcome);
+                    admitted.settle(now, &self.context.shared);
+                }
+            }
+            AdmissionMessage::Load { endpoint, load } => {
+                if let Some(admitted) = self.endpoints.get_mut(&endpoint) {
+                    admitted.admission.observe_load(now, load);
+                    admitted.settle(now, &self.context.shared);
+                }
+            }
+        }
+    }
+
+    fn offer(
+        &mut self,
+        now: MonotonicMs,
+        endpoint: EndpointName,
+        service: Arc<ServiceSnapshot>,
+        request: AdmissionRequest,
+        reply: Sender<Result<(), Refusal>>,
+    ) {
+        self.refresh_mean(now, &endpoint, &service);
+        let admitted = self.admitted(now, &endpoint, service);
+        admitted.used_at = now;
+        let id = request.id;
+        match admitted.admission.offer(now, request) {
+            Decision::Start => answer(&reply, Ok(())),
+            Decision::Queued => {
+                admitted.waiting.insert(id, reply);
+            }
+            Decision::Refuse(refusal) => {
+                self.context
+                    .shared
+                    .metrics
+                    .traffic
+                    .admission_refused(refusal.kind);
+                answer(&reply, Err(refusal));
+            }
+        }
+        if let Some(admitted) = self.endpoints.get_mut(&endpoint) {
+            admitted.settle(now, &self.context.shared);
+        }
+    }
+
+    fn admitted(
+        &mut self,
+        now: MonotonicMs,
+        endpoint: &EndpointName,
+        service: Arc<ServiceSnapshot>,
+    ) -> &mut Admitted {
+        self.endpoints
+            .entry(endpoint.clone())
+            .or_insert_with(|| Admitted {
+                admission: EndpointAdmission::new(AdmissionLimits::from(&*service.settings), now),
+                service,
+                waiting: HashMap::new(),
+                told: None,
+                mean_at: None,
+                used_at: now,
+            })
+    }
+
+    /// Computes the load of a service from the owners' summaries and this thread's exact state.
+    fn refresh_mean(
+        &mut self,
+        now: MonotonicMs,
+        endpoint: &EndpointName,
+        service: &Arc<ServiceSnapshot>,
+    ) {
+        let is_fresh = self
+            .endpoints
+            .get(endpoint)
+            .and_then(|admitted| admitted.mean_at)
+            .is_some_and(|at| now - at < MEAN_AGE_MAX);
+        if is_fresh {
+            return;
+        }
+        let summaries: Vec<EndpointSummary> = service
+            .endpoints
+            .iter()
+            .filter(|other| other.takes_new_work)
+            .filter_map(|other| match self.endpoints.get(&other.name) {
+                Some(admitted) => Some(admitted.admission.summary(now)),
+                None => other.summary,
+            })
+            .collect();
+        let load = ServiceLoad::from_summaries(&summaries);
+        if let Some(admitted) = self.endpoints.get_mut(endpoint) {
+            admitted.admission.observe_mean(now, load);
+            admitted.mean_at = Some(now);
+        }
+    }
+
+    fn settle_all(&mut self) {
+        let now = self.context.now();
+        for admitted in self.endpoints.values_mut() {
+            admitted.settle(now, &self.context.shared);
+        }
+    }
+
+    /// Follows the snapshot: owned endpoints, limits, zones; then tells what has changed.
+    fn tick(&mut self, now: MonotonicMs) {
+        if self.context.tick() {
+            for admitted in self.endpoints.values_mut() {
+                admitted.admission.observe_pause(now);
+            }
+        }
+        self.context.connections.close_idle();
+        let snapshot = self.context.snapshot();
+        for service in snapshot.services.values() {
+            for endpoint in &service.endpoints {
+                let is_own = endpoint.owner.as_ref() == Some(&snapshot.own_name);
+                let is_home = self
+                    .context
+                    .shared
+                    .is_home(self.context.index, &endpoint.name);
+                if is_home && (is_own || self.endpoints.contains_key(&endpoint.name)) {
+                    self.follow(now, service, endpoint, is_own);
+                }
+            }
+        }
+        self.drop_gone(now, &snapshot.services);
+        self.settle_all();
+    }
+
+    fn follow(
+        &mut self,
+        now: MonotonicMs,
+        service: &Arc<ServiceSnapshot>,
+        endpoint: &EndpointSnapshot,
+        is_own: bool,
+    ) {
+        self.admitted(now, &endpoint.name, Arc::clone(service));
+        self.refresh_mean(now, &endpoint.name, service);
+        let shared = &self.context.shared;
+        let Some(admitted) = self.endpoints.get_mut(&endpoint.name) else {
+            return;
+        };
+        if !Arc::ptr_eq(&admitted.service.settings, &service.settings) {
+            admitted
+                .admission
+                .set_limits(AdmissionLimits::from(&*service.settings));
+        }
+        admitted.service = Arc::clone(service);
+        admitted
+            .admission
+            .set_takes_new_work(endpoint.takes_new_work);
+        if !is_own {
+            return;
+        }
+        admitted.used_at = now;
+        let summary = admitted.admission.summary(now);
+        if admitted.told == Some(summary) {
+            return;
+        }
+        shared
+            .metrics
+            .traffic
+            .set_endpoint_load(&endpoint.name, summary.in_flight, summary.queued);
+        let event = TrafficEvent::EndpointChanged {
+            endpoint: endpoint.name.clone(),
+            summary,
+        };
+        // A full channel is tried again at the next tick.
+        if shared.events.try_send(event).is_ok() {
+            admitted.told = Some(summary);
+        }
+    }
+
+    /// Forgets endpoints that have gone, and those of other owners once they are idle.
+    fn drop_gone<K>(&mut self, now: MonotonicMs, services: &HashMap<K, Arc<ServiceSnapshot>>) {
+        self.endpoints.retain(|name, admitted| {
+            let is_listed = services
+                .values()
+                .any(|service| service.endpoints.iter().any(|known| known.name == *name));
+            let summary = admitted.admission.summary(now);
+            let is_idle = summary.in_flight == 0 && summary.queued == 0;
+            !is_idle || (is_listed && now - admitted.used_at < FOREIGN_LIFE)
+        });
+    }
+}
+
+impl Admitted {
+    /// Carries out what is due.
+    fn settle(&mut self, now: MonotonicMs, shared: &Shared) {
+        while let Some(action) = self.admission.poll(now) {
+            match action {
+                AdmissionAction::Start(id) => match self.waiting.remove(&id) {
+                    Some(reply) => answer(&reply, Ok(())),
+                    None => self.admission.cancel(now, id),
+                },
+                AdmissionAction::Refuse(id, refusal) => {
+                    shared.metrics.traffic.admission_refused(refusal.kind);
+                    if let Some(reply) = self.waiting.remove(&id) {
+                        answer(&reply, Err(refusal));
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn answer(reply: &Sender<Result<(), Refusal>>, decision: Result<(), Refusal>) {
+    // Whoever went away has sent a cancellation, which gives the place back.
+    let _ = reply.try_send(decision);
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/body.rs
@@ -0,0 +1,270 @@
+//! The body of an answer on its way to a caller or to another daemon.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs};
+use celeryknot_endpoints::{AnswerBody, AnswerError};
+use celeryknot_policy::admission::{FinishOutcome, FinishStatus};
+use futures_lite::Stream;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use super::admission::Permit;
+use super::failure::Failure;
+use super::shared::Counted;
+use crate::clock::Clock;
+
+/// Where the bytes of an answer come from.
+#[derive(Debug)]
+pub(crate) enum AnswerSource {
+    /// Memory.
+    Whole(Option<Bytes>),
+    /// An endpoint that this daemon owns.
+    Endpoint(Box<EndpointBody>),
+    /// The owner of the endpoint.
+    Peer(Box<PeerBody>),
+    /// A stream of tokens that is resumed when it breaks.
+    Relay(Box<RelayBody>),
+}
+
+/// The body of an answer, counted as in flight until it is dropped.
+#[derive(Debug)]
+pub(crate) struct DaemonBody {
+    source: AnswerSource,
+    in_flight: Option<Counted>,
+}
+
+impl DaemonBody {
+    pub(crate) fn new(source: AnswerSource) -> Self {
+        Self {
+            source,
+            in_flight: None,
+        }
+    }
+
+    pub(crate) fn whole(bytes: Bytes) -> Self {
+        Self::new(AnswerSource::Whole((!bytes.is_empty()).then_some(bytes)))
+    }
+
+    pub(crate) fn counted(mut self, in_flight: Counted) -> Self {
+        self.in_flight = Some(in_flight);
+        self
+    }
+}
+
+impl Body for DaemonBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        match &mut self.source {
+            AnswerSource::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
+            AnswerSource::Endpoint(body) => Pin::new(body.as_mut()).poll_frame(context),
+            AnswerSource::Peer(body) => Pin::new(body.as_mut()).poll_frame(context),
+            AnswerSource::Relay(body) => body.poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            AnswerSource::Whole(bytes) => bytes.is_none(),
+            AnswerSource::Endpoint(body) => body.body.is_end_stream(),
+            AnswerSource::Peer(body) => body.incoming.is_end_stream(),
+            AnswerSource::Relay(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            AnswerSource::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            AnswerSource::Endpoint(body) => body.body.size_hint(),
+            AnswerSource::Peer(body) => body.incoming.size_hint(),
+            AnswerSource::Relay(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// The answer of an endpoint together with its place there.
+#[derive(Debug)]
+pub(crate) struct EndpointBody {
+    body: AnswerBody,
+    permit: Permit,
+    clock: Clock,
+    sent_at: MonotonicMs,
+    first_byte_ms: Option<DurationMs>,
+    frames: u32,
+}
+
+impl EndpointBody {
+    pub(crate) fn new(
+        body: AnswerBody,
+        permit: Permit,
+        clock: Clock,
+        sent_at: MonotonicMs,
+    ) -> Self {
+        let mut endpoint_body = Self {
+            body,
+            permit,
+            clock,
+            sent_at,
+            first_byte_ms: None,
+            frames: 0,
+        };
+        if endpoint_body.body.is_end_stream() {
+            endpoint_body.succeed();
+        }
+        endpoint_body
+    }
+
+    fn succeed(&mut self) {
+        let first_byte_ms = self
+            .first_byte_ms
+            .unwrap_or_else(|| self.clock.now() - self.sent_at);
+        self.permit.set_outcome(
+            FinishOutcome::new(FinishStatus::Succeeded).with_answer(first_byte_ms, self.frames),
+        );
+    }
+}
+
+impl Body for EndpointBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        let poll = Pin::new(&mut self.body).poll_frame(context);
+        match &poll {
+            Poll::Pending => {}
+            Poll::Ready(Some(Ok(_))) => {
+                self.frames += 1;
+                if self.first_byte_ms.is_none() {
+                    self.first_byte_ms = Some(self.clock.now() - self.sent_at);
+                }
+                if self.body.is_end_stream() {
+                    self.succeed();
+                }
+            }
+            Poll::Ready(None) => self.succeed(),
+            Poll::Ready(Some(Err(error))) => {
+                let outcome = FinishOutcome::new(Failure::from(error.0).finish_status());
+                self.permit.set_outcome(outcome);
+            }
+        }
+        poll
+    }
+}
+
+/// When a peer's connection was last heard.
+#[derive(Debug, Clone)]
+pub(crate) struct Heard {
+    pub(crate) at: Rc<Cell<MonotonicMs>>,
+    pub(crate) clock: Clock,
+}
+
+impl Heard {
+    pub(crate) fn now(&self) {
+        self.at.set(self.clock.now());
+    }
+}
+
+/// An answer that comes from the owner of the endpoint.
+#[derive(Debug)]
+pub(crate) struct PeerBody {
+    incoming: Incoming,
+    heard: Heard,
+    silence_max: DurationMs,
+    silence: Option<smol::Timer>,
+    has_failed: bool,
+}
+
+impl PeerBody {
+    pub(crate) fn new(incoming: Incoming, heard: Heard, silence_max: DurationMs) -> Self {
+        Self {
+            incoming,
+            heard,
+            silence_max,
+            silence: None,
+            has_failed: false,
+        }
+    }
+
+    fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<AnswerError> {
+        let silence_max = self.silence_max.as_std();
+        let silence = self
+            .silence
+            .get_or_insert_with(|| smol::Timer::after(silence_max));
+        Pin::new(silence)
+            .poll(context)
+            .map(|_| AnswerError(ErrorKind::AnswerTimeout))
+    }
+}
+
+impl Body for PeerBody {
+    type Data = Bytes;
+    type Error = AnswerError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        if self.has_failed {
+            return Poll::Ready(None);
+        }
+        let this = &mut *self;
+        let result = match Pin::new(&mut this.incoming).poll_frame(context) {
+            Poll::Pending => match this.poll_silence(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(error) => Err(error),
+            },
+            Poll::Ready(None) => return Poll::Ready(None),
+            Poll::Ready(Some(Err(_))) => Err(AnswerError(ErrorKind::AnswerIncomplete)),
+            Poll::Ready(Some(Ok(frame))) => {
+                this.heard.now();
+                Ok(frame)
+            }
+        };
+        this.silence = None;
+        this.has_failed = result.is_err();
+        Poll::Ready(Some(result))
+    }
+}
+
+/// Bytes that a task of this thread writes; dropping the body cancels the task.
+#[derive(Debug)]
+pub(crate) struct RelayBody {
+    frames: Pin<Box<Receiver<Result<Bytes, AnswerError>>>>,
+    _task: smol::Task<()>,
+}
+
+impl RelayBody {
+    pub(crate) fn new(frames: Receiver<Result<Bytes, AnswerError>>, task: smol::Task<()>) -> Self {
+        Self {
+            frames: Box::pin(frames),
+            _task: task,
+        }
+    }
+
+    fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        self.frames
+            .as_mut()
+            .poll_next(context)
+            .map(|next| next.map(|bytes| bytes.map(Frame::data)))
+    }
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/chat.rs
@@ -0,0 +1,95 @@
+//! Chat completions: what is read from the request, and what the answer carries back.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use celeryknot_callers::{CallerRequest, ChatCompletion};
+use celeryknot_core::{ChatKey, EndpointName, ErrorKind, ModelName, SizeBytes, header};
+use celeryknot_endpoints::sse::Usage;
+use celeryknot_policy::affinity::AffinityValue;
+use http::HeaderMap;
+use serde::Deserialize;
+
+use super::context::ThreadContext;
+use super::work::{ChatWork, Work, text_value};
+use crate::snapshot::ServiceSnapshot;
+
+/// Reads a chat completion.
+///
+/// # Errors
+///
+/// `MissingChat`, `UnknownModel` or `MalformedRequest`.
+pub(crate) fn read_chat(
+    context: &Rc<ThreadContext>,
+    request: &CallerRequest,
+    service: &ServiceSnapshot,
+    body: &Bytes,
+) -> Result<ChatWork, ErrorKind> {
+    let name = request.chat.as_deref().ok_or(ErrorKind::MissingChat)?;
+    let form = ChatCompletion::parse(body)?;
+    let model = choose_model(&form, service)?;
+    let key = ChatKey::new(&service.name, &model, &request.customer, name);
+    let size = SizeBytes(body.len() as u64);
+    let cost = context
+        .places
+        .borrow_mut()
+        .of(&context.shared, service)
+        .estimator
+        .estimate(
+            size,
+            form.answer_tokens_max,
+            service.settings.answer_tokens_default,
+        );
+    let keys = &context.shared.settings.caller_keys;
+    let affinity = request
+        .affinity
+        .as_deref()
+        .and_then(|text| AffinityValue::parse(text, keys))
+        // A value of another chat must not say where this one is cached.
+        .filter(|affinity| affinity.chat == key);
+    Ok(ChatWork {
+        key,
+        cost,
+        affinity,
+        is_stream: form.stream,
+    })
+}
+
+fn choose_model(form: &ChatCompletion, service: &ServiceSnapshot) -> Result<ModelName, ErrorKind> {
+    let offered = &service.settings.models;
+    match &form.model {
+        Some(model) if offered.contains(model) => Ok(model.clone()),
+        Some(_) => Err(ErrorKind::UnknownModel),
+        None => offered.first().cloned().ok_or(ErrorKind::UnknownModel),
+    }
+}
+
+/// Adds the value by which the chat's next request finds its context.
+pub(crate) fn write_affinity(
+    context: &ThreadContext,
+    work: &Work,
+    endpoint: &EndpointName,
+    headers: &mut HeaderMap,
+) {
+    let Some(chat) = &work.chat else {
+        return;
+    };
+    let value = AffinityValue {
+        endpoint: endpoint.clone(),
+        chat: chat.key,
+        tokens: chat.cost.prompt_tokens,
+    };
+    let text = value.to_text(&context.shared.settings.caller_keys);
+    headers.insert(header::AFFINITY, text_value(&text));
+}
+
+#[derive(Deserialize)]
+struct CompletionForm {
+    usage: Option<Usage>,
+}
+
+/// Reads the count of tokens of a whole chat completion.
+pub(crate) fn read_usage(body: &Bytes) -> Option<Usage> {
+    let form: CompletionForm = serde_json::from_slice(body).ok()?;
+    form.usage
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/context.rs
@@ -0,0 +1,95 @@
+//! What the tasks of one traffic thread share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use celeryknot_callers::{CallerLimits, ThreadExecutor};
+use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs};
+use celeryknot_endpoints::Connections;
+use celeryknot_policy::pause::PauseDetector;
+
+use super::peer_link::PeerLinks;
+use super::places::Places;
+use super::shared::Shared;
+use crate::snapshot::Snapshot;
+
+/// Time between the ticks of a thread.
+pub(crate) const TICK: DurationMs = DurationMs(50);
+
+/// Lateness of a tick that counts as a pause of the process.
+const PAUSE_THRESHOLD: DurationMs = DurationMs(700);
+
+/// Time after a pause in which nothing is sent, so that the control thread can say what is stale.
+const PAUSE_HOLD: DurationMs = DurationMs(250);
+
+/// One traffic thread's state; nothing in it is shared with another thread but `shared`.
+#[derive(Debug)]
+pub(crate) struct ThreadContext {
+    pub(crate) index: usize,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) executor: ThreadExecutor,
+    pub(crate) limits: CallerLimits,
+    pub(crate) connections: Connections,
+    pub(crate) peers: PeerLinks,
+    pub(crate) places: RefCell<Places>,
+    pause: RefCell<PauseDetector>,
+    hold_until: Cell<MonotonicMs>,
+}
+
+impl ThreadContext {
+    pub(crate) fn new(index: usize, shared: Arc<Shared>) -> Rc<Self> {
+        let settings = &shared.settings;
+        let limits = CallerLimits::builder()
+            .header_size_max_bytes(settings.header_size_max_bytes)
+            .header_timeout_ms(settings.header_timeout_ms)
+            .body_timeout_ms(settings.body_timeout_ms)
+            .build();
+        let now = shared.clock.now();
+        Rc::new(Self {
+            index,
+            executor: ThreadExecutor::new(),
+            limits,
+            connections: Connections::new(),
+            peers: PeerLinks::default(),
+            places: RefCell::new(Places::default()),
+            pause: RefCell::new(PauseDetector::new(TICK, PAUSE_THRESHOLD, now)),
+            hold_until: Cell::new(MonotonicMs(0)),
+            shared,
+        })
+    }
+
+    pub(crate) fn now(&self) -> MonotonicMs {
+        self.shared.clock.now()
+    }
+
+    pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
+        self.shared.feed.snapshot.load_full()
+    }
+
+    /// Notes a tick of the thread; returns whether the process was paused before it.
+    pub(crate) fn tick(&self) -> bool {
+        let now = self.now();
+        let is_paused = self.pause.borrow_mut().tick(now).is_some();
+        if is_paused {
+            self.hold_until.set(now + PAUSE_HOLD);
+        }
+        is_paused
+    }
+
+    /// Checks directly before the first byte that what was decided still holds.
+    ///
+    /// # Errors
+    ///
+    /// `DeadlinePast`, or `Paused` while this process may believe old things.
+    pub(crate) fn check_time(&self, deadline_at: Option<MonotonicMs>) -> Result<(), ErrorKind> {
+        let now = self.now();
+        if deadline_at.is_some_and(|deadline_at| now >= deadline_at) {
+            return Err(ErrorKind::DeadlinePast);
+        }
+        if now < self.hold_until.get() || self.pause.borrow().is_overdue(now) {
+            return Err(ErrorKind::Paused);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/entry.rs
@@ -0,0 +1,319 @@
+//! Answers callers: checks the request, runs it, and turns refusals into problems.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use celeryknot_callers::CallerRequest;
+use celeryknot_callers::body::read_body;
+use celeryknot_callers::problem::problem_answer;
+use celeryknot_callers::request::{CHAT_COMPLETIONS_PATH, Target, keep_end_to_end};
+use celeryknot_callers::token::has_token;
+use celeryknot_core::{EndpointName, ErrorKind, Refusal, RequestId, ServiceName, SizeBytes};
+use celeryknot_operators::metrics::RequestKind;
+use celeryknot_policy::attempt::CallSafety;
+use celeryknot_settings::{ServiceKind, ServiceSettings};
+use http::header::{CONNECTION, CONTENT_LENGTH};
+use http::request::Parts;
+use http::{HeaderValue, Method, Request, Response, Version, response};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+
+use super::body::DaemonBody;
+use super::chat;
+use super::context::ThreadContext;
+use super::dispatch::{Dispatch, Placed};
+use super::hop;
+use super::owner::Answered;
+use super::shared::{Counted, draw_request_id};
+use super::stream;
+use super::ticketed;
+use super::work::Work;
+use crate::snapshot::{CustomerSnapshot, ServiceSnapshot, Snapshot};
+
+/// Largest answer that is read whole before its head is passed on, so that a broken one can be
+/// asked for again.
+const WHOLE_SIZE_MAX: SizeBytes = SizeBytes(64 << 10);
+
+/// Answers one request of a caller.
+pub(crate) async fn serve_caller(
+    context: Rc<ThreadContext>,
+    request: Request<Incoming>,
+) -> Result<Response<DaemonBody>, Infallible> {
+    let in_flight = Counted::new(&context.shared.in_flight);
+    let id = draw_request_id();
+    let version = request.version();
+    let (head, body) = request.into_parts();
+    let mut answer = match answer_request(&context, id, head, body).await {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            context.shared.metrics.traffic.refused(refusal.kind);
+            problem_answer(refusal, id).map(DaemonBody::whole)
+        }
+    };
+    *answer.version_mut() = version;
+    if version != Version::HTTP_2 && context.shared.is_leaving() {
+        // The caller opens its next connection at another daemon.
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(answer.map(|body| body.counted(in_flight)))
+}
+
+async fn answer_request(
+    context: &Rc<ThreadContext>,
+    id: RequestId,
+    head: Parts,
+    body: Incoming,
+) -> Result<Response<DaemonBody>, Refusal> {
+    let snapshot = context.snapshot();
+    let request = CallerRequest::parse(&head).map_err(Refusal::new)?;
+    if !snapshot.is_ready {
+        return Err(Refusal::new(ErrorKind::NotReady));
+    }
+    let customer = find_customer(&snapshot, &request, &head).map_err(Refusal::new)?;
+    match &request.target {
+        Target::Tickets { service, count } => {
+            find_service(&snapshot, &customer, service).map_err(Refusal::new)?;
+            ticketed::issue(context, &request, service, *count).await
+        }
+        Target::Service {
+            service,
+            path_and_query,
+        } => {
+            let service = find_service(&snapshot, &customer, service).map_err(Refusal::new)?;
+            let path = path_and_query.clone();
+            let work = read_work(context, id, &request, head, body, service, &customer, path)
+                .await
+                .map_err(Refusal::new)?;
+            run_work(context, &request, work).await
+        }
+    }
+}
+
+fn find_customer(
+    snapshot: &Snapshot,
+    request: &CallerRequest,
+    head: &Parts,
+) -> Result<Arc<CustomerSnapshot>, ErrorKind> {
+    let customer = snapshot
+        .customers
+        .get(&request.customer)
+        .ok_or(ErrorKind::UnknownCustomer)?;
+    let token = customer.settings.token_sha256.as_deref();
+    if token.is_some_and(|sha256| !has_token(&head.headers, sha256)) {
+        return Err(ErrorKind::UnknownCustomer);
+    }
+    Ok(Arc::clone(customer))
+}
+
+fn find_service(
+    snapshot: &Snapshot,
+    customer: &CustomerSnapshot,
+    service: &ServiceName,
+) -> Result<Arc<ServiceSnapshot>, ErrorKind> {
+    snapshot
+        .services
+        .get(&(customer.team.clone(), service.clone()))
+        .cloned()
+        .ok_or(ErrorKind::UnknownService)
+}
+
+#[expect(
+    clippy::too_many_arguments,
+    reason = "each part comes from its own check"
+)]
+async fn read_work(
+    context: &Rc<ThreadContext>,
+    id: RequestId,
+    request: &CallerRequest,
+    head: Parts,
+    body: Incoming,
+    service: Arc<ServiceSnapshot>,
+    customer: &CustomerSnapshot,
+    path_and_query: String,
+) -> Result<Work, ErrorKind> {
+    check_path(&service.settings, request, &path_and_query)?;
+    let now = context.now();
+    let size_max = service.settings.request_size_max_bytes;
+    let body = read_body(body, size_max, context.limits.body_timeout()).await?;
+    let chat = match service.settings.kind {
+        ServiceKind::Model => Some(chat::read_chat(context, request, &service, &body)?),
+        ServiceKind::Plain => None,
+    };
+    let mut headers = head.headers;
+    keep_end_to_end(&mut headers);
+    Ok(Work {
+        id,
+        customer: request.customer.clone(),
+        weight: customer.settings.share_weight,
+        urgency: request.urgency,
+        deadline_at: request.deadline_ms.map(|left_ms| now + left_ms),
+        safety: safety_of(&service.settings, &request.method, &path_and_query),
+        method: request.method.clone(),
+        path_and_query,
+        headers,
+        body,
+        chat,
+        service,
+    })
+}
+
+fn check_path(
+    settings: &ServiceSettings,
+    request: &CallerRequest,
+    path_and_query: &str,
+) -> Result<(), ErrorKind> {
+    if request.method == Method::CONNECT {
+        return Err(ErrorKind::MethodNotAllowed);
+    }
+    match settings.kind {
+        ServiceKind::Plain => Ok(()),
+        ServiceKind::Model if path_and_query != CHAT_COMPLETIONS_PATH => {
+            Err(ErrorKind::MethodNotAllowed)
+        }
+        ServiceKind::Model if request.method != Method::POST => Err(ErrorKind::MethodNotAllowed),
+        ServiceKind::Model if request.chat.is_none() => Err(ErrorKind::MissingChat),
+        ServiceKind::Model => Ok(()),
+    }
+}
+
+/// Tells whether a call may be run more than once.
+pub(crate) fn safety_of(
+    settings: &ServiceSettings,
+    method: &Method,
+    path_and_query: &str,
+) -> CallSafety {
+    let path = path_and_query.split('?').next().unwrap_or_default();
+    let is_safe_method = matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS);
+    let has_rule = settings
+        .idempotent_routes
+        .iter()
+        .any(|rule| method.as_str() == rule.method && path.starts_with(&rule.path_prefix));
+    if settings.kind == ServiceKind::Model || is_safe_method || has_rule {
+        return CallSafety::Idempotent;
+    }
+    CallSafety::NonIdempotent
+}
+
+async fn run_work(
+    context: &Rc<ThreadContext>,
+    request: &CallerRequest,
+    work: Work,
+) -> Result<Response<DaemonBody>, Refusal> {
+    let kind = request_kind(&work);
+    let now = context.now();
+    {
+        let mut places = context.places.borrow_mut();
+        let place = places.of(&context.shared, &work.service);
+        place.budget.observe_fresh(now);
+        place.metrics.entered(kind);
+    }
+    if work.safety == CallSafety::NonIdempotent {
+        let key = request.idempotency_key.as_deref();
+        if key.is_some() || work.service.settings.requires_ticket {
+            let answered = ticketed::run_with_key(context, work, key).await?;
+            return Ok(to_caller(answered));
+        }
+    }
+    let work = Rc::new(work);
+    let dispatch = Dispatch::new(Rc::clone(context), Rc::clone(&work));
+    run_dispatch(context, dispatch, &work).await
+}
+
+fn request_kind(work: &Work) -> RequestKind {
+    match (work.safety, work.chat.is_some()) {
+        (CallSafety::Idempotent, true) => RequestKind::Chat,
+        (CallSafety::Idempotent, false) => RequestKind::Idempotent,
+        (CallSafety::NonIdempotent, _) => RequestKind::NonIdempotent,
+    }
+}
+
+async fn run_dispatch(
+    context: &Rc<ThreadContext>,
+    mut dispatch: Dispatch,
+    work: &Rc<Work>,
+) -> Result<Response<DaemonBody>, Refusal> {
+    let started_at = context.now();
+    loop {
+        let mut placed = dispatch.next_answer(None).await?;
+        let endpoint = placed.endpoint.clone();
+        {
+            let mut places = context.places.borrow_mut();
+            let place = places.of(&context.shared, &work.service);
+            place.metrics.first_byte(context.now() - started_at);
+        }
+        let asks_stream = work.chat.as_ref().is_some_and(|chat| chat.is_stream);
+        if asks_stream && stream::is_stream(&placed.answered.head) {
+            let mut head = placed.answered.head.clone();
+            head.headers.remove(CONTENT_LENGTH);
+            let body = stream::relay(context, dispatch, placed);
+            let answered = Answered { head, body };
+            return Ok(finish_head(context, work, &endpoint, answered));
+        }
+        if !is_small(&placed.answered) {
+            return Ok(finish_head(context, work, &endpoint, placed.answered));
+        }
+        if let Some(answered) = read_whole(&mut dispatch, &mut placed).await? {
+            return Ok(finish_head(context, work, &endpoint, answered));
+        }
+    }
+}
+
+/// Tells whether the answer announces a size that is read whole.
+fn is_small(answered: &Answered) -> bool {
+    answered
+        .body
+        .size_hint()
+        .exact()
+        .is_some_and(|size_bytes| size_bytes <= WHOLE_SIZE_MAX.0)
+}
+
+/// Reads an answer whole; `None` where it broke and may be asked for again.
+async fn read_whole(
+    dispatch: &mut Dispatch,
+    placed: &mut Placed,
+) -> Result<Option<Answered>, Refusal> {
+    let body = std::mem::replace(&mut placed.answered.body, DaemonBody::whole(Bytes::new()));
+    match body.collect().await {
+        Ok(collected) => {
+            let bytes = collected.to_bytes();
+            dispatch.note_whole(placed.attempt);
+            if let Some(usage) = chat::read_usage(&bytes) {
+                dispatch.remember(&placed.endpoint, usage);
+            }
+            Ok(Some(Answered {
+                head: placed.answered.head.clone(),
+                body: DaemonBody::whole(bytes),
+            }))
+        }
+        Err(error) => {
+            dispatch.note_broken(placed.attempt, placed.endpoint.clone(), error.0)?;
+            Ok(None)
+        }
+    }
+}
+
+fn finish_head(
+    context: &ThreadContext,
+    work: &Work,
+    endpoint: &EndpointName,
+    mut answered: Answered,
+) -> Response<DaemonBody> {
+    let mut places = context.places.borrow_mut();
+    places
+        .of(&context.shared, &work.service)
+        .metrics
+        .answers
+        .inc();
+    let head: &mut response::Parts = &mut answered.head;
+    hop::strip_answer(&mut head.headers);
+    chat::write_affinity(context, work, endpoint, &mut head.headers);
+    Response::from_parts(answered.head, answered.body)
+}
+
+fn to_caller(mut answered: Answered) -> Response<DaemonBody> {
+    hop::strip_answer(&mut answered.head.headers);
+    Response::from_parts(answered.head, answered.body)
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/hop.rs
@@ -0,0 +1,305 @@
+//! A request between two daemons: header fields, authentication, refusals.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use celeryknot_core::keyed_hash::{CODE_LEN_BYTES, KeyRing};
+use celeryknot_core::{
+    DurationMs, ErrorKind, Incarnation, MemberName, MonotonicMs, Refusal, RequestId, ServiceName,
+    TeamName, header,
+};
+use celeryknot_policy::attempt::CallSafety;
+use http::header::CONTENT_LENGTH;
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use strum::{Display, EnumString, IntoStaticStr};
+
+use super::work::{EndpointWork, Work, text_value};
+use crate::snapshot::{ServiceSnapshot, Snapshot};
+
+/// Says what a daemon asks of another one.
+const HOP: &str = "celeryknot-hop";
+const ENDPOINT: &str = "celeryknot-endpoint";
+const TEAM: &str = "celeryknot-team";
+const SERVICE: &str = "celeryknot-service";
+const WEIGHT: &str = "celeryknot-weight";
+const SAFETY: &str = "celeryknot-safety";
+const IS_CHAT: &str = "celeryknot-is-chat";
+const NEEDS_WHOLE: &str = "celeryknot-needs-whole";
+const COST_TOKENS: &str = "celeryknot-cost-tokens";
+const ALTERNATIVE_WAIT_MS: &str = "celeryknot-alternative-wait-ms";
+const RETRY_AFTER_MS: &str = "celeryknot-retry-after-ms";
+
+/// Fields between daemons that an endpoint must not see.
+const HOP_FIELDS: [&str; 11] = [
+    HOP,
+    ENDPOINT,
+    TEAM,
+    SERVICE,
+    WEIGHT,
+    SAFETY,
+    IS_CHAT,
+    NEEDS_WHOLE,
+    COST_TOKENS,
+    ALTERNATIVE_WAIT_MS,
+    header::PEER_AUTH,
+];
+
+const PURPOSE: &str = "forward";
+
+/// What a daemon asks of another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Hop {
+    /// Nothing but an answer, to prove the connection alive.
+    Alive,
+    /// To run an attempt at an endpoint that the other one owns.
+    Owner,
+    /// To run a call under a ticket that the other one issued.
+    Issuer,
+}
+
+/// Who sends a request to another daemon.
+#[derive(Debug, Clone)]
+pub(crate) struct Sender<'a> {
+    pub(crate) member: &'a MemberName,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) keys: &'a KeyRing,
+}
+
+impl Sender<'_> {
+    /// Signs the fields and adds the authentication.
+    pub(crate) fn sign(&self, hop: Hop, id: RequestId, method: &Method, headers: &mut HeaderMap) {
+        headers.insert(HOP, HeaderValue::from_static(hop.into()));
+        let identity = format!("{}.{}.{}", self.member, self.incarnation, id);
+        let code = self
+            .keys
+            .sign(PURPOSE, &signed_parts(&identity, method, headers));
+        let code = u128::from_be_bytes(code);
+        let auth = format!("{identity}.{code:032x}");
+        headers.insert(header::PEER_AUTH, text_value(&auth));
+    }
+}
+
+/// The fields whose change would change what is run, and for whom.
+fn signed_parts<'h>(
+    identity: &'h str,
+    method: &'h Method,
+    headers: &'h HeaderMap,
+) -> [&'h [u8]; 8] {
+    let field = |name: &str| headers.get(name).map_or(&b""[..], HeaderValue::as_bytes);
+    [
+        identity.as_bytes(),
+        method.as_str().as_bytes(),
+        field(HOP),
+        field(ENDPOINT),
+        field(TEAM),
+        field(SERVICE),
+        field(header::CUSTOMER),
+        field(header::IDEMPOTENCY_KEY),
+    ]
+}
+
+/// Verifies the authentication and returns what is asked for.
+///
+/// # Errors
+///
+/// `MalformedRequest` for anything that no daemon of the fleet signed.
+pub(crate) fn verify(
+    keys: &KeyRing,
+    method: &Method,
+    headers: &HeaderMap,
+) -> Result<Hop, ErrorKind> {
+    let is_signed = || {
+        let auth = headers.get(header::PEER_AUTH)?.to_str().ok()?;
+        let (identity, code) = auth.rsplit_once('.')?;
+        let code = u128::from_str_radix(code, 16).ok()?;
+        let code: [u8; CODE_LEN_BYTES] = code.to_be_bytes();
+        keys.verify(PURPOSE, &signed_parts(identity, method, headers), &code)
+            .then_some(())
+    };
+    is_signed().ok_or(ErrorKind::MalformedRequest)?;
+    parse(headers, HOP).ok_or(ErrorKind::MalformedRequest)
+}
+
+fn parse<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Writes the fields of an attempt for the owner of its endpoint.
+pub(crate) fn write_attempt(work: &EndpointWork, headers: &mut HeaderMap) {
+    write_service(&work.service, headers);
+    headers.insert(ENDPOINT, text_value(&work.endpoint));
+    headers.insert(WEIGHT, text_value(&work.weight));
+    headers.insert(SAFETY, HeaderValue::from_static(work.safety.into()));
+    headers.insert(COST_TOKENS, text_value(&work.cost_tokens));
+    headers.insert(IS_CHAT, text_value(&work.is_chat));
+    headers.insert(NEEDS_WHOLE, text_value(&work.needs_whole_answer));
+    if let Some(wait_ms) = work.alternative_wait_ms {
+        headers.insert(ALTERNATIVE_WAIT_MS, text_value(&wait_ms.0));
+    }
+}
+
+/// Writes the fields of a call with a ticket for the ticket's issuer.
+pub(crate) fn write_ticketed(work: &Work, ticket: &str, now: MonotonicMs, headers: &mut HeaderMap) {
+    write_service(&work.service, headers);
+    headers.insert(WEIGHT, text_value(&work.weight));
+    headers.insert(header::REQUEST_ID, text_value(&work.id));
+    headers.insert(header::CUSTOMER, text_value(&work.customer));
+    headers.insert(header::IDEMPOTENCY_KEY, text_value(&ticket));
+    headers.insert(header::PRIORITY, text_value(&format!("u={}", work.urgency)));
+    if let Some(deadline_at) = work.deadline_at {
+        headers.insert(header::DEADLINE_MS, text_value(&(deadline_at - now).0));
+    }
+}
+
+fn write_service(service: &ServiceSnapshot, headers: &mut HeaderMap) {
+    headers.insert(TEAM, text_value(&service.team));
+    headers.insert(SERVICE, text_value(&service.name));
+}
+
+/// Finds the service that a request of another daemon names.
+///
+/// # Errors
+///
+/// `UnknownService` where this daemon does not know it.
+pub(crate) fn read_service(
+    headers: &HeaderMap,
+    snapshot: &Snapshot,
+) -> Result<Arc<ServiceSnapshot>, ErrorKind> {
+    let team: TeamName = parse(headers, TEAM).ok_or(ErrorKind::MalformedRequest)?;
+    let service: ServiceName = parse(headers, SERVICE).ok_or(ErrorKind::MalformedRequest)?;
+    snapshot
+        .services
+        .get(&(team, service))
+        .cloned()
+        .ok_or(ErrorKind::UnknownService)
+}
+
+/// Reads an attempt that another daemon hands over.
+///
+/// # Errors
+///
+/// `MalformedRequest` where a field is missing.
+pub(crate) fn read_attempt(
+    head: &http::request::Parts,
+    service: Arc<ServiceSnapshot>,
+    body: Bytes,
+    now: MonotonicMs,
+) -> Result<EndpointWork, ErrorKind> {
+    let headers = &head.headers;
+    let work = || {
+        Some(EndpointWork {
+            id: parse(headers, header::REQUEST_ID)?,
+            endpoint: parse(headers, ENDPOINT)?,
+            customer: parse(headers, header::CUSTOMER)?,
+            weight: parse(headers, WEIGHT)?,
+            urgency: read_urgency(headers),
+            deadline_at: read_deadline(headers, now),
+            safety: parse(headers, SAFETY)?,
+            is_chat: parse(headers, IS_CHAT)?,
+            needs_whole_answer: parse(headers, NEEDS_WHOLE)?,
+            cost_tokens: parse(headers, COST_TOKENS)?,
+            alternative_wait_ms: parse(headers, ALTERNATIVE_WAIT_MS).map(DurationMs),
+            method: head.method.clone(),
+            path_and_query: head.uri.path_and_query()?.to_string(),
+            headers: without_hop_fields(headers),
+            body,
+            service,
+        })
+    };
+    work().ok_or(ErrorKind::MalformedRequest)
+}
+
+/// Reads a call with a ticket that another daemon hands over; returns it with the ticket.
+///
+/// # Errors
+///
+/// `MalformedRequest` where a field is missing.
+pub(crate) fn read_ticketed(
+    head: &http::request::Parts,
+    service: Arc<ServiceSnapshot>,
+    body: Bytes,
+    now: MonotonicMs,
+) -> Result<(Work, String), ErrorKind> {
+    let headers = &head.headers;
+    let work = || {
+        let ticket: String = parse(headers, header::IDEMPOTENCY_KEY)?;
+        let mut end_to_end = without_hop_fields(headers);
+        end_to_end.remove(header::IDEMPOTENCY_KEY);
+        let work = Work {
+            id: parse(headers, header::REQUEST_ID)?,
+            customer: parse(headers, header::CUSTOMER)?,
+            weight: parse(headers, WEIGHT)?,
+            urgency: read_urgency(headers),
+            deadline_at: read_deadline(headers, now),
+            safety: CallSafety::NonIdempotent,
+            method: head.method.clone(),
+            path_and_query: head.uri.path_and_query()?.to_string(),
+            headers: end_to_end,
+            body,
+            chat: None,
+            service,
+        };
+        Some((work, ticket))
+    };
+    work().ok_or(ErrorKind::MalformedRequest)
+}
+
+fn read_urgency(headers: &HeaderMap) -> u8 {
+    headers
+        .get(header::PRIORITY)
+        .and_then(|value| value.to_str().ok()?.strip_prefix("u=")?.parse().ok())
+        .unwrap_or(celeryknot_callers::request::URGENCY_DEFAULT)
+}
+
+fn read_deadline(headers: &HeaderMap, now: MonotonicMs) -> Option<MonotonicMs> {
+    parse(headers, header::DEADLINE_MS).map(|left_ms| now + DurationMs(left_ms))
+}
+
+fn without_hop_fields(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    for name in HOP_FIELDS {
+        headers.remove(name);
+    }
+    headers.remove(CONTENT_LENGTH);
+    headers
+}
+
+/// Writes a refusal of another daemon's request.
+pub(crate) fn write_refusal(refusal: Refusal, headers: &mut HeaderMap) {
+    headers.insert(
+        header::REFUSAL,
+        HeaderValue::from_static(refusal.kind.into()),
+    );
+    if let Some(after) = refusal.retry_after_ms {
+        headers.insert(RETRY_AFTER_MS, text_value(&after.0));
+    }
+}
+
+/// Reads the refusal of another daemon, if the answer is one.
+pub(crate) fn read_refusal(headers: &HeaderMap) -> Option<Refusal> {
+    let code = headers.get(header::REFUSAL)?;
+    let kind = code
+        .to_str()
+        .ok()
+        .and_then(|code| code.parse().ok())
+        // A code of a later version says nothing about the execution.
+        .unwrap_or(ErrorKind::OutcomeUnknown);
+    Some(Refusal {
+        kind,
+        retry_after_ms: parse(headers, RETRY_AFTER_MS).map(DurationMs),
+    })
+}
+
+/// Removes what an endpoint may not say in the router's name.
+pub(crate) fn strip_answer(headers: &mut HeaderMap) {
+    celeryknot_callers::hop_by_hop::strip(headers);
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with("celeryknot-"))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/load_poll.rs
@@ -0,0 +1,62 @@
+//! Polls the load of the endpoints that this daemon owns.
+
+use std::rc::Rc;
+
+use celeryknot_core::{DurationMs, EndpointName};
+use celeryknot_endpoints::LoadReport;
+use celeryknot_endpoints::load::fetch_load;
+use celeryknot_policy::admission::ReportedLoad;
+
+use super::admission::AdmissionMessage;
+use super::context::ThreadContext;
+
+/// Time between two polls of one endpoint.
+const PERIOD: DurationMs = DurationMs(250);
+
+/// Longest wait for a report.
+const TIMEOUT: DurationMs = DurationMs(1_000);
+
+/// Polls the endpoints that are at home in this thread, until the thread ends.
+pub(crate) async fn poll_loads(context: Rc<ThreadContext>) {
+    loop {
+        let snapshot = context.snapshot();
+        for service in snapshot.services.values() {
+            for endpoint in &service.endpoints {
+                let is_own = endpoint.owner.as_ref() == Some(&snapshot.own_name);
+                if is_own && context.shared.is_home(context.index, &endpoint.name) {
+                    let poll =
+                        poll_one(Rc::clone(&context), endpoint.name.clone(), endpoint.address);
+                    context.executor.spawn(poll).detach();
+                }
+            }
+        }
+        smol::Timer::after(PERIOD.as_std()).await;
+    }
+}
+
+async fn poll_one(
+    context: Rc<ThreadContext>,
+    endpoint: EndpointName,
+    address: std::net::SocketAddr,
+) {
+    let Ok(report) = fetch_load(&context.connections, address, TIMEOUT).await else {
+        return;
+    };
+    let load = reported(report);
+    let message = AdmissionMessage::Load {
+        endpoint: endpoint.clone(),
+        load,
+    };
+    // The channel is closed only when the daemon ends.
+    let _ = context.shared.home_of(&endpoint).try_send(message);
+}
+
+/// Turns the wire form into the form of the decisions.
+pub(crate) fn reported(report: LoadReport) -> ReportedLoad {
+    ReportedLoad {
+        in_flight: report.in_flight,
+        queued: report.queued,
+        is_cold: report.cold,
+        bound: report.bound,
+    }
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/owner.rs
@@ -0,0 +1,165 @@
+//! Runs an attempt at an endpoint: admission, the call, the answer.
+
+use std::rc::Rc;
+
+use celeryknot_core::{DurationMs, ErrorKind, Execution, Refusal};
+use celeryknot_endpoints::{Call, CallFailure, CallTimeouts, EndpointAnswer, Reuse};
+use celeryknot_policy::admission::FinishOutcome;
+use celeryknot_policy::attempt::CallSafety;
+use http::header::HOST;
+use http::response;
+
+use super::admission::Permit;
+use super::body::{AnswerSource, DaemonBody, EndpointBody};
+use super::context::ThreadContext;
+use super::failure::Failure;
+use super::load_poll::reported;
+use super::work::{EndpointWork, text_value};
+use crate::snapshot::EndpointSnapshot;
+
+/// Longest wait for a connection to an endpoint.
+const CONNECT_TIMEOUT: DurationMs = DurationMs(1_000);
+
+/// Longest idle time of a connection that a read may use again.
+const READ_IDLE_MAX: DurationMs = DurationMs(1_000);
+
+/// Longest idle time of a connection that a chat completion may use again.
+///
+/// The first token may take long for good reasons, so that a silent connection
+/// would be noticed late; one that was used just now is most likely alive.
+const CHAT_IDLE_MAX: DurationMs = DurationMs(100);
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) head: response::Parts,
+    pub(crate) body: DaemonBody,
+}
+
+/// Runs the attempt; `may_send` is asked directly before the first byte.
+///
+/// # Errors
+///
+/// The refusal, whose kind says whether the request was run.
+pub(crate) async fn run<M>(
+    context: &Rc<ThreadContext>,
+    work: &EndpointWork,
+    may_send: M,
+) -> Result<Answered, Refusal>
+where
+    M: Fn() -> Result<(), ErrorKind>,
+{
+    let endpoint = find_endpoint(context, work)?;
+    context.check_time(work.deadline_at).map_err(Refusal::new)?;
+    let waits_from = context.now();
+    let request = work.admission_request();
+    let shared = &context.shared;
+    let mut permit = Permit::ask(shared, &endpoint.name, &work.service, request).await?;
+    let sent_at = context.now();
+    context
+        .places
+        .borrow_mut()
+        .waited(shared, &work.service, sent_at - waits_from);
+    let call = build_call(context, work, &endpoint)?;
+    let check = || {
+        context.check_time(work.deadline_at)?;
+        find_endpoint(context, work).map_err(|refusal| refusal.kind)?;
+        may_send()
+    };
+    match call
+        .send(&context.connections, endpoint.address, check)
+        .await
+    {
+        Ok(answer) => Ok(answered(context, answer, permit, sent_at)),
+        Err(failure) => {
+            permit.set_outcome(FinishOutcome::new(
+                Failure::from(failure.kind).finish_status(),
+            ));
+            if let Some(load) = failure.load {
+                permit.report(reported(load));
+            }
+            Err(refusal_of(failure))
+        }
+    }
+}
+
+/// Finds the endpoint in the fleet as it is now.
+fn find_endpoint(
+    context: &Rc<ThreadContext>,
+    work: &EndpointWork,
+) -> Result<EndpointSnapshot, Refusal> {
+    let snapshot = context.snapshot();
+    let key = (work.service.team.clone(), work.service.name.clone());
+    let endpoint = snapshot
+        .services
+        .get(&key)
+        .and_then(|service| service.endpoints.iter().find(|it| it.name == work.endpoint))
+        .ok_or(Refusal::new(ErrorKind::NotOwner))?;
+    if !endpoint.takes_new_work {
+        return Err(Refusal::new(ErrorKind::NoEndpoint));
+    }
+    Ok(endpoint.clone())
+}
+
+fn build_call(
+    context: &Rc<ThreadContext>,
+    work: &EndpointWork,
+    endpoint: &EndpointSnapshot,
+) -> Result<Call, Refusal> {
+    let settings = &work.service.settings;
+    let mut request = work
+        .request(&work.path_and_query)
+        .ok_or(Refusal::new(ErrorKind::MalformedRequest))?;
+    request
+        .headers_mut()
+        .insert(HOST, text_value(&endpoint.address));
+    let left_ms = work
+        .deadline_at
+        .map_or(settings.first_byte_timeout_ms, |at| at - context.now());
+    Ok(Call {
+        request,
+        request_id: Some(work.id),
+        must_echo: settings.echoes_request_id,
+        reuse: reuse_of(work),
+        answer_size_max: settings.answer_size_max_bytes,
+        timeouts: CallTimeouts {
+            connect_ms: CONNECT_TIMEOUT,
+            first_byte_ms: settings.first_byte_timeout_ms.min(left_ms),
+            idle_ms: settings.idle_timeout_ms,
+        },
+    })
+}
+
+fn reuse_of(work: &EndpointWork) -> Reuse {
+    match work.safety {
+        CallSafety::NonIdempotent => Reuse::Never,
+        CallSafety::Idempotent if work.is_chat => Reuse::IdleUnder(CHAT_IDLE_MAX),
+        CallSafety::Idempotent => Reuse::Hedged(READ_IDLE_MAX),
+    }
+}
+
+fn answered(
+    context: &Rc<ThreadContext>,
+    answer: EndpointAnswer,
+    permit: Permit,
+    sent_at: celeryknot_core::MonotonicMs,
+) -> Answered {
+    if let Some(load) = answer.load {
+        permit.report(reported(load));
+    }
+    let clock = context.shared.clock;
+    let body = EndpointBody::new(answer.body, permit, clock, sent_at);
+    Answered {
+        head: answer.head,
+        body: DaemonBody::new(AnswerSource::Endpoint(Box::new(body))),
+    }
+}
+
+fn refusal_of(failure: CallFailure) -> Refusal {
+    match failure.retry_after_ms {
+        Some(after) if failure.kind.answer().execution == Execution::NotRun => {
+            Refusal::after(failure.kind, after)
+        }
+        Some(_) | None => Refusal::new(failure.kind),
+    }
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/peer_link.rs
@@ -0,0 +1,333 @@
+//! Connections to other daemons, over HTTP/2.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use celeryknot_core::{DurationMs, ErrorKind, MemberName, Refusal, RequestId};
+use celeryknot_endpoints::RequestBody;
+use futures_lite::future;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::client::conn::http2;
+use smol::net::TcpStream;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use super::body::{AnswerSource, DaemonBody, Heard, PeerBody};
+use super::context::ThreadContext;
+use super::hop::{self, Hop};
+use super::owner::Answered;
+use super::shared::draw_request_id;
+use super::work::EndpointWork;
+use crate::event::TrafficEvent;
+
+/// Longest wait for a connection to another daemon.
+const CONNECT_TIMEOUT: DurationMs = DurationMs(500);
+
+/// Longest wait for the answer that proves a connection alive.
+const PROBE_TIMEOUT: DurationMs = DurationMs(250);
+
+/// Time between pings while requests are open.
+const PING_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Longest wait for the answer to a ping.
+const PING_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Silence after which a connection is proved alive before a read goes out on it.
+const READ_SILENCE_MAX: DurationMs = DurationMs(1_000);
+
+/// Silence after which a connection is proved alive before a call goes out that runs at most once.
+const CALL_SILENCE_MAX: DurationMs = DurationMs(50);
+
+/// Time on top of the owner's own limits, so that its answer comes first.
+const OWNER_MARGIN: DurationMs = DurationMs(1_000);
+
+/// How a request is to be handed to another daemon.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Handover<'a> {
+    pub(crate) member: &'a MemberName,
+    pub(crate) address: SocketAddr,
+    /// Whether the request may be sent twice.
+    pub(crate) may_repeat: bool,
+    /// Longest wait for the head of the answer.
+    pub(crate) timeout_ms: DurationMs,
+    /// Longest silence within the answer.
+    pub(crate) silence_max: DurationMs,
+}
+
+#[derive(Debug, Clone)]
+struct PeerLink {
+    sender: http2::SendRequest<RequestBody>,
+    heard: Heard,
+}
+
+/// The connections of one thread to other daemons.
+#[derive(Debug, Default)]
+pub(crate) struct PeerLinks {
+    links: RefCell<HashMap<SocketAddr, PeerLink>>,
+}
+
+impl PeerLinks {
+    /// Returns a connection that was heard within the time, or a new one.
+    async fn get(
+        &self,
+        context: &Rc<ThreadContext>,
+        address: SocketAddr,
+        silence_max: DurationMs,
+    ) -> Result<PeerLink, ErrorKind> {
+        let held = self.links.borrow().get(&address).cloned();
+        if let Some(link) = held
+            && !link.sender.is_closed()
+            && link.is_alive(context, address, silence_max).await
+        {
+            return Ok(link);
+        }
+        self.links.borrow_mut().remove(&address);
+        let link = open(context, address).await?;
+        self.links.borrow_mut().insert(address, link.clone());
+        Ok(link)
+    }
+
+    /// Forgets a connection that did not answer.
+    fn remove(&self, address: SocketAddr) {
+        self.links.borrow_mut().remove(&address);
+    }
+}
+
+impl PeerLink {
+    /// Proves the connection alive if it was silent for longer than the time.
+    async fn is_alive(
+        &self,
+        context: &Rc<ThreadContext>,
+        address: SocketAddr,
+        silence_max: DurationMs,
+    ) -> bool {
+        if context.now() - self.heard.at.get() < silence_max {
+            return true;
+        }
+        let mut headers = HeaderMap::new();
+        let id = draw_request_id();
+        sign(context, Hop::Alive, id, &Method::GET, &mut headers);
+        let Some(request) = build(address, "/", Method::GET, headers, RequestBody::default())
+        else {
+            return false;
+        };
+        let answer = async { self.exchange(request).await.ok() };
+        let give_up = async {
+            smol::Timer::after(PROBE_TIMEOUT.as_std()).await;
+            None
+        };
+        future::or(answer, give_up)
+            .await
+            .is_some_and(|answer| answer.status() == StatusCode::NO_CONTENT)
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, ErrorKind> {
+        let mut sender = self.sender.clone();
+        if sender.ready().await.is_err() {
+            return Err(ErrorKind::ConnectFailed);
+        }
+        match sender.try_send_request(request).await {
+            Ok(answer) => {
+                self.heard.now();
+                Ok(answer)
+            }
+            Err(mut error) => Err(match error.take_message() {
+                Some(_) => ErrorKind::ConnectFailed,
+                None => ErrorKind::OutcomeUnknown,
+            }),
+        }
+    }
+}
+
+async fn open(context: &Rc<ThreadContext>, address: SocketAddr) -> Result<PeerLink, ErrorKind> {
+    let connect = async {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|_| ErrorKind::ConnectFailed)?;
+        stream
+            .set_nodelay(true)
+            .map_err(|_| ErrorKind::ConnectFailed)?;
+        http2::Builder::new(context.executor.clone())
+            .timer(SmolTimer::new())
+            .keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .keep_alive_while_idle(false)
+            .handshake(FuturesIo::new(stream))
+            .await
+            .map_err(|_| ErrorKind::ConnectFailed)
+    };
+    let give_up = async {
+        smol::Timer::after(CONNECT_TIMEOUT.as_std()).await;
+        Err(ErrorKind::ConnectFailed)
+    };
+    let (sender, connection) = future::or(connect, give_up).await?;
+    context
+        .executor
+        .spawn(async move {
+            // Whoever waits for an answer hears of the end of the connection.
+            let _ = connection.await;
+        })
+        .detach();
+    let heard = Heard {
+        at: Rc::new(Cell::new(context.now())),
+        clock: context.shared.clock,
+    };
+    Ok(PeerLink { sender, heard })
+}
+
+fn sign(
+    context: &Rc<ThreadContext>,
+    hop: Hop,
+    id: RequestId,
+    method: &Method,
+    headers: &mut HeaderMap,
+) {
+    let sender = hop::Sender {
+        member: &context.shared.settings.name,
+        incarnation: context.shared.incarnation,
+        keys: &context.shared.settings.peer_keys,
+    };
+    sender.sign(hop, id, method, headers);
+}
+
+fn build(
+    address: SocketAddr,
+    path_and_query: &str,
+    method: Method,
+    headers: HeaderMap,
+    body: RequestBody,
+) -> Option<Request<RequestBody>> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path_and_query}"))
+        .body(body)
+        .ok()?;
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+/// Hands an attempt to the owner of its endpoint.
+///
+/// # Errors
+///
+/// The owner's refusal, or that of the way to it.
+pub(crate) async fn hand_to_owner<M>(
+    context: &Rc<ThreadContext>,
+    member: &MemberName,
+    address: SocketAddr,
+    work: &EndpointWork,
+    may_send: M,
+) -> Result<Answered, Refusal>
+where
+    M: Fn() -> Result<(), ErrorKind>,
+{
+    let settings = &work.service.settings;
+    let mut headers = work.headers.clone();
+    hop::write_attempt(work, &mut headers);
+    sign(context, Hop::Owner, work.id, &work.method, &mut headers);
+    let body = RequestBody::new(work.body.clone());
+    let request = build(
+        address,
+        &work.path_and_query,
+        work.method.clone(),
+        headers,
+        body,
+    )
+    .ok_or(Refusal::new(ErrorKind::MalformedRequest))?;
+    let wait_ms = settings.queue_wait_max_ms.0 + settings.first_byte_timeout_ms.0;
+    let handover = Handover {
+        member,
+        address,
+        may_repeat: work.safety == celeryknot_policy::attempt::CallSafety::Idempotent,
+        timeout_ms: DurationMs(wait_ms + OWNER_MARGIN.0),
+        silence_max: DurationMs(settings.idle_timeout_ms.0 + OWNER_MARGIN.0),
+    };
+    hand_over(context, handover, request, may_send).await
+}
+
+/// Hands a call with a ticket to the ticket's issuer.
+///
+/// # Errors
+///
+/// The issuer's refusal, or that of the way to it.
+pub(crate) async fn hand_to_issuer(
+    context: &Rc<ThreadContext>,
+    handover: Handover<'_>,
+    work: &super::work::Work,
+    ticket: &str,
+) -> Result<Answered, Refusal> {
+    let mut headers = work.headers.clone();
+    hop::write_ticketed(work, ticket, context.now(), &mut headers);
+    sign(context, Hop::Issuer, work.id, &work.method, &mut headers);
+    let body = RequestBody::new(work.body.clone());
+    let method = work.method.clone();
+    let request = build(
+        handover.address,
+        &work.path_and_query,
+        method,
+        headers,
+        body,
+    )
+    .ok_or(Refusal::new(ErrorKind::MalformedRequest))?;
+    let check = || context.check_time(work.deadline_at);
+    hand_over(context, handover, request, check).await
+}
+
+async fn hand_over<M>(
+    context: &Rc<ThreadContext>,
+    handover: Handover<'_>,
+    request: Request<RequestBody>,
+    may_send: M,
+) -> Result<Answered, Refusal>
+where
+    M: Fn() -> Result<(), ErrorKind>,
+{
+    let silence_max = if handover.may_repeat {
+        READ_SILENCE_MAX
+    } else {
+        CALL_SILENCE_MAX
+    };
+    let link = context
+        .peers
+        .get(context, handover.address, silence_max)
+        .await
+        .map_err(|kind| unreachable_peer(context, handover.member, kind))?;
+    may_send().map_err(Refusal::new)?;
+    context.shared.metrics.traffic.forwards_out.inc();
+    let answer = link.exchange(request);
+    let give_up = async {
+        smol::Timer::after(handover.timeout_ms.as_std()).await;
+        Err(ErrorKind::AnswerTimeout)
+    };
+    let answer = match future::or(answer, give_up).await {
+        Ok(answer) => answer,
+        Err(kind) => {
+            context.peers.remove(handover.address);
+            return Err(unreachable_peer(context, handover.member, kind));
+        }
+    };
+    let (head, incoming) = answer.into_parts();
+    if let Some(refusal) = hop::read_refusal(&head.headers) {
+        return Err(refusal);
+    }
+    let body = PeerBody::new(incoming, link.heard.clone(), handover.silence_max);
+    Ok(Answered {
+        head,
+        body: DaemonBody::new(AnswerSource::Peer(Box::new(body))),
+    })
+}
+
+fn unreachable_peer(context: &Rc<ThreadContext>, member: &MemberName, kind: ErrorKind) -> Refusal {
+    let event = TrafficEvent::PeerUnreachable {
+        member: member.clone(),
+    };
+    // The control thread finds out by itself as well, only later.
+    let _ = context.shared.events.try_send(event);
+    Refusal::new(kind)
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/places.rs
@@ -0,0 +1,139 @@
+//! Where this thread places the requests of each service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use celeryknot_core::{ChatKey, DurationMs, MonotonicMs, ServiceName, TeamName};
+use celeryknot_endpoints::sse::Usage;
+use celeryknot_operators::metrics::ServiceMetrics;
+use celeryknot_policy::chat_cost::CostEstimator;
+use celeryknot_policy::placement::{
+    Candidates, ContextAware, EndpointHash, Placement, PlacementEndpoint, PlacementRequest,
+};
+use celeryknot_policy::retry::RetryBudget;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::shared::Shared;
+use crate::snapshot::{ServiceSnapshot, Snapshot};
+
+/// Chats of one service that a thread remembers.
+const CHATS_MAX: usize = 32_768;
+
+/// One service as this thread places its requests.
+#[derive(Debug)]
+pub(crate) struct Place {
+    version: u64,
+    endpoints: Vec<PlacementEndpoint>,
+    placement: ContextAware,
+    pub(crate) budget: RetryBudget,
+    pub(crate) estimator: CostEstimator,
+    pub(crate) metrics: ServiceMetrics,
+}
+
+/// All services that this thread has placed requests of.
+#[derive(Debug)]
+pub(crate) struct Places {
+    places: HashMap<(TeamName, ServiceName), Place>,
+    rng: SmallRng,
+}
+
+impl Default for Places {
+    fn default() -> Self {
+        Self {
+            places: HashMap::new(),
+            rng: SmallRng::seed_from_u64(rand::random()),
+        }
+    }
+}
+
+impl Places {
+    /// Returns what is held of a service.
+    pub(crate) fn of(&mut self, shared: &Shared, service: &ServiceSnapshot) -> &mut Place {
+        let key = (service.team.clone(), service.name.clone());
+        self.places.entry(key).or_insert_with(|| Place {
+            version: 0,
+            endpoints: Vec::new(),
+            placement: ContextAware::new(CHATS_MAX, service.settings.prefill_tokens_per_s),
+            budget: RetryBudget::new(service.settings.retry_percent_max),
+            estimator: CostEstimator::default(),
+            metrics: shared.metrics.traffic.service(&service.name),
+        })
+    }
+
+    /// Ranks the endpoints of a service; the indices are those of the service's list.
+    pub(crate) fn rank(
+        &mut self,
+        shared: &Shared,
+        snapshot: &Snapshot,
+        service: &Arc<ServiceSnapshot>,
+        request: &PlacementRequest,
+    ) -> Candidates {
+        let now = shared.clock.now();
+        self.of(shared, service).follow(snapshot, service);
+        let key = (service.team.clone(), service.name.clone());
+        let Some(place) = self.places.get_mut(&key) else {
+            return Candidates::new();
+        };
+        place
+            .placement
+            .rank(now, request, &place.endpoints, &mut self.rng)
+    }
+
+    /// Notes where a chat was answered.
+    pub(crate) fn answered(
+        &mut self,
+        shared: &Shared,
+        service: &ServiceSnapshot,
+        chat: ChatKey,
+        endpoint: EndpointHash,
+        usage: Usage,
+    ) {
+        let now = shared.clock.now();
+        let place = self.of(shared, service);
+        let context_tokens = usage.prompt_tokens.saturating_add(usage.completion_tokens);
+        place
+            .placement
+            .observe_answer(now, chat, endpoint, context_tokens);
+        place
+            .metrics
+            .prompt_tokens
+            .inc_by(u64::from(usage.prompt_tokens));
+        place
+            .metrics
+            .cached_tokens
+            .inc_by(u64::from(usage.cached_tokens));
+    }
+
+    /// Notes how long a request waited for its place.
+    pub(crate) fn waited(&mut self, shared: &Shared, service: &ServiceSnapshot, wait: DurationMs) {
+        self.of(shared, service).metrics.waited(wait);
+    }
+
+    /// Takes a retry from the service's budget, if one is left.
+    pub(crate) fn take_retry(&mut self, shared: &Shared, service: &ServiceSnapshot) -> bool {
+        let now: MonotonicMs = shared.clock.now();
+        self.of(shared, service).budget.try_take(now)
+    }
+}
+
+impl Place {
+    fn follow(&mut self, snapshot: &Snapshot, service: &ServiceSnapshot) {
+        if self.version == snapshot.version && self.endpoints.len() == service.endpoints.len() {
+            return;
+        }
+        self.version = snapshot.version;
+        self.budget
+            .set_percent_max(service.settings.retry_percent_max);
+        self.endpoints = service
+            .endpoints
+            .iter()
+            .map(|endpoint| {
+                PlacementEndpoint::new(endpoint.name.clone())
+                    .with_takes_new_work(endpoint.takes_new_work)
+                    .with_own_zone(endpoint.zone == snapshot.own_zone)
+                    .with_summary(endpoint.summary)
+            })
+            .collect();
+    }
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/shared.rs
@@ -0,0 +1,100 @@
+//! What all threads of one daemon share.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use async_channel::{Receiver, Sender};
+use celeryknot_core::{EndpointName, Incarnation, RequestId};
+use celeryknot_operators::Metrics;
+use celeryknot_settings::DaemonSettings;
+
+use super::admission::AdmissionMessage;
+use super::ticket_desk::TicketMessage;
+use crate::clock::Clock;
+use crate::event::TrafficEvent;
+use crate::feed::FleetFeed;
+
+/// A channel on which nothing is sent: closing it is the signal.
+pub(crate) type Signal = Receiver<Infallible>;
+
+/// The stages of a shutdown, each a signal that is given once.
+#[derive(Debug, Clone)]
+pub(crate) struct ShutdownSignals {
+    /// Callers' connections end after their requests in flight.
+    pub(crate) callers: Signal,
+    /// Other daemons' connections end after their requests in flight.
+    pub(crate) peers: Signal,
+    /// Everything ends now.
+    pub(crate) kill: Signal,
+}
+
+/// What all threads of one daemon share; read-only but for counters and flags.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: DaemonSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) feed: FleetFeed,
+    pub(crate) events: Sender<TrafficEvent>,
+    pub(crate) metrics: Metrics,
+    pub(crate) admissions: Vec<Sender<AdmissionMessage>>,
+    pub(crate) tickets: Sender<TicketMessage>,
+    pub(crate) shutdown: ShutdownSignals,
+    /// Set from the start of a shutdown.
+    pub(crate) is_leaving: AtomicBool,
+    pub(crate) in_flight: Arc<AtomicU64>,
+    pub(crate) connections: Arc<AtomicU64>,
+    pub(crate) peer_connections: Arc<AtomicU64>,
+}
+
+impl Shared {
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
+    /// Returns the thread that admits the work of an endpoint.
+    pub(crate) fn home_of(&self, endpoint: &EndpointName) -> &Sender<AdmissionMessage> {
+        let score = celeryknot_core::id::rendezvous_score(0, endpoint.as_str());
+        let index = score % self.admissions.len() as u64;
+        &self.admissions[index as usize]
+    }
+
+    pub(crate) fn is_home(&self, thread: usize, endpoint: &EndpointName) -> bool {
+        let score = celeryknot_core::id::rendezvous_score(0, endpoint.as_str());
+        score % self.admissions.len() as u64 == thread as u64
+    }
+}
+
+/// Counts one thing that is open, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Counted(Arc<AtomicU64>);
+
+impl Counted {
+    pub(crate) fn new(counter: &Arc<AtomicU64>) -> Self {
+        counter.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(counter))
+    }
+
+    /// Counts unless that many are open already.
+    pub(crate) fn below(counter: &Arc<AtomicU64>, max: u64) -> Option<Self> {
+        let counted = Self::new(counter);
+        (counter.load(Ordering::Acquire) <= max).then_some(counted)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Draws an id at random.
+pub(crate) fn draw_request_id() -> RequestId {
+    RequestId(rand::random())
+}
+
+/// Waits until the signal is given.
+pub(crate) async fn given(signal: &Signal) {
+    while signal.recv().await.is_ok() {}
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/thread.rs
@@ -0,0 +1,146 @@
+//! One traffic thread: accepts connections, admits, polls, until it is told to end.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use async_channel::Receiver;
+use celeryknot_callers::server::{ConnectionContext, serve_connection};
+use celeryknot_core::DurationMs;
+use futures_lite::future;
+use smol::Async;
+use smol::net::TcpStream;
+
+use super::admission::{AdmissionDesk, AdmissionMessage};
+use super::context::ThreadContext;
+use super::entry::serve_caller;
+use super::load_poll::poll_loads;
+use super::peer_server::serve_peer;
+use super::shared::{Counted, Shared, Signal, given};
+use super::ticket_desk::{TicketMessage, keep_tickets};
+
+/// Pause after the system refused to accept a connection.
+const ACCEPT_PAUSE: DurationMs = DurationMs(20);
+
+/// Most connections of other daemons.
+const PEER_CONNECTIONS_MAX: u64 = 16_384;
+
+/// What one thread starts with.
+#[derive(Debug)]
+pub(crate) struct ThreadParts {
+    pub(crate) index: usize,
+    pub(crate) callers: TcpListener,
+    pub(crate) forwards: TcpListener,
+    pub(crate) admissions: Receiver<AdmissionMessage>,
+    /// In one thread only.
+    pub(crate) tickets: Option<Receiver<TicketMessage>>,
+}
+
+/// Runs one traffic thread until the daemon is told to end.
+pub(crate) fn run_thread(parts: ThreadParts, shared: Arc<Shared>) {
+    let context = ThreadContext::new(parts.index, shared);
+    let executor = context.executor.clone();
+    smol::block_on(executor.run(async {
+        let desk = AdmissionDesk::new(Rc::clone(&context)).run(parts.admissions);
+        executor.spawn(desk).detach();
+        executor.spawn(poll_loads(Rc::clone(&context))).detach();
+        if let Some(messages) = parts.tickets {
+            let name = context.shared.settings.name.clone();
+            let held = context.shared.metrics.traffic.tickets_held.clone();
+            let keep = keep_tickets(name, context.shared.incarnation, messages, held);
+            executor.spawn(keep).detach();
+        }
+        let callers = accept_callers(Rc::clone(&context), parts.callers);
+        executor.spawn(callers).detach();
+        let peers = accept_peers(Rc::clone(&context), parts.forwards);
+        executor.spawn(peers).detach();
+        given(&context.shared.shutdown.kill).await;
+    }));
+}
+
+async fn accept_callers(context: Rc<ThreadContext>, listener: TcpListener) {
+    let shared = Arc::clone(&context.shared);
+    let connections_max = u64::from(shared.settings.connections_max);
+    let serve = |stream: TcpStream| {
+        let Some(counted) = Counted::below(&shared.connections, connections_max) else {
+            shared.metrics.traffic.connections_refused.inc();
+            return;
+        };
+        let context = Rc::clone(&context);
+        let connection = connection_context(&context, &shared.shutdown.callers);
+        let executor = context.executor.clone();
+        executor
+            .spawn(async move {
+                let handler = move |request| serve_caller(Rc::clone(&context), request);
+                let result = serve_connection(stream, &connection, handler).await;
+                note_end(result);
+                drop(counted);
+            })
+            .detach();
+    };
+    accept(listener, &shared.shutdown.callers, serve).await;
+}
+
+async fn accept_peers(context: Rc<ThreadContext>, listener: TcpListener) {
+    let shared = Arc::clone(&context.shared);
+    let serve = |stream: TcpStream| {
+        let counter: &Arc<AtomicU64> = &shared.peer_connections;
+        let Some(counted) = Counted::below(counter, PEER_CONNECTIONS_MAX) else {
+            return;
+        };
+        let context = Rc::clone(&context);
+        let connection = connection_context(&context, &shared.shutdown.peers);
+        let executor = context.executor.clone();
+        executor
+            .spawn(async move {
+                let handler = move |request| serve_peer(Rc::clone(&context), request);
+                let result = serve_connection(stream, &connection, handler).await;
+                note_end(result);
+                drop(counted);
+            })
+            .detach();
+    };
+    accept(listener, &shared.shutdown.peers, serve).await;
+}
+
+fn connection_context(
+    context: &ThreadContext,
+    shutdown: &Receiver<Infallible>,
+) -> ConnectionContext {
+    ConnectionContext {
+        executor: context.executor.clone(),
+        limits: context.limits.clone(),
+        shutdown: shutdown.clone(),
+    }
+}
+
+fn note_end(result: eyre::Result<()>) {
+    if let Err(error) = result {
+        tracing::debug!(%error, "a connection ended early");
+    }
+}
+
+/// Accepts connections until the signal is given.
+async fn accept(listener: TcpListener, stop: &Signal, serve: impl Fn(TcpStream)) {
+    let listener = match Async::new(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            tracing::error!(%error, "a listener can't be used");
+            return;
+        }
+    };
+    let accept = async {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => serve(TcpStream::from(stream)),
+                // Accepting fails while descriptors are short; others may become free.
+                Err(_) => {
+                    smol::Timer::after(ACCEPT_PAUSE.as_std()).await;
+                }
+            }
+        }
+    };
+    future::or(accept, given(stop)).await;
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/ticketed.rs
@@ -0,0 +1,335 @@
+//! Calls with tickets: issued here, run here, or handed to the issuer.
+
+use std::collections::hash_map::DefaultHasher;
+use std::hash::Hasher;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use celeryknot_callers::CallerRequest;
+use celeryknot_callers::problem::problem_answer;
+use celeryknot_core::{DurationMs, ErrorKind, Execution, Refusal, ServiceName, SizeBytes, header};
+use celeryknot_operators::metrics::RequestKind;
+use celeryknot_policy::ticket::{Claim, Ticket, TicketError};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response};
+use http_body_util::BodyExt;
+use serde::Serialize;
+
+use super::body::DaemonBody;
+use super::context::ThreadContext;
+use super::dispatch::Dispatch;
+use super::failure::Failure;
+use super::hop;
+use super::owner::Answered;
+use super::peer_link::{self, Handover};
+use super::shared::Counted;
+use super::ticket_desk::{StoredAnswer, TicketEnd, TicketMessage};
+use super::work::{Work, text_value};
+
+/// Largest answer that is stored for a ticket.
+const STORED_SIZE_MAX: SizeBytes = SizeBytes(1 << 20);
+
+/// Attempts to reach the issuer of a ticket; the ticket makes them safe.
+const ISSUER_ATTEMPTS: u32 = 2;
+
+/// Time on top of the issuer's own limits, so that its answer comes first.
+const ISSUER_MARGIN: DurationMs = DurationMs(2_000);
+
+#[derive(Serialize)]
+struct TicketsForm {
+    tickets: Vec<String>,
+}
+
+/// Answers a request for tickets.
+pub(crate) async fn issue(
+    context: &Rc<ThreadContext>,
+    request: &CallerRequest,
+    service: &ServiceName,
+    count: u32,
+) -> Result<Response<DaemonBody>, Refusal> {
+    let metrics = &context.shared.metrics.traffic;
+    metrics.service(service).entered(RequestKind::Tickets);
+    let form = TicketsForm {
+        tickets: fresh(context, request.customer.clone(), service, count).await?,
+    };
+    let body = serde_json::to_vec(&form).expect("a list of texts is valid JSON");
+    let mut answer = Response::new(DaemonBody::whole(Bytes::from(body)));
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(answer)
+}
+
+async fn fresh(
+    context: &Rc<ThreadContext>,
+    customer: celeryknot_core::CustomerName,
+    service: &ServiceName,
+    count: u32,
+) -> Result<Vec<String>, Refusal> {
+    let (reply, replies) = async_channel::bounded(1);
+    let message = TicketMessage::Issue {
+        customer,
+        service: service.clone(),
+        count,
+        reply,
+    };
+    // The channel is closed only when the daemon ends.
+    let _ = context.shared.tickets.send(message).await;
+    let tickets = replies
+        .recv()
+        .await
+        .map_err(|_| Refusal::new(ErrorKind::Draining))?;
+    context
+        .shared
+        .metrics
+        .traffic
+        .tickets_issued
+        .inc_by(u64::from(count));
+    let keys = &context.shared.settings.caller_keys;
+    Ok(tickets.iter().map(|ticket| ticket.to_text(keys)).collect())
+}
+
+/// Runs a call that must not run twice under the key that its caller gave.
+pub(crate) async fn run_with_key(
+    context: &Rc<ThreadContext>,
+    work: Work,
+    key: Option<&str>,
+) -> Result<Answered, Refusal> {
+    let keys = &context.shared.settings.caller_keys;
+    let parsed = key.map_or(Err(TicketError::NotATicket), |key| Ticket::parse(key, keys));
+    match (parsed, key) {
+        (Err(TicketError::NotATicket), _) | (_, None) => ask_for_ticket(context, work).await,
+        (Err(TicketError::Forged), _) => Err(Refusal::new(ErrorKind::TicketInvalid)),
+        (Ok(ticket), Some(text)) => {
+            check_holder(&ticket, &work).map_err(Refusal::new)?;
+            run_ticket(context, ticket, work, text).await
+        }
+    }
+}
+
+/// Reads a ticket that another daemon has checked already.
+///
+/// # Errors
+///
+/// `TicketInvalid` for anything else.
+pub(crate) fn read_ticket(
+    context: &Rc<ThreadContext>,
+    work: &Work,
+    text: &str,
+) -> Result<Ticket, ErrorKind> {
+    let ticket = Ticket::parse(text, &context.shared.settings.caller_keys)
+        .map_err(|_| ErrorKind::TicketInvalid)?;
+    check_holder(&ticket, work)?;
+    Ok(ticket)
+}
+
+fn check_holder(ticket: &Ticket, work: &Work) -> Result<(), ErrorKind> {
+    if ticket.customer == work.customer && ticket.service == work.service.name {
+        return Ok(());
+    }
+    Err(ErrorKind::TicketInvalid)
+}
+
+/// Refuses the call and hands out a ticket for it.
+async fn ask_for_ticket(context: &Rc<ThreadContext>, work: Work) -> Result<Answered, Refusal> {
+    let tickets = fresh(context, work.customer.clone(), &work.service.name, 1).await?;
+    let kind = ErrorKind::TicketRequired;
+    context.shared.metrics.traffic.refused(kind);
+    let mut answer = problem_answer(Refusal::new(kind), work.id);
+    if let Some(ticket) = tickets.first() {
+        answer
+            .headers_mut()
+            .insert(header::IDEMPOTENCY_KEY, text_value(ticket));
+    }
+    let (head, body) = answer.into_parts();
+    Ok(Answered {
+        head,
+        body: DaemonBody::whole(body),
+    })
+}
+
+async fn run_ticket(
+    context: &Rc<ThreadContext>,
+    ticket: Ticket,
+    work: Work,
+    text: &str,
+) -> Result<Answered, Refusal> {
+    if ticket.issuer == context.shared.settings.name {
+        return run_as_issuer(context, ticket, work).await;
+    }
+    let mut refusal = Refusal::new(ErrorKind::IssuerUnreachable);
+    for _ in 0..ISSUER_ATTEMPTS {
+        refusal = match ask_issuer(context, &ticket, &work, text).await {
+            Ok(answered) => return Ok(answered),
+            Err(refusal) => refusal,
+        };
+        if refusal.kind != ErrorKind::IssuerUnreachable {
+            return Err(refusal);
+        }
+    }
+    Err(refusal)
+}
+
+async fn ask_issuer(
+    context: &Rc<ThreadContext>,
+    ticket: &Ticket,
+    work: &Work,
+    text: &str,
+) -> Result<Answered, Refusal> {
+    let snapshot = context.snapshot();
+    let Some(member) = snapshot.members.get(&ticket.issuer) else {
+        return Err(Refusal::new(ErrorKind::IssuerGone));
+    };
+    let settings = &work.service.settings;
+    let wait_ms = settings.queue_wait_max_ms.0 + settings.first_byte_timeout_ms.0;
+    let handover = Handover {
+        member: &member.name,
+        address: member.forwards_address,
+        may_repeat: false,
+        timeout_ms: DurationMs(wait_ms + ISSUER_MARGIN.0),
+        silence_max: DurationMs(settings.idle_timeout_ms.0 + ISSUER_MARGIN.0),
+    };
+    let result = peer_link::hand_to_issuer(context, handover, work, text).await;
+    let Err(refusal) = result else {
+        return result;
+    };
+    let is_other_life = member
+        .incarnation
+        .is_some_and(|incarnation| incarnation != ticket.incarnation);
+    // The issuer may have run the call for an earlier submission.
+    Err(match Failure::from(refusal.kind) {
+        Failure::NoConnection if is_other_life => Refusal::new(ErrorKind::IssuerGone),
+        Failure::NoConnection | Failure::Lost => Refusal::new(ErrorKind::IssuerUnreachable),
+        Failure::Final
+        | Failure::NotAdmitted
+        | Failure::Paused
+        | Failure::Refused
+        | Failure::TimedOut
+        | Failure::Incomplete
+        | Failure::Mismatched
+        | Failure::TooLarge => refusal,
+    })
+}
+
+/// Runs the call on its first submission, and gives the stored answer to later ones.
+pub(crate) async fn run_as_issuer(
+    context: &Rc<ThreadContext>,
+    ticket: Ticket,
+    work: Work,
+) -> Result<Answered, Refusal> {
+    let (reply, replies) = async_channel::bounded(1);
+    let message = TicketMessage::Claim {
+        ticket: ticket.clone(),
+        fingerprint: fingerprint(&work),
+        reply,
+    };
+    let (ended, ends) = async_channel::bounded(1);
+    let in_flight = Counted::new(&context.shared.in_flight);
+    let run = run_claimed(Rc::clone(context), ticket, work, replies, ended, in_flight);
+    // The call goes on to its end when the caller goes away, so that its answer can be stored.
+    context.executor.spawn(run).detach();
+    // The channel is closed only when the daemon ends.
+    let _ = context.shared.tickets.send(message).await;
+    ends.recv()
+        .await
+        .unwrap_or(Err(Refusal::new(ErrorKind::InternalError)))
+        .map(restore)
+}
+
+async fn run_claimed(
+    context: Rc<ThreadContext>,
+    ticket: Ticket,
+    work: Work,
+    claims: async_channel::Receiver<Claim<StoredAnswer>>,
+    ended: async_channel::Sender<Result<StoredAnswer, Refusal>>,
+    _in_flight: Counted,
+) {
+    let Ok(claim) = claims.recv().await else {
+        return;
+    };
+    let result = match claim {
+        Claim::Run => run_once(&context, ticket, work).await,
+        Claim::Answered(answer) => {
+            context.shared.metrics.traffic.tickets_replayed.inc();
+            Ok(answer)
+        }
+        Claim::InProgress => Err(Refusal::new(ErrorKind::TicketInProgress)),
+        Claim::Spent => Err(Refusal::new(ErrorKind::TicketSpent)),
+        Claim::Unknown => Err(Refusal::new(ErrorKind::OutcomeUnknown)),
+        Claim::Mismatched => Err(Refusal::new(ErrorKind::TicketMismatched)),
+        Claim::Invalid => Err(Refusal::new(ErrorKind::TicketInvalid)),
+        Claim::Gone => Err(Refusal::new(ErrorKind::IssuerGone)),
+        Claim::Busy => Err(Refusal::new(ErrorKind::QueueFull)),
+    };
+    // The caller may have gone away.
+    let _ = ended.try_send(result);
+}
+
+async fn run_once(
+    context: &Rc<ThreadContext>,
+    ticket: Ticket,
+    work: Work,
+) -> Result<StoredAnswer, Refusal> {
+    let mut dispatch = Dispatch::new(Rc::clone(context), Rc::new(work));
+    let result = match dispatch.next_answer(None).await {
+        Ok(placed) => store(placed.answered).await,
+        Err(refusal) => Err(refusal),
+    };
+    let end = match &result {
+        Ok(answer) => TicketEnd::Answered(answer.clone()),
+        Err(refusal) => match refusal.kind.answer().execution {
+            Execution::NotRun => TicketEnd::NotRun,
+            Execution::Run | Execution::Unknown => TicketEnd::Unknown,
+        },
+    };
+    // The channel is closed only when the daemon ends.
+    let _ = context
+        .shared
+        .tickets
+        .send(TicketMessage::End { ticket, end })
+        .await;
+    result
+}
+
+/// Reads an answer whole.
+async fn store(answered: Answered) -> Result<StoredAnswer, Refusal> {
+    let mut head = answered.head;
+    let body = http_body_util::Limited::new(answered.body, STORED_SIZE_MAX.0 as usize)
+        .collect()
+        .await
+        .map_err(|error| {
+            let kind = error
+                .downcast_ref::<celeryknot_endpoints::AnswerError>()
+                .map_or(ErrorKind::AnswerTooLarge, |error| error.0);
+            Refusal::new(kind)
+        })?
+        .to_bytes();
+    hop::strip_answer(&mut head.headers);
+    Ok(StoredAnswer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
+
+fn restore(answer: StoredAnswer) -> Answered {
+    let mut response = Response::new(DaemonBody::whole(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    let (head, body) = response.into_parts();
+    Answered { head, body }
+}
+
+/// Hashes all that makes a call the same; never leaves the process.
+fn fingerprint(work: &Work) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for part in [
+        work.method.as_str().as_bytes(),
+        work.path_and_query.as_bytes(),
+        &work.body,
+    ] {
+        hasher.write_usize(part.len());
+        hasher.write(part);
+    }
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/work.rs
@@ -0,0 +1,158 @@
+//! A request on its way: as the entry daemon checked it, and as an owner runs it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use celeryknot_core::{
+    ChatKey, CustomerName, DurationMs, EndpointName, MonotonicMs, RequestId, header,
+};
+use celeryknot_endpoints::RequestBody;
+use celeryknot_policy::admission::AdmissionRequest;
+use celeryknot_policy::affinity::AffinityValue;
+use celeryknot_policy::attempt::CallSafety;
+use celeryknot_policy::chat_cost::ChatCost;
+use http::{HeaderMap, HeaderValue, Method, Request};
+
+use crate::snapshot::{EndpointSnapshot, ServiceSnapshot};
+
+/// What is known of a chat completion.
+#[derive(Debug, Clone)]
+pub(crate) struct ChatWork {
+    pub(crate) key: ChatKey,
+    pub(crate) cost: ChatCost,
+    pub(crate) affinity: Option<AffinityValue>,
+    pub(crate) is_stream: bool,
+}
+
+/// A checked request that may be placed.
+#[derive(Debug, Clone)]
+pub(crate) struct Work {
+    pub(crate) id: RequestId,
+    pub(crate) service: Arc<ServiceSnapshot>,
+    pub(crate) customer: CustomerName,
+    pub(crate) weight: f64,
+    pub(crate) urgency: u8,
+    pub(crate) deadline_at: Option<MonotonicMs>,
+    pub(crate) safety: CallSafety,
+    pub(crate) method: Method,
+    pub(crate) path_and_query: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) chat: Option<ChatWork>,
+}
+
+/// One attempt of a request at one endpoint, as its owner runs it.
+#[derive(Debug, Clone)]
+pub(crate) struct EndpointWork {
+    pub(crate) id: RequestId,
+    pub(crate) service: Arc<ServiceSnapshot>,
+    pub(crate) endpoint: EndpointName,
+    pub(crate) customer: CustomerName,
+    pub(crate) weight: f64,
+    pub(crate) urgency: u8,
+    pub(crate) deadline_at: Option<MonotonicMs>,
+    pub(crate) safety: CallSafety,
+    pub(crate) is_chat: bool,
+    pub(crate) needs_whole_answer: bool,
+    pub(crate) cost_tokens: u32,
+    pub(crate) alternative_wait_ms: Option<DurationMs>,
+    pub(crate) method: Method,
+    pub(crate) path_and_query: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// Where an attempt goes, and what it carries besides the request itself.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AttemptTarget<'a> {
+    pub(crate) id: RequestId,
+    pub(crate) service: &'a Arc<ServiceSnapshot>,
+    pub(crate) endpoint: &'a EndpointSnapshot,
+    pub(crate) uncached_tokens: u32,
+    pub(crate) alternative_wait_ms: Option<DurationMs>,
+    pub(crate) resume_from: Option<u64>,
+}
+
+impl Work {
+    /// Builds one attempt at an endpoint.
+    pub(crate) fn attempt(&self, target: AttemptTarget<'_>, now: MonotonicMs) -> EndpointWork {
+        let mut headers = self.headers.clone();
+        write_router_fields(&mut headers, self, &target, now);
+        let cost_tokens = self.chat.as_ref().map_or(1, |chat| {
+            let cached = chat
+                .cost
+                .prompt_tokens
+                .saturating_sub(target.uncached_tokens);
+            chat.cost.cost_tokens(cached)
+        });
+        EndpointWork {
+            id: target.id,
+            service: Arc::clone(target.service),
+            endpoint: target.endpoint.name.clone(),
+            customer: self.customer.clone(),
+            weight: self.weight,
+            urgency: self.urgency,
+            deadline_at: self.deadline_at,
+            safety: self.safety,
+            is_chat: self.chat.is_some(),
+            needs_whole_answer: self.chat.as_ref().is_none_or(|chat| !chat.is_stream),
+            cost_tokens,
+            alternative_wait_ms: target.alternative_wait_ms,
+            method: self.method.clone(),
+            path_and_query: self.path_and_query.clone(),
+            headers,
+            body: self.body.clone(),
+        }
+    }
+}
+
+fn write_router_fields(
+    headers: &mut HeaderMap,
+    work: &Work,
+    target: &AttemptTarget<'_>,
+    now: MonotonicMs,
+) {
+    headers.insert(header::REQUEST_ID, text_value(&target.id));
+    headers.insert(header::CUSTOMER, text_value(&work.customer));
+    let priority = format!("u={}", work.urgency);
+    headers.insert(header::PRIORITY, text_value(&priority));
+    if let Some(deadline_at) = work.deadline_at {
+        headers.insert(header::DEADLINE_MS, text_value(&(deadline_at - now).0));
+    }
+    if let Some(chat) = &work.chat {
+        headers.insert(header::CHAT, text_value(&chat.key));
+    }
+    if let Some(index) = target.resume_from {
+        headers.insert(header::RESUME_FROM, text_value(&index));
+    }
+}
+
+/// Writes an id or a number as a header value.
+pub(crate) fn text_value(value: &impl std::fmt::Display) -> HeaderValue {
+    HeaderValue::from_str(&value.to_string()).expect("ids and numbers are visible ASCII")
+}
+
+impl EndpointWork {
+    /// Builds the request for a place at the endpoint.
+    pub(crate) fn admission_request(&self) -> AdmissionRequest {
+        AdmissionRequest::builder(self.id, self.customer.clone())
+            .weight(self.weight)
+            .urgency(self.urgency)
+            .cost_tokens(self.cost_tokens)
+            .deadline_at(self.deadline_at)
+            .needs_whole_answer(self.needs_whole_answer)
+            .alternative_wait_ms(self.alternative_wait_ms)
+            .build()
+    }
+
+    /// Builds the request that the endpoint gets, or the hop to its owner.
+    pub(crate) fn request(&self, uri: &str) -> Option<Request<RequestBody>> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(uri)
+            .body(RequestBody::new(self.body.clone()))
+            .ok()?;
+        *request.headers_mut() = self.headers.clone();
+        Some(request)
+    }
+}
