--- /dev/null
+++ b/crates/celeryknot_fleet/src/byte_budget.rs
@@ -0,0 +1,172 @@
+//! One budget for all control traffic, with priorities and counters by kind.
+
+use celeryknot_core::{MonotonicMs, SizeBytes};
+use serde::Serialize;
+use strum::{Display, EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
+
+/// The kinds of control traffic.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    EnumCount,
+    EnumIter,
+    IntoStaticStr,
+    Serialize,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum ControlKind {
+    /// Signs of life between daemons.
+    Heartbeat,
+    /// Changes of members' states.
+    Members,
+    /// Settings and the requests for them.
+    Values,
+    /// The instance list and the requests for it.
+    Instances,
+    /// Reads and watches of the platform.
+    Platform,
+    /// Orders to engines.
+    Orders,
+    /// States of endpoints that have changed.
+    Summaries,
+    /// Probes of endpoints.
+    Probes,
+    /// States of endpoints that are sent again unchanged.
+    Refreshes,
+}
+
+/// How much of the budget must be left for a message to be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Priority {
+    /// May use what the next second brings.
+    Safety,
+    /// May use what is left.
+    State,
+    /// May use the upper half of the budget.
+    Hint,
+}
+
+impl ControlKind {
+    fn priority(self) -> Priority {
+        match self {
+            Self::Heartbeat
+            | Self::Members
+            | Self::Values
+            | Self::Instances
+            | Self::Platform
+            | Self::Orders => Priority::Safety,
+            Self::Summaries | Self::Probes => Priority::State,
+            Self::Refreshes => Priority::Hint,
+        }
+    }
+}
+
+/// What was sent and dropped of one kind.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct KindCount {
+    /// Messages sent.
+    pub sent: u64,
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Messages dropped or put off for want of budget.
+    pub dropped: u64,
+}
+
+/// A token bucket over all control traffic.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::{MonotonicMs, SizeBytes};
+/// use celeryknot_fleet::{ByteBudget, ControlKind};
+///
+/// let mut budget = ByteBudget::new(SizeBytes(1_000), MonotonicMs(0));
+/// assert!(budget.try_spend(MonotonicMs(0), ControlKind::Summaries, 1_000));
+/// assert!(!budget.try_spend(MonotonicMs(0), ControlKind::Summaries, 10));
+/// assert!(budget.try_spend(MonotonicMs(0), ControlKind::Heartbeat, 10));
+/// assert_eq!(budget.count(ControlKind::Summaries).dropped, 1);
+/// ```
+#[derive(Debug, Clone)]
+pub struct ByteBudget {
+    rate_bytes_per_s: i64,
+    left_millibytes: i64,
+    filled_at: MonotonicMs,
+    counts: [KindCount; ControlKind::COUNT],
+}
+
+const MILLI: i64 = 1_000;
+
+impl ByteBudget {
+    /// Builds a full budget.
+    pub fn new(rate: SizeBytes, now: MonotonicMs) -> Self {
+        let rate_bytes_per_s = i64::try_from(rate.0).unwrap_or(i64::MAX / MILLI);
+        Self {
+            rate_bytes_per_s,
+            left_millibytes: rate_bytes_per_s * MILLI,
+            filled_at: now,
+            counts: [KindCount::default(); ControlKind::COUNT],
+        }
+    }
+
+    /// Takes the bytes of a message off the budget, or counts it as dropped.
+    pub fn try_spend(&mut self, now: MonotonicMs, kind: ControlKind, size_bytes: usize) -> bool {
+        if !self.has_room(now, kind, size_bytes) {
+            self.counts[kind as usize].dropped += 1;
+            return false;
+        }
+        self.spend(now, kind, size_bytes);
+        true
+    }
+
+    /// Tells whether a message may be sent now.
+    pub fn has_room(&mut self, now: MonotonicMs, kind: ControlKind, size_bytes: usize) -> bool {
+        self.fill(now);
+        let full = self.rate_bytes_per_s * MILLI;
+        let floor = match kind.priority() {
+            Priority::Safety => -full,
+            Priority::State => 0,
+            Priority::Hint => full / 2,
+        };
+        let cost = to_millibytes(size_bytes).min(full);
+        self.left_millibytes - cost >= floor
+    }
+
+    /// Takes bytes off the budget that have been sent already.
+    pub fn spend(&mut self, now: MonotonicMs, kind: ControlKind, size_bytes: usize) {
+        self.fill(now);
+        self.left_millibytes -= to_millibytes(size_bytes);
+        let count = &mut self.counts[kind as usize];
+        count.sent += 1;
+        count.sent_bytes += size_bytes as u64;
+    }
+
+    /// Returns what was sent and dropped of one kind.
+    pub fn count(&self, kind: ControlKind) -> KindCount {
+        self.counts[kind as usize]
+    }
+
+    /// Returns what was sent and dropped, by kind.
+    pub fn counts(&self) -> impl Iterator<Item = (ControlKind, KindCount)> + '_ {
+        ControlKind::iter().map(|kind| (kind, self.count(kind)))
+    }
+
+    fn fill(&mut self, now: MonotonicMs) {
+        let passed_ms = i64::try_from((now - self.filled_at).0).unwrap_or(i64::MAX);
+        let gain = passed_ms.saturating_mul(self.rate_bytes_per_s);
+        let full = self.rate_bytes_per_s * MILLI;
+        self.left_millibytes = self.left_millibytes.saturating_add(gain).min(full);
+        self.filled_at = self.filled_at.max(now);
+    }
+}
+
+fn to_millibytes(size_bytes: usize) -> i64 {
+    i64::try_from(size_bytes).unwrap_or(i64::MAX / MILLI) * MILLI
+}
--- /dev/null
+++ b/crates/celeryknot_fleet/src/duties.rs
@@ -0,0 +1,82 @@
+//! Duties, assigned by rendezvous over the members that may hold them; nothing is elected.
+//!
+//! While views differ, two daemons may hold one duty for some seconds, or none. Each duty bears
+//! that: two owners of an endpoint each keep its bounds over what they admit themselves and count
+//! what the endpoint reports; two readers read the same values, of which the highest revision
+//! wins; two holders of orders assert the same desired state, under fencing numbers that rise
+//! with the revision of the settings.
+
+use celeryknot_core::id::rendezvous_score;
+use celeryknot_core::{EndpointName, MemberName, ServiceName, ZoneName};
+
+use crate::membership::MemberInfo;
+
+fn best<'a>(
+    salt: u64,
+    key: &str,
+    holders: impl Iterator<Item = &'a MemberInfo>,
+) -> Option<&'a MemberName> {
+    let key = rendezvous_score(salt, key);
+    holders
+        .max_by_key(|info| (rendezvous_score(key, info.name.as_str()), &info.name))
+        .map(|info| &info.name)
+}
+
+const OWNER_SALT: u64 = 1;
+const READER_SALT: u64 = 2;
+const ORDERS_SALT: u64 = 3;
+
+/// Returns the owner of an endpoint: a member of its zone, or any where that zone has none.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_fleet::{MemberInfo, duties};
+///
+/// let member = |name: &str, zone: &str| MemberInfo {
+///     name: name.parse().expect("a valid name"),
+///     zone: zone.parse().expect("a valid zone"),
+///     peers_address: "127.0.0.1:7001".parse().expect("an address"),
+///     forwards_address: "127.0.0.1:7003".parse().expect("an address"),
+/// };
+/// let (one, two) = (member("daemon-1", "a"), member("daemon-2", "b"));
+/// let owner = duties::owner(&"engine-1".parse()?, &"b".parse()?, &[&one, &two]);
+/// assert_eq!(owner, Some(&two.name));
+/// # Ok::<(), celeryknot_core::IdError>(())
+/// ```
+pub fn owner<'a>(
+    endpoint: &EndpointName,
+    zone: &ZoneName,
+    holders: &[&'a MemberInfo],
+) -> Option<&'a MemberName> {
+    let in_zone = holders.iter().copied().filter(|info| info.zone == *zone);
+    best(OWNER_SALT, endpoint.as_str(), in_zone)
+        .or_else(|| best(OWNER_SALT, endpoint.as_str(), holders.iter().copied()))
+}
+
+/// Returns the rank of a member among the readers of its zone, if it is one of them.
+pub fn reader_rank(
+    own: &MemberName,
+    zone: &ZoneName,
+    holders: &[&MemberInfo],
+    readers_per_zone: u32,
+) -> Option<usize> {
+    let key = rendezvous_score(READER_SALT, zone.as_str());
+    let mut ranked: Vec<(u64, &MemberName)> = holders
+        .iter()
+        .filter(|info| info.zone == *zone)
+        .map(|info| (rendezvous_score(key, info.name.as_str()), &info.name))
+        .collect();
+    ranked.sort_by(|a, b| b.cmp(a));
+    let rank = ranked.iter().position(|(_, name)| *name == own)?;
+    let limit = usize::try_from(readers_per_zone).unwrap_or(usize::MAX);
+    (rank < limit).then_some(rank)
+}
+
+/// Returns the member that gives orders to the engines of a service.
+pub fn orders_holder<'a>(
+    service: &ServiceName,
+    holders: &[&'a MemberInfo],
+) -> Option<&'a MemberName> {
+    best(ORDERS_SALT, service.as_str(), holders.iter().copied())
+}
--- /dev/null
+++ b/crates/celeryknot_fleet/src/fleet.rs
@@ -0,0 +1,395 @@
+//! The whole state of the fleet as one daemon holds it: events in, actions out.
+
+mod exchange;
+mod publish;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use celeryknot_core::{
+    EndpointName, EndpointSummary, Incarnation, MemberName, MonotonicMs, Revision,
+};
+
+use crate::byte_budget::{ByteBudget, ControlKind};
+use crate::duties;
+use crate::instance_list::{InstanceList, ListedInstance};
+use crate::membership::{MemberInfo, MemberRecord, Membership};
+use crate::message::{Message, ValuePage};
+use crate::neighbours::{Neighbours, neighbours};
+use crate::readiness::Readiness;
+use crate::settings_store::{Offered, SettingsStore, Validator, ValueRecord};
+use crate::summaries::{EndpointHash, Summaries};
+use crate::timing::FleetTiming;
+
+/// What a fleet's state is built from.
+#[derive(Debug, Clone)]
+pub struct FleetConfig {
+    /// Where this daemon runs and is reached.
+    pub own: MemberInfo,
+    /// This daemon's life.
+    pub incarnation: Incarnation,
+    /// Daemons in each zone that watch the platform.
+    pub readers_per_zone: u32,
+    /// Checks the text of a value.
+    pub validate: Validator,
+    /// Periods and limits.
+    pub timing: FleetTiming,
+}
+
+/// What the daemon is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message to a peer.
+    Send {
+        /// The peer.
+        to: MemberName,
+        /// Where the peer takes messages.
+        address: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+}
+
+/// What is kept for each daemon that messages are exchanged with.
+#[derive(Debug, Clone, Default)]
+struct Link {
+    /// Whether the next heartbeat must say where this daemon runs.
+    needs_info: bool,
+    heartbeats_sent: u64,
+    next_heartbeat_at: MonotonicMs,
+    next_summaries_at: MonotonicMs,
+    /// What the peer said of itself last.
+    peer: Option<PeerDigest>,
+}
+
+#[derive(Debug, Clone)]
+struct PeerDigest {
+    heard_at: MonotonicMs,
+    is_ready: bool,
+    list_revision: Revision,
+    values_digest: u64,
+    members_digest: u64,
+    /// Heartbeats in a row whose member records differed.
+    members_differ_count: u32,
+    /// The own digest at which a pull from this peer brought nothing.
+    fruitless_at: Option<u64>,
+}
+
+#[derive(Debug, Clone)]
+struct Pull {
+    from: MemberName,
+    sent_at: MonotonicMs,
+    has_news: bool,
+}
+
+/// The fleet's state in one daemon.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    config: FleetConfig,
+    members: Membership,
+    values: SettingsStore,
+    list: InstanceList,
+    summaries: Summaries,
+    budget: ByteBudget,
+    readiness: Readiness,
+    links: BTreeMap<MemberName, Link>,
+    neighbours: Neighbours,
+    owners: BTreeMap<EndpointName, MemberName>,
+    owners_by_hash: BTreeMap<EndpointHash, MemberName>,
+    owned: BTreeSet<EndpointHash>,
+    holders_seen: Option<(u64, Revision)>,
+    members_seen: Option<u64>,
+    value_pull: Option<Pull>,
+    list_pull_sent_at: Option<MonotonicMs>,
+    next_revival_at: MonotonicMs,
+    revival_cursor: usize,
+    records_cursor: usize,
+    platform_values_at: Option<MonotonicMs>,
+    platform_list_at: Option<MonotonicMs>,
+    version: u64,
+    actions: Vec<Action>,
+}
+
+impl Fleet {
+    /// Builds the state of a daemon that has just started.
+    pub fn new(config: FleetConfig, now: MonotonicMs) -> Self {
+        let timing = config.timing.clone();
+        Self {
+            members: Membership::new(config.own.clone(), config.incarnation, timing.clone()),
+            values: SettingsStore::new(config.validate),
+            list: InstanceList::default(),
+            summaries: Summaries::default(),
+            budget: ByteBudget::new(timing.control_bytes_per_s, now),
+            readiness: Readiness::new(now, timing.readiness_wait),
+            links: BTreeMap::new(),
+            neighbours: Neighbours::new(),
+            owners: BTreeMap::new(),
+            owners_by_hash: BTreeMap::new(),
+            owned: BTreeSet::new(),
+            holders_seen: None,
+            members_seen: None,
+            value_pull: None,
+            list_pull_sent_at: None,
+            next_revival_at: now,
+            revival_cursor: 0,
+            records_cursor: 0,
+            platform_values_at: None,
+            platform_list_at: None,
+            version: 0,
+            actions: Vec::new(),
+            config,
+        }
+    }
+
+    /// Takes over values that the platform gave.
+    pub fn apply_platform_values(&mut self, now: MonotonicMs, values: &[ValueRecord]) {
+        self.platform_values_at = Some(now);
+        self.note_platform();
+        self.take_values(now, values, None);
+    }
+
+    /// Takes over a whole instance list that the platform gave.
+    pub fn apply_platform_list(
+        &mut self,
+        now: MonotonicMs,
+        revision: Revision,
+        instances: Vec<ListedInstance>,
+    ) {
+        self.platform_list_at = Some(now);
+        self.note_platform();
+        let Some(change) = self.list.replace(revision, instances) else {
+            return;
+        };
+        self.list_changed(now);
+        if change.from != Revision(0) {
+            self.flood(now, &Message::ListChanges(vec![change]), None);
+        }
+    }
+
+    fn note_platform(&mut self) {
+        if self.platform_values_at.is_some() && self.platform_list_at.is_some() {
+            self.readiness.note_platform();
+        }
+    }
+
+    fn list_changed(&mut self, now: MonotonicMs) {
+        self.version += 1;
+        self.members.apply_list(now, &self.list.daemons());
+        let listed = self
+            .list
+            .endpoints()
+            .map(|endpoint| EndpointHash::new(&endpoint.name))
+            .collect();
+        self.summaries.keep_listed(&listed);
+        self.refresh_neighbours(now);
+    }
+
+    /// Takes over values, and passes on what is news.
+    fn take_values(
+        &mut self,
+        now: MonotonicMs,
+        values: &[ValueRecord],
+        from: Option<&MemberName>,
+    ) -> bool {
+        let news: Vec<ValueRecord> = values
+            .iter()
+            .filter(|value| self.values.offer(value) != Offered::Old)
+            .cloned()
+            .collect();
+        if news.is_empty() {
+            return false;
+        }
+        self.version += 1;
+        self.pass_values_on(now, news, from);
+        true
+    }
+
+    fn pass_values_on(
+        &mut self,
+        now: MonotonicMs,
+        news: Vec<ValueRecord>,
+        from: Option<&MemberName>,
+    ) {
+        let was_told_to_all = from.is_some() && !self.is_sparse();
+        if was_told_to_all || news.len() > PASSED_ON_MAX {
+            return;
+        }
+        let page = ValuePage {
+            values: news,
+            is_answer: false,
+            next_before: None,
+        };
+        self.flood(now, &Message::Values(page), from);
+    }
+
+    /// Notes the state of an endpoint that this daemon owns.
+    pub fn observe_own_endpoint(&mut self, endpoint: &EndpointName, summary: EndpointSummary) {
+        if self.owned.contains(&EndpointHash::new(endpoint)) {
+            self.summaries.observe_own(endpoint, summary);
+        }
+    }
+
+    /// Notes that a peer could not be reached.
+    pub fn note_unreachable(&mut self, now: MonotonicMs, member: &MemberName) {
+        let change = self.members.note_unreachable(now, member);
+        self.pass_records_on(now, change, None);
+    }
+
+    /// Notes that a stream to a peer was opened anew.
+    pub fn link_opened(&mut self, now: MonotonicMs, member: &MemberName) {
+        let link = self.links.entry(member.clone()).or_default();
+        link.needs_info = true;
+        link.next_heartbeat_at = now;
+    }
+
+    /// Notes that this process was paused: what it believes is old.
+    pub fn observe_pause(&mut self, now: MonotonicMs) {
+        self.members.observe_pause(now);
+        self.readiness.restart(now);
+        self.value_pull = None;
+        self.list_pull_sent_at = None;
+        self.platform_values_at = None;
+        self.platform_list_at = None;
+        for link in self.links.values_mut() {
+            link.peer = None;
+            link.next_heartbeat_at = now;
+        }
+        self.version += 1;
+    }
+
+    /// Announces that this daemon is shutting down.
+    pub fn start_leaving(&mut self, now: MonotonicMs) {
+        let record = self.members.announce_leaving();
+        self.pass_records_on(now, Some(record), None);
+    }
+
+    /// Counts bytes of control traffic that were sent outside of the messages between daemons.
+    pub fn observe_bytes(&mut self, now: MonotonicMs, kind: ControlKind, size_bytes: usize) {
+        self.budget.spend(now, kind, size_bytes);
+    }
+
+    /// Tells whether the budget allows control traffic outside of the messages between daemons.
+    pub fn has_budget(&mut self, now: MonotonicMs, kind: ControlKind, size_bytes: usize) -> bool {
+        self.budget.has_room(now, kind, size_bytes)
+    }
+
+    /// Takes what is to be done.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns this daemon's rank among the readers of its zone, if it is one.
+    pub fn reader_rank(&self, now: MonotonicMs) -> Option<usize> {
+        let own = &self.config.own;
+        let holders = self.members.duty_holders(now);
+        duties::reader_rank(&own.name, &own.zone, &holders, self.config.readers_per_zone)
+    }
+
+    /// Returns the members, for tests and status.
+    pub fn members(&self) -> &Membership {
+        &self.members
+    }
+
+    /// Returns the settings, for tests and status.
+    pub fn values(&self) -> &SettingsStore {
+        &self.values
+    }
+
+    /// Returns the instance list, for tests and status.
+    pub fn list(&self) -> &InstanceList {
+        &self.list
+    }
+
+    /// Returns the budget with its counters.
+    pub fn budget(&self) -> &ByteBudget {
+        &self.budget
+    }
+
+    /// Returns the neighbours that messages are exchanged with.
+    pub fn neighbours(&self) -> &[MemberName] {
+        &self.neighbours
+    }
+
+    /// Returns when the platform last gave values.
+    pub fn platform_values_at(&self) -> Option<MonotonicMs> {
+        self.platform_values_at
+    }
+
+    /// Tells whether this daemon has caught up.
+    pub fn is_ready(&self) -> bool {
+        self.readiness.is_ready()
+    }
+
+    fn refresh_neighbours(&mut self, now: MonotonicMs) {
+        let mut names: Vec<MemberName> = self
+            .members
+            .peers_up()
+            .map(|info| info.name.clone())
+            .collect();
+        let own = self.config.own.name.clone();
+        names.push(own.clone());
+        self.neighbours = neighbours(&own, &names);
+        for name in &self.neighbours {
+            if !self.links.contains_key(name) {
+                let link = Link {
+                    needs_info: true,
+                    next_heartbeat_at: now,
+                    ..Link::default()
+                };
+                self.links.insert(name.clone(), link);
+                self.summaries.queue_all(name);
+            }
+        }
+        let kept = &self.neighbours;
+        self.links.retain(|name, _| kept.contains(name));
+        self.summaries.keep_neighbours(kept);
+    }
+
+    fn pass_records_on(
+        &mut self,
+        now: MonotonicMs,
+        records: impl IntoIterator<Item = MemberRecord>,
+        from: Option<&MemberName>,
+    ) {
+        let records: Vec<MemberRecord> = records.into_iter().collect();
+        if records.is_empty() {
+            return;
+        }
+        self.version += 1;
+        self.refresh_neighbours(now);
+        self.flood(now, &Message::Members(records), from);
+    }
+
+    fn flood(&mut self, now: MonotonicMs, message: &Message, except: Option<&MemberName>) {
+        for name in self.neighbours.clone() {
+            if Some(&name) != except {
+                self.send(now, &name, message.clone());
+            }
+        }
+    }
+
+    fn send(&mut self, now: MonotonicMs, to: &MemberName, message: Message) -> bool {
+        let Some(address) = self.address_of(to) else {
+            return false;
+        };
+        if !self
+            .budget
+            .try_spend(now, message.kind(), message.size_bytes())
+        {
+            return false;
+        }
+        self.actions.push(Action::Send {
+            to: to.clone(),
+            address,
+            message,
+        });
+        true
+    }
+
+    fn address_of(&self, name: &MemberName) -> Option<SocketAddr> {
+        self.members.info(name).map(|info| info.peers_address)
+    }
+}
+
+/// Most values that are passed on at once; more are left to pulls.
+const PASSED_ON_MAX: usize = 32;
--- /dev/null
+++ b/crates/celeryknot_fleet/src/fleet/exchange.rs
@@ -0,0 +1,255 @@
+//! Messages of peers: what they change and what is answered.
+
+use celeryknot_core::{Incarnation, MemberName, MonotonicMs, Revision};
+
+use super::{Fleet, PeerDigest, Pull};
+use crate::instance_list::{InstanceKey, ListChange};
+use crate::membership::{Heard, MemberRecord};
+use crate::message::{Heartbeat, ListPull, Message, ValuePage, ValuePull};
+use crate::summaries::{EndpointHash, SummaryBatch, Telling};
+
+/// Largest page of values or of the list in bytes.
+const PAGE_SIZE_MAX_BYTES: usize = 2_048;
+
+impl Fleet {
+    /// Takes over a message that a peer's life has sent.
+    pub fn receive(
+        &mut self,
+        now: MonotonicMs,
+        from: &MemberName,
+        incarnation: Incarnation,
+        message: Message,
+    ) {
+        self.members.touch(now, from, incarnation);
+        match message {
+            Message::Heartbeat(heartbeat) => {
+                self.receive_heartbeat(now, from, incarnation, &heartbeat);
+            }
+            Message::Members(records) => self.receive_records(now, from, &records),
+            Message::Values(page) => self.receive_values(now, from, &page),
+            Message::PullValues(pull) => self.answer_value_pull(now, from, &pull),
+            Message::ListChanges(changes) => self.receive_list_changes(now, from, &changes),
+            Message::ListPage(page) => {
+                self.list_pull_sent_at = None;
+                let next_after = page.next_after.clone();
+                let is_current = page.revision > self.list.revision();
+                if self.list.collect(&page).is_some() {
+                    self.list_changed(now);
+                } else if next_after.is_some() && is_current {
+                    self.pull_list(now, from, next_after);
+                }
+            }
+            Message::PullList(pull) => self.answer_list_pull(now, from, &pull),
+            Message::Summaries(batches) => {
+                self.receive_summaries(now, from, &batches, Telling::Change);
+            }
+            Message::Refreshes(batches) => {
+                self.receive_summaries(now, from, &batches, Telling::Refresh);
+            }
+        }
+    }
+
+    fn receive_heartbeat(
+        &mut self,
+        now: MonotonicMs,
+        from: &MemberName,
+        incarnation: Incarnation,
+        heartbeat: &Heartbeat,
+    ) {
+        let known = self.members.record(from).map(|record| record.info.clone());
+        let listed = || self.members.info(from).cloned();
+        let Some(info) = heartbeat.info.clone().or(known).or_else(listed) else {
+            return;
+        };
+        if info.name != *from {
+            return;
+        }
+        let record = MemberRecord {
+            info,
+            incarnation,
+            sequence: heartbeat.sequence,
+            state: heartbeat.state,
+        };
+        match self.members.hear(now, &record) {
+            Heard::Known => {}
+            Heard::Changed(changed) => self.pass_records_on(now, Some(changed), Some(from)),
+            Heard::Contradicted(known) => {
+                self.send(now, from, Message::Members(vec![known]));
+                return;
+            }
+        }
+        self.note_digest(now, from, heartbeat);
+    }
+
+    fn note_digest(&mut self, now: MonotonicMs, from: &MemberName, heartbeat: &Heartbeat) {
+        let own_members = self.members.digest();
+        let has_same_values = heartbeat.values_digest == self.values.digest();
+        let has_list = heartbeat.list_revision <= self.list.revision();
+        if heartbeat.is_ready && has_same_values && has_list {
+            self.readiness.note_peer();
+        }
+        let Some(link) = self.links.get_mut(from) else {
+            return;
+        };
+        let before = link.peer.take();
+        let differed = before.as_ref().map_or(0, |peer| peer.members_differ_count);
+        let is_same_digest = |peer: &PeerDigest| peer.values_digest == heartbeat.values_digest;
+        let fruitless_at = before
+            .filter(is_same_digest)
+            .and_then(|peer| peer.fruitless_at);
+        let members_differ = heartbeat.members_digest != own_members;
+        link.peer = Some(PeerDigest {
+            heard_at: now,
+            is_ready: heartbeat.is_ready,
+            list_revision: heartbeat.list_revision,
+            values_digest: heartbeat.values_digest,
+            members_digest: heartbeat.members_digest,
+            members_differ_count: if members_differ { differed + 1 } else { 0 },
+            fruitless_at,
+        });
+    }
+
+    fn receive_records(&mut self, now: MonotonicMs, from: &MemberName, records: &[MemberRecord]) {
+        let news: Vec<MemberRecord> = records
+            .iter()
+            .filter_map(|record| self.members.offer(now, record))
+            .collect();
+        let (own, others): (Vec<_>, Vec<_>) = news
+            .into_iter()
+            .partition(|record| record.info.name == self.config.own.name);
+        self.pass_records_on(now, own, None);
+        self.pass_records_on(now, others, Some(from));
+    }
+
+    fn receive_values(&mut self, now: MonotonicMs, from: &MemberName, page: &ValuePage) {
+        let has_news = self.take_values(now, &page.values, Some(from));
+        let is_expected = self.value_pull.as_ref().is_some_and(|p| p.from == *from);
+        if !page.is_answer || !is_expected {
+            return;
+        }
+        let Some(mut pull) = self.value_pull.take() else {
+            return;
+        };
+        pull.has_news |= has_news;
+        if page.next_before.is_some() {
+            self.pull_values(now, from, page.next_before, pull.has_news);
+            return;
+        }
+        self.finish_pull(from, pull.has_news);
+    }
+
+    fn finish_pull(&mut self, from: &MemberName, has_news: bool) {
+        let own_digest = self.values.digest();
+        let own_list = self.list.revision();
+        let Some(peer) = self.links.get_mut(from).and_then(|link| link.peer.as_mut()) else {
+            return;
+        };
+        if !has_news {
+            peer.fruitless_at = Some(own_digest);
+        }
+        if peer.is_ready && peer.list_revision <= own_list {
+            self.readiness.note_peer();
+        }
+    }
+
+    pub(super) fn pull_values(
+        &mut self,
+        now: MonotonicMs,
+        from: &MemberName,
+        before: Option<Revision>,
+        has_news: bool,
+    ) {
+        let pull = ValuePull {
+            buckets: self.values.buckets(),
+            before,
+        };
+        if self.send(now, from, Message::PullValues(pull)) {
+            self.value_pull = Some(Pull {
+                from: from.clone(),
+                sent_at: now,
+                has_news,
+            });
+        }
+    }
+
+    fn answer_value_pull(&mut self, now: MonotonicMs, from: &MemberName, pull: &ValuePull) {
+        let (values, next_before) =
+            self.values
+                .page(&pull.buckets, pull.before, PAGE_SIZE_MAX_BYTES);
+        let page = ValuePage {
+            values,
+            is_answer: true,
+            next_before,
+        };
+        self.send(now, from, Message::Values(page));
+    }
+
+    fn receive_list_changes(
+        &mut self,
+        now: MonotonicMs,
+        from: &MemberName,
+        changes: &[ListChange],
+    ) {
+        self.list_pull_sent_at = None;
+        let applied: Vec<ListChange> = changes
+            .iter()
+            .filter(|change| self.list.apply(change))
+            .cloned()
+            .collect();
+        if applied.is_empty() {
+            return;
+        }
+        self.list_changed(now);
+        if self.is_sparse() {
+            self.flood(now, &Message::ListChanges(applied), Some(from));
+        }
+    }
+
+    pub(super) fn pull_list(
+        &mut self,
+        now: MonotonicMs,
+        from: &MemberName,
+        after: Option<InstanceKey>,
+    ) {
+        let have = self.list.revision();
+        if self.send(now, from, Message::PullList(ListPull { have, after })) {
+            self.list_pull_sent_at = Some(now);
+        }
+    }
+
+    fn answer_list_pull(&mut self, now: MonotonicMs, from: &MemberName, pull: &ListPull) {
+        if pull.have >= self.list.revision() {
+            return;
+        }
+        let answer = match self.list.changes_since(pull.have) {
+            Some(changes) if pull.after.is_none() => Message::ListChanges(changes),
+            Some(_) | None => {
+                Message::ListPage(self.list.page(pull.after.as_ref(), PAGE_SIZE_MAX_BYTES))
+            }
+        };
+        self.send(now, from, answer);
+    }
+
+    fn receive_summaries(
+        &mut self,
+        now: MonotonicMs,
+        from: &MemberName,
+        batches: &[SummaryBatch],
+        telling: Telling,
+    ) {
+        let forward_to = if self.is_sparse() {
+            self.neighbours.to_vec()
+        } else {
+            Vec::new()
+        };
+        for batch in batches {
+            if batch.origin == self.config.own.name {
+                continue;
+            }
+            let owners = &self.owners_by_hash;
+            let is_owner = |endpoint: EndpointHash| owners.get(&endpoint) == Some(&batch.origin);
+            self.summaries
+                .receive(now, from, batch, telling, is_owner, &forward_to);
+        }
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_fleet/src/fleet/publish.rs
@@ -0,0 +1,312 @@
+//! What is due with time: heartbeats, suspicions, pulls, summaries, and the published view.
+
+use celeryknot_core::id::rendezvous_score;
+use celeryknot_core::{DurationMs, MemberName, MonotonicMs, Revision};
+
+use super::{Fleet, PeerDigest};
+use crate::duties;
+use crate::membership::MemberRecord;
+use crate::message::{Heartbeat, Message};
+use crate::neighbours::MESH_MEMBERS_MAX;
+use crate::summaries::{EndpointHash, Telling};
+use crate::view::{EndpointView, FleetView};
+
+/// Time that pushed news has to arrive before a difference leads to a pull.
+const PULL_PATIENCE_MS: DurationMs = DurationMs(150);
+/// Heartbeats after which the sender's whole record is sent again.
+const INFO_PERIOD_COUNT: u64 = 8;
+/// Heartbeats in a row with other member records after which some are sent.
+const MEMBERS_PATIENCE_COUNT: u32 = 2;
+/// Member records sent to a peer whose records differ.
+const RECORDS_SENT_COUNT: usize = 8;
+/// Times the summary gap for daemons that pass summaries on, so that duplicates are left out.
+const SPARSE_GAP_FACTOR: u64 = 5;
+
+impl Fleet {
+    /// Does what is due.
+    pub fn tick(&mut self, now: MonotonicMs) {
+        let neighbours = self.neighbours.clone();
+        let changes = self.members.tick(now, &neighbours);
+        self.pass_records_on(now, changes, None);
+        self.update_neighbours(now);
+        self.assign_owners(now);
+        self.revive(now);
+        self.send_heartbeats(now);
+        self.compare_values(now);
+        self.compare_list(now);
+        self.send_summaries(now);
+        let has_peers = self.members.peers_up().next().is_some();
+        let was_ready = self.readiness.is_ready();
+        if self.readiness.update(now, has_peers) != was_ready {
+            self.version += 1;
+        }
+    }
+
+    fn update_neighbours(&mut self, now: MonotonicMs) {
+        let version = Some(self.members.version());
+        if self.members_seen != version {
+            self.members_seen = version;
+            self.refresh_neighbours(now);
+            self.version += 1;
+        }
+    }
+
+    /// Assigns an owner to each endpoint once the holders of duties or the list have changed.
+    fn assign_owners(&mut self, now: MonotonicMs) {
+        let holders = self.members.duty_holders(now);
+        let hash = holders.iter().fold(0_u64, |sum, info| {
+            sum.rotate_left(1) ^ rendezvous_score(0, info.name.as_str())
+        });
+        let seen = Some((hash, self.list.revision()));
+        if self.holders_seen == seen {
+            return;
+        }
+        self.holders_seen = seen;
+        self.owners.clear();
+        self.owners_by_hash.clear();
+        self.owned.clear();
+        for endpoint in self.list.endpoints() {
+            let Some(owner) = duties::owner(&endpoint.name, &endpoint.zone, &holders) else {
+                continue;
+            };
+            let key = EndpointHash::new(&endpoint.name);
+            if *owner == self.config.own.name {
+                self.owned.insert(key);
+            }
+            self.owners.insert(endpoint.name.clone(), owner.clone());
+            self.owners_by_hash.insert(key, owner.clone());
+        }
+        self.summaries.keep_own(&self.owned);
+        self.version += 1;
+    }
+
+    /// Tries a listed member that is held dead, since a split may have healed.
+    fn revive(&mut self, now: MonotonicMs) {
+        if now < self.next_revival_at {
+            return;
+        }
+        self.next_revival_at = now + self.config.timing.heartbeat_period;
+        let dead: Vec<MemberName> = self
+            .members
+            .listed_dead()
+            .map(|info| info.name.clone())
+            .collect();
+        if dead.is_empty() {
+            return;
+        }
+        self.revival_cursor = (self.revival_cursor + 1) % dead.len();
+        let heartbeat = self.heartbeat(true);
+        let name = &dead[self.revival_cursor];
+        self.send(now, name, Message::Heartbeat(heartbeat));
+    }
+
+    fn heartbeat(&self, has_info: bool) -> Heartbeat {
+        let own = self.members.own();
+        Heartbeat {
+            sequence: own.sequence,
+            state: own.state,
+            is_ready: self.readiness.is_ready(),
+            list_revision: self.list.revision(),
+            values_digest: self.values.digest(),
+            members_digest: self.members.digest(),
+            info: has_info.then(|| own.info.clone()),
+        }
+    }
+
+    fn send_heartbeats(&mut self, now: MonotonicMs) {
+        let period = self.config.timing.heartbeat_period;
+        let due: Vec<MemberName> = self
+            .links
+            .iter()
+            .filter(|(_, link)| now >= link.next_heartbeat_at)
+            .map(|(name, _)| name.clone())
+            .collect();
+        if due.is_empty() {
+            return;
+        }
+        let (short, long) = (self.heartbeat(false), self.heartbeat(true));
+        for name in due {
+            let Some(link) = self.links.get_mut(&name) else {
+                continue;
+            };
+            let has_info = link.needs_info || link.heartbeats_sent % INFO_PERIOD_COUNT == 0;
+            link.needs_info = false;
+            link.heartbeats_sent += 1;
+            link.next_heartbeat_at = now + period;
+            let heartbeat = if has_info { &long } else { &short };
+            self.send(now, &name, Message::Heartbeat(heartbeat.clone()));
+            self.send_records(now, &name);
+        }
+    }
+
+    /// Sends some member records to a peer whose records have differed for a while.
+    fn send_records(&mut self, now: MonotonicMs, to: &MemberName) {
+        let own_digest = self.members.digest();
+        let Some(peer) = self.links.get(to).and_then(|link| link.peer.as_ref()) else {
+            return;
+        };
+        let differs = peer.members_digest != own_digest
+            && peer.members_differ_count >= MEMBERS_PATIENCE_COUNT;
+        if !differs {
+            return;
+        }
+        let all: Vec<&MemberRecord> = self.members.records().collect();
+        let start = self.records_cursor % all.len();
+        let chunk: Vec<MemberRecord> = all
+            .iter()
+            .cycle()
+            .skip(start)
+            .take(RECORDS_SENT_COUNT.min(all.len()))
+            .map(|record| (*record).clone())
+            .collect();
+        self.records_cursor = start + chunk.len();
+        self.send(now, to, Message::Members(chunk));
+    }
+
+    /// Pulls values from a neighbour whose settings differ.
+    fn compare_values(&mut self, now: MonotonicMs) {
+        if let Some(pull) = &self.value_pull {
+            if now - pull.sent_at < self.config.timing.pull_timeout {
+                return;
+            }
+            self.value_pull = None;
+        }
+        let own_digest = self.values.digest();
+        let differs = |peer: &PeerDigest| {
+            peer.values_digest != own_digest
+                && peer.fruitless_at != Some(own_digest)
+                && now - peer.heard_at >= PULL_PATIENCE_MS
+        };
+        let Some(name) = self.peer_where(differs) else {
+            return;
+        };
+        self.pull_values(now, &name, None, false);
+        if let Some(peer) = self
+            .links
+            .get_mut(&name)
+            .and_then(|link| link.peer.as_mut())
+        {
+            peer.heard_at = now;
+        }
+    }
+
+    /// Pulls the instance list from a neighbour that has a newer one.
+    fn compare_list(&mut self, now: MonotonicMs) {
+        let timeout = self.config.timing.pull_timeout;
+        if self.list_pull_sent_at.is_some_and(|at| now - at < timeout) {
+            return;
+        }
+        let own_revision = self.list.revision();
+        let is_newer = |peer: &PeerDigest| {
+            let waits = own_revision != Revision(0) && now - peer.heard_at < PULL_PATIENCE_MS;
+            peer.list_revision > own_revision && !waits
+        };
+        if let Some(name) = self.peer_where(is_newer) {
+            self.pull_list(now, &name, None);
+        }
+    }
+
+    fn peer_where(&self, wanted: impl Fn(&PeerDigest) -> bool) -> Option<MemberName> {
+        let matching = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.peer.as_ref().is_some_and(&wanted));
+        matching
+            .max_by_key(|(_, link)| link.peer.as_ref().map(|peer| peer.heard_at))
+            .map(|(name, _)| name.clone())
+    }
+
+    fn send_summaries(&mut self, now: MonotonicMs) {
+        let own = self.members.own().clone();
+        let neighbours = self.neighbours.clone();
+        let timing = &self.config.timing;
+        let refresh_period = DurationMs(timing.summary_refresh.0 * self.size_factor());
+        let gap_factor = if self.is_sparse() {
+            SPARSE_GAP_FACTOR
+        } else {
+            1
+        };
+        let gap = DurationMs(timing.summary_gap.0 * gap_factor);
+        self.summaries.publish_own(
+            now,
+            &own.info.name,
+            own.incarnation,
+            &neighbours,
+            refresh_period,
+        );
+        for name in &neighbours {
+            let Some(link) = self.links.get_mut(name) else {
+                continue;
+            };
+            if now < link.next_summaries_at {
+                continue;
+            }
+            link.next_summaries_at = now + gap;
+            self.send_batches(now, name, Telling::Change);
+            self.send_batches(now, name, Telling::Refresh);
+        }
+    }
+
+    /// Sends what is queued for a neighbour; without budget it stays queued.
+    fn send_batches(&mut self, now: MonotonicMs, to: &MemberName, telling: Telling) {
+        let batches = self.summaries.batches_for(to, telling);
+        if batches.is_empty() {
+            return;
+        }
+        let entries = batches.iter().flat_map(|batch| &batch.entries);
+        let endpoints: Vec<EndpointHash> = entries.map(|entry| entry.endpoint).collect();
+        let message = match telling {
+            Telling::Change => Message::Summaries(batches),
+            Telling::Refresh => Message::Refreshes(batches),
+        };
+        if self.send(now, to, message) {
+            self.summaries.mark_sent(to, telling, endpoints.into_iter());
+        }
+    }
+
+    /// By how much unchanged summaries are sent less often than in a mesh.
+    fn size_factor(&self) -> u64 {
+        let members = self.members.peers_up().count() + 1;
+        members.div_ceil(MESH_MEMBERS_MAX) as u64
+    }
+
+    /// Tells whether messages are passed on, since not all daemons talk to each other.
+    pub(super) fn is_sparse(&self) -> bool {
+        self.members.peers_up().count() + 1 > MESH_MEMBERS_MAX
+    }
+
+    /// Rises with every change of what [`Fleet::view`] shows.
+    pub fn version(&self) -> u64 {
+        self.version + self.summaries.version()
+    }
+
+    /// Returns the fleet as this daemon sees it now.
+    pub fn view(&self, now: MonotonicMs) -> FleetView {
+        let age_max = DurationMs(self.config.timing.summary_age_max.0 * self.size_factor());
+        let endpoints = self
+            .list
+            .endpoints()
+            .map(|endpoint| EndpointView {
+                name: endpoint.name.clone(),
+                service: endpoint.service.clone(),
+                zone: endpoint.zone.clone(),
+                address: endpoint.address,
+                is_leaving: endpoint.is_leaving,
+                fencing: endpoint.fencing,
+                owner: self.owners.get(&endpoint.name).cloned(),
+                summary: self.summaries.get(&endpoint.name, now, age_max),
+            })
+            .collect();
+        let settings = self
+            .values
+            .in_force()
+            .map(|(path, value)| (path.clone(), value.clone()))
+            .collect();
+        FleetView {
+            is_ready: self.readiness.is_ready(),
+            members: self.members.view(),
+            endpoints,
+            settings,
+        }
+    }
+}
--- a/crates/celeryknot_fleet/src/lib.rs
+++ b/crates/celeryknot_fleet/src/lib.rs
@@ -1,5 +1,26 @@
 //! Fleet state machines without I/O: members, settings in force, duties, gossip, orders.
+//!
+//! [`Fleet`] takes events and the time and returns actions; it reads no clock and opens no
+//! socket, so that daemons, tests and measurements drive the same code.
 
+pub mod byte_budget;
+pub mod duties;
+pub mod fleet;
+pub mod instance_list;
+pub mod membership;
+pub mod message;
+pub mod neighbours;
+pub mod readiness;
+pub mod settings_store;
+pub mod summaries;
+pub mod timing;
 pub mod view;
 
+pub use byte_budget::{ByteBudget, ControlKind, KindCount};
+pub use fleet::{Action, Fleet, FleetConfig};
+pub use instance_list::{ListedDaemon, ListedEndpoint, ListedInstance};
+pub use membership::{MemberInfo, MemberRecord, Membership};
+pub use message::Message;
+pub use settings_store::{Rejection, SettingsStore, Validator};
+pub use timing::FleetTiming;
 pub use view::{EndpointView, FencingMode, FleetView, MemberState, MemberView, SettingInForce};
--- /dev/null
+++ b/crates/celeryknot_fleet/src/membership.rs
@@ -0,0 +1,462 @@
+//! Which daemons are members, from the platform's list, direct evidence and peers' evidence.
+//!
+//! Records of one member are ordered by sequence, then state, then incarnation, so that every
+//! daemon that has heard the same records holds the same state, in whichever order they came.
+//! Only the member itself raises its sequence.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use celeryknot_core::id::rendezvous_score;
+use celeryknot_core::{DurationMs, Incarnation, MemberName, MonotonicMs, ZoneName};
+
+use crate::instance_list::ListedDaemon;
+use crate::timing::FleetTiming;
+use crate::view::{MemberState, MemberView};
+
+/// Where a daemon runs and is reached.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberInfo {
+    /// The daemon's name.
+    pub name: MemberName,
+    /// The daemon's availability zone.
+    pub zone: ZoneName,
+    /// Where the daemon takes messages of its peers.
+    pub peers_address: SocketAddr,
+    /// Where the daemon takes requests handed over by its peers.
+    pub forwards_address: SocketAddr,
+}
+
+/// One statement about a member, as daemons pass it on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberRecord {
+    /// The member that the record is about.
+    pub info: MemberInfo,
+    /// The life of the member that the record is about.
+    pub incarnation: Incarnation,
+    /// Raised by the member itself when its state changes or it refutes a suspicion.
+    pub sequence: u64,
+    /// What is stated.
+    pub state: MemberState,
+}
+
+fn rank(state: MemberState) -> u8 {
+    match state {
+        MemberState::Alive => 0,
+        MemberState::Suspect => 1,
+        MemberState::Leaving => 2,
+        MemberState::Dead => 3,
+    }
+}
+
+impl MemberRecord {
+    fn order(&self) -> (u64, u8, Incarnation) {
+        (self.sequence, rank(self.state), self.incarnation)
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    info: MemberInfo,
+    /// Whether the platform lists the member, and as leaving.
+    listed_as_leaving: Option<bool>,
+    record: Option<MemberRecord>,
+    last_heard: MonotonicMs,
+    state_since: MonotonicMs,
+    flaps: u32,
+    last_flap: MonotonicMs,
+    held_until: MonotonicMs,
+}
+
+impl Entry {
+    fn new(info: MemberInfo, now: MonotonicMs) -> Self {
+        Self {
+            info,
+            listed_as_leaving: None,
+            record: None,
+            last_heard: now,
+            state_since: now,
+            flaps: 0,
+            last_flap: now,
+            held_until: now,
+        }
+    }
+
+    fn state(&self) -> MemberState {
+        let stated = self.record.as_ref().map(|record| record.state);
+        match stated {
+            None => MemberState::Suspect,
+            Some(MemberState::Alive | MemberState::Suspect)
+                if self.listed_as_leaving == Some(true) =>
+            {
+                MemberState::Leaving
+            }
+            Some(state) => state,
+        }
+    }
+
+    fn has_duties(&self, now: MonotonicMs) -> bool {
+        let is_up = matches!(self.state(), MemberState::Alive | MemberState::Suspect);
+        self.record.is_some() && is_up && now >= self.held_until
+    }
+}
+
+/// What came of a direct sign of life.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Heard {
+    /// Nothing new.
+    Known,
+    /// The member's state has changed; the record is to be passed on.
+    Changed(MemberRecord),
+    /// A record that the member must refute; it is to be sent back to it.
+    Contradicted(MemberRecord),
+}
+
+/// The members as this daemon sees them.
+#[derive(Debug, Clone)]
+pub struct Membership {
+    own: MemberRecord,
+    entries: BTreeMap<MemberName, Entry>,
+    timing: FleetTiming,
+    version: u64,
+}
+
+impl Membership {
+    /// Builds a view that holds this daemon alone.
+    pub fn new(own: MemberInfo, incarnation: Incarnation, timing: FleetTiming) -> Self {
+        let own = MemberRecord {
+            info: own,
+            incarnation,
+            sequence: 1,
+            state: MemberState::Alive,
+        };
+        Self {
+            own,
+            entries: BTreeMap::new(),
+            timing,
+            version: 0,
+        }
+    }
+
+    /// Returns this daemon's own record.
+    pub fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    /// Rises with every change of a state, a listing or an address.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Takes over the daemons of a newer instance list.
+    pub fn apply_list(&mut self, now: MonotonicMs, daemons: &[ListedDaemon]) {
+        self.version += 1;
+        for entry in self.entries.values_mut() {
+            entry.listed_as_leaving = None;
+        }
+        for daemon in daemons {
+            if daemon.info.name == self.own.info.name {
+                continue;
+            }
+            let entry = self
+                .entries
+                .entry(daemon.info.name.clone())
+                .or_insert_with(|| Entry::new(daemon.info.clone(), now));
+            entry.listed_as_leaving = Some(daemon.is_leaving);
+            if entry.record.is_none() {
+                entry.info = daemon.info.clone();
+            }
+        }
+    }
+
+    /// Takes over a sign of life that came from the member itself.
+    pub fn hear(&mut self, now: MonotonicMs, record: &MemberRecord) -> Heard {
+        if record.info.name == self.own.info.name {
+            return Heard::Known;
+        }
+        if let Some(entry) = self.entries.get_mut(&record.info.name) {
+            let known = entry.record.as_ref();
+            if let Some(known) = known.filter(|known| known.order() > record.order()) {
+                return Heard::Contradicted(known.clone());
+            }
+            entry.last_heard = now;
+        }
+        match self.offer(now, record) {
+            Some(changed) => Heard::Changed(changed),
+            None => Heard::Known,
+        }
+    }
+
+    /// Notes a message of a member whose record is known already.
+    pub fn touch(&mut self, now: MonotonicMs, name: &MemberName, incarnation: Incarnation) {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        let current = entry.record.as_ref().map(|record| record.incarnation);
+        if current == Some(incarnation) {
+            entry.last_heard = now;
+        }
+    }
+
+    /// Takes over a record from any source; returns it if it is news to be passed on.
+    pub fn offer(&mut self, now: MonotonicMs, record: &MemberRecord) -> Option<MemberRecord> {
+        if record.info.name == self.own.info.name {
+            return self.refute(record);
+        }
+        let entry = self
+            .entries
+            .entry(record.info.name.clone())
+            .or_insert_with(|| Entry::new(record.info.clone(), now));
+        if let Some(known) = &entry.record
+            && known.order() >= record.order()
+        {
+            return None;
+        }
+        note_flap(entry, record, now, &self.timing);
+        let is_same_state = entry
+            .record
+            .as_ref()
+            .is_some_and(|known| known.state == record.state);
+        if !is_same_state {
+            entry.state_since = now;
+        }
+        entry.last_heard = match record.state {
+            MemberState::Alive | MemberState::Leaving => now,
+            MemberState::Suspect | MemberState::Dead => entry.last_heard,
+        };
+        entry.info = record.info.clone();
+        entry.record = Some(record.clone());
+        self.version += 1;
+        Some(record.clone())
+    }
+
+    fn refute(&mut self, record: &MemberRecord) -> Option<MemberRecord> {
+        let is_own_state =
+            record.incarnation == self.own.incarnation && record.state == self.own.state;
+        if is_own_state && record.sequence <= self.own.sequence {
+            return None;
+        }
+        if record.order() < self.own.order() {
+            return None;
+        }
+        self.own.sequence = record.sequence + 1;
+        self.version += 1;
+        Some(self.own.clone())
+    }
+
+    /// Announces that this daemon is shutting down.
+    pub fn announce_leaving(&mut self) -> MemberRecord {
+        if self.own.state != MemberState::Leaving {
+            self.own.state = MemberState::Leaving;
+            self.own.sequence += 1;
+            self.version += 1;
+        }
+        self.own.clone()
+    }
+
+    /// Suspects a member that could not be reached, unless it was heard a moment ago.
+    pub fn note_unreachable(
+        &mut self,
+        now: MonotonicMs,
+        name: &MemberName,
+    ) -> Option<MemberRecord> {
+        let entry = self.entries.get(name)?;
+        if now - entry.last_heard < self.timing.heartbeat_period {
+            return None;
+        }
+        self.state_change(now, name, MemberState::Suspect)
+    }
+
+    /// Suspects silent neighbours and buries members that did not refute.
+    pub fn tick(&mut self, now: MonotonicMs, neighbours: &[MemberName]) -> Vec<MemberRecord> {
+        let mut changes = Vec::new();
+        for name in neighbours {
+            let Some(entry) = self.entries.get(name) else {
+                continue;
+            };
+            if now - entry.last_heard < self.timing.suspect_after {
+                continue;
+            }
+            changes.extend(self.state_change(now, name, MemberState::Suspect));
+        }
+        let expired: Vec<MemberName> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| self.is_expired(now, entry))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &expired {
+            changes.extend(self.state_change(now, name, MemberState::Dead));
+        }
+        self.forget(now);
+        changes
+    }
+
+    fn is_expired(&self, now: MonotonicMs, entry: &Entry) -> bool {
+        let Some(record) = &entry.record else {
+            return false;
+        };
+        match record.state {
+            MemberState::Suspect => now - entry.state_since >= self.timing.dead_after,
+            MemberState::Leaving => {
+                let silent_ms = (now - entry.last_heard.max(entry.state_since)).0;
+                silent_ms >= self.timing.suspect_after.0 + self.timing.dead_after.0
+            }
+            MemberState::Alive | MemberState::Dead => false,
+        }
+    }
+
+    fn state_change(
+        &mut self,
+        now: MonotonicMs,
+        name: &MemberName,
+        state: MemberState,
+    ) -> Option<MemberRecord> {
+        let known = self.entries.get(name)?.record.as_ref()?;
+        if rank(known.state) >= rank(state) {
+            return None;
+        }
+        let record = MemberRecord {
+            state,
+            ..known.clone()
+        };
+        self.offer(now, &record)
+    }
+
+    fn forget(&mut self, now: MonotonicMs) {
+        let forget_after = self.timing.forget_after;
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| {
+            let is_gone = match &entry.record {
+                None => true,
+                Some(record) => {
+                    record.state == MemberState::Dead && now - entry.state_since >= forget_after
+                }
+            };
+            entry.listed_as_leaving.is_some() || !is_gone
+        });
+        if self.entries.len() != before {
+            self.version += 1;
+        }
+    }
+
+    /// Gives every member a fresh chance to be heard after this daemon was paused.
+    pub fn observe_pause(&mut self, now: MonotonicMs) {
+        for entry in self.entries.values_mut() {
+            entry.last_heard = now;
+            entry.state_since = now;
+        }
+    }
+
+    /// Returns the members that may hold duties, this daemon included, in the order of names.
+    pub fn duty_holders(&self, now: MonotonicMs) -> Vec<&MemberInfo> {
+        let mut holders: Vec<&MemberInfo> = self
+            .entries
+            .values()
+            .filter(|entry| entry.has_duties(now))
+            .map(|entry| &entry.info)
+            .collect();
+        if self.own.state == MemberState::Alive {
+            holders.push(&self.own.info);
+        }
+        holders.sort_by(|a, b| a.name.cmp(&b.name));
+        holders
+    }
+
+    /// Returns the other members that are or may be up, in the order of names.
+    pub fn peers_up(&self) -> impl Iterator<Item = &MemberInfo> {
+        self.entries
+            .values()
+            .filter(|entry| entry.state() != MemberState::Dead)
+            .map(|entry| &entry.info)
+    }
+
+    /// Returns the listed members that are held dead, to be tried now and then.
+    pub fn listed_dead(&self) -> impl Iterator<Item = &MemberInfo> {
+        self.entries
+            .values()
+            .filter(|entry| entry.state() == MemberState::Dead)
+            .filter(|entry| entry.listed_as_leaving == Some(false))
+            .map(|entry| &entry.info)
+    }
+
+    /// Returns where a member runs, as it said itself or as it is listed.
+    pub fn info(&self, name: &MemberName) -> Option<&MemberInfo> {
+        if *name == self.own.info.name {
+            return Some(&self.own.info);
+        }
+        self.entries.get(name).map(|entry| &entry.info)
+    }
+
+    /// Returns the last record of one member.
+    pub fn record(&self, name: &MemberName) -> Option<&MemberRecord> {
+        if *name == self.own.info.name {
+            return Some(&self.own);
+        }
+        self.entries.get(name)?.record.as_ref()
+    }
+
+    /// Returns all records, this daemon's first.
+    pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
+        let others = self.entries.values().filter_map(|e| e.record.as_ref());
+        std::iter::once(&self.own).chain(others)
+    }
+
+    /// Hashes the records of members that are up, so that two views are compared cheaply.
+    pub fn digest(&self) -> u64 {
+        self.records()
+            .filter(|record| record.state != MemberState::Dead)
+            .map(|record| {
+                let key = record.incarnation.0 ^ record.sequence.rotate_left(17);
+                rendezvous_score(
+                    key ^ u64::from(rank(record.state)),
+                    record.info.name.as_str(),
+                )
+            })
+            .fold(0, |sum, hash| sum ^ hash)
+    }
+
+    /// Returns all members, this daemon included, in the order of their names.
+    pub fn view(&self) -> Vec<MemberView> {
+        let own = member_view(&self.own.info, Some(&self.own), self.own.state);
+        let mut members: Vec<MemberView> = self
+            .entries
+            .values()
+            .map(|entry| member_view(&entry.info, entry.record.as_ref(), entry.state()))
+            .collect();
+        members.push(own);
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        members
+    }
+}
+
+fn member_view(info: &MemberInfo, record: Option<&MemberRecord>, state: MemberState) -> MemberView {
+    MemberView {
+        name: info.name.clone(),
+        zone: info.zone.clone(),
+        incarnation: record.map(|record| record.incarnation),
+        peers_address: info.peers_address,
+        forwards_address: info.forwards_address,
+        state,
+    }
+}
+
+/// Keeps a member that returns again and again without duties for a growing time.
+fn note_flap(entry: &mut Entry, record: &MemberRecord, now: MonotonicMs, timing: &FleetTiming) {
+    let Some(known) = &entry.record else {
+        return;
+    };
+    let returns = known.state == MemberState::Dead && record.state == MemberState::Alive;
+    if !returns {
+        return;
+    }
+    if now - entry.last_flap > timing.flap_memory {
+        entry.flaps = 0;
+    }
+    entry.flaps += 1;
+    entry.last_flap = now;
+    if entry.flaps > 1 {
+        let hold_ms = 1_000_u64 << entry.flaps.min(16);
+        entry.held_until = now + DurationMs(hold_ms.min(timing.flap_hold_max.0));
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_fleet/src/settings_store.rs
@@ -0,0 +1,293 @@
+//! Settings in force: for each path, the highest accepted revision wins, whatever its source.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use celeryknot_core::id::rendezvous_score;
+use celeryknot_core::{Revision, SettingPath};
+use serde::{Deserialize, Serialize};
+
+use crate::view::SettingInForce;
+
+/// Largest accepted text of a value in bytes.
+pub const VALUE_SIZE_MAX_BYTES: usize = 16 << 10;
+
+/// Number of parts of the store that are compared on their own.
+pub const BUCKET_COUNT: usize = 16;
+
+/// Why a value is not accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rejection {
+    /// The line of the text, from 1, where there is one.
+    pub line: Option<u32>,
+    /// One line for operators.
+    pub reason: String,
+}
+
+/// Checks the text of a value.
+pub type Validator = fn(&SettingPath, &str) -> Result<(), Rejection>;
+
+/// A value as it passes between daemons.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ValueRecord {
+    /// The path of the value.
+    pub path: SettingPath,
+    /// The value's revision at the platform.
+    pub revision: Revision,
+    /// The text; `None` where the value was removed.
+    pub text: Option<Arc<str>>,
+}
+
+/// A value that is not accepted, while an earlier one may be in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RejectedValue {
+    /// The revision of the rejected value.
+    pub revision: Revision,
+    /// The rejected text.
+    pub text: Arc<str>,
+    /// Why it was rejected.
+    pub rejection: Rejection,
+}
+
+/// What became of an offered value.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Offered {
+    /// The value is in force now.
+    Accepted,
+    /// The value is invalid; what was in force stays.
+    Rejected,
+    /// A value at least as new is known already.
+    Old,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Entry {
+    accepted: Option<SettingInForce>,
+    rejected: Option<RejectedValue>,
+}
+
+impl Entry {
+    fn accepted_revision(&self) -> Option<Revision> {
+        self.accepted.as_ref().map(|value| value.revision)
+    }
+
+    fn hash(&self, path: &SettingPath) -> u64 {
+        let hash_of = |revision: Option<Revision>, salt: u64| {
+            revision.map_or(0, |r| rendezvous_score(r.0 ^ salt, path.as_str()))
+        };
+        let rejected = self.rejected.as_ref().map(|value| value.revision);
+        hash_of(self.accepted_revision(), 0) ^ hash_of(rejected, REJECTED_SALT)
+    }
+}
+
+const REJECTED_SALT: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// All values that this daemon has heard of.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::Revision;
+/// use celeryknot_fleet::settings_store::{Offered, SettingsStore, ValueRecord};
+///
+/// let mut store = SettingsStore::new(|_, _| Ok(()));
+/// let value = |revision, text: &str| ValueRecord {
+///     path: "fleet/zones/a".parse().expect("a valid path"),
+///     revision: Revision(revision),
+///     text: Some(text.into()),
+/// };
+/// assert_eq!(store.offer(&value(7, "state = out")), Offered::Accepted);
+/// assert_eq!(store.offer(&value(6, "state = in")), Offered::Old);
+/// ```
+#[derive(Debug, Clone)]
+pub struct SettingsStore {
+    entries: BTreeMap<SettingPath, Entry>,
+    validate: Validator,
+    buckets: [u64; BUCKET_COUNT],
+    heard_revision: Revision,
+    version: u64,
+}
+
+fn bucket_of(path: &SettingPath) -> usize {
+    let bucket = rendezvous_score(0, path.as_str()) % BUCKET_COUNT as u64;
+    usize::try_from(bucket).unwrap_or(0)
+}
+
+impl SettingsStore {
+    /// Builds an empty store.
+    pub fn new(validate: Validator) -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            validate,
+            buckets: [0; BUCKET_COUNT],
+            heard_revision: Revision(0),
+            version: 0,
+        }
+    }
+
+    /// Takes over a value from any source unless one at least as new is known.
+    pub fn offer(&mut self, value: &ValueRecord) -> Offered {
+        let entry = self.entries.entry(value.path.clone()).or_default();
+        if entry.accepted_revision() >= Some(value.revision) {
+            return Offered::Old;
+        }
+        if entry.rejected.as_ref().map(|r| r.revision) == Some(value.revision) {
+            return Offered::Old;
+        }
+        let hash_before = entry.hash(&value.path);
+        let offered = apply(entry, value, self.validate);
+        self.buckets[bucket_of(&value.path)] ^= hash_before ^ entry.hash(&value.path);
+        self.heard_revision = self.heard_revision.max(value.revision);
+        if offered != Offered::Old {
+            self.version += 1;
+        }
+        offered
+    }
+
+    /// Rises with every accepted or rejected value.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the highest revision heard of.
+    pub fn heard_revision(&self) -> Revision {
+        self.heard_revision
+    }
+
+    /// Returns how many paths are known.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Tells whether no path is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the values in force, removed ones included, by path.
+    pub fn in_force(&self) -> impl Iterator<Item = (&SettingPath, &SettingInForce)> {
+        self.entries
+            .iter()
+            .filter_map(|(path, entry)| Some((path, entry.accepted.as_ref()?)))
+    }
+
+    /// Returns the value in force at one path.
+    pub fn get(&self, path: &SettingPath) -> Option<&SettingInForce> {
+        self.entries.get(path)?.accepted.as_ref()
+    }
+
+    /// Returns the values that were rejected and not replaced since, by path.
+    pub fn rejected(&self) -> impl Iterator<Item = (&SettingPath, &RejectedValue)> {
+        self.entries
+            .iter()
+            .filter_map(|(path, entry)| Some((path, entry.rejected.as_ref()?)))
+    }
+
+    /// Hashes all that is known, so that two stores are compared cheaply.
+    pub fn digest(&self) -> u64 {
+        let mix = |sum: u64, hash: &u64| sum.rotate_left(7) ^ hash;
+        self.buckets.iter().fold(0, mix)
+    }
+
+    /// Returns the hash of each part.
+    pub fn buckets(&self) -> [u64; BUCKET_COUNT] {
+        self.buckets
+    }
+
+    /// Returns values of the parts that differ, newest first, up to a size.
+    ///
+    /// The second item is the revision to go on below, if there is more.
+    pub fn page(
+        &self,
+        buckets: &[u64],
+        before: Option<Revision>,
+        size_max_bytes: usize,
+    ) -> (Vec<ValueRecord>, Option<Revision>) {
+        let mut records = self.differing(buckets);
+        records.retain(|record| before.is_none_or(|limit| record.revision < limit));
+        records.sort_by_key(|record| std::cmp::Reverse(record.revision));
+        let mut size_bytes = 0;
+        let mut kept: Vec<ValueRecord> = Vec::new();
+        for record in records {
+            let is_new_revision = kept.last().is_none_or(|l| l.revision != record.revision);
+            if size_bytes >= size_max_bytes && is_new_revision {
+                let next = kept.last().map(|last| last.revision);
+                return (kept, next);
+            }
+            size_bytes += record.size_bytes();
+            kept.push(record);
+        }
+        (kept, None)
+    }
+
+    fn differing(&self, buckets: &[u64]) -> Vec<ValueRecord> {
+        let differs = |path: &SettingPath| {
+            let bucket = bucket_of(path);
+            buckets.get(bucket) != Some(&self.buckets[bucket])
+        };
+        self.entries
+            .iter()
+            .filter(|(path, _)| differs(path))
+            .flat_map(|(path, entry)| records_of(path, entry))
+            .collect()
+    }
+}
+
+impl ValueRecord {
+    /// Returns about how many bytes the value takes in a message.
+    pub fn size_bytes(&self) -> usize {
+        let text = self.text.as_ref().map_or(0, |text| text.len());
+        self.path.as_str().len() + text + 16
+    }
+}
+
+fn records_of(path: &SettingPath, entry: &Entry) -> impl Iterator<Item = ValueRecord> {
+    let accepted = entry.accepted.as_ref().map(|value| ValueRecord {
+        path: path.clone(),
+        revision: value.revision,
+        text: value.text.clone(),
+    });
+    let rejected = entry.rejected.as_ref().map(|value| ValueRecord {
+        path: path.clone(),
+        revision: value.revision,
+        text: Some(Arc::clone(&value.text)),
+    });
+    accepted.into_iter().chain(rejected)
+}
+
+fn apply(entry: &mut Entry, value: &ValueRecord, validate: Validator) -> Offered {
+    let checked = match &value.text {
+        None => Ok(()),
+        Some(text) => check(&value.path, text, validate),
+    };
+    match (checked, &value.text) {
+        (Ok(()), text) => {
+            entry.accepted = Some(SettingInForce {
+                revision: value.revision,
+                text: text.clone(),
+            });
+            entry.rejected.take_if(|old| old.revision < value.revision);
+            Offered::Accepted
+        }
+        (Err(rejection), text) => {
+            let newest = entry.rejected.as_ref().map(|old| old.revision);
+            if newest > Some(value.revision) {
+                return Offered::Old;
+            }
+            entry.rejected = Some(RejectedValue {
+                revision: value.revision,
+                text: text.clone().unwrap_or_else(|| Arc::from("")),
+                rejection,
+            });
+            Offered::Rejected
+        }
+    }
+}
+
+fn check(path: &SettingPath, text: &str, validate: Validator) -> Result<(), Rejection> {
+    if text.len() > VALUE_SIZE_MAX_BYTES {
+        let reason = format!("the value is larger than {VALUE_SIZE_MAX_BYTES} bytes");
+        return Err(Rejection { line: None, reason });
+    }
+    validate(path, text)
+}
--- /dev/null
+++ b/crates/celeryknot_fleet/src/summaries.rs
@@ -0,0 +1,387 @@
+//! The last summary of each endpoint, and what is still to be told to whom.
+//!
+//! Owners number their summaries; a later number of the same life of the same owner wins, and
+//! another owner's summary wins over one that has gone stale or whose owner has changed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use celeryknot_core::id::rendezvous_score;
+use celeryknot_core::{
+    DurationMs, EndpointName, EndpointSummary, Incarnation, MemberName, MonotonicMs,
+};
+
+/// The short hash that stands for an endpoint's name in messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointHash(pub u32);
+
+impl EndpointHash {
+    /// Hashes a name.
+    pub fn new(name: &EndpointName) -> Self {
+        let low = rendezvous_score(ENDPOINT_SALT, name.as_str()) & u64::from(u32::MAX);
+        Self(u32::try_from(low).unwrap_or(u32::MAX))
+    }
+}
+
+const ENDPOINT_SALT: u64 = 0x656e_6470;
+
+/// Summaries of one owner as they pass between daemons.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SummaryBatch {
+    /// The owner that made the summaries.
+    pub origin: MemberName,
+    /// The owner's life.
+    pub incarnation: Incarnation,
+    /// The summaries.
+    pub entries: Vec<SummaryEntry>,
+}
+
+/// One endpoint's summary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SummaryEntry {
+    /// The endpoint.
+    pub endpoint: EndpointHash,
+    /// Rises with every summary of the owner.
+    pub sequence: u64,
+    /// The endpoint's state.
+    pub summary: EndpointSummary,
+}
+
+impl SummaryBatch {
+    /// Returns about how many bytes the batch takes in a message.
+    pub fn size_bytes(&self) -> usize {
+        let entries: usize = self.entries.iter().map(SummaryEntry::size_bytes).sum();
+        self.origin.as_str().len() + 14 + entries
+    }
+}
+
+impl SummaryEntry {
+    fn size_bytes(&self) -> usize {
+        let varint = |value: u64| (64 - value.leading_zeros() as usize).div_ceil(7);
+        let optional = |value: u64| if value == 0 { 0 } else { 1 + varint(value) };
+        let summary = &self.summary;
+        7 + optional(self.sequence)
+            + optional(u64::from(summary.in_flight))
+            + optional(u64::from(summary.queued))
+            + optional(u64::from(summary.in_flight_max))
+            + optional(summary.wait_ms.0)
+            + 2
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Slot {
+    origin: MemberName,
+    incarnation: Incarnation,
+    sequence: u64,
+    summary: EndpointSummary,
+    updated_at: MonotonicMs,
+}
+
+#[derive(Debug, Clone)]
+struct OwnSlot {
+    latest: EndpointSummary,
+    published: EndpointSummary,
+    published_at: MonotonicMs,
+}
+
+/// Age beyond which another owner's summary is taken over a known one.
+const TAKEOVER_AGE_MS: DurationMs = DurationMs(3_000);
+
+/// Endpoints whose summaries a neighbour has yet to be told, told in turn.
+#[derive(Debug, Clone, Default)]
+struct Queue {
+    endpoints: BTreeSet<EndpointHash>,
+    last_told: Option<EndpointHash>,
+}
+
+impl Queue {
+    /// Returns the endpoints, starting after the one that was told last.
+    fn in_turn(&self) -> impl Iterator<Item = EndpointHash> + '_ {
+        let after = self.last_told.map_or(Bound::Unbounded, Bound::Excluded);
+        let until = self
+            .last_told
+            .map_or(Bound::Excluded(EndpointHash(0)), Bound::Included);
+        let rest = self.endpoints.range((after, Bound::Unbounded));
+        let first = self.endpoints.range((Bound::Unbounded, until));
+        rest.chain(first).copied()
+    }
+}
+
+/// Whether a summary is told because it has changed or again as it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Telling {
+    /// The summary has changed.
+    Change,
+    /// The summary is sent again.
+    Refresh,
+}
+
+/// What is queued for one neighbour.
+#[derive(Debug, Clone, Default)]
+struct Queues {
+    changes: Queue,
+    refreshes: Queue,
+}
+
+impl Queues {
+    fn queue(&self, telling: Telling) -> &Queue {
+        match telling {
+            Telling::Change => &self.changes,
+            Telling::Refresh => &self.refreshes,
+        }
+    }
+
+    fn queue_mut(&mut self, telling: Telling) -> &mut Queue {
+        match telling {
+            Telling::Change => &mut self.changes,
+            Telling::Refresh => &mut self.refreshes,
+        }
+    }
+
+    fn remove(&mut self, endpoint: EndpointHash) {
+        self.changes.endpoints.remove(&endpoint);
+        self.refreshes.endpoints.remove(&endpoint);
+    }
+}
+
+/// Largest message with summaries in bytes.
+const MESSAGE_SIZE_MAX_BYTES: usize = 1_024;
+
+/// Summaries known, and those that each neighbour has yet to be told.
+#[derive(Debug, Clone, Default)]
+pub struct Summaries {
+    slots: BTreeMap<EndpointHash, Slot>,
+    own: BTreeMap<EndpointHash, OwnSlot>,
+    sequence: u64,
+    queues: BTreeMap<MemberName, Queues>,
+    version: u64,
+}
+
+impl Summaries {
+    /// Rises with every changed summary.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Notes the state of an endpoint that this daemon owns.
+    pub fn observe_own(&mut self, endpoint: &EndpointName, summary: EndpointSummary) {
+        let slot = self
+            .own
+            .entry(EndpointHash::new(endpoint))
+            .or_insert_with(|| OwnSlot {
+                latest: summary,
+                published: EndpointSummary {
+                    in_flight_max: u32::MAX,
+                    ..summary
+                },
+                published_at: MonotonicMs(0),
+            });
+        slot.latest = summary;
+    }
+
+    /// Forgets own summaries of endpoints that this daemon no longer owns.
+    pub fn keep_own(&mut self, owned: &BTreeSet<EndpointHash>) {
+        self.own.retain(|endpoint, _| owned.contains(endpoint));
+    }
+
+    /// Publishes own summaries that have changed, or are due to be sent again.
+    pub fn publish_own(
+        &mut self,
+        now: MonotonicMs,
+        own_name: &MemberName,
+        incarnation: Incarnation,
+        neighbours: &[MemberName],
+        refresh_period: DurationMs,
+    ) {
+        let mut changed = Vec::new();
+        let mut refreshed = Vec::new();
+        for (endpoint, own) in &mut self.own {
+            let is_change = differs_much(&own.published, &own.latest);
+            let is_due = now - own.published_at >= refresh_period;
+            if !is_change && !is_due {
+                continue;
+            }
+            own.published = own.latest;
+            own.published_at = now;
+            self.sequence += 1;
+            let slot = Slot {
+                origin: own_name.clone(),
+                incarnation,
+                sequence: self.sequence,
+                summary: own.latest,
+                updated_at: now,
+            };
+            self.slots.insert(*endpoint, slot);
+            let list = if is_change {
+                &mut changed
+            } else {
+                &mut refreshed
+            };
+            list.push(*endpoint);
+        }
+        if !changed.is_empty() || !refreshed.is_empty() {
+            self.version += 1;
+        }
+        for name in neighbours {
+            let queues = self.queues.entry(name.clone()).or_default();
+            queues.changes.endpoints.extend(&changed);
+            queues.refreshes.endpoints.extend(&refreshed);
+        }
+    }
+
+    /// Takes over a neighbour's batch and queues what is news for `forward_to`.
+    pub fn receive(
+        &mut self,
+        now: MonotonicMs,
+        from: &MemberName,
+        batch: &SummaryBatch,
+        telling: Telling,
+        is_owner: impl Fn(EndpointHash) -> bool,
+        forward_to: &[MemberName],
+    ) {
+        for entry in &batch.entries {
+            if self.own.contains_key(&entry.endpoint) {
+                continue;
+            }
+            let news = self.take(now, batch, entry, &is_owner);
+            if let Some(queues) = self.queues.get_mut(from) {
+                queues.remove(entry.endpoint);
+            }
+            if !news {
+                continue;
+            }
+            for name in forward_to.iter().filter(|name| *name != from) {
+                let queues = self.queues.entry(name.clone()).or_default();
+                queues.queue_mut(telling).endpoints.insert(entry.endpoint);
+            }
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: MonotonicMs,
+        batch: &SummaryBatch,
+        entry: &SummaryEntry,
+        is_owner: impl Fn(EndpointHash) -> bool,
+    ) -> bool {
+        if let Some(known) = self.slots.get(&entry.endpoint) {
+            let is_same_origin =
+                known.origin == batch.origin && known.incarnation == batch.incarnation;
+            let is_news = if is_same_origin {
+                entry.sequence > known.sequence
+            } else {
+                is_owner(entry.endpoint) || now - known.updated_at > TAKEOVER_AGE_MS
+            };
+            if !is_news {
+                return false;
+            }
+        }
+        let slot = Slot {
+            origin: batch.origin.clone(),
+            incarnation: batch.incarnation,
+            sequence: entry.sequence,
+            summary: entry.summary,
+            updated_at: now,
+        };
+        self.slots.insert(entry.endpoint, slot);
+        self.version += 1;
+        true
+    }
+
+    /// Drops what is queued for members that are no neighbours any more.
+    pub fn keep_neighbours(&mut self, neighbours: &[MemberName]) {
+        self.queues.retain(|name, _| neighbours.contains(name));
+    }
+
+    /// Returns what is queued for a neighbour, up to the size of one message.
+    pub fn batches_for(&self, neighbour: &MemberName, telling: Telling) -> Vec<SummaryBatch> {
+        let Some(queues) = self.queues.get(neighbour) else {
+            return Vec::new();
+        };
+        let mut batches: BTreeMap<(&MemberName, Incarnation), Vec<SummaryEntry>> = BTreeMap::new();
+        let mut size_bytes = 0;
+        for endpoint in queues.queue(telling).in_turn() {
+            let Some(slot) = self.slots.get(&endpoint) else {
+                continue;
+            };
+            if slot.origin == *neighbour {
+                continue;
+            }
+            let entry = SummaryEntry {
+                endpoint,
+                sequence: slot.sequence,
+                summary: slot.summary,
+            };
+            size_bytes += entry.size_bytes();
+            let key = (&slot.origin, slot.incarnation);
+            batches.entry(key).or_default().push(entry);
+            if size_bytes >= MESSAGE_SIZE_MAX_BYTES {
+                break;
+            }
+        }
+        batches
+            .into_iter()
+            .map(|((origin, incarnation), entries)| SummaryBatch {
+                origin: origin.clone(),
+                incarnation,
+                entries,
+            })
+            .collect()
+    }
+
+    /// Notes that batches have been sent to a neighbour.
+    pub fn mark_sent(
+        &mut self,
+        neighbour: &MemberName,
+        telling: Telling,
+        endpoints: impl Iterator<Item = EndpointHash>,
+    ) {
+        let Some(queues) = self.queues.get_mut(neighbour) else {
+            return;
+        };
+        for endpoint in endpoints {
+            queues.remove(endpoint);
+            queues.queue_mut(telling).last_told = Some(endpoint);
+        }
+    }
+
+    /// Queues all that is known for a neighbour that is new.
+    pub fn queue_all(&mut self, neighbour: &MemberName) {
+        let queues = self.queues.entry(neighbour.clone()).or_default();
+        queues.changes.endpoints.extend(self.slots.keys());
+    }
+
+    /// Returns the last summary of an endpoint unless it is older than `age_max`.
+    pub fn get(
+        &self,
+        endpoint: &EndpointName,
+        now: MonotonicMs,
+        age_max: DurationMs,
+    ) -> Option<EndpointSummary> {
+        let hash = EndpointHash::new(endpoint);
+        if let Some(own) = self.own.get(&hash) {
+            return Some(own.latest);
+        }
+        let slot = self.slots.get(&hash)?;
+        (now - slot.updated_at <= age_max).then_some(slot.summary)
+    }
+
+    /// Forgets endpoints that are no longer listed.
+    pub fn keep_listed(&mut self, listed: &BTreeSet<EndpointHash>) {
+        self.slots.retain(|endpoint, _| listed.contains(endpoint));
+    }
+}
+
+/// Smallest change of the expected wait that is told at once.
+const WAIT_STEP_MS: u64 = 20;
+
+fn differs_much(told: &EndpointSummary, now: &EndpointSummary) -> bool {
+    let count_differs = |a: u32, b: u32| a.abs_diff(b) > a.max(b) / 8;
+    let wait_ms = told.wait_ms.0.max(now.wait_ms.0);
+    told.condition != now.condition
+        || told.in_flight_max != now.in_flight_max
+        || count_differs(told.in_flight, now.in_flight)
+        || count_differs(told.queued, now.queued)
+        || told.wait_ms.0.abs_diff(now.wait_ms.0) > WAIT_STEP_MS.max(wait_ms / 4)
+}
--- /dev/null
+++ b/crates/celeryknot_fleet/src/timing.rs
@@ -0,0 +1,86 @@
+//! Periods and limits of the fleet's state machines.
+
+use celeryknot_core::{DurationMs, SizeBytes};
+
+/// Periods and limits; the defaults are those of a daemon.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::DurationMs;
+/// use celeryknot_fleet::FleetTiming;
+///
+/// let timing = FleetTiming::default().with_heartbeat(DurationMs(500));
+/// assert!(timing.suspect_after > timing.heartbeat_period);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetTiming {
+    /// Time between two heartbeats to one neighbour.
+    pub heartbeat_period: DurationMs,
+    /// Silence of a neighbour after which it is suspected.
+    pub suspect_after: DurationMs,
+    /// Time that a suspected member has to refute before it is held dead.
+    pub dead_after: DurationMs,
+    /// Time after which a dead member that is not listed is forgotten.
+    pub forget_after: DurationMs,
+    /// Longest time for which a member that flaps is kept without duties.
+    pub flap_hold_max: DurationMs,
+    /// Time without a flap after which earlier flaps are forgotten.
+    pub flap_memory: DurationMs,
+    /// Shortest time between two messages with summaries to one neighbour.
+    pub summary_gap: DurationMs,
+    /// Time after which an unchanged summary is sent again.
+    pub summary_refresh: DurationMs,
+    /// Age at which a summary is no longer shown.
+    pub summary_age_max: DurationMs,
+    /// Time that a pull may take before another neighbour is asked.
+    pub pull_timeout: DurationMs,
+    /// Time that a starting daemon waits for a source that does not answer.
+    pub readiness_wait: DurationMs,
+    /// Time for which a holder's right to send orders lasts without being confirmed.
+    pub order_lease: DurationMs,
+    /// Bytes of control traffic in a second.
+    pub control_bytes_per_s: SizeBytes,
+}
+
+impl Default for FleetTiming {
+    fn default() -> Self {
+        Self {
+            heartbeat_period: DurationMs(1_000),
+            suspect_after: DurationMs(2_500),
+            dead_after: DurationMs(2_500),
+            forget_after: DurationMs(60_000),
+            flap_hold_max: DurationMs(60_000),
+            flap_memory: DurationMs(300_000),
+            summary_gap: DurationMs(100),
+            summary_refresh: DurationMs(1_000),
+            summary_age_max: DurationMs(10_000),
+            pull_timeout: DurationMs(1_000),
+            readiness_wait: DurationMs(1_500),
+            order_lease: DurationMs(3_000),
+            control_bytes_per_s: SizeBytes(8_192),
+        }
+    }
+}
+
+impl FleetTiming {
+    /// Sets the time between two heartbeats, and the limits of silence along with it.
+    pub fn with_heartbeat(mut self, period: DurationMs) -> Self {
+        self.heartbeat_period = period;
+        self.suspect_after = DurationMs(period.0 * 5 / 2);
+        self.dead_after = DurationMs(period.0 * 5 / 2);
+        self
+    }
+
+    /// Sets the bytes of control traffic in a second.
+    pub fn with_control_bytes_per_s(mut self, size: SizeBytes) -> Self {
+        self.control_bytes_per_s = size;
+        self
+    }
+
+    /// Sets the time that a starting daemon waits for a source that does not answer.
+    pub fn with_readiness_wait(mut self, wait: DurationMs) -> Self {
+        self.readiness_wait = wait;
+        self
+    }
+}
