--- a/crates/celeryknot_settings/src/key.rs
+++ b/crates/celeryknot_settings/src/key.rs
@@ -1,11 +1,10 @@
 //! One key of the settings: its type, default, range and meaning.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
 
 use celeryknot_core::keyed_hash::KEY_LEN_MIN_BYTES;
-use celeryknot_core::{DurationMs, ModelName, RatePerS, SizeBytes};
+use celeryknot_core::{DurationMs, ModelName, SizeBytes};
 
 use crate::diagnostic::DiagnosticCode;
 use crate::service::RouteRule;
@@ -127,7 +126,7 @@
             Self::Sha256 => "64 hex digits".to_owned(),
             Self::Word => format!("1 to {WORD_LEN_MAX_BYTES} visible ASCII bytes"),
             Self::Size(min, max) => format!("{} to {}", SizeBytes(*min), SizeBytes(*max)),
-            Self::Duration(min, max) => format!("{} to {}", DurationMs(*min), DurationMs(*max)),
+            Self::Duration(min, max) => format!("{} to {}", write_ms(*min), write_ms(*max)),
             Self::Count(min, max) => format!("{min} to {max}"),
             Self::Number(min, max) => format!("{min} to {max}"),
             Self::Flag => "`true`, `false`".to_owned(),
@@ -139,40 +138,58 @@
         }
     }
 
+    /// Says what a value must be, for messages.
+    const fn expected(&self) -> &'static str {
+        match self {
+            Self::Name | Self::Names => "a name of 1 to 63 of a-z, 0-9, `-`, `_` and `.`",
+            Self::Address | Self::Addresses => "an IP address and port such as `10.0.0.1:80`",
+            Self::Secret => "a secret key",
+            Self::Sha256 => "64 hex digits",
+            Self::Word => "a word of visible ASCII, at most 128 bytes",
+            Self::Size(..) => "a size such as 512, 8KiB, 1MiB or 2GiB",
+            Self::Duration(..) => "a time such as 250, 250ms, 4s or 10min",
+            Self::Count(..) => "a whole number",
+            Self::Number(..) => "a number",
+            Self::Flag => "`true` or `false`",
+            Self::Choice(_) => "one of the choices",
+            Self::Routes => "a method in capitals and a path, such as `POST /search`",
+        }
+    }
+
     /// Checks a text against the type and its range.
     pub(crate) fn check(&self, text: &str) -> Result<(), ValueFault> {
         if text.is_empty() {
-            return Err(ValueFault::invalid(format!(
-                "the value is empty, not a {}",
-                self.unit()
-            )));
+            let reason = format!("the value is empty, not {}", self.expected());
+            return Err(ValueFault::invalid(reason));
         }
         match self {
-            Self::Name => check_parse::<ModelName>(text),
-            Self::Names => check_list::<ModelName>(text),
-            Self::Address => check_parse::<SocketAddr>(text),
-            Self::Addresses => check_list::<SocketAddr>(text),
-            Self::Routes => check_list::<RouteRule>(text),
+            Self::Name => self.parse::<ModelName>(text).map(drop),
+            Self::Names => self.check_list::<ModelName>(text),
+            Self::Address => self.parse::<SocketAddr>(text).map(drop),
+            Self::Addresses => self.check_list::<SocketAddr>(text),
+            Self::Routes => self.check_list::<RouteRule>(text),
+            Self::Flag => self.parse::<bool>(text).map(drop),
             Self::Secret => check_secret(text),
-            Self::Sha256 => check_sha256(text),
-            Self::Word => check_word(text),
+            Self::Sha256 => self.check_form(text, is_sha256(text)),
+            Self::Word => self.check_form(text, is_word(text)),
             Self::Size(min, max) => {
-                let size: SizeBytes = parse(text)?;
+                let size: SizeBytes = self.parse(text)?;
                 self.check_range(text, (*min..=*max).contains(&size.0))
             }
             Self::Duration(min, max) => {
-                let duration: DurationMs = parse(text)?;
+                let duration: DurationMs = self.parse(text)?;
                 self.check_range(text, (*min..=*max).contains(&duration.0))
             }
             Self::Count(min, max) => {
-                let count: u32 = parse(text)?;
-                self.check_range(text, (*min..=*max).contains(&count))
+                let count: u64 = self.parse(text)?;
+                let range = u64::from(*min)..=u64::from(*max);
+                self.check_range(text, range.contains(&count))
             }
             Self::Number(min, max) => {
-                let number: RatePerS = parse(text)?;
-                self.check_range(text, (*min..=*max).contains(&number.0))
+                let number: f64 = self.parse(text)?;
+                self.check_form(text, number.is_finite())?;
+                self.check_range(text, (*min..=*max).contains(&number))
             }
-            Self::Flag => check_parse::<bool>(text),
             Self::Choice(words) if words.contains(&text) => Ok(()),
             Self::Choice(_) => Err(ValueFault::invalid(format!(
                 "`{}` is none of {}",
@@ -182,6 +199,34 @@
         }
     }
 
+    fn parse<T: FromStr>(&self, text: &str) -> Result<T, ValueFault> {
+        text.parse().map_err(|_| self.malformed(text))
+    }
+
+    fn malformed(&self, text: &str) -> ValueFault {
+        ValueFault::invalid(format!("`{}` is not {}", shorten(text), self.expected()))
+    }
+
+    fn check_form(&self, text: &str, is_well_formed: bool) -> Result<(), ValueFault> {
+        if is_well_formed {
+            return Ok(());
+        }
+        Err(self.malformed(text))
+    }
+
+    fn check_list<T: FromStr>(&self, text: &str) -> Result<(), ValueFault> {
+        let mut seen: Vec<&str> = Vec::new();
+        for item in split_list(text) {
+            self.parse::<T>(item)?;
+            if seen.contains(&item) {
+                let reason = format!("`{}` stands twice in the list", shorten(item));
+                return Err(ValueFault::invalid(reason));
+            }
+            seen.push(item);
+        }
+        Ok(())
+    }
+
     fn check_range(&self, text: &str, is_within: bool) -> Result<(), ValueFault> {
         if is_within {
             return Ok(());
@@ -195,31 +240,6 @@
     text.split(',').map(str::trim)
 }
 
-fn parse<T: FromStr<Err: fmt::Display>>(text: &str) -> Result<T, ValueFault> {
-    text.parse().map_err(|error: T::Err| {
-        ValueFault::invalid(format!("`{}` is refused: {error}", shorten(text)))
-    })
-}
-
-fn check_parse<T: FromStr<Err: fmt::Display>>(text: &str) -> Result<(), ValueFault> {
-    parse::<T>(text).map(|_| ())
-}
-
-fn check_list<T: FromStr<Err: fmt::Display>>(text: &str) -> Result<(), ValueFault> {
-    let mut seen: Vec<&str> = Vec::new();
-    for item in split_list(text) {
-        parse::<T>(item)?;
-        if seen.contains(&item) {
-            return Err(ValueFault::invalid(format!(
-                "`{}` stands twice in the list",
-                shorten(item)
-            )));
-        }
-        seen.push(item);
-    }
-    Ok(())
-}
-
 fn check_secret(text: &str) -> Result<(), ValueFault> {
     // The message never shows the secret itself.
     if text.len() < KEY_LEN_MIN_BYTES {
@@ -234,21 +254,22 @@
     Ok(())
 }
 
-fn check_sha256(text: &str) -> Result<(), ValueFault> {
-    if text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit()) {
-        return Ok(());
-    }
-    Err(ValueFault::invalid("the value is not 64 hex digits"))
+fn is_sha256(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
+fn is_word(text: &str) -> bool {
+    text.len() <= WORD_LEN_MAX_BYTES && text.bytes().all(|b| b.is_ascii_graphic())
 }
 
-fn check_word(text: &str) -> Result<(), ValueFault> {
-    if text.len() <= WORD_LEN_MAX_BYTES && text.bytes().all(|b| b.is_ascii_graphic()) {
-        return Ok(());
+/// Writes a length of time in the largest unit that divides it.
+fn write_ms(duration_ms: u64) -> String {
+    match duration_ms {
+        0 => "0".to_owned(),
+        ms if ms % 60_000 == 0 => format!("{}min", ms / 60_000),
+        ms if ms % 1_000 == 0 => format!("{}s", ms / 1_000),
+        ms => format!("{ms}ms"),
     }
-    Err(ValueFault::invalid(format!(
-        "`{}` is not 1 to {WORD_LEN_MAX_BYTES} visible ASCII bytes",
-        shorten(text)
-    )))
 }
 
 fn shorten(text: &str) -> String {
