Use the platform's own JSON types in its stand-in

The stand-in held copies of the types that celeryknot_platform now has; two copies of one wire form would drift apart.

--- a/crates/celeryknot_standins/src/platform.rs
+++ b/crates/celeryknot_standins/src/platform.rs
@@ -7,11 +7,12 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use celeryknot_core::DurationMs;
+use celeryknot_platform::Instance;
 
 use self::replica::Replica;
 use self::store::Store;
 use crate::server::Server;
-use crate::wire::{Instance, PlatformCalls, PlatformMode};
+use crate::wire::{PlatformCalls, PlatformMode};
 
 options! {
     /// How the platform's stand-in behaves.
--- a/crates/celeryknot_standins/src/platform/replica.rs
+++ b/crates/celeryknot_standins/src/platform/replica.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use celeryknot_core::DurationMs;
+use celeryknot_core::{DurationMs, Revision};
+use celeryknot_platform::Instance;
 use futures_lite::FutureExt;
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
@@ -13,7 +14,7 @@
 use super::store::{Contents, Store};
 use crate::server::{Aborted, Answer, Handler, answer_or_status, empty, json, query_number};
 use crate::server::{read_body, read_json};
-use crate::wire::{Instance, PlatformMode};
+use crate::wire::PlatformMode;
 
 const WAIT_MAX_MS: u64 = 60_000;
 /// How often a watch looks whether a late list has become visible.
@@ -86,7 +87,7 @@
     }
 
     /// Answers from what the replica knows, or `None` while there is nothing new.
-    fn read(&self, path: &str, after: Option<u64>) -> Option<Answer> {
+    fn read(&self, path: &str, after: Option<Revision>) -> Option<Answer> {
         let store = lock(&self.store);
         let mode = self.mode();
         let contents = mode.frozen.as_ref().unwrap_or(&store.contents);
@@ -101,7 +102,7 @@
     }
 
     /// Answers a watch once its wait is over.
-    fn read_now(&self, path: &str, after: Option<u64>) -> Answer {
+    fn read_now(&self, path: &str, after: Option<Revision>) -> Answer {
         if path == "/v1/instances" {
             return self
                 .read(path, None)
@@ -117,7 +118,7 @@
         if !lock(&self.store).admit_call() {
             return Ok(empty(StatusCode::TOO_MANY_REQUESTS));
         }
-        let after = query_number(query, "after");
+        let after = query_number(query, "after").map(Revision);
         let wait_ms = query_number(query, "wait_ms").unwrap_or(0).min(WAIT_MAX_MS);
         let end = Instant::now() + Duration::from_millis(wait_ms);
         let _waiting = (wait_ms > 0).then(|| Waiting::new(self));
--- a/crates/celeryknot_standins/src/platform/store.rs
+++ b/crates/celeryknot_standins/src/platform/store.rs
@@ -5,18 +5,21 @@
 
 use async_channel::{Receiver, Sender};
 
-use crate::wire::{Instance, Instances, PlatformCalls, Value, Values};
+use celeryknot_core::Revision;
+use celeryknot_platform::{Instance, InstanceList, Value, ValueList};
+
+use crate::wire::PlatformCalls;
 
 /// The part of the store that a replica can hold on to while it is stale.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Contents {
-    revision: u64,
-    values: BTreeMap<String, (u64, Option<String>)>,
-    lists: Vec<(Instant, Instances)>,
+    revision: Revision,
+    values: BTreeMap<String, (Revision, Option<String>)>,
+    lists: Vec<(Instant, InstanceList)>,
 }
 
 impl Contents {
-    pub(super) fn values_after(&self, after: Option<u64>) -> Values {
+    pub(super) fn values_after(&self, after: Option<Revision>) -> ValueList {
         let values = self
             .values
             .iter()
@@ -27,25 +30,19 @@
                 text: text.clone(),
             })
             .collect();
-        Values {
+        ValueList {
             revision: self.revision,
             values,
         }
     }
 
     /// Returns the newest list that is at least as old as the lag.
-    pub(super) fn instances(&self, lag: Duration) -> Instances {
+    pub(super) fn instances(&self, lag: Duration) -> InstanceList {
         self.lists
             .iter()
             .rev()
             .find(|(at, _)| at.elapsed() >= lag)
-            .map_or_else(
-                || Instances {
-                    revision: 0,
-                    instances: Vec::new(),
-                },
-                |(_, list)| list.clone(),
-            )
+            .map_or_else(InstanceList::default, |(_, list)| list.clone())
     }
 }
 
@@ -77,7 +74,7 @@
     }
 
     pub(super) fn put_value(&mut self, path: &str, text: Option<String>) {
-        self.contents.revision += 1;
+        self.contents.revision.0 += 1;
         let entry = (self.contents.revision, text);
         self.contents.values.insert(path.to_owned(), entry);
         self.watchers.clear();
@@ -88,10 +85,10 @@
             .contents
             .lists
             .last()
-            .map_or(0, |(_, list)| list.revision)
+            .map_or(0, |(_, list)| list.revision.0)
             + 1;
-        let list = Instances {
-            revision,
+        let list = InstanceList {
+            revision: Revision(revision),
             instances,
         };
         self.contents.lists.push((Instant::now(), list));
--- a/crates/celeryknot_standins/src/wire.rs
+++ b/crates/celeryknot_standins/src/wire.rs
@@ -1,82 +1,11 @@
-//! JSON forms of the platform, of engines and of the stand-ins' own requests.
+//! JSON forms of engines, plain services and the stand-ins' own requests.
+//!
+//! The platform's forms are those of `celeryknot_platform`.
 
 use serde::{Deserialize, Serialize};
 
 use crate::text::Message;
 
-/// One value of the configuration service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Value {
-    /// The value's path.
-    pub path: String,
-    /// The revision of the last change.
-    pub revision: u64,
-    /// The text; `None` where the value was removed.
-    pub text: Option<String>,
-}
-
-/// The answer to `GET /v1/values`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Values {
-    /// The service's revision.
-    pub revision: u64,
-    /// The values that changed.
-    pub values: Vec<Value>,
-}
-
-/// Whether an instance is an endpoint or a daemon.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum InstanceKind {
-    /// An engine or a plain service.
-    Endpoint,
-    /// A daemon of the router.
-    Daemon,
-}
-
-/// Whether an instance stays.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum InstanceState {
-    /// The instance stays.
-    Live,
-    /// The instance leaves.
-    Leaving,
-}
-
-/// One entry of the instance list.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Instance {
-    /// The instance's name.
-    pub name: String,
-    /// Whether it is an endpoint or a daemon.
-    pub kind: InstanceKind,
-    /// An endpoint's service.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub service: Option<String>,
-    /// The availability zone.
-    pub zone: String,
-    /// Where it takes requests or, for a daemon, messages of its peers.
-    pub address: String,
-    /// Where a daemon takes requests that are handed over.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub forwards_address: Option<String>,
-    /// Whether the instance stays.
-    pub state: InstanceState,
-    /// `refuses` or `ignores` old fencing numbers.
-    #[serde(skip_serializing_if = "Option::is_none", default)]
-    pub fencing: Option<String>,
-}
-
-/// The answer to `GET /v1/instances`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Instances {
-    /// The list's revision.
-    pub revision: u64,
-    /// The whole list.
-    pub instances: Vec<Instance>,
-}
-
 /// The body of a platform's `POST /stand-in/mode`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/celeryknot_standins/tests/common/mod.rs
+++ b/crates/celeryknot_standins/tests/common/mod.rs
@@ -17,22 +17,22 @@
 use serde::Serialize;
 use smol::Timer;
 
-pub const TIMEOUT: Duration = Duration::from_secs(20);
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
 const MODEL: &str = "wakai-8b";
 
 /// A caller of one address.
 #[derive(Clone)]
-pub struct Exchange {
+pub(crate) struct Exchange {
     caller: Caller,
     target: CallTarget,
 }
 
 impl Exchange {
-    pub fn with(address: SocketAddr) -> Self {
+    pub(crate) fn with(address: SocketAddr) -> Self {
         Self::with_timeout(address, TIMEOUT)
     }
 
-    pub fn with_timeout(address: SocketAddr, timeout: Duration) -> Self {
+    pub(crate) fn with_timeout(address: SocketAddr, timeout: Duration) -> Self {
         let options = CallerOptions::default().timeout_ms(DurationMs::from(timeout));
         Self::new(address, options)
     }
@@ -48,16 +48,16 @@
         }
     }
 
-    pub fn with_urgency(&self, urgency: u8) -> Self {
+    pub(crate) fn with_urgency(&self, urgency: u8) -> Self {
         let options = CallerOptions::default().urgency(Some(urgency));
         Self::new(self.target.address, options)
     }
 
-    pub async fn chat(&self, chat: &str, request: &ChatRequest) -> Outcome<Completed> {
+    pub(crate) async fn chat(&self, chat: &str, request: &ChatRequest) -> Outcome<Completed> {
         self.caller.chat(&self.target, chat, None, request).await
     }
 
-    pub fn into_chat(
+    pub(crate) fn into_chat(
         self,
         chat: &str,
         request: ChatRequest,
@@ -68,7 +68,7 @@
 }
 
 /// Builds the request of a chat after so many answers.
-pub fn chat_request(words: usize, turns: usize) -> ChatRequest {
+pub(crate) fn chat_request(words: usize, turns: usize) -> ChatRequest {
     let mut messages = vec![message("user", &"complaint ".repeat(words))];
     for turn in 0..turns {
         let answer = AnswerText::new(MODEL, &messages, None).text();
@@ -91,12 +91,12 @@
 }
 
 /// Returns the tokens of a request together with its answer.
-pub fn answered_tokens(request: &ChatRequest) -> u32 {
+pub(crate) fn answered_tokens(request: &ChatRequest) -> u32 {
     let answer = AnswerText::new(MODEL, &request.messages, None);
     prompt_tokens(&request.messages).len() as u32 + 1 + answer.len
 }
 
-pub fn completed<T: std::fmt::Debug>(outcome: Outcome<T>) -> T {
+pub(crate) fn completed<T: std::fmt::Debug>(outcome: Outcome<T>) -> T {
     match outcome {
         Outcome::Completed(value) => value,
         Outcome::Refused(_) | Outcome::Truncated | Outcome::CrossDelivered | Outcome::Lost(_) => {
@@ -105,7 +105,11 @@
     }
 }
 
-pub async fn post<T: Serialize>(address: SocketAddr, path: &str, body: &T) -> (StatusCode, Bytes) {
+pub(crate) async fn post<T: Serialize>(
+    address: SocketAddr,
+    path: &str,
+    body: &T,
+) -> (StatusCode, Bytes) {
     let body = serde_json::to_vec(body).expect("test bodies have a JSON form");
     call(address, Method::POST, path, body, TIMEOUT)
         .await
@@ -113,7 +117,7 @@
 }
 
 /// Sends a chat request and returns once the head of the answer is there.
-pub async fn raw_chat(
+pub(crate) async fn raw_chat(
     address: SocketAddr,
     request: &ChatRequest,
     id: RequestId,
@@ -142,7 +146,7 @@
 }
 
 /// Reads the words of a streamed answer.
-pub async fn words(open: OpenAnswer) -> Vec<String> {
+pub(crate) async fn words(open: OpenAnswer) -> Vec<String> {
     let (answer, _, _sender) = open.into_parts();
     let bytes = answer
         .into_body()
@@ -163,7 +167,7 @@
 }
 
 /// Waits until the condition holds, and fails after a generous time.
-pub async fn wait_until(condition: impl Fn() -> bool) {
+pub(crate) async fn wait_until(condition: impl Fn() -> bool) {
     let end = Instant::now() + TIMEOUT;
     while !condition() {
         assert!(Instant::now() < end, "the condition never came true");
--- a/crates/celeryknot_standins/tests/fault_proxy.rs
+++ b/crates/celeryknot_standins/tests/fault_proxy.rs
@@ -18,8 +18,8 @@
     let options = EngineOptions::default()
         .decode_base_ms(5.0)
         .decode_per_request_ms(0.0);
-    let engine = Engine::start(options, LOOPBACK).unwrap();
-    let proxy = FaultProxy::start_before(engine.address()).unwrap();
+    let engine = Engine::start(options, LOOPBACK).expect("a port is free");
+    let proxy = FaultProxy::start_before(engine.address()).expect("a port is free");
     (engine, proxy)
 }
 
--- a/crates/celeryknot_standins/tests/platform.rs
+++ b/crates/celeryknot_standins/tests/platform.rs
@@ -3,24 +3,25 @@
 mod common;
 
 use celeryknot_core::DurationMs;
-use celeryknot_standins::client::{call, fetch_json};
-use celeryknot_standins::wire::{
-    Instance, InstanceKind, InstanceState, Instances, PlatformMode, Values,
+use celeryknot_platform::{
+    EndpointInstance, Fencing, Instance, InstanceList, InstanceState, ValueList,
 };
+use celeryknot_standins::client::{call, fetch_json};
+use celeryknot_standins::wire::PlatformMode;
 use celeryknot_standins::{LOOPBACK, Platform, PlatformOptions};
 use http::{Method, StatusCode};
 
 use common::{TIMEOUT, wait_until};
 
 fn start(options: PlatformOptions) -> Platform {
-    Platform::start(options, LOOPBACK).unwrap()
+    Platform::start(options, LOOPBACK).expect("a port is free")
 }
 
-async fn values(platform: &Platform, replica: usize, query: &str) -> Values {
+async fn values(platform: &Platform, replica: usize, query: &str) -> ValueList {
     let address = platform.addresses()[replica];
     fetch_json(address, &format!("/v1/values{query}"), TIMEOUT)
         .await
-        .unwrap()
+        .expect("the platform answers")
 }
 
 #[test]
@@ -32,11 +33,11 @@
         platform.put_value("a", "2");
         platform.remove_value("b");
         let all = values(&platform, 0, "").await;
-        assert_eq!(all.revision, 4);
+        assert_eq!(all.revision.0, 4);
         let found: Vec<_> = all
             .values
             .iter()
-            .map(|value| (value.path.as_str(), value.revision, value.text.as_deref()))
+            .map(|value| (value.path.as_str(), value.revision.0, value.text.as_deref()))
             .collect();
         assert_eq!(found, [("a", 3, Some("2")), ("b", 4, None)]);
         assert_eq!(values(&platform, 0, "?after=3").await.values.len(), 1);
@@ -51,11 +52,13 @@
         let address = platform.address();
         let watch = smol::spawn(async move {
             let path = "/v1/values?after=1&wait_ms=20000";
-            fetch_json::<Values>(address, path, TIMEOUT).await.unwrap()
+            fetch_json::<ValueList>(address, path, TIMEOUT)
+                .await
+                .unwrap()
         });
         wait_until(|| platform.calls().waiting == 1).await;
         platform.put_value("a", "2");
-        assert_eq!(watch.await.revision, 2);
+        assert_eq!(watch.await.revision.0, 2);
         let calls = platform.calls();
         assert_eq!((calls.calls, calls.waiting), (1, 0));
     });
@@ -73,12 +76,12 @@
         platform.set_mode(1, stale(true));
         platform.put_value("a", "2");
         let revisions = [
-            values(&platform, 0, "").await.revision,
-            values(&platform, 1, "").await.revision,
+            values(&platform, 0, "").await.revision.0,
+            values(&platform, 1, "").await.revision.0,
         ];
         assert_eq!(revisions, [2, 1]);
         platform.set_mode(1, stale(false));
-        assert_eq!(values(&platform, 1, "").await.revision, 2);
+        assert_eq!(values(&platform, 1, "").await.revision.0, 2);
     });
 }
 
@@ -120,26 +123,24 @@
     smol::block_on(async {
         let lag_ms = DurationMs(300);
         let platform = start(PlatformOptions::default().instance_lag_ms(lag_ms));
-        platform.put_instances(vec![Instance {
-            name: "engine-1".to_owned(),
-            kind: InstanceKind::Endpoint,
-            service: Some("wakai-llm".to_owned()),
-            zone: "hkd-a".to_owned(),
-            address: "127.0.0.1:9001".to_owned(),
-            forwards_address: None,
+        platform.put_instances(vec![Instance::Endpoint(EndpointInstance {
+            name: "engine-1".parse().unwrap(),
+            service: "wakai-llm".parse().unwrap(),
+            zone: "hkd-a".parse().unwrap(),
+            address: LOOPBACK,
             state: InstanceState::Live,
-            fencing: Some("refuses".to_owned()),
-        }]);
+            fencing: Fencing::Refuses,
+        })]);
         let read = |path: &'static str| {
             let address = platform.address();
             async move {
-                fetch_json::<Instances>(address, path, TIMEOUT)
+                fetch_json::<InstanceList>(address, path, TIMEOUT)
                     .await
                     .unwrap()
             }
         };
-        assert_eq!(read("/v1/instances").await.revision, 0);
+        assert_eq!(read("/v1/instances").await.revision.0, 0);
         let late = read("/v1/instances?after=0&wait_ms=10000").await;
-        assert_eq!((late.revision, late.instances.len()), (1, 1));
+        assert_eq!((late.revision.0, late.instances.len()), (1, 1));
     });
 }
