Carry messages between daemons over tonic on smol

Daemons need authenticated, versioned streams that cost few bytes and show when a connection has gone silent. One bidirectional call for each peer over hyper's HTTP/2, with tonic's client, service, codec and framing but without its transport, so that no tokio runtime is needed. Messages are prost structs written by hand. Both sides sign both nonces, names and lives. Heartbeats are confirmed; an unconfirmed one opens the stream anew.

--- /dev/null
+++ b/crates/celeryknot_peers/src/inbound.rs
@@ -0,0 +1,240 @@
+//! Streams that peers open to this daemon.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use celeryknot_core::{Incarnation, MemberName};
+use celeryknot_fleet::Message;
+use celeryknot_platform::{ByteMeter, MeteredStream};
+use futures_lite::future;
+use hyper::server::conn::http2;
+use hyper::service::service_fn;
+use smol::net::TcpStream;
+use smol::{Async, LocalExecutor, Task, Timer};
+use smol_hyper::rt::FuturesIo;
+use tonic::{Status, Streaming};
+
+use crate::executor::LocalSpawner;
+use crate::handshake::{HandshakeError, Side, Transcript, VersionRange, draw_nonce};
+use crate::outbound::HANDSHAKE_TIMEOUT;
+use crate::peers::{PeerEvent, PeersConfig};
+use crate::service::{AcceptedStream, ExchangeService, answer};
+use crate::wire::{Body, Envelope, Hello, Welcome};
+
+/// Silence after which a stream is closed.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(40_000);
+/// Streams that wait to be served.
+const ACCEPTED_LEN_MAX: usize = 256;
+/// Wait after a failure to accept a connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts connections until the task is dropped.
+pub(crate) fn listen(
+    executor: &Rc<LocalExecutor<'static>>,
+    listener: TcpListener,
+    config: Rc<PeersConfig>,
+    events: Sender<PeerEvent>,
+    meter: Arc<ByteMeter>,
+) -> eyre::Result<Task<()>> {
+    let listener = smol::net::TcpListener::from(Async::new(listener)?);
+    let (accepted, streams) = async_channel::bounded::<AcceptedStream>(ACCEPTED_LEN_MAX);
+    let spawner = LocalSpawner(Rc::clone(executor));
+    let serve_streams = {
+        let executor = Rc::clone(executor);
+        async move {
+            while let Ok(stream) = streams.recv().await {
+                let session = InboundStream {
+                    config: Rc::clone(&config),
+                    events: events.clone(),
+                };
+                executor.spawn(session.serve(stream)).detach();
+            }
+        }
+    };
+    let accept = async move {
+        let service = ExchangeService { accepted };
+        loop {
+            match listener.accept().await {
+                Ok((socket, _)) => {
+                    let connection =
+                        serve_connection(spawner.clone(), socket, service.clone(), meter.clone());
+                    spawner.0.spawn(connection).detach();
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "accepting a peer failed");
+                    Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    };
+    Ok(executor.spawn(future::or(accept, serve_streams)))
+}
+
+async fn serve_connection(
+    spawner: LocalSpawner,
+    socket: TcpStream,
+    service: ExchangeService,
+    meter: Arc<ByteMeter>,
+) {
+    if socket.set_nodelay(true).is_err() {
+        return;
+    }
+    let io = FuturesIo::new(MeteredStream::new(socket, meter));
+    let handler = service_fn(move |request| {
+        let service = service.clone();
+        async move { Ok::<_, std::convert::Infallible>(answer(service, request).await) }
+    });
+    let result = http2::Builder::new(spawner)
+        .max_concurrent_streams(Some(4))
+        .serve_connection(io, handler)
+        .await;
+    if let Err(error) = result {
+        tracing::debug!(%error, "connection from a peer ended");
+    }
+}
+
+/// The task that serves one stream.
+struct InboundStream {
+    config: Rc<PeersConfig>,
+    events: Sender<PeerEvent>,
+}
+
+impl InboundStream {
+    async fn serve(self, mut stream: AcceptedStream) {
+        let greet = async { Some(self.authenticate(&mut stream).await) };
+        let greeted = future::or(greet, async {
+            Timer::after(HANDSHAKE_TIMEOUT).await;
+            None
+        });
+        let peer = match greeted.await {
+            Some(Ok(peer)) => peer,
+            Some(Err(error)) => {
+                tracing::debug!(%error, "a peer was turned away");
+                let status = Status::unauthenticated(error.to_string());
+                // A peer that is gone needs no answer.
+                drop(stream.answers.try_send(Err(status)));
+                return;
+            }
+            None => return,
+        };
+        self.read_messages(peer, stream).await;
+    }
+
+    async fn authenticate(
+        &self,
+        stream: &mut AcceptedStream,
+    ) -> Result<(MemberName, Incarnation), HandshakeError> {
+        let envelope = read(&mut stream.incoming).await?;
+        let client = Incarnation(envelope.incarnation);
+        let Some(Body::Hello(hello)) = envelope.body else {
+            return Err(HandshakeError::Unexpected);
+        };
+        let transcript = self.welcome(&hello, client, stream)?;
+        let envelope = read(&mut stream.incoming).await?;
+        let Some(Body::Proof(proof)) = envelope.body else {
+            return Err(HandshakeError::Unexpected);
+        };
+        transcript.verify(&self.config.keys, Side::Client, &proof.code)?;
+        Ok((transcript.client().clone(), client))
+    }
+
+    fn welcome(
+        &self,
+        hello: &Hello,
+        client: Incarnation,
+        stream: &AcceptedStream,
+    ) -> Result<Transcript, HandshakeError> {
+        if hello.to != self.config.name.as_str() {
+            return Err(HandshakeError::WrongName);
+        }
+        let theirs = VersionRange {
+            min: hello.version_min,
+            max: hello.version_max,
+        };
+        let version = self.config.versions.highest_common(theirs);
+        let mut welcome = Welcome {
+            version: version.ok_or(HandshakeError::NoCommonVersion)?,
+            nonce: draw_nonce(),
+            code: Vec::new(),
+        };
+        let transcript = Transcript::new(hello, client, &welcome, self.config.incarnation)?;
+        welcome.code = transcript.sign(&self.config.keys, Side::Server);
+        let envelope = self.envelope(0, Body::Welcome(welcome));
+        let sent = stream.answers.try_send(Ok(envelope));
+        sent.map_err(|_| HandshakeError::Unexpected)?;
+        Ok(transcript)
+    }
+
+    fn envelope(&self, sequence: u64, body: Body) -> Envelope {
+        Envelope {
+            incarnation: self.config.incarnation.0,
+            sequence,
+            body: Some(body),
+        }
+    }
+
+    async fn read_messages(&self, peer: (MemberName, Incarnation), mut stream: AcceptedStream) {
+        let (from, incarnation) = peer;
+        let mut sequence = 0;
+        loop {
+            let message = async { read(&mut stream.incoming).await.ok() };
+            let silence = async {
+                Timer::after(SILENCE_TIMEOUT).await;
+                None
+            };
+            let Some(envelope) = future::or(message, silence).await else {
+                return;
+            };
+            let is_in_order =
+                envelope.incarnation == incarnation.0 && envelope.sequence == sequence + 1;
+            if !is_in_order {
+                return;
+            }
+            sequence = envelope.sequence;
+            let is_heartbeat = matches!(envelope.body, Some(Body::Heartbeat(_)));
+            if is_heartbeat {
+                let ack = self.envelope(sequence, Body::Ack(sequence));
+                if stream.answers.try_send(Ok(ack)).is_err() {
+                    return;
+                }
+            }
+            if !self
+                .pass_on(&from, incarnation, envelope.body.as_ref())
+                .await
+            {
+                return;
+            }
+        }
+    }
+
+    /// Passes a message on; tells whether the stream may go on.
+    async fn pass_on(
+        &self,
+        from: &MemberName,
+        incarnation: Incarnation,
+        body: Option<&Body>,
+    ) -> bool {
+        let Some(body) = body else {
+            return true;
+        };
+        let Ok(message) = Message::try_from(body) else {
+            return true;
+        };
+        let event = PeerEvent::Received {
+            from: from.clone(),
+            incarnation,
+            message,
+        };
+        self.events.send(event).await.is_ok()
+    }
+}
+
+async fn read(incoming: &mut Streaming<Envelope>) -> Result<Envelope, HandshakeError> {
+    match incoming.message().await {
+        Ok(Some(envelope)) => Ok(envelope),
+        Ok(None) | Err(_) => Err(HandshakeError::Unexpected),
+    }
+}
--- a/crates/celeryknot_peers/src/lib.rs
+++ b/crates/celeryknot_peers/src/lib.rs
@@ -1,1 +1,15 @@
 //! The protocol between daemons: messages, transport and authentication.
+//!
+//! Each daemon opens one stream to every peer that it sends to, over HTTP/2 with the codec and
+//! framing of `tonic`, on the caller's single-threaded executor.
+
+mod executor;
+mod handshake;
+mod inbound;
+mod outbound;
+pub mod peers;
+mod service;
+pub mod wire;
+
+pub use handshake::VersionRange;
+pub use peers::{PeerEvent, Peers, PeersConfig};
--- /dev/null
+++ b/crates/celeryknot_peers/src/peers.rs
@@ -0,0 +1,149 @@
+//! All streams from and to a daemon's peers.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use celeryknot_core::keyed_hash::KeyRing;
+use celeryknot_core::{Incarnation, MemberName};
+use celeryknot_fleet::Message;
+use celeryknot_platform::ByteMeter;
+use smol::{LocalExecutor, Task};
+
+use crate::handshake::VersionRange;
+use crate::{inbound, outbound};
+
+/// Who this daemon is to its peers.
+#[derive(Debug, Clone)]
+pub struct PeersConfig {
+    /// This daemon's name.
+    pub name: MemberName,
+    /// This daemon's life.
+    pub incarnation: Incarnation,
+    /// The keys that authenticate daemons to each other.
+    pub keys: KeyRing,
+    /// The protocol versions that this daemon speaks.
+    pub versions: VersionRange,
+}
+
+/// What happens on the streams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PeerEvent {
+    /// A stream to a peer was opened.
+    Opened {
+        /// The peer.
+        name: MemberName,
+    },
+    /// A stream to a peer could not be opened, or was lost.
+    Unreachable {
+        /// The peer.
+        name: MemberName,
+    },
+    /// A message came from an authenticated peer.
+    Received {
+        /// The peer.
+        from: MemberName,
+        /// The life of the peer that sent it.
+        incarnation: Incarnation,
+        /// The message.
+        message: Message,
+    },
+}
+
+/// Messages that wait for the stream to one peer.
+const LINK_LEN_MAX: usize = 64;
+
+struct Link {
+    address: SocketAddr,
+    messages: Sender<Message>,
+    _task: Task<()>,
+}
+
+/// The streams of one daemon; dropping it closes them.
+pub struct Peers {
+    config: Rc<PeersConfig>,
+    executor: Rc<LocalExecutor<'static>>,
+    events: Sender<PeerEvent>,
+    meter: Arc<ByteMeter>,
+    links: BTreeMap<MemberName, Link>,
+    dropped: u64,
+    _listener: Task<()>,
+}
+
+impl Peers {
+    /// Starts to accept streams on a listening socket.
+    pub fn start(
+        executor: Rc<LocalExecutor<'static>>,
+        listener: TcpListener,
+        config: PeersConfig,
+        events: Sender<PeerEvent>,
+    ) -> eyre::Result<Self> {
+        let config = Rc::new(config);
+        let meter = Arc::new(ByteMeter::default());
+        let listener = inbound::listen(
+            &executor,
+            listener,
+            Rc::clone(&config),
+            events.clone(),
+            Arc::clone(&meter),
+        )?;
+        Ok(Self {
+            config,
+            executor,
+            events,
+            meter,
+            links: BTreeMap::new(),
+            dropped: 0,
+            _listener: listener,
+        })
+    }
+
+    /// Queues a message for a peer; opens a stream if there is none.
+    ///
+    /// A message is dropped when the queue is full: what is lost is sent again by its meaning.
+    pub fn send(&mut self, to: &MemberName, address: SocketAddr, message: Message) {
+        let is_usable = self
+            .links
+            .get(to)
+            .is_some_and(|link| link.address == address && !link.messages.is_closed());
+        if !is_usable {
+            let link = self.open(to, address);
+            self.links.insert(to.clone(), link);
+        }
+        if let Some(link) = self.links.get(to)
+            && link.messages.try_send(message).is_err()
+        {
+            self.dropped += 1;
+        }
+    }
+
+    fn open(&self, to: &MemberName, address: SocketAddr) -> Link {
+        let (messages, queue) = async_channel::bounded(LINK_LEN_MAX);
+        let link = outbound::OutboundLink {
+            config: Rc::clone(&self.config),
+            executor: Rc::clone(&self.executor),
+            events: self.events.clone(),
+            meter: Arc::clone(&self.meter),
+            to: to.clone(),
+            address,
+            queue,
+        };
+        Link {
+            address,
+            messages,
+            _task: self.executor.spawn(link.run()),
+        }
+    }
+
+    /// Returns the counter of the bytes on all streams.
+    pub fn meter(&self) -> &ByteMeter {
+        &self.meter
+    }
+
+    /// Returns how many messages found a full queue.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_peers/src/wire.rs
@@ -0,0 +1,381 @@
+//! Protocol messages, written by hand with `prost`'s derive, so that the build needs no generator.
+//!
+//! Numbers of fields are never used again for another meaning. A message that an older daemon
+//! does not know decodes to an envelope without a body and is passed over.
+
+mod convert;
+
+pub use convert::WireError;
+use prost::{Message, Oneof};
+
+/// One message on a stream.
+#[derive(Clone, PartialEq, Message)]
+pub struct Envelope {
+    /// The life of the sender.
+    #[prost(fixed64, tag = "1")]
+    pub incarnation: u64,
+    /// Rises by one with each message of the stream.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// The message.
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    pub body: Option<Body>,
+}
+
+/// What an envelope holds.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// Opens a stream.
+    #[prost(message, tag = "3")]
+    Hello(Hello),
+    /// Accepts a stream.
+    #[prost(message, tag = "4")]
+    Welcome(Welcome),
+    /// Proves that the opening side holds the key.
+    #[prost(message, tag = "5")]
+    Proof(Proof),
+    /// Confirms a heartbeat.
+    #[prost(uint64, tag = "6")]
+    Ack(u64),
+    /// A sign of life.
+    #[prost(message, tag = "7")]
+    Heartbeat(Heartbeat),
+    /// Records of members.
+    #[prost(message, tag = "8")]
+    Members(Members),
+    /// Settings.
+    #[prost(message, tag = "9")]
+    Values(Values),
+    /// A request for settings.
+    #[prost(message, tag = "10")]
+    PullValues(PullValues),
+    /// Changes of the instance list.
+    #[prost(message, tag = "11")]
+    ListChanges(ListChanges),
+    /// A part of the instance list.
+    #[prost(message, tag = "12")]
+    ListPage(ListPage),
+    /// A request for the instance list.
+    #[prost(message, tag = "13")]
+    PullList(PullList),
+    /// States of endpoints that have changed.
+    #[prost(message, tag = "14")]
+    Summaries(Summaries),
+    /// States of endpoints, sent again.
+    #[prost(message, tag = "15")]
+    Refreshes(Summaries),
+}
+
+/// The opening side's greeting.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hello {
+    /// The lowest version that the sender speaks.
+    #[prost(uint32, tag = "1")]
+    pub version_min: u32,
+    /// The highest version that the sender speaks.
+    #[prost(uint32, tag = "2")]
+    pub version_max: u32,
+    /// The sender's name.
+    #[prost(string, tag = "3")]
+    pub from: String,
+    /// The name of the daemon that is meant.
+    #[prost(string, tag = "4")]
+    pub to: String,
+    /// Random bytes for this stream.
+    #[prost(bytes = "vec", tag = "5")]
+    pub nonce: Vec<u8>,
+}
+
+/// The accepting side's greeting.
+#[derive(Clone, PartialEq, Message)]
+pub struct Welcome {
+    /// The version of the stream.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// Random bytes for this stream.
+    #[prost(bytes = "vec", tag = "2")]
+    pub nonce: Vec<u8>,
+    /// The code over both greetings.
+    #[prost(bytes = "vec", tag = "3")]
+    pub code: Vec<u8>,
+}
+
+/// The opening side's proof.
+#[derive(Clone, PartialEq, Message)]
+pub struct Proof {
+    /// The code over both greetings.
+    #[prost(bytes = "vec", tag = "1")]
+    pub code: Vec<u8>,
+}
+
+/// Where a daemon runs and is reached.
+#[derive(Clone, PartialEq, Message)]
+pub struct MemberInfo {
+    /// The daemon's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The daemon's availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Where its peers reach it.
+    #[prost(string, tag = "3")]
+    pub peers_address: String,
+    /// Where its peers hand over requests.
+    #[prost(string, tag = "4")]
+    pub forwards_address: String,
+}
+
+/// A sign of life.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// The sequence of the sender's own record.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// The sender's state.
+    #[prost(uint32, tag = "2")]
+    pub state: u32,
+    /// Whether the sender has caught up.
+    #[prost(bool, tag = "3")]
+    pub is_ready: bool,
+    /// The revision of the sender's instance list.
+    #[prost(uint64, tag = "4")]
+    pub list_revision: u64,
+    /// The hash of the sender's settings.
+    #[prost(fixed64, tag = "5")]
+    pub values_digest: u64,
+    /// The hash of the sender's member records.
+    #[prost(fixed64, tag = "6")]
+    pub members_digest: u64,
+    /// Where the sender runs.
+    #[prost(message, optional, tag = "7")]
+    pub info: Option<MemberInfo>,
+}
+
+/// One statement about a member.
+#[derive(Clone, PartialEq, Message)]
+pub struct MemberRecord {
+    /// Where the member runs.
+    #[prost(message, optional, tag = "1")]
+    pub info: Option<MemberInfo>,
+    /// The member's life.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Raised by the member itself.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// The member's state.
+    #[prost(uint32, tag = "4")]
+    pub state: u32,
+}
+
+/// Records of members.
+#[derive(Clone, PartialEq, Message)]
+pub struct Members {
+    /// The records.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<MemberRecord>,
+}
+
+/// One value.
+#[derive(Clone, PartialEq, Message)]
+pub struct Value {
+    /// The path.
+    #[prost(string, tag = "1")]
+    pub path: String,
+    /// The revision at the platform.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// The text, unless the value was removed.
+    #[prost(string, optional, tag = "3")]
+    pub text: Option<String>,
+}
+
+/// Values.
+#[derive(Clone, PartialEq, Message)]
+pub struct Values {
+    /// The values.
+    #[prost(message, repeated, tag = "1")]
+    pub values: Vec<Value>,
+    /// Whether they answer a pull.
+    #[prost(bool, tag = "2")]
+    pub is_answer: bool,
+    /// The revision below which the next page goes on.
+    #[prost(uint64, optional, tag = "3")]
+    pub next_before: Option<u64>,
+}
+
+/// A request for values.
+#[derive(Clone, PartialEq, Message)]
+pub struct PullValues {
+    /// The hash of each part of the sender's settings.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub buckets: Vec<u64>,
+    /// Only lower revisions are wanted.
+    #[prost(uint64, optional, tag = "2")]
+    pub before: Option<u64>,
+}
+
+/// The key of an entry of the instance list.
+#[derive(Clone, PartialEq, Message)]
+pub struct InstanceKey {
+    /// Whether the entry is an endpoint.
+    #[prost(bool, tag = "1")]
+    pub is_endpoint: bool,
+    /// The entry's name.
+    #[prost(string, tag = "2")]
+    pub name: String,
+}
+
+/// A daemon in the instance list.
+#[derive(Clone, PartialEq, Message)]
+pub struct Daemon {
+    /// Where the daemon runs.
+    #[prost(message, optional, tag = "1")]
+    pub info: Option<MemberInfo>,
+    /// Whether the platform is about to remove it.
+    #[prost(bool, tag = "2")]
+    pub is_leaving: bool,
+}
+
+/// An endpoint in the instance list.
+#[derive(Clone, PartialEq, Message)]
+pub struct Endpoint {
+    /// The endpoint's name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The service that it belongs to.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// The endpoint's availability zone.
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    /// Where it takes requests.
+    #[prost(string, tag = "4")]
+    pub address: String,
+    /// Whether the platform is about to remove it.
+    #[prost(bool, tag = "5")]
+    pub is_leaving: bool,
+    /// Whether it refuses orders with an old fencing number.
+    #[prost(bool, tag = "6")]
+    pub refuses_old_orders: bool,
+}
+
+/// An entry of the instance list.
+#[derive(Clone, PartialEq, Message)]
+pub struct Instance {
+    /// The entry.
+    #[prost(oneof = "InstanceBody", tags = "1, 2")]
+    pub body: Option<InstanceBody>,
+}
+
+/// What kind of entry it is.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum InstanceBody {
+    /// A daemon.
+    #[prost(message, tag = "1")]
+    Daemon(Daemon),
+    /// An endpoint.
+    #[prost(message, tag = "2")]
+    Endpoint(Endpoint),
+}
+
+/// All differences between two revisions of the instance list.
+#[derive(Clone, PartialEq, Message)]
+pub struct ListChange {
+    /// The revision that the change applies to.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// The revision that it leads to.
+    #[prost(uint64, tag = "2")]
+    pub to: u64,
+    /// Entries added or changed.
+    #[prost(message, repeated, tag = "3")]
+    pub upserts: Vec<Instance>,
+    /// Entries removed.
+    #[prost(message, repeated, tag = "4")]
+    pub removed: Vec<InstanceKey>,
+}
+
+/// Changes in order.
+#[derive(Clone, PartialEq, Message)]
+pub struct ListChanges {
+    /// The changes.
+    #[prost(message, repeated, tag = "1")]
+    pub changes: Vec<ListChange>,
+}
+
+/// A part of the whole instance list.
+#[derive(Clone, PartialEq, Message)]
+pub struct ListPage {
+    /// The revision of the list.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Whether this is the first page.
+    #[prost(bool, tag = "2")]
+    pub is_first: bool,
+    /// The entries.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<Instance>,
+    /// The key after which the next page starts.
+    #[prost(message, optional, tag = "4")]
+    pub next_after: Option<InstanceKey>,
+}
+
+/// A request for the instance list.
+#[derive(Clone, PartialEq, Message)]
+pub struct PullList {
+    /// The revision that the sender has.
+    #[prost(uint64, tag = "1")]
+    pub have: u64,
+    /// The key after which a page is wanted.
+    #[prost(message, optional, tag = "2")]
+    pub after: Option<InstanceKey>,
+}
+
+/// The state of one endpoint.
+#[derive(Clone, PartialEq, Message)]
+pub struct Summary {
+    /// The hash of the endpoint's name.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// Rises with every summary of the owner.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Requests in flight.
+    #[prost(uint32, tag = "3")]
+    pub in_flight: u32,
+    /// Requests queued.
+    #[prost(uint32, tag = "4")]
+    pub queued: u32,
+    /// Most requests admitted.
+    #[prost(uint32, tag = "5")]
+    pub in_flight_max: u32,
+    /// Expected wait in milliseconds.
+    #[prost(uint64, tag = "6")]
+    pub wait_ms: u64,
+    /// The endpoint's condition.
+    #[prost(uint32, tag = "7")]
+    pub condition: u32,
+}
+
+/// Summaries of one owner.
+#[derive(Clone, PartialEq, Message)]
+pub struct SummaryBatch {
+    /// The owner.
+    #[prost(string, tag = "1")]
+    pub origin: String,
+    /// The owner's life.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// The summaries.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<Summary>,
+}
+
+/// Summaries of several owners.
+#[derive(Clone, PartialEq, Message)]
+pub struct Summaries {
+    /// The batches.
+    #[prost(message, repeated, tag = "1")]
+    pub batches: Vec<SummaryBatch>,
+}
--- /dev/null
+++ b/crates/celeryknot_peers/src/wire/convert.rs
@@ -0,0 +1,398 @@
+//! Between the protocol's messages and those of the fleet's state machines.
+
+use std::fmt;
+use std::sync::Arc;
+
+use celeryknot_core::{DurationMs, EndpointCondition, EndpointSummary, Incarnation, Revision};
+use celeryknot_fleet::instance_list as fleet_list;
+use celeryknot_fleet::message as fleet_message;
+use celeryknot_fleet::settings_store::{BUCKET_COUNT, ValueRecord};
+use celeryknot_fleet::summaries as fleet_summaries;
+use celeryknot_fleet::{self as fleet, FencingMode, ListedInstance, MemberState, Message};
+
+use super::{Body, InstanceBody};
+
+/// A message that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WireError(&'static str);
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a message of a peer can't be read: {}", self.0)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+fn parse<T: std::str::FromStr>(text: &str, what: &'static str) -> Result<T, WireError> {
+    text.parse().map_err(|_| WireError(what))
+}
+
+fn state_number(state: MemberState) -> u32 {
+    match state {
+        MemberState::Alive => 0,
+        MemberState::Suspect => 1,
+        MemberState::Leaving => 2,
+        MemberState::Dead => 3,
+    }
+}
+
+fn state_of(number: u32) -> Result<MemberState, WireError> {
+    match number {
+        0 => Ok(MemberState::Alive),
+        1 => Ok(MemberState::Suspect),
+        2 => Ok(MemberState::Leaving),
+        3 => Ok(MemberState::Dead),
+        _ => Err(WireError("state")),
+    }
+}
+
+fn condition_number(condition: EndpointCondition) -> u32 {
+    match condition {
+        EndpointCondition::Warm => 0,
+        EndpointCondition::Cold => 1,
+        EndpointCondition::Ramping => 2,
+        EndpointCondition::Sick => 3,
+    }
+}
+
+fn condition_of(number: u32) -> Result<EndpointCondition, WireError> {
+    match number {
+        0 => Ok(EndpointCondition::Warm),
+        1 => Ok(EndpointCondition::Cold),
+        2 => Ok(EndpointCondition::Ramping),
+        3 => Ok(EndpointCondition::Sick),
+        _ => Err(WireError("condition")),
+    }
+}
+
+impl From<&fleet::MemberInfo> for super::MemberInfo {
+    fn from(info: &fleet::MemberInfo) -> Self {
+        Self {
+            name: info.name.to_string(),
+            zone: info.zone.to_string(),
+            peers_address: info.peers_address.to_string(),
+            forwards_address: info.forwards_address.to_string(),
+        }
+    }
+}
+
+impl TryFrom<&super::MemberInfo> for fleet::MemberInfo {
+    type Error = WireError;
+
+    fn try_from(info: &super::MemberInfo) -> Result<Self, WireError> {
+        Ok(Self {
+            name: parse(&info.name, "member name")?,
+            zone: parse(&info.zone, "zone")?,
+            peers_address: parse(&info.peers_address, "address")?,
+            forwards_address: parse(&info.forwards_address, "address")?,
+        })
+    }
+}
+
+fn info_of(info: Option<&super::MemberInfo>) -> Result<fleet::MemberInfo, WireError> {
+    info.ok_or(WireError("member info"))?.try_into()
+}
+
+impl From<&fleet::MemberRecord> for super::MemberRecord {
+    fn from(record: &fleet::MemberRecord) -> Self {
+        Self {
+            info: Some((&record.info).into()),
+            incarnation: record.incarnation.0,
+            sequence: record.sequence,
+            state: state_number(record.state),
+        }
+    }
+}
+
+impl TryFrom<&super::MemberRecord> for fleet::MemberRecord {
+    type Error = WireError;
+
+    fn try_from(record: &super::MemberRecord) -> Result<Self, WireError> {
+        Ok(Self {
+            info: info_of(record.info.as_ref())?,
+            incarnation: Incarnation(record.incarnation),
+            sequence: record.sequence,
+            state: state_of(record.state)?,
+        })
+    }
+}
+
+impl From<&fleet_message::Heartbeat> for super::Heartbeat {
+    fn from(heartbeat: &fleet_message::Heartbeat) -> Self {
+        Self {
+            sequence: heartbeat.sequence,
+            state: state_number(heartbeat.state),
+            is_ready: heartbeat.is_ready,
+            list_revision: heartbeat.list_revision.0,
+            values_digest: heartbeat.values_digest,
+            members_digest: heartbeat.members_digest,
+            info: heartbeat.info.as_ref().map(Into::into),
+        }
+    }
+}
+
+impl TryFrom<&super::Heartbeat> for fleet_message::Heartbeat {
+    type Error = WireError;
+
+    fn try_from(heartbeat: &super::Heartbeat) -> Result<Self, WireError> {
+        Ok(Self {
+            sequence: heartbeat.sequence,
+            state: state_of(heartbeat.state)?,
+            is_ready: heartbeat.is_ready,
+            list_revision: Revision(heartbeat.list_revision),
+            values_digest: heartbeat.values_digest,
+            members_digest: heartbeat.members_digest,
+            info: heartbeat.info.as_ref().map(TryInto::try_into).transpose()?,
+        })
+    }
+}
+
+impl From<&ValueRecord> for super::Value {
+    fn from(value: &ValueRecord) -> Self {
+        Self {
+            path: value.path.to_string(),
+            revision: value.revision.0,
+            text: value.text.as_ref().map(ToString::to_string),
+        }
+    }
+}
+
+impl TryFrom<&super::Value> for ValueRecord {
+    type Error = WireError;
+
+    fn try_from(value: &super::Value) -> Result<Self, WireError> {
+        Ok(Self {
+            path: parse(&value.path, "path")?,
+            revision: Revision(value.revision),
+            text: value.text.as_deref().map(Arc::from),
+        })
+    }
+}
+
+impl From<&fleet_list::InstanceKey> for super::InstanceKey {
+    fn from(key: &fleet_list::InstanceKey) -> Self {
+        Self {
+            is_endpoint: key.is_endpoint,
+            name: key.name.clone(),
+        }
+    }
+}
+
+impl From<&super::InstanceKey> for fleet_list::InstanceKey {
+    fn from(key: &super::InstanceKey) -> Self {
+        Self {
+            is_endpoint: key.is_endpoint,
+            name: key.name.clone(),
+        }
+    }
+}
+
+impl From<&ListedInstance> for super::Instance {
+    fn from(instance: &ListedInstance) -> Self {
+        let body = match instance {
+            ListedInstance::Daemon(daemon) => InstanceBody::Daemon(super::Daemon {
+                info: Some((&daemon.info).into()),
+                is_leaving: daemon.is_leaving,
+            }),
+            ListedInstance::Endpoint(endpoint) => InstanceBody::Endpoint(super::Endpoint {
+                name: endpoint.name.to_string(),
+                service: endpoint.service.to_string(),
+                zone: endpoint.zone.to_string(),
+                address: endpoint.address.to_string(),
+                is_leaving: endpoint.is_leaving,
+                refuses_old_orders: endpoint.fencing == FencingMode::Refuses,
+            }),
+        };
+        Self { body: Some(body) }
+    }
+}
+
+impl TryFrom<&super::Instance> for ListedInstance {
+    type Error = WireError;
+
+    fn try_from(instance: &super::Instance) -> Result<Self, WireError> {
+        match instance.body.as_ref().ok_or(WireError("instance"))? {
+            InstanceBody::Daemon(daemon) => Ok(Self::Daemon(fleet::ListedDaemon {
+                info: info_of(daemon.info.as_ref())?,
+                is_leaving: daemon.is_leaving,
+            })),
+            InstanceBody::Endpoint(endpoint) => Ok(Self::Endpoint(fleet::ListedEndpoint {
+                name: parse(&endpoint.name, "endpoint name")?,
+                service: parse(&endpoint.service, "service")?,
+                zone: parse(&endpoint.zone, "zone")?,
+                address: parse(&endpoint.address, "address")?,
+                is_leaving: endpoint.is_leaving,
+                fencing: if endpoint.refuses_old_orders {
+                    FencingMode::Refuses
+                } else {
+                    FencingMode::Ignores
+                },
+            })),
+        }
+    }
+}
+
+impl From<&fleet_list::ListChange> for super::ListChange {
+    fn from(change: &fleet_list::ListChange) -> Self {
+        Self {
+            from: change.from.0,
+            to: change.to.0,
+            upserts: all(&change.upserts),
+            removed: all(&change.removed),
+        }
+    }
+}
+
+impl TryFrom<&super::ListChange> for fleet_list::ListChange {
+    type Error = WireError;
+
+    fn try_from(change: &super::ListChange) -> Result<Self, WireError> {
+        Ok(Self {
+            from: Revision(change.from),
+            to: Revision(change.to),
+            upserts: try_all(&change.upserts)?,
+            removed: all(&change.removed),
+        })
+    }
+}
+
+impl From<&fleet_summaries::SummaryBatch> for super::SummaryBatch {
+    fn from(batch: &fleet_summaries::SummaryBatch) -> Self {
+        Self {
+            origin: batch.origin.to_string(),
+            incarnation: batch.incarnation.0,
+            entries: all(&batch.entries),
+        }
+    }
+}
+
+impl TryFrom<&super::SummaryBatch> for fleet_summaries::SummaryBatch {
+    type Error = WireError;
+
+    fn try_from(batch: &super::SummaryBatch) -> Result<Self, WireError> {
+        Ok(Self {
+            origin: parse(&batch.origin, "member name")?,
+            incarnation: Incarnation(batch.incarnation),
+            entries: try_all(&batch.entries)?,
+        })
+    }
+}
+
+impl From<&fleet_summaries::SummaryEntry> for super::Summary {
+    fn from(entry: &fleet_summaries::SummaryEntry) -> Self {
+        Self {
+            endpoint: entry.endpoint.0,
+            sequence: entry.sequence,
+            in_flight: entry.summary.in_flight,
+            queued: entry.summary.queued,
+            in_flight_max: entry.summary.in_flight_max,
+            wait_ms: entry.summary.wait_ms.0,
+            condition: condition_number(entry.summary.condition),
+        }
+    }
+}
+
+impl TryFrom<&super::Summary> for fleet_summaries::SummaryEntry {
+    type Error = WireError;
+
+    fn try_from(entry: &super::Summary) -> Result<Self, WireError> {
+        Ok(Self {
+            endpoint: fleet_summaries::EndpointHash(entry.endpoint),
+            sequence: entry.sequence,
+            summary: EndpointSummary {
+                in_flight: entry.in_flight,
+                queued: entry.queued,
+                in_flight_max: entry.in_flight_max,
+                wait_ms: DurationMs(entry.wait_ms),
+                condition: condition_of(entry.condition)?,
+            },
+        })
+    }
+}
+
+fn all<'a, A, B: From<&'a A>>(items: &'a [A]) -> Vec<B> {
+    items.iter().map(Into::into).collect()
+}
+
+fn try_all<'a, A, B: TryFrom<&'a A, Error = WireError>>(
+    items: &'a [A],
+) -> Result<Vec<B>, WireError> {
+    items.iter().map(TryInto::try_into).collect()
+}
+
+impl From<&Message> for Body {
+    fn from(message: &Message) -> Self {
+        match message {
+            Message::Heartbeat(heartbeat) => Self::Heartbeat(heartbeat.into()),
+            Message::Members(records) => Self::Members(super::Members {
+                records: all(records),
+            }),
+            Message::Values(page) => Self::Values(super::Values {
+                values: all(&page.values),
+                is_answer: page.is_answer,
+                next_before: page.next_before.map(|revision| revision.0),
+            }),
+            Message::PullValues(pull) => Self::PullValues(super::PullValues {
+                buckets: pull.buckets.to_vec(),
+                before: pull.before.map(|revision| revision.0),
+            }),
+            Message::ListChanges(changes) => Self::ListChanges(super::ListChanges {
+                changes: all(changes),
+            }),
+            Message::ListPage(page) => Self::ListPage(super::ListPage {
+                revision: page.revision.0,
+                is_first: page.is_first,
+                entries: all(&page.entries),
+                next_after: page.next_after.as_ref().map(Into::into),
+            }),
+            Message::PullList(pull) => Self::PullList(super::PullList {
+                have: pull.have.0,
+                after: pull.after.as_ref().map(Into::into),
+            }),
+            Message::Summaries(batches) => Self::Summaries(super::Summaries {
+                batches: all(batches),
+            }),
+            Message::Refreshes(batches) => Self::Refreshes(super::Summaries {
+                batches: all(batches),
+            }),
+        }
+    }
+}
+
+impl TryFrom<&Body> for Message {
+    type Error = WireError;
+
+    fn try_from(body: &Body) -> Result<Self, WireError> {
+        match body {
+            Body::Hello(_) | Body::Welcome(_) | Body::Proof(_) | Body::Ack(_) => {
+                Err(WireError("a message of the handshake"))
+            }
+            Body::Heartbeat(heartbeat) => Ok(Self::Heartbeat(heartbeat.try_into()?)),
+            Body::Members(members) => Ok(Self::Members(try_all(&members.records)?)),
+            Body::Values(values) => Ok(Self::Values(fleet_message::ValuePage {
+                values: try_all(&values.values)?,
+                is_answer: values.is_answer,
+                next_before: values.next_before.map(Revision),
+            })),
+            Body::PullValues(pull) => Ok(Self::PullValues(fleet_message::ValuePull {
+                buckets: <[u64; BUCKET_COUNT]>::try_from(pull.buckets.as_slice())
+                    .map_err(|_| WireError("buckets"))?,
+                before: pull.before.map(Revision),
+            })),
+            Body::ListChanges(changes) => Ok(Self::ListChanges(try_all(&changes.changes)?)),
+            Body::ListPage(page) => Ok(Self::ListPage(fleet_list::ListPage {
+                revision: Revision(page.revision),
+                is_first: page.is_first,
+                entries: try_all(&page.entries)?,
+                next_after: page.next_after.as_ref().map(Into::into),
+            })),
+            Body::PullList(pull) => Ok(Self::PullList(fleet_message::ListPull {
+                have: Revision(pull.have),
+                after: pull.after.as_ref().map(Into::into),
+            })),
+            Body::Summaries(summaries) => Ok(Self::Summaries(try_all(&summaries.batches)?)),
+            Body::Refreshes(summaries) => Ok(Self::Refreshes(try_all(&summaries.batches)?)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_peers/tests/wire.rs
@@ -0,0 +1,193 @@
+//! Messages keep their meaning on the wire, and take about the bytes that the budget counts.
+
+use celeryknot_core::{DurationMs, EndpointCondition, EndpointSummary, Incarnation, Revision};
+use celeryknot_fleet::instance_list::{InstanceKey, ListChange, ListPage};
+use celeryknot_fleet::message::{FRAME_SIZE_BYTES, Heartbeat, ListPull, ValuePage, ValuePull};
+use celeryknot_fleet::settings_store::ValueRecord;
+use celeryknot_fleet::summaries::{EndpointHash, SummaryBatch, SummaryEntry};
+use celeryknot_fleet::{
+    FencingMode, ListedDaemon, ListedEndpoint, ListedInstance, MemberInfo, MemberRecord,
+    MemberState, Message,
+};
+use celeryknot_peers::wire::{Body, Envelope};
+use prost::Message as _;
+
+fn info(index: usize) -> MemberInfo {
+    MemberInfo {
+        name: format!("daemon-{index}").parse().expect("a valid name"),
+        zone: "kilindini".parse().expect("a valid zone"),
+        peers_address: "10.200.100.101:7001".parse().expect("an address"),
+        forwards_address: "10.200.100.101:7003".parse().expect("an address"),
+    }
+}
+
+fn endpoint(index: usize) -> ListedInstance {
+    ListedInstance::Endpoint(ListedEndpoint {
+        name: format!("engine-{index}").parse().expect("a valid name"),
+        service: "draft-engine".parse().expect("a valid name"),
+        zone: "kilindini".parse().expect("a valid zone"),
+        address: "10.200.100.101:9001".parse().expect("an address"),
+        is_leaving: index.is_multiple_of(2),
+        fencing: FencingMode::Refuses,
+    })
+}
+
+fn daemon(index: usize) -> ListedInstance {
+    ListedInstance::Daemon(ListedDaemon {
+        info: info(index),
+        is_leaving: true,
+    })
+}
+
+fn key(index: usize) -> InstanceKey {
+    InstanceKey {
+        is_endpoint: true,
+        name: format!("engine-{index}"),
+    }
+}
+
+fn batch(count: u32) -> SummaryBatch {
+    let entry = |index| SummaryEntry {
+        endpoint: EndpointHash(0xffff_0000 + index),
+        sequence: 40_000,
+        summary: EndpointSummary {
+            in_flight: index,
+            queued: 3,
+            in_flight_max: 64,
+            wait_ms: DurationMs(700),
+            condition: EndpointCondition::Ramping,
+        },
+    };
+    SummaryBatch {
+        origin: info(3).name,
+        incarnation: Incarnation(u64::MAX),
+        entries: (0..count).map(entry).collect(),
+    }
+}
+
+/// A message of each kind.
+struct Case {
+    name: &'static str,
+    message: Message,
+}
+
+fn cases() -> Vec<Case> {
+    let record = MemberRecord {
+        info: info(1),
+        incarnation: Incarnation(u64::MAX),
+        sequence: 9,
+        state: MemberState::Dead,
+    };
+    let heartbeat = Heartbeat {
+        sequence: 300,
+        state: MemberState::Leaving,
+        is_ready: true,
+        list_revision: Revision(100_000),
+        values_digest: u64::MAX,
+        members_digest: u64::MAX,
+        info: None,
+    };
+    let values = |count: u64| ValuePage {
+        values: (0..count)
+            .map(|index| ValueRecord {
+                path: format!("teams/kinrin/customers/office-{index}")
+                    .parse()
+                    .expect("a valid path"),
+                revision: Revision(10_000 + index),
+                text: (index % 3 != 0).then(|| "[customer]\nshare_weight = 2\n".into()),
+            })
+            .collect(),
+        is_answer: true,
+        next_before: Some(Revision(10_000)),
+    };
+    let change = ListChange {
+        from: Revision(8_000),
+        to: Revision(8_003),
+        upserts: vec![endpoint(1), daemon(2)],
+        removed: vec![key(3)],
+    };
+    let page = ListPage {
+        revision: Revision(8_003),
+        is_first: true,
+        entries: vec![endpoint(4), endpoint(5), daemon(6)],
+        next_after: Some(key(5)),
+    };
+    let case = |name, message| Case { name, message };
+    vec![
+        case("heartbeat", Message::Heartbeat(heartbeat.clone())),
+        case(
+            "heartbeat with info",
+            Message::Heartbeat(Heartbeat {
+                info: Some(info(1)),
+                ..heartbeat
+            }),
+        ),
+        case("members", Message::Members(vec![record.clone(), record])),
+        case("one value", Message::Values(values(1))),
+        case("many values", Message::Values(values(20))),
+        case(
+            "pull of values",
+            Message::PullValues(ValuePull {
+                buckets: [u64::MAX; 16],
+                before: Some(Revision(10_000)),
+            }),
+        ),
+        case("list changes", Message::ListChanges(vec![change])),
+        case("list page", Message::ListPage(page)),
+        case(
+            "pull of the list",
+            Message::PullList(ListPull {
+                have: Revision(8_000),
+                after: Some(key(5)),
+            }),
+        ),
+        case("one summary", Message::Summaries(vec![batch(1)])),
+        case(
+            "many summaries",
+            Message::Summaries(vec![batch(40), batch(2)]),
+        ),
+        case("refreshes", Message::Refreshes(vec![batch(2)])),
+    ]
+}
+
+fn encode(message: &Message) -> Vec<u8> {
+    Envelope {
+        incarnation: u64::MAX,
+        sequence: 100_000,
+        body: Some(Body::from(message)),
+    }
+    .encode_to_vec()
+}
+
+#[test]
+fn messages_keep_their_meaning() {
+    for case in cases() {
+        let bytes = encode(&case.message);
+        let envelope = Envelope::decode(bytes.as_slice()).unwrap();
+        let body = envelope.body.unwrap();
+        assert_eq!(Message::try_from(&body), Ok(case.message), "{}", case.name);
+    }
+}
+
+#[test]
+fn the_budget_counts_about_what_the_wire_takes() {
+    // HTTP/2 and gRPC put 14 bytes before each message.
+    const PREFIX_BYTES: usize = 14;
+    for case in cases() {
+        let counted = case.message.size_bytes();
+        let real = encode(&case.message).len() + PREFIX_BYTES;
+        assert!(
+            counted + FRAME_SIZE_BYTES >= real && counted <= real * 3 / 2 + FRAME_SIZE_BYTES,
+            "{}: counted {counted}, real {real}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn a_message_of_a_later_version_is_passed_over() {
+    // Field 31, length-delimited, which this version does not know.
+    let bytes = [0xfa, 0x01, 0x02, 0x08, 0x01];
+    let envelope = Envelope::decode(bytes.as_slice()).unwrap();
+    assert_eq!(envelope.body, None);
+}
