--- /dev/null
+++ b/crates/celeryknot_faults/src/lib.rs
@@ -0,0 +1,6 @@
+//! Runs real daemons under seeded faults and checks the history of what callers and
+//! endpoints saw.
+
+pub mod booking;
+pub mod check;
+pub mod history;
