Attribute executions to bookings, not to submissions

Cause: the very same call has to be sent again under one ticket, so that its body can't name the submission. A false refusal is now found by key, and the order of a refusal and an execution by the linearizability check.

--- a/crates/celeryknot_faults/src/check.rs
+++ b/crates/celeryknot_faults/src/check.rs
@@ -9,9 +9,7 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::booking::booking_operations;
-use crate::history::{
-    AskOutcome, BookingAnswer, BookingKey, HistoryEvent, RunMicros, SubmissionId,
-};
+use crate::history::{AskOutcome, BookingAnswer, BookingKey, HistoryEvent, RunMicros};
 
 /// Longest time that the linearizability checker may take for one history.
 const CHECK_TIME_MAX: Duration = Duration::from_secs(30);
@@ -39,7 +37,7 @@
 pub enum Fault {
     /// A booking was run more than once.
     DoubledBooking,
-    /// A caller was told `not-run` of a submission that was run.
+    /// Callers were told `not-run` of a booking that was run.
     FalselyRefused,
     /// A caller was told of a booking that no endpoint ran.
     LostBooking,
@@ -83,10 +81,8 @@
 
 fn check_executions(events: &[HistoryEvent], findings: &mut Vec<Finding>) {
     let mut runs: BTreeMap<&BookingKey, Vec<u64>> = BTreeMap::new();
-    for event in events {
-        if let HistoryEvent::Executed { key, booking, .. } = event {
-            runs.entry(key).or_default().push(*booking);
-        }
+    for (key, booking) in events.iter().filter_map(execution) {
+        runs.entry(key).or_default().push(booking);
     }
     for (key, bookings) in runs.into_iter().filter(|(_, runs)| runs.len() > 1) {
         findings.push(Finding {
@@ -97,49 +93,54 @@
 }
 
 fn check_answers(events: &[HistoryEvent], findings: &mut Vec<Finding>) {
-    let mut executed_submissions: BTreeSet<SubmissionId> = BTreeSet::new();
-    let mut executed_bookings: BTreeSet<(&BookingKey, u64)> = BTreeSet::new();
+    let executed: BTreeSet<(&BookingKey, u64)> = events.iter().filter_map(execution).collect();
+    let executed_keys: BTreeSet<&BookingKey> = executed.iter().map(|(key, _)| *key).collect();
+    let mut refused_keys: BTreeMap<&BookingKey, bool> = BTreeMap::new();
     for event in events {
-        if let HistoryEvent::Executed {
-            submission,
-            key,
-            booking,
-            ..
-        } = event
+        let HistoryEvent::Submitted { key, answer, .. } = event else {
+            continue;
+        };
+        let is_not_run = is_not_run(answer);
+        refused_keys
+            .entry(key)
+            .and_modify(|all_not_run| *all_not_run &= is_not_run)
+            .or_insert(is_not_run);
+        if let BookingAnswer::Done { booking } = answer
+            && !executed.contains(&(key, *booking))
         {
-            executed_submissions.insert(*submission);
-            executed_bookings.insert((key, *booking));
+            findings.push(Finding {
+                fault: Fault::LostBooking,
+                detail: format!("{key} was answered as {booking}, which no endpoint ran"),
+            });
         }
     }
-    for event in events {
-        let HistoryEvent::Submitted {
-            submission,
-            key,
-            answer,
-            ..
-        } = event
-        else {
-            continue;
-        };
-        match answer {
-            BookingAnswer::Done { booking } if !executed_bookings.contains(&(key, *booking)) => {
-                findings.push(Finding {
-                    fault: Fault::LostBooking,
-                    detail: format!("{key} was answered as {booking}, which no endpoint ran"),
-                });
-            }
-            BookingAnswer::Refused {
-                execution: Execution::NotRun,
-                code,
-            } if executed_submissions.contains(submission) => findings.push(Finding {
+    for (key, all_not_run) in refused_keys {
+        if all_not_run && executed_keys.contains(key) {
+            findings.push(Finding {
                 fault: Fault::FalselyRefused,
-                detail: format!("{key} was run, but refused as not-run with {code}"),
-            }),
-            BookingAnswer::Done { .. } | BookingAnswer::Refused { .. } => {}
+                detail: format!("{key} was run, but every submission was refused as not-run"),
+            });
         }
     }
 }
 
+fn execution(event: &HistoryEvent) -> Option<(&BookingKey, u64)> {
+    match event {
+        HistoryEvent::Executed { key, booking, .. } => Some((key, *booking)),
+        HistoryEvent::Submitted { .. }
+        | HistoryEvent::Asked { .. }
+        | HistoryEvent::WorkStarted { .. }
+        | HistoryEvent::Withdrawn { .. } => None,
+    }
+}
+
+fn is_not_run(answer: &BookingAnswer) -> bool {
+    match answer {
+        BookingAnswer::Done { .. } => false,
+        BookingAnswer::Refused { execution, .. } => *execution == Execution::NotRun,
+    }
+}
+
 fn check_order(events: &[HistoryEvent], findings: &mut Vec<Finding>) {
     let operations = booking_operations(events);
     let verdict = porcupine_rs::check_operations_timeout(&operations, CHECK_TIME_MAX);
--- a/crates/celeryknot_faults/src/lib.rs
+++ b/crates/celeryknot_faults/src/lib.rs
@@ -4,3 +4,5 @@
 pub mod booking;
 pub mod check;
 pub mod history;
+pub mod plan;
+pub mod process;
