--- /dev/null
+++ b/crates/celeryknot_standins/src/engine/http_api.rs
@@ -0,0 +1,278 @@
+//! An engine's HTTP interface.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::Receiver;
+use celeryknot_core::{ChatKey, RequestId, header};
+use futures_lite::future;
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use smol::Timer;
+
+use super::EngineShared;
+use super::job::Job;
+use super::state::EngineState;
+use crate::client::fetch_json;
+use crate::server::{Aborted, Answer, AnswerBody, Handler, Part};
+use crate::server::{answer_or_status, empty, json, json_bytes, query_number, read_json};
+use crate::text::{AnswerText, Token, prompt_tokens};
+use crate::wire::{CacheEvents, ChatRequest, EndpointMode, FencedOrder, FencingAnswer, KvExport};
+
+const URGENCY_DEFAULT: u8 = 3;
+const EVENTS_WAIT_MAX_MS: u64 = 30_000;
+const EVENTS_CHECK: Duration = Duration::from_millis(50);
+const KV_SOURCE_TIMEOUT: Duration = Duration::from_secs(1);
+const TOKEN_LEN: usize = 8;
+
+pub(super) struct EngineApi {
+    shared: Arc<EngineShared>,
+}
+
+impl EngineApi {
+    pub(super) fn new(shared: Arc<EngineShared>) -> Self {
+        Self { shared }
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Result<Answer, StatusCode> {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path().to_owned();
+        match (head.method.as_str(), path.as_str()) {
+            ("GET", "/v1/load") => Ok(json(StatusCode::OK, &self.shared.state().late_load())),
+            ("GET", "/v1/cache-events") => Ok(self.cache_events(head.uri.query()).await),
+            ("POST", "/v1/orders") => Ok(self.take_order(read_json(body).await?)),
+            ("POST", "/stand-in/mode") => {
+                let mode: EndpointMode = read_json(body).await?;
+                self.shared.state().set_mode(mode);
+                self.shared.wake();
+                Ok(empty(StatusCode::NO_CONTENT))
+            }
+            ("GET", "/stand-in/seen") => {
+                Ok(json(StatusCode::OK, &self.shared.state().seen.report()))
+            }
+            ("POST", _) if path.starts_with("/v1/streams/") => self.cancel(&path),
+            ("GET", _) if path.starts_with("/v1/kv/") => self.export_kv(chat_of(&path)?),
+            ("PUT", _) if path.starts_with("/v1/kv/") => {
+                let tokens = parse_blob(&read_json(body).await?)?;
+                self.shared.state().store(chat_of(&path)?, tokens);
+                Ok(empty(StatusCode::NO_CONTENT))
+            }
+            _ => Err(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn cache_events(&self, query: Option<&str>) -> Answer {
+        let after = query_number(query, "after").unwrap_or(0);
+        let wait_ms = query_number(query, "wait_ms").unwrap_or(0);
+        let end = Instant::now() + Duration::from_millis(wait_ms.min(EVENTS_WAIT_MAX_MS));
+        loop {
+            let events = self.shared.state().events_after(after);
+            if !events.is_empty() || Instant::now() >= end {
+                return json(StatusCode::OK, &CacheEvents { events });
+            }
+            Timer::at(end.min(Instant::now() + EVENTS_CHECK)).await;
+        }
+    }
+
+    fn take_order(&self, order: FencedOrder) -> Answer {
+        let result = self.shared.state().take_order(order);
+        self.shared.wake();
+        match result {
+            Ok(()) => empty(StatusCode::ACCEPTED),
+            Err(fencing) => json(StatusCode::CONFLICT, &FencingAnswer { fencing }),
+        }
+    }
+
+    fn cancel(&self, path: &str) -> Result<Answer, StatusCode> {
+        let id = path
+            .strip_prefix("/v1/streams/")
+            .and_then(|rest| rest.strip_suffix("/cancel"))
+            .ok_or(StatusCode::NOT_FOUND)?;
+        let request_id = id.parse().map_err(|_| StatusCode::BAD_REQUEST)?;
+        self.shared.state().cancel(request_id);
+        Ok(empty(StatusCode::NO_CONTENT))
+    }
+
+    fn export_kv(&self, chat: ChatKey) -> Result<Answer, StatusCode> {
+        let state = self.shared.state();
+        let tokens = state.cached(chat).ok_or(StatusCode::NOT_FOUND)?;
+        Ok(json(StatusCode::OK, &export(tokens)))
+    }
+
+    async fn complete(&self, head: Parts, body: Incoming) -> Result<Answer, Aborted> {
+        let chat_request: ChatRequest = match read_json(body).await {
+            Ok(chat_request) => chat_request,
+            Err(status) => return Ok(empty(status)),
+        };
+        self.import_kv(&head.headers).await;
+        let (parts, part_receiver) = Job::channel();
+        let is_stream = chat_request.stream;
+        let answer_headers = {
+            let mut state = self.shared.state();
+            if let Some(refusal) = refuse(&mut state, &chat_request) {
+                return Ok(refusal);
+            }
+            let Some(job) = new_job(&mut state, &head.headers, chat_request, parts) else {
+                return Ok(empty(StatusCode::BAD_REQUEST));
+            };
+            let request_id = job.request_id;
+            state.push(job);
+            answer_headers(&state, request_id)
+        };
+        self.shared.wake();
+        let mut answer = if is_stream {
+            stream_answer(part_receiver)
+        } else {
+            let whole: Part = part_receiver.recv().await.unwrap_or(Err(Aborted));
+            json_bytes(StatusCode::OK, whole?)
+        };
+        answer.headers_mut().extend(answer_headers);
+        Ok(answer)
+    }
+
+    /// Imports the chat's KV cache from where the router says, if that works in time.
+    async fn import_kv(&self, headers: &HeaderMap) {
+        let (Some(source), Some(chat)) = (
+            header_value(headers, header::KV_SOURCE),
+            header_value::<ChatKey>(headers, header::CHAT),
+        ) else {
+            return;
+        };
+        let path = format!("/v1/kv/{chat}");
+        let fetched: Option<KvExport> = fetch_json(source, &path, KV_SOURCE_TIMEOUT).await.ok();
+        let Some(tokens) = fetched.and_then(|kv| parse_blob(&kv).ok()) else {
+            return;
+        };
+        let import_ms = self.shared.state().options.kv_import_ms;
+        Timer::after(import_ms.as_std()).await;
+        let mut state = self.shared.state();
+        if state.cached_len(chat) < tokens.len() {
+            state.store(chat, tokens);
+        }
+    }
+}
+
+impl Handler for EngineApi {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Answer, Aborted> {
+        let path = request.uri().path();
+        if !path.starts_with("/stand-in/") && self.shared.state().is_silent() {
+            return future::pending().await;
+        }
+        if path == "/v1/chat/completions" {
+            let (head, body) = request.into_parts();
+            return self.complete(head, body).await;
+        }
+        answer_or_status(self.route(request).await)
+    }
+}
+
+/// Refuses a request that the engine can't run.
+fn refuse(state: &mut EngineState, request: &ChatRequest) -> Option<Answer> {
+    if request.model != state.options.model {
+        return Some(empty(StatusCode::NOT_FOUND));
+    }
+    let fail_percent = state.mode().fail_percent;
+    if state.collapses() || state.draws(fail_percent) {
+        return Some(empty(StatusCode::INTERNAL_SERVER_ERROR));
+    }
+    None
+}
+
+fn new_job(
+    state: &mut EngineState,
+    headers: &HeaderMap,
+    request: ChatRequest,
+    parts: async_channel::Sender<Part>,
+) -> Option<Job> {
+    let mode = state.mode();
+    let is_crossed = state.draws(mode.cross_percent);
+    let is_cut = state.draws(mode.truncate_percent);
+    let mut answer = AnswerText::new(&request.model, &request.messages, request.max_tokens);
+    let mut request_id: RequestId = header_value(headers, header::REQUEST_ID).unwrap_or_default();
+    if is_crossed {
+        answer = EngineState::crossed(answer);
+        request_id = RequestId(!request_id.0);
+    }
+    let resume_from: u32 = header_value(headers, header::RESUME_FROM).unwrap_or(0);
+    if resume_from >= answer.len {
+        return None;
+    }
+    Some(Job {
+        request_id,
+        chat: header_value(headers, header::CHAT),
+        urgency: urgency(headers),
+        prompt: prompt_tokens(&request.messages),
+        model: request.model,
+        is_stream: request.stream,
+        resume_from,
+        next_index: resume_from,
+        cached_tokens: 0,
+        prefill_left: f64::MAX,
+        is_cold_work: false,
+        cut_at: is_cut.then_some(resume_from + (answer.len - resume_from) / 2),
+        answer,
+        parts,
+    })
+}
+
+fn stream_answer(parts: Receiver<Part>) -> Answer {
+    let mut answer = Response::new(AnswerBody::parts(parts));
+    answer.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        HeaderValue::from_static("text/event-stream"),
+    );
+    answer
+}
+
+fn answer_headers(state: &EngineState, request_id: RequestId) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, text) in [
+        (header::REQUEST_ID, request_id.to_string()),
+        (header::LOAD, state.load().header_value()),
+    ] {
+        let value = HeaderValue::try_from(text).expect("ids and loads are visible ASCII");
+        headers.insert(name, value);
+    }
+    headers
+}
+
+fn urgency(headers: &HeaderMap) -> u8 {
+    headers
+        .get(header::PRIORITY)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| {
+            text.split(',')
+                .find_map(|part| part.trim().strip_prefix("u="))
+        })
+        .and_then(|digits| digits.parse().ok())
+        .unwrap_or(URGENCY_DEFAULT)
+}
+
+fn header_value<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn chat_of(path: &str) -> Result<ChatKey, StatusCode> {
+    path.trim_start_matches("/v1/kv/")
+        .parse()
+        .map_err(|_| StatusCode::BAD_REQUEST)
+}
+
+fn export(tokens: &[Token]) -> KvExport {
+    KvExport {
+        tokens: tokens.len() as u32,
+        blob: tokens.iter().map(|token| format!("{token:08x}")).collect(),
+    }
+}
+
+fn parse_blob(kv: &KvExport) -> Result<Vec<Token>, StatusCode> {
+    if !kv.blob.is_ascii() || kv.blob.len() != kv.tokens as usize * TOKEN_LEN {
+        return Err(StatusCode::BAD_REQUEST);
+    }
+    (0..kv.blob.len())
+        .step_by(TOKEN_LEN)
+        .map(|at| Token::from_str_radix(&kv.blob[at..at + TOKEN_LEN], 16))
+        .collect::<Result<_, _>>()
+        .map_err(|_| StatusCode::BAD_REQUEST)
+}
--- /dev/null
+++ b/crates/celeryknot_standins/src/engine/job.rs
@@ -0,0 +1,137 @@
+//! One request inside an engine, and the forms of its answer.
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use celeryknot_core::{ChatKey, RequestId};
+use serde_json::json;
+
+use crate::server::{Aborted, Part};
+use crate::text::{AnswerText, Token};
+use crate::wire::Usage;
+
+#[derive(Debug)]
+pub(super) struct Job {
+    pub(super) request_id: RequestId,
+    pub(super) chat: Option<ChatKey>,
+    pub(super) urgency: u8,
+    pub(super) model: String,
+    pub(super) prompt: Vec<Token>,
+    pub(super) answer: AnswerText,
+    pub(super) is_stream: bool,
+    /// The index of the first token that is wanted.
+    pub(super) resume_from: u32,
+    /// The index of the next token.
+    pub(super) next_index: u32,
+    /// Prompt tokens found in the cache, once the job has been admitted to the batch.
+    pub(super) cached_tokens: usize,
+    /// Prompt tokens still to be read.
+    pub(super) prefill_left: f64,
+    /// Taken since the engine turned cold.
+    pub(super) is_cold_work: bool,
+    /// The token index at which the answer is cut by a fault.
+    pub(super) cut_at: Option<u32>,
+    pub(super) parts: Sender<Part>,
+}
+
+/// What a step did to a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Progress {
+    Running,
+    Done,
+    Failed,
+}
+
+impl Job {
+    pub(super) fn channel() -> (Sender<Part>, Receiver<Part>) {
+        async_channel::unbounded()
+    }
+
+    /// Tells whether nobody waits for the answer any more.
+    pub(super) fn is_abandoned(&self) -> bool {
+        self.parts.is_closed()
+    }
+
+    /// Sends the next token, or the rest of the answer with the last one.
+    pub(super) fn emit_token(&mut self) -> Progress {
+        if self.cut_at == Some(self.next_index) {
+            self.send(Err(Aborted));
+            return Progress::Failed;
+        }
+        let index = self.next_index;
+        self.next_index += 1;
+        let is_last = self.next_index >= self.answer.len;
+        if self.is_stream {
+            let event = self.event(index, is_last);
+            self.send(Ok(event));
+        } else if is_last {
+            let whole = self.whole_answer();
+            self.send(Ok(whole));
+        }
+        if is_last {
+            return Progress::Done;
+        }
+        Progress::Running
+    }
+
+    pub(super) fn fail(&self) {
+        self.send(Err(Aborted));
+    }
+
+    /// Returns the tokens that the cache holds after the answer.
+    pub(super) fn tokens_with_answer(&self) -> Vec<Token> {
+        let mut tokens = self.prompt.clone();
+        tokens.push(crate::text::word_token("assistant"));
+        tokens.extend(
+            (0..self.next_index).map(|index| crate::text::word_token(&self.answer.word(index))),
+        );
+        tokens
+    }
+
+    fn send(&self, part: Part) {
+        // A caller that went away is seen by the next step.
+        let _ = self.parts.try_send(part);
+    }
+
+    fn usage(&self) -> Usage {
+        Usage {
+            prompt_tokens: self.prompt.len() as u32,
+            completion_tokens: self.next_index,
+            cached_tokens: self.cached_tokens as u32,
+        }
+    }
+
+    fn event(&self, index: u32, is_last: bool) -> Bytes {
+        let content = self.answer.word(index) + " ";
+        let finish_reason = is_last.then(|| self.answer.finish_reason());
+        let mut event = json!({
+            "id": self.request_id.to_string(),
+            "object": "chat.completion.chunk",
+            "model": self.model,
+            "choices": [{"index": 0, "delta": {"content": content}, "finish_reason": finish_reason}],
+            "token_index": index,
+        });
+        if is_last {
+            event["usage"] = json!(self.usage());
+        }
+        let end = if is_last { "data: [DONE]\n\n" } else { "" };
+        Bytes::from(format!("data: {event}\n\n{end}"))
+    }
+
+    fn whole_answer(&self) -> Bytes {
+        let text: String = (self.resume_from..self.answer.len)
+            .map(|index| self.answer.word(index) + " ")
+            .collect();
+        let answer = json!({
+            "id": self.request_id.to_string(),
+            "object": "chat.completion",
+            "model": self.model,
+            "choices": [{
+                "index": 0,
+                "message": {"role": "assistant", "content": text},
+                "finish_reason": self.answer.finish_reason(),
+            }],
+            "usage": self.usage(),
+        });
+        Bytes::from(answer.to_string())
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_standins/src/engine/state.rs
@@ -0,0 +1,359 @@
+//! An engine's state between two steps of its batch.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use celeryknot_core::{ChatKey, RequestId};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::EngineOptions;
+use super::event_log::EventLog;
+use super::job::{Job, Progress};
+use super::prefix_cache::PrefixCache;
+use crate::seen::Seen;
+use crate::text::{AnswerText, Token};
+use crate::wire::{CacheEvent, CacheEventKind, EndpointMode, FencedOrder, Load, Order};
+
+/// Load reports kept for the lag.
+const REPORTS_MAX: usize = 2_048;
+/// A cold engine with this many times the work that it can bear fails new work.
+const COLLAPSE_MULTIPLE: u32 = 2;
+
+#[derive(Debug)]
+pub(super) struct EngineState {
+    pub(super) options: EngineOptions,
+    pub(super) seen: Seen,
+    /// Sorted by urgency, then by arrival.
+    waiting: Vec<Job>,
+    running: Vec<Job>,
+    cache: PrefixCache,
+    events: EventLog,
+    mode: EndpointMode,
+    cold_until: Option<Instant>,
+    is_told_cold: bool,
+    loading: Option<(Instant, String, String)>,
+    role: String,
+    fencing: u64,
+    reports: VecDeque<(Instant, Load)>,
+    random: SmallRng,
+}
+
+impl EngineState {
+    pub(super) fn new(options: EngineOptions) -> Self {
+        let now = Instant::now();
+        let cold_until = (options.cold_ms.0 > 0).then(|| now + options.cold_ms.as_std());
+        let lag = options.event_lag_ms.as_std();
+        let mut state = Self {
+            seen: Seen::default(),
+            waiting: Vec::new(),
+            running: Vec::new(),
+            cache: PrefixCache::new(options.kv_tokens_max),
+            events: EventLog::new(lag, options.event_gap_percent, options.seed),
+            mode: EndpointMode::default(),
+            cold_until,
+            is_told_cold: false,
+            loading: None,
+            role: "serve".to_owned(),
+            fencing: 0,
+            reports: VecDeque::new(),
+            random: SmallRng::seed_from_u64(options.seed),
+            options,
+        };
+        state.report_load();
+        state
+    }
+
+    pub(super) fn in_flight(&self) -> u32 {
+        (self.waiting.len() + self.running.len()) as u32
+    }
+
+    pub(super) fn is_cold(&self) -> bool {
+        self.is_told_cold
+            || self.loading.is_some()
+            || self.cold_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    pub(super) fn is_silent(&self) -> bool {
+        self.mode.silent == Some(true)
+    }
+
+    /// Draws whether a fault with the share hits a request.
+    pub(super) fn draws(&mut self, percent: Option<u32>) -> bool {
+        percent.is_some_and(|percent| self.random.random_range(0..100) < percent)
+    }
+
+    pub(super) fn mode(&self) -> EndpointMode {
+        self.mode
+    }
+
+    pub(super) fn set_mode(&mut self, change: EndpointMode) {
+        let mode = &mut self.mode;
+        mode.slow_factor = change.slow_factor.or(mode.slow_factor);
+        mode.fail_percent = change.fail_percent.or(mode.fail_percent);
+        mode.silent = change.silent.or(mode.silent);
+        mode.truncate_percent = change.truncate_percent.or(mode.truncate_percent);
+        mode.cross_percent = change.cross_percent.or(mode.cross_percent);
+        match change.cold {
+            Some(true) => self.turn_cold(),
+            Some(false) => {
+                self.is_told_cold = false;
+                self.cold_until = None;
+            }
+            None => {}
+        }
+        self.report_load();
+    }
+
+    /// Loses the cache; the work in flight goes on.
+    fn turn_cold(&mut self) {
+        self.is_told_cold = true;
+        for chat in self.cache.clear() {
+            self.events.push(CacheEventKind::Evicted, chat, 0);
+        }
+    }
+
+    pub(super) fn load(&self) -> Load {
+        let is_cold = self.is_cold();
+        let bound = if is_cold {
+            self.options.cold_bound
+        } else {
+            self.options.batch_max
+        };
+        Load {
+            in_flight: self.in_flight(),
+            queued: self.waiting.len() as u32,
+            cold: is_cold,
+            bound,
+            version: Some(self.options.version.clone()),
+            role: Some(self.role.clone()),
+            kv_tokens_used: Some(self.cache.tokens_used() as u64),
+            kv_tokens_max: Some(self.options.kv_tokens_max as u64),
+        }
+    }
+
+    fn report_load(&mut self) {
+        if self.reports.len() == REPORTS_MAX {
+            self.reports.pop_front();
+        }
+        self.reports.push_back((Instant::now(), self.load()));
+    }
+
+    /// Returns the load as it was before the lag.
+    pub(super) fn late_load(&mut self) -> Load {
+        let lag = self.options.load_lag_ms.as_std();
+        self.report_load();
+        self.reports
+            .iter()
+            .rev()
+            .find(|(at, _)| at.elapsed() >= lag)
+            .or_else(|| self.reports.front())
+            .map_or_else(|| self.load(), |(_, load)| load.clone())
+    }
+
+    /// Tells whether a cold engine has so much work that more of it fails.
+    pub(super) fn collapses(&mut self) -> bool {
+        let is_over = self.is_cold()
+            && self.in_flight() >= self.options.cold_bound.saturating_mul(COLLAPSE_MULTIPLE);
+        if is_over {
+            self.seen.overwhelmed += 1;
+        }
+        is_over
+    }
+
+    /// Takes a request.
+    pub(super) fn push(&mut self, mut job: Job) {
+        let is_cold = self.is_cold();
+        job.is_cold_work = is_cold;
+        self.seen.take(job.request_id);
+        self.seen.prompt_tokens += job.prompt.len() as u64;
+        let place = self
+            .waiting
+            .partition_point(|other| other.urgency <= job.urgency);
+        self.waiting.insert(place, job);
+        self.seen.peak_in_flight = self.seen.peak_in_flight.max(self.in_flight());
+        if is_cold {
+            let jobs = self.waiting.iter().chain(&self.running);
+            let cold_work = jobs.filter(|job| job.is_cold_work).count() as u32;
+            self.seen.peak_in_flight_cold = self.seen.peak_in_flight_cold.max(cold_work);
+        }
+        self.report_load();
+    }
+
+    pub(super) fn cancel(&mut self, request_id: RequestId) {
+        for job in self.waiting.iter().chain(&self.running) {
+            if job.request_id == request_id {
+                job.fail();
+                job.parts.close();
+            }
+        }
+        self.drop_abandoned();
+    }
+
+    /// Starts a step of the batch and returns its time, or `None` with nothing to do.
+    pub(super) fn begin_step(&mut self) -> Option<Duration> {
+        self.drop_abandoned();
+        self.finish_loading();
+        self.admit();
+        if self.running.is_empty() {
+            // A load ends by time, with nothing to wake the engine.
+            return self.loading.as_ref().map(|_| Duration::from_millis(20));
+        }
+        Some(self.step_duration())
+    }
+
+    /// Ends a step: reads prompts and emits a token for each request whose prompt is read.
+    pub(super) fn end_step(&mut self, duration: Duration) {
+        let mut budget =
+            self.options.prefill_tokens_per_s * duration.as_secs_f64() / self.slow_factor();
+        let mut index = 0;
+        while index < self.running.len() {
+            let job = &mut self.running[index];
+            let read = job.prefill_left.min(budget);
+            job.prefill_left -= read;
+            budget -= read;
+            if job.prefill_left > 0.0 {
+                index += 1;
+                continue;
+            }
+            match job.emit_token() {
+                Progress::Running => index += 1,
+                Progress::Done | Progress::Failed => {
+                    let job = self.running.remove(index);
+                    self.keep_in_cache(&job);
+                }
+            }
+        }
+        self.report_load();
+    }
+
+    fn slow_factor(&self) -> f64 {
+        let is_overwhelmed = self.is_cold() && self.in_flight() > self.options.cold_bound;
+        let cold_factor = if is_overwhelmed {
+            self.options.overwhelmed_factor
+        } else {
+            1.0
+        };
+        self.mode.slow_factor.unwrap_or(1.0).max(0.01) * cold_factor
+    }
+
+    fn step_duration(&self) -> Duration {
+        let batch = self.running.len() as f64;
+        let ms = self.options.decode_base_ms + self.options.decode_per_request_ms * batch;
+        Duration::from_secs_f64(ms * self.slow_factor() / 1_000.0)
+    }
+
+    fn admit(&mut self) {
+        while !self.waiting.is_empty() && self.running.len() < self.options.batch_max as usize {
+            let mut job = self.waiting.remove(0);
+            let resumed = job.resume_from as usize;
+            let cached = job
+                .chat
+                .map_or(0, |chat| self.cache.cached_prefix(chat, &job.prompt));
+            job.cached_tokens = cached;
+            job.prefill_left = (job.prompt.len() + resumed - cached) as f64;
+            self.seen.cached_tokens += cached as u64;
+            // More urgent prompts are read first.
+            let place = self
+                .running
+                .partition_point(|other| other.urgency <= job.urgency);
+            self.running.insert(place, job);
+        }
+    }
+
+    fn drop_abandoned(&mut self) {
+        let before = self.in_flight();
+        self.waiting.retain(|job| !job.is_abandoned());
+        let (gone, kept) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(Job::is_abandoned);
+        self.running = kept;
+        let gone: Vec<Job> = gone;
+        for job in &gone {
+            self.keep_in_cache(job);
+        }
+        if self.in_flight() < before {
+            self.seen.cancelled += u64::from(before - self.in_flight());
+            self.report_load();
+        }
+    }
+
+    fn keep_in_cache(&mut self, job: &Job) {
+        if job.prefill_left > 0.0 {
+            return;
+        }
+        if let Some(chat) = job.chat {
+            self.store(chat, job.tokens_with_answer());
+        }
+    }
+
+    pub(super) fn store(&mut self, chat: ChatKey, tokens: Vec<Token>) {
+        let len = tokens.len();
+        for evicted in self.cache.store(chat, tokens) {
+            self.events.push(CacheEventKind::Evicted, evicted, 0);
+        }
+        self.events.push(CacheEventKind::Stored, chat, len);
+    }
+
+    pub(super) fn cached(&self, chat: ChatKey) -> Option<&[Token]> {
+        self.cache.get(chat)
+    }
+
+    pub(super) fn cached_len(&self, chat: ChatKey) -> usize {
+        self.cached(chat).map_or(0, <[Token]>::len)
+    }
+
+    pub(super) fn events_after(&self, after: u64) -> Vec<CacheEvent> {
+        self.events.visible_after(after)
+    }
+
+    /// Carries out an order, or returns the highest fencing number seen to an old one.
+    pub(super) fn take_order(&mut self, order: FencedOrder) -> Result<(), u64> {
+        if self.options.refuses_old_orders && order.fencing < self.fencing {
+            return Err(self.fencing);
+        }
+        self.fencing = self.fencing.max(order.fencing);
+        let (fencing, order) = (order.fencing, order.order);
+        match order {
+            Order::LoadModel {
+                model,
+                version,
+                adapter,
+            } => {
+                let adapter = adapter.map_or_else(String::new, |adapter| format!("+{adapter}"));
+                self.seen
+                    .orders
+                    .push(format!("{fencing} load-model {model} {version}{adapter}"));
+                let done = Instant::now() + self.options.weight_store.reserve_load();
+                self.loading = Some((done, model, version + &adapter));
+            }
+            Order::SetRole { role } => {
+                self.seen.orders.push(format!("{fencing} set-role {role}"));
+                self.role = role;
+            }
+        }
+        self.report_load();
+        Ok(())
+    }
+
+    fn finish_loading(&mut self) {
+        let is_done = matches!(&self.loading, Some((done, _, _)) if Instant::now() >= *done);
+        if !is_done {
+            return;
+        }
+        if let Some((_, model, version)) = self.loading.take() {
+            self.options.model = model;
+            self.options.version = version;
+            self.cache.clear();
+            self.report_load();
+        }
+    }
+
+    /// Returns the answer that belongs to another request, for a crossed answer.
+    pub(super) fn crossed(answer: AnswerText) -> AnswerText {
+        AnswerText {
+            seed: !answer.seed,
+            ..answer
+        }
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_standins/src/fault_proxy/plan.rs
@@ -0,0 +1,118 @@
+//! Faults and plans of faults.
+
+use celeryknot_core::DurationMs;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
+
+/// What the proxy does to connections from now on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "kebab-case")]
+pub enum Fault {
+    /// Ends all faults; connections that went silent stay dead.
+    Heal,
+    /// Delays each piece of data.
+    Delay {
+        /// The delay.
+        ms: u64,
+    },
+    /// Resets the open connections.
+    Reset,
+    /// Makes the open connections dead without a word; new ones work.
+    SilentDrop,
+    /// Makes the open and all new connections dead without a word.
+    BlackHole,
+    /// Resets a connection after so many bytes in one direction.
+    Truncate {
+        /// The bytes that are still passed.
+        after_bytes: u64,
+    },
+    /// Passes data in small segments.
+    Split {
+        /// The size of a segment.
+        segment_bytes: usize,
+    },
+    /// Delays connections differently, so that answers overtake each other.
+    Reorder {
+        /// The largest delay.
+        ms: u64,
+    },
+}
+
+/// One fault at its time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FaultStep {
+    /// The time from the start of the plan.
+    #[serde(default)]
+    pub at_ms: u64,
+    /// The fault.
+    #[serde(flatten)]
+    pub fault: Fault,
+}
+
+/// Faults in the order of their times.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FaultPlan {
+    /// The faults.
+    pub steps: Vec<FaultStep>,
+}
+
+const CALM_MAX_MS: u64 = 1_500;
+const FAULT_MAX_MS: u64 = 1_000;
+const DELAY_MAX_MS: u64 = 200;
+const TRUNCATE_MAX_BYTES: u64 = 4_096;
+const SEGMENT_MAX_BYTES: usize = 64;
+const KINDS: u32 = 7;
+
+impl FaultPlan {
+    /// Draws a plan: calm times and faults in turn, healed at the end.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::DurationMs;
+    /// use celeryknot_standins::FaultPlan;
+    ///
+    /// let plan = FaultPlan::from_seed(7, DurationMs(10_000));
+    /// assert_eq!(plan, FaultPlan::from_seed(7, DurationMs(10_000)));
+    /// ```
+    pub fn from_seed(seed: u64, length_ms: DurationMs) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut steps = Vec::new();
+        let mut at_ms = 0;
+        loop {
+            at_ms += random.random_range(0..CALM_MAX_MS);
+            let fault = draw_fault(&mut random);
+            let healed_at_ms = at_ms + random.random_range(0..FAULT_MAX_MS);
+            if healed_at_ms >= length_ms.0 {
+                return Self { steps };
+            }
+            steps.push(FaultStep { at_ms, fault });
+            steps.push(FaultStep {
+                at_ms: healed_at_ms,
+                fault: Fault::Heal,
+            });
+            at_ms = healed_at_ms;
+        }
+    }
+}
+
+fn draw_fault(random: &mut SmallRng) -> Fault {
+    match random.random_range(0..KINDS) {
+        0 => Fault::Delay {
+            ms: random.random_range(1..DELAY_MAX_MS),
+        },
+        1 => Fault::Reset,
+        2 => Fault::SilentDrop,
+        3 => Fault::BlackHole,
+        4 => Fault::Truncate {
+            after_bytes: random.random_range(0..TRUNCATE_MAX_BYTES),
+        },
+        5 => Fault::Split {
+            segment_bytes: random.random_range(1..SEGMENT_MAX_BYTES),
+        },
+        _ => Fault::Reorder {
+            ms: random.random_range(1..DELAY_MAX_MS),
+        },
+    }
+}
--- a/crates/celeryknot_standins/src/lib.rs
+++ b/crates/celeryknot_standins/src/lib.rs
@@ -1,1 +1,34 @@
-//! Stand-ins for tests and trials: platform, engine, plain service, fault proxy and load.
+//! Stand-ins for tests and trials: platform, engine, plain service, fault proxy, caller and load.
+//!
+//! Each starts inside the calling process on an address of its own and serves what
+//! `docs/INTERFACES.md` says. They are small on purpose and no cluster simulator.
+
+#[macro_use]
+mod options;
+
+pub mod caller;
+pub mod client;
+pub mod engine;
+pub mod executor;
+pub mod fault_proxy;
+pub mod load;
+pub mod platform;
+pub mod seen;
+mod server;
+pub mod service;
+pub mod text;
+pub mod wire;
+
+pub use caller::{Caller, CallerOptions, Outcome};
+pub use engine::{Engine, EngineOptions};
+pub use fault_proxy::{Fault, FaultPlan, FaultProxy};
+pub use load::{LoadOptions, LoadPlan, LoadReport};
+
+pub use platform::{Platform, PlatformOptions};
+pub use seen::Seen;
+pub use service::{Service, ServiceOptions};
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// A loopback address with a free port picked by the system.
+pub const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
--- /dev/null
+++ b/crates/celeryknot_standins/src/load.rs
@@ -0,0 +1,11 @@
+//! Open-loop load of returning chats and bookings, from a seeded plan.
+
+mod plan;
+mod report;
+mod run;
+
+pub use self::plan::{
+    CallKind, ChatPlan, CustomerShare, LoadOptions, LoadPlan, PlannedCall, Surge,
+};
+pub use self::report::{BookingEnd, EndKind, LoadReport, Sample};
+pub use self::run::{Balancer, ChatCall, Placed, Placement, run_load};
--- /dev/null
+++ b/crates/celeryknot_standins/src/load/run.rs
@@ -0,0 +1,272 @@
+//! Runs a planned load: each call starts at its time, whatever the earlier ones do.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use smol::Timer;
+use smol::lock::Mutex as AsyncMutex;
+
+use super::plan::{CallKind, LoadPlan, PlannedCall};
+use super::report::{BookingEnd, LoadReport, Sample, as_ms, end_of};
+use crate::caller::{CallTarget, Caller, Completed, Outcome};
+use crate::executor::spawn;
+use crate::text::Message;
+use crate::wire::{BookingRequest, ChatRequest};
+
+/// A chat request that is to be placed.
+#[derive(Debug, Clone, Copy)]
+pub struct ChatCall<'a> {
+    /// The customer.
+    pub customer: &'a str,
+    /// The chat's name.
+    pub chat: &'a str,
+    /// The request.
+    pub request: &'a ChatRequest,
+}
+
+/// Where a chat request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placed {
+    /// The address, and what the caller says there.
+    pub target: CallTarget,
+    /// The value of the header `Celeryknot-Chat`.
+    pub chat: String,
+}
+
+/// Decides where the calls of a load go.
+pub trait Placement: Send + Sync + 'static {
+    /// Places a chat request.
+    fn place(&self, call: ChatCall<'_>) -> Placed;
+
+    /// Learns that a chat request has ended.
+    fn ended(&self, placed: &Placed, outcome: &Outcome<Completed>);
+
+    /// Returns where the calls of a plain service go, in the order of the attempts.
+    fn plain_targets(&self, customer: &str, service: &str) -> Vec<CallTarget>;
+}
+
+/// Sends calls to the daemons in turn, as the platform's balancer does.
+#[derive(Debug)]
+pub struct Balancer {
+    service: String,
+    state: Mutex<(usize, Vec<SocketAddr>)>,
+}
+
+impl Balancer {
+    /// Builds a balancer before the daemons for one model service.
+    pub fn new(service: &str, addresses: Vec<SocketAddr>) -> Self {
+        Self {
+            service: service.to_owned(),
+            state: Mutex::new((0, addresses)),
+        }
+    }
+
+    /// Replaces the daemons.
+    pub fn set_addresses(&self, addresses: Vec<SocketAddr>) {
+        self.state().1 = addresses;
+    }
+
+    fn state(&self) -> MutexGuard<'_, (usize, Vec<SocketAddr>)> {
+        self.state.lock().expect("no thread panics with the list")
+    }
+
+    /// Returns all addresses, beginning with the next one.
+    fn next(&self) -> Vec<SocketAddr> {
+        let mut state = self.state();
+        let (turn, addresses) = &mut *state;
+        *turn += 1;
+        let start = *turn % addresses.len().max(1);
+        let (before, after) = addresses.split_at(start.min(addresses.len()));
+        [after, before].concat()
+    }
+}
+
+impl Placement for Balancer {
+    fn place(&self, call: ChatCall<'_>) -> Placed {
+        Placed {
+            target: CallTarget {
+                address: self.next().first().copied().unwrap_or(crate::LOOPBACK),
+                prefix: format!("/{}", self.service),
+                customer: call.customer.to_owned(),
+            },
+            chat: call.chat.to_owned(),
+        }
+    }
+
+    fn ended(&self, _placed: &Placed, _outcome: &Outcome<Completed>) {}
+
+    fn plain_targets(&self, customer: &str, service: &str) -> Vec<CallTarget> {
+        self.next()
+            .into_iter()
+            .map(|address| CallTarget {
+                address,
+                prefix: format!("/{service}"),
+                customer: customer.to_owned(),
+            })
+            .collect()
+    }
+}
+
+#[derive(Debug, Default)]
+struct ChatState {
+    history: Vec<Message>,
+    affinity: Option<String>,
+}
+
+struct Run<P> {
+    plan: Arc<LoadPlan>,
+    caller: Caller,
+    placement: Arc<P>,
+    chats: Mutex<HashMap<usize, Arc<AsyncMutex<ChatState>>>>,
+    report: Mutex<LoadReport>,
+    start: Instant,
+}
+
+/// Runs a load and returns what its callers saw.
+pub async fn run_load<P: Placement>(
+    plan: Arc<LoadPlan>,
+    caller: Caller,
+    placement: Arc<P>,
+) -> LoadReport {
+    let run = Arc::new(Run {
+        plan: Arc::clone(&plan),
+        caller,
+        placement,
+        chats: Mutex::default(),
+        report: Mutex::default(),
+        start: Instant::now(),
+    });
+    let mut tasks = Vec::with_capacity(plan.calls.len());
+    for call in &plan.calls {
+        Timer::at(run.start + call.at).await;
+        tasks.push(spawn(run_call(Arc::clone(&run), *call)));
+    }
+    for task in tasks {
+        task.await;
+    }
+    let mut report = run.report.lock().expect("no thread panics with the report");
+    std::mem::take(&mut *report)
+}
+
+async fn run_call<P: Placement>(run: Arc<Run<P>>, call: PlannedCall) {
+    match call.kind {
+        CallKind::Chat { chat, turn } => run.chat(call, chat, turn).await,
+        CallKind::Booking(number) => run.book(call, number).await,
+        CallKind::Read(number) => run.read(call, number).await,
+    }
+}
+
+impl<P: Placement> Run<P> {
+    fn report(&self) -> MutexGuard<'_, LoadReport> {
+        self.report
+            .lock()
+            .expect("no thread panics with the report")
+    }
+
+    fn customer(&self, call: PlannedCall) -> &str {
+        &self.plan.options.customers[call.customer].name
+    }
+
+    async fn chat(&self, call: PlannedCall, chat: usize, turn: u32) {
+        let state = {
+            let mut chats = self.chats.lock().expect("no thread panics with the chats");
+            Arc::clone(chats.entry(chat).or_default())
+        };
+        // A chat goes on only after its last answer; the wait counts as latency.
+        let mut state = state.lock().await;
+        let model = &self.plan.options.model;
+        let chat_plan = &self.plan.chats[chat];
+        chat_plan.extend(&mut state.history, model, turn);
+        let request = ChatRequest {
+            model: model.clone(),
+            messages: state.history.clone(),
+            stream: chat_plan.is_stream,
+            max_tokens: None,
+        };
+        let name = format!("chat-{chat}");
+        let placed = self.placement.place(ChatCall {
+            customer: self.customer(call),
+            chat: &name,
+            request: &request,
+        });
+        let late = self.start.elapsed().saturating_sub(call.at);
+        let outcome = self
+            .caller
+            .chat(
+                &placed.target,
+                &placed.chat,
+                state.affinity.as_deref(),
+                &request,
+            )
+            .await;
+        self.placement.ended(&placed, &outcome);
+        let mut first_token = None;
+        if let Outcome::Completed(completed) = &outcome {
+            state.affinity = completed.affinity.clone().or(state.affinity.take());
+            self.report().count_tokens(completed);
+            first_token = Some(late + completed.first_token);
+        }
+        self.count(call, true, first_token, &outcome);
+    }
+
+    async fn book(&self, call: PlannedCall, number: u32) {
+        let customer = self.customer(call);
+        let request = BookingRequest {
+            slot: format!("slot-{number}"),
+            party: customer.to_owned(),
+        };
+        let service = &self.plan.options.plain_service;
+        let targets = self.placement.plain_targets(customer, service);
+        let outcome = self.caller.book(&targets, service, &request).await;
+        let (mut end, refused, _) = end_of(&outcome);
+        let execution = refused.and_then(|refused| refused.execution);
+        if refused.is_some() && execution != Some(celeryknot_core::Execution::NotRun) {
+            end = super::report::EndKind::Lost;
+        }
+        self.report().bookings.push(BookingEnd {
+            request,
+            end,
+            execution,
+        });
+        self.count(call, false, None, &outcome);
+    }
+
+    async fn read(&self, call: PlannedCall, number: u32) {
+        let customer = self.customer(call);
+        let service = &self.plan.options.plain_service;
+        let targets = self.placement.plain_targets(customer, service);
+        let Some(target) = targets.first() else {
+            return;
+        };
+        let outcome = self
+            .caller
+            .read_record(target, &format!("record-{number}"))
+            .await;
+        self.count(call, false, None, &outcome);
+    }
+
+    fn count<T>(
+        &self,
+        call: PlannedCall,
+        is_chat: bool,
+        first_token: Option<Duration>,
+        outcome: &Outcome<T>,
+    ) {
+        let (end, refused, reason) = end_of(outcome);
+        let sample = Sample {
+            at_ms: as_ms(call.at),
+            customer: call.customer,
+            is_chat,
+            end,
+            first_token_ms: first_token.map(as_ms),
+            whole_ms: as_ms(self.start.elapsed().saturating_sub(call.at)),
+        };
+        let mut report = self.report();
+        report.count(sample, refused);
+        if let Some(reason) = reason {
+            report.count_reason(reason);
+        }
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_standins/src/platform/store.rs
@@ -0,0 +1,131 @@
+//! What all replicas of the platform share: values, instances, the call count and the rate limit.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+
+use crate::wire::{Instance, Instances, PlatformCalls, Value, Values};
+
+/// The part of the store that a replica can hold on to while it is stale.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Contents {
+    revision: u64,
+    values: BTreeMap<String, (u64, Option<String>)>,
+    lists: Vec<(Instant, Instances)>,
+}
+
+impl Contents {
+    pub(super) fn values_after(&self, after: Option<u64>) -> Values {
+        let values = self
+            .values
+            .iter()
+            .filter(|(_, (revision, _))| after.is_none_or(|after| *revision > after))
+            .map(|(path, (revision, text))| Value {
+                path: path.clone(),
+                revision: *revision,
+                text: text.clone(),
+            })
+            .collect();
+        Values {
+            revision: self.revision,
+            values,
+        }
+    }
+
+    /// Returns the newest list that is at least as old as the lag.
+    pub(super) fn instances(&self, lag: Duration) -> Instances {
+        self.lists
+            .iter()
+            .rev()
+            .find(|(at, _)| at.elapsed() >= lag)
+            .map_or_else(
+                || Instances {
+                    revision: 0,
+                    instances: Vec::new(),
+                },
+                |(_, list)| list.clone(),
+            )
+    }
+}
+
+/// Calls that may come at once above the rate.
+const BURST_S: f64 = 0.25;
+/// Lists kept for replicas that lag.
+const LISTS_MAX: usize = 64;
+
+#[derive(Debug)]
+pub(super) struct Store {
+    pub(super) contents: Contents,
+    pub(super) calls: PlatformCalls,
+    calls_per_s: f64,
+    tokens: f64,
+    refilled: Instant,
+    watchers: Vec<Sender<()>>,
+}
+
+impl Store {
+    pub(super) fn new(calls_per_s: f64) -> Self {
+        Self {
+            contents: Contents::default(),
+            calls: PlatformCalls::default(),
+            calls_per_s,
+            tokens: calls_per_s * BURST_S,
+            refilled: Instant::now(),
+            watchers: Vec::new(),
+        }
+    }
+
+    pub(super) fn put_value(&mut self, path: &str, text: Option<String>) {
+        self.contents.revision += 1;
+        let entry = (self.contents.revision, text);
+        self.contents.values.insert(path.to_owned(), entry);
+        self.watchers.clear();
+    }
+
+    pub(super) fn put_instances(&mut self, instances: Vec<Instance>) {
+        let revision = self
+            .contents
+            .lists
+            .last()
+            .map_or(0, |(_, list)| list.revision)
+            + 1;
+        let list = Instances {
+            revision,
+            instances,
+        };
+        self.contents.lists.push((Instant::now(), list));
+        if self.contents.lists.len() > LISTS_MAX {
+            self.contents.lists.remove(0);
+        }
+        self.watchers.clear();
+    }
+
+    /// Returns a channel that is closed with the next change.
+    pub(super) fn watch(&mut self) -> Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.watchers.retain(|watcher| !watcher.is_closed());
+        self.watchers.push(sender);
+        receiver
+    }
+
+    /// Wakes every watcher.
+    pub(super) fn wake(&mut self) {
+        self.watchers.clear();
+    }
+
+    /// Counts a call and tells whether the rate limit lets it through.
+    pub(super) fn admit_call(&mut self) -> bool {
+        let now = Instant::now();
+        let elapsed_s = now.duration_since(self.refilled).as_secs_f64();
+        self.refilled = now;
+        self.tokens = (self.tokens + elapsed_s * self.calls_per_s).min(self.calls_per_s * BURST_S);
+        self.calls.calls += 1;
+        if self.tokens < 1.0 {
+            self.calls.refused += 1;
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_standins/src/service.rs
@@ -0,0 +1,279 @@
+//! The stand-in for a plain service: bookings that may not be repeated, and records to read.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use celeryknot_core::{DurationMs, RequestId, header};
+use futures_lite::future;
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
+use hyper::body::Incoming;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use smol::Timer;
+
+use crate::seen::{Seen, SeenBooking};
+use crate::server::{Aborted, Answer, Handler, Server, answer_or_status, empty, json, read_json};
+use crate::wire::{Booking, BookingRequest, EndpointMode, Load};
+
+options! {
+    /// How a plain service behaves.
+    pub struct ServiceOptions {
+        /// Time that a call takes.
+        work_ms: DurationMs = DurationMs(5),
+        /// Calls that it can bear at once.
+        bound: u32 = 64,
+        /// How long it is cold after its start.
+        cold_ms: DurationMs = DurationMs(0),
+        /// Calls that it can bear at once while cold.
+        cold_bound: u32 = 2,
+        /// Decides which calls are hit by a fault.
+        seed: u64 = 1,
+    }
+}
+
+/// A cold service is slower by this factor with more than it can bear.
+const OVERWHELMED_FACTOR: f64 = 8.0;
+
+#[derive(Debug)]
+struct ServiceState {
+    options: ServiceOptions,
+    mode: EndpointMode,
+    cold_until: Option<Instant>,
+    in_flight: u32,
+    next_booking: u64,
+    seen: Seen,
+    random: SmallRng,
+}
+
+impl ServiceState {
+    fn is_cold(&self) -> bool {
+        self.mode.cold == Some(true) || self.cold_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    fn load(&self) -> Load {
+        let is_cold = self.is_cold();
+        Load {
+            in_flight: self.in_flight,
+            queued: 0,
+            cold: is_cold,
+            bound: if is_cold {
+                self.options.cold_bound
+            } else {
+                self.options.bound
+            },
+            ..Load::default()
+        }
+    }
+
+    fn set_mode(&mut self, change: EndpointMode) {
+        let mode = &mut self.mode;
+        mode.cold = change.cold.or(mode.cold);
+        mode.slow_factor = change.slow_factor.or(mode.slow_factor);
+        mode.fail_percent = change.fail_percent.or(mode.fail_percent);
+        mode.silent = change.silent.or(mode.silent);
+        mode.truncate_percent = change.truncate_percent.or(mode.truncate_percent);
+        if change.cold == Some(false) {
+            self.cold_until = None;
+        }
+    }
+
+    fn draws(&mut self, percent: Option<u32>) -> bool {
+        percent.is_some_and(|percent| self.random.random_range(0..100) < percent)
+    }
+
+    fn begin(&mut self, request_id: RequestId) -> Duration {
+        self.in_flight += 1;
+        self.seen.take(request_id);
+        self.seen.peak_in_flight = self.seen.peak_in_flight.max(self.in_flight);
+        let mut factor = self.mode.slow_factor.unwrap_or(1.0);
+        if self.is_cold() {
+            self.seen.peak_in_flight_cold = self.seen.peak_in_flight_cold.max(self.in_flight);
+            if self.in_flight > self.options.cold_bound {
+                self.seen.overwhelmed += 1;
+                factor *= OVERWHELMED_FACTOR;
+            }
+        }
+        self.options.work_ms.as_std().mul_f64(factor.max(0.0))
+    }
+}
+
+#[derive(Debug)]
+struct ServiceShared(Mutex<ServiceState>);
+
+/// Counts a call as in flight until it ends, however it ends.
+struct InFlight(Arc<ServiceShared>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.state().in_flight -= 1;
+    }
+}
+
+impl ServiceShared {
+    fn state(&self) -> MutexGuard<'_, ServiceState> {
+        self.0
+            .lock()
+            .expect("no thread panics while it holds the service's state")
+    }
+
+    async fn work(self: &Arc<Self>, headers: &HeaderMap) -> Result<InFlight, StatusCode> {
+        let request_id = request_id(headers);
+        let (duration, guard) = {
+            let mut state = self.state();
+            let fail_percent = state.mode.fail_percent;
+            if state.draws(fail_percent) {
+                return Err(StatusCode::INTERNAL_SERVER_ERROR);
+            }
+            (state.begin(request_id), InFlight(Arc::clone(self)))
+        };
+        Timer::after(duration).await;
+        Ok(guard)
+    }
+
+    async fn book(
+        self: &Arc<Self>,
+        headers: &HeaderMap,
+        body: Incoming,
+    ) -> Result<Answer, StatusCode> {
+        let request: BookingRequest = read_json(body).await?;
+        // The booking counts from the moment that the service has read it.
+        let booking = {
+            let mut state = self.state();
+            let customer = headers
+                .get(header::CUSTOMER)
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+                .to_owned();
+            state.seen.bookings.push(SeenBooking {
+                request: request.clone(),
+                customer,
+            });
+            state.next_booking += 1;
+            Booking {
+                slot: request.slot,
+                party: request.party,
+                booking: state.next_booking,
+            }
+        };
+        let _in_flight = self.work(headers).await?;
+        Ok(json(StatusCode::CREATED, &booking))
+    }
+
+    async fn route(self: &Arc<Self>, request: Request<Incoming>) -> Result<Answer, StatusCode> {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        match (head.method.as_str(), path) {
+            ("GET", "/v1/load") => Ok(json(StatusCode::OK, &self.state().load())),
+            ("POST", "/bookings") => self.book(&head.headers, body).await,
+            ("GET", "/stand-in/seen") => Ok(json(StatusCode::OK, &self.state().seen.report())),
+            ("POST", "/stand-in/mode") => {
+                let mode = read_json(body).await?;
+                self.state().set_mode(mode);
+                Ok(empty(StatusCode::NO_CONTENT))
+            }
+            ("GET", _) if path.starts_with("/records/") => {
+                let _in_flight = self.work(&head.headers).await?;
+                let name = path.trim_start_matches("/records/");
+                Ok(json(StatusCode::OK, &serde_json::json!({"record": name})))
+            }
+            _ => Err(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+impl Handler for ServiceShared {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Answer, Aborted> {
+        let is_control = request.uri().path().starts_with("/stand-in/");
+        if is_control {
+            return answer_or_status(self.route(request).await);
+        }
+        if self.state().mode.silent == Some(true) {
+            return future::pending().await;
+        }
+        let id = request_id(request.headers());
+        let mut answer = answer_or_status(self.route(request).await)?;
+        let load = {
+            let mut state = self.state();
+            let percent = state.mode.truncate_percent;
+            if state.draws(percent) {
+                return Err(Aborted);
+            }
+            state.load().header_value()
+        };
+        for (name, text) in [(header::REQUEST_ID, id.to_string()), (header::LOAD, load)] {
+            let value = HeaderValue::try_from(text).expect("ids and loads are visible ASCII");
+            answer.headers_mut().insert(name, value);
+        }
+        Ok(answer)
+    }
+}
+
+fn request_id(headers: &HeaderMap) -> RequestId {
+    headers
+        .get(header::REQUEST_ID)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.parse().ok())
+        .unwrap_or_default()
+}
+
+/// A running plain service.
+#[derive(Debug)]
+pub struct Service {
+    shared: Arc<ServiceShared>,
+    server: Server,
+}
+
+impl Service {
+    /// Starts a plain service.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_standins::{LOOPBACK, Service, ServiceOptions};
+    ///
+    /// let service = Service::start(ServiceOptions::default(), LOOPBACK)?;
+    /// assert!(service.seen().bookings.is_empty());
+    /// # Ok::<(), eyre::Report>(())
+    /// ```
+    pub fn start(options: ServiceOptions, address: SocketAddr) -> eyre::Result<Self> {
+        let cold_until = (options.cold_ms.0 > 0).then(|| Instant::now() + options.cold_ms.as_std());
+        let random = SmallRng::seed_from_u64(options.seed);
+        let shared = Arc::new(ServiceShared(Mutex::new(ServiceState {
+            options,
+            mode: EndpointMode::default(),
+            cold_until,
+            in_flight: 0,
+            next_booking: 0,
+            seen: Seen::default(),
+            random,
+        })));
+        let server = Server::start(address, Arc::clone(&shared))?;
+        Ok(Self { shared, server })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the number of calls that the service holds.
+    pub fn in_flight(&self) -> u32 {
+        self.shared.state().in_flight
+    }
+
+    /// Returns what the service saw.
+    pub fn seen(&self) -> Seen {
+        self.shared.state().seen.report()
+    }
+
+    /// Changes how the service behaves.
+    pub fn set_mode(&self, mode: EndpointMode) {
+        self.shared.state().set_mode(mode);
+    }
+
+    /// Stops the service and cuts its connections.
+    pub async fn stop(self) {
+        self.server.stop().await;
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_standins/src/text.rs
@@ -0,0 +1,115 @@
+//! Prompts and answers as tokens: a token is a word, and an answer follows from its prompt.
+//!
+//! Since the answer depends on the model and the messages alone, an engine that resumes a
+//! stream gives the same tokens, and a caller can tell whether an answer is its own.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Fewest tokens of an answer that is not cut by the caller's limit.
+pub const ANSWER_TOKENS_MIN: u32 = 16;
+/// Most tokens of an answer that is not cut by the caller's limit.
+pub const ANSWER_TOKENS_MAX: u32 = 40;
+
+const LETTERS: u64 = 26;
+const WORD_LEN: u32 = 3;
+
+/// One message of a chat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// `system`, `user` or `assistant`.
+    pub role: String,
+    /// The text.
+    pub content: String,
+}
+
+/// One token, as the hash of its word.
+pub type Token = u32;
+
+/// Splits a prompt into its tokens: one for each role and each word.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_standins::text::{Message, prompt_tokens};
+///
+/// let message = Message { role: "user".into(), content: "two words".into() };
+/// assert_eq!(prompt_tokens(&[message]).len(), 3);
+/// ```
+pub fn prompt_tokens(messages: &[Message]) -> Vec<Token> {
+    messages
+        .iter()
+        .flat_map(|message| {
+            std::iter::once(message.role.as_str()).chain(message.content.split_whitespace())
+        })
+        .map(word_token)
+        .collect()
+}
+
+/// Returns the token of one word.
+pub fn word_token(word: &str) -> Token {
+    (xxh3_64(word.as_bytes()) & u64::from(u32::MAX)) as Token
+}
+
+/// An answer that follows from a model and its prompt.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_standins::text::{AnswerText, Message};
+///
+/// let messages = [Message { role: "user".into(), content: "hello".into() }];
+/// let answer = AnswerText::new("wakai-8b", &messages, Some(4));
+/// assert_eq!(answer.len, 4);
+/// assert_eq!(answer.text().split_whitespace().nth(2), Some(answer.word(2).as_str()));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerText {
+    /// The hash of the model and the messages.
+    pub seed: u64,
+    /// The number of tokens.
+    pub len: u32,
+    /// Whether the caller's limit cuts the answer.
+    pub is_cut: bool,
+}
+
+impl AnswerText {
+    /// Works out the answer to a prompt.
+    pub fn new(model: &str, messages: &[Message], tokens_max: Option<u32>) -> Self {
+        let mut seed = xxh3_64(model.as_bytes());
+        for message in messages {
+            seed = xxh3_64_with_seed(message.role.as_bytes(), seed);
+            seed = xxh3_64_with_seed(message.content.as_bytes(), seed);
+        }
+        let spread = u64::from(ANSWER_TOKENS_MAX - ANSWER_TOKENS_MIN + 1);
+        let natural_len = ANSWER_TOKENS_MIN + (seed % spread) as u32;
+        let len = tokens_max.map_or(natural_len, |max| natural_len.min(max.max(1)));
+        Self {
+            seed,
+            len,
+            is_cut: len < natural_len,
+        }
+    }
+
+    /// Returns the word with the index.
+    pub fn word(&self, index: u32) -> String {
+        let mut rest = xxh3_64_with_seed(&index.to_le_bytes(), self.seed);
+        (0..WORD_LEN)
+            .map(|_| {
+                let letter = (rest % LETTERS) as u8;
+                rest /= LETTERS;
+                char::from(b'a' + letter)
+            })
+            .collect()
+    }
+
+    /// Returns the whole text: each word and a space.
+    pub fn text(&self) -> String {
+        (0..self.len).map(|index| self.word(index) + " ").collect()
+    }
+
+    /// Returns `length` for an answer that the caller's limit cuts, else `stop`.
+    pub fn finish_reason(&self) -> &'static str {
+        if self.is_cut { "length" } else { "stop" }
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_standins/tests/common/mod.rs
@@ -0,0 +1,162 @@
+//! What the tests of the stand-ins share.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use celeryknot_core::{DurationMs, RequestId, header};
+use celeryknot_standins::caller::{CallTarget, Completed};
+use celeryknot_standins::client::{Client, OpenAnswer, call};
+use celeryknot_standins::text::{AnswerText, Message, prompt_tokens};
+use celeryknot_standins::wire::ChatRequest;
+use celeryknot_standins::{Caller, CallerOptions, Outcome};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use serde::Serialize;
+use smol::Timer;
+
+pub const TIMEOUT: Duration = Duration::from_secs(20);
+const MODEL: &str = "wakai-8b";
+
+/// A caller of one address.
+#[derive(Clone)]
+pub struct Exchange {
+    caller: Caller,
+    target: CallTarget,
+}
+
+impl Exchange {
+    pub fn with(address: SocketAddr) -> Self {
+        Self::with_timeout(address, TIMEOUT)
+    }
+
+    pub fn with_timeout(address: SocketAddr, timeout: Duration) -> Self {
+        let options = CallerOptions::default().timeout_ms(DurationMs::from(timeout));
+        Self::new(address, options)
+    }
+
+    fn new(address: SocketAddr, options: CallerOptions) -> Self {
+        Self {
+            caller: Caller::new(options),
+            target: CallTarget {
+                address,
+                prefix: String::new(),
+                customer: "otaru".to_owned(),
+            },
+        }
+    }
+
+    pub fn with_urgency(&self, urgency: u8) -> Self {
+        let options = CallerOptions::default().urgency(Some(urgency));
+        Self::new(self.target.address, options)
+    }
+
+    pub async fn chat(&self, chat: &str, request: &ChatRequest) -> Outcome<Completed> {
+        self.caller.chat(&self.target, chat, None, request).await
+    }
+
+    pub fn into_chat(
+        self,
+        chat: &str,
+        request: ChatRequest,
+    ) -> impl Future<Output = Outcome<Completed>> + Send + use<> {
+        let chat = chat.to_owned();
+        async move { self.chat(&chat, &request).await }
+    }
+}
+
+/// Builds the request of a chat after so many answers.
+pub fn chat_request(words: usize, turns: usize) -> ChatRequest {
+    let mut messages = vec![message("user", &"complaint ".repeat(words))];
+    for turn in 0..turns {
+        let answer = AnswerText::new(MODEL, &messages, None).text();
+        messages.push(message("assistant", &answer));
+        messages.push(message("user", &format!("go on {turn}")));
+    }
+    ChatRequest {
+        model: MODEL.to_owned(),
+        messages,
+        stream: true,
+        max_tokens: None,
+    }
+}
+
+fn message(role: &str, content: &str) -> Message {
+    Message {
+        role: role.to_owned(),
+        content: content.to_owned(),
+    }
+}
+
+/// Returns the tokens of a request together with its answer.
+pub fn answered_tokens(request: &ChatRequest) -> u32 {
+    let answer = AnswerText::new(MODEL, &request.messages, None);
+    prompt_tokens(&request.messages).len() as u32 + 1 + answer.len
+}
+
+pub fn completed<T: std::fmt::Debug>(outcome: Outcome<T>) -> T {
+    match outcome {
+        Outcome::Completed(value) => value,
+        Outcome::Refused(_) | Outcome::Truncated | Outcome::CrossDelivered | Outcome::Lost(_) => {
+            panic!("not completed: {outcome:?}")
+        }
+    }
+}
+
+pub async fn post<T: Serialize>(address: SocketAddr, path: &str, body: &T) -> (StatusCode, Bytes) {
+    let body = serde_json::to_vec(body).unwrap();
+    call(address, Method::POST, path, body, TIMEOUT)
+        .await
+        .unwrap()
+}
+
+/// Sends a chat request and returns once the head of the answer is there.
+pub async fn raw_chat(
+    address: SocketAddr,
+    request: &ChatRequest,
+    id: RequestId,
+    resume_from: Option<u32>,
+) -> OpenAnswer {
+    let mut builder = Request::builder()
+        .method(Method::POST)
+        .uri("/v1/chat/completions")
+        .header(header::REQUEST_ID, id.to_string());
+    if let Some(index) = resume_from {
+        builder = builder.header(header::RESUME_FROM, index);
+    }
+    let body = Full::new(Bytes::from(serde_json::to_vec(request).unwrap()));
+    let open = Client::default()
+        .send(address, builder.body(body).unwrap())
+        .await
+        .unwrap();
+    let echoed = open.answer.headers().get(header::REQUEST_ID).unwrap();
+    assert_eq!(echoed.to_str().unwrap(), id.to_string());
+    open
+}
+
+/// Reads the words of a streamed answer.
+pub async fn words(open: OpenAnswer) -> Vec<String> {
+    let (answer, _, _sender) = open.into_parts();
+    let bytes = answer.into_body().collect().await.unwrap().to_bytes();
+    String::from_utf8(bytes.to_vec())
+        .unwrap()
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok())
+        .map(|event| {
+            let content = &event["choices"][0]["delta"]["content"];
+            content.as_str().unwrap().to_owned()
+        })
+        .collect()
+}
+
+/// Waits until the condition holds, and fails after a generous time.
+pub async fn wait_until(condition: impl Fn() -> bool) {
+    let end = Instant::now() + TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < end, "the condition never came true");
+        Timer::after(Duration::from_millis(5)).await;
+    }
+}
