--- a/crates/celeryknot_faults/src/run.rs
+++ b/crates/celeryknot_faults/src/run.rs
@@ -52,7 +52,9 @@
 
 async fn carry_out(binary: &Path, run: u16, plan: Plan) -> eyre::Result<Verdict> {
     let recorder = Arc::new(Recorder::default());
-    let site = Site::start(binary, run).await.wrap_err("starting the site")?;
+    let site = Site::start(binary, run)
+        .await
+        .wrap_err("starting the site")?;
     let workload = Workload::start(&site, &recorder, plan.seed);
     let started = Instant::now();
     let mut failures = Vec::new();
@@ -257,7 +259,10 @@
     const PAUSE: Duration = Duration::from_millis(40);
     let mut turn = 0;
     while Instant::now() < until {
-        let text = format!("[customer]\nshare_weight = {}\n", WEIGHTS[turn % WEIGHTS.len()]);
+        let text = format!(
+            "[customer]\nshare_weight = {}\n",
+            WEIGHTS[turn % WEIGHTS.len()]
+        );
         site.put_value("teams/kinrin/customers/otaru", &text);
         turn += 1;
         Timer::after(PAUSE).await;
--- a/crates/celeryknot_faults/src/site.rs
+++ b/crates/celeryknot_faults/src/site.rs
@@ -9,9 +9,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use celeryknot_platform::{
-    DaemonInstance, EndpointInstance, Fencing, Instance, InstanceState,
-};
+use celeryknot_platform::{DaemonInstance, EndpointInstance, Fencing, Instance, InstanceState};
 use celeryknot_standins::client::call;
 use celeryknot_standins::wire::PlatformMode;
 use celeryknot_standins::{
@@ -55,8 +53,7 @@
 const EXIT_TIME_MAX: Duration = Duration::from_secs(15);
 
 const SERVICE_VALUE: &str = "[service]\nkind = plain\nfirst_byte_timeout_ms = 2s\n";
-const MODEL_VALUE: &str =
-    "[service]\nkind = model\nmodels = wakai-8b\nfirst_byte_timeout_ms = 3s\nidle_timeout_ms = 2s\n";
+const MODEL_VALUE: &str = "[service]\nkind = model\nmodels = wakai-8b\nfirst_byte_timeout_ms = 3s\nidle_timeout_ms = 2s\n";
 
 /// The proxies that one side uses to reach one daemon.
 #[derive(Debug)]
@@ -266,7 +263,10 @@
             }
             Timer::after(READY_POLL).await;
         }
-        let log = self.folder.path().join(format!("{}.log", daemon_name(daemon)));
+        let log = self
+            .folder
+            .path()
+            .join(format!("{}.log", daemon_name(daemon)));
         let log = std::fs::read_to_string(log).unwrap_or_default();
         Err(eyre!("daemon {daemon} is not ready; its log:\n{log}"))
     }
@@ -292,8 +292,14 @@
         for zone in ZONES {
             self.put_value(&format!("fleet/zones/{zone}"), "[zone]\nstate = in\n");
         }
-        self.put_value(&format!("teams/kinrin/services/{MODEL_SERVICE}"), MODEL_VALUE);
-        self.put_value(&format!("teams/kinrin/services/{PLAIN_SERVICE}"), SERVICE_VALUE);
+        self.put_value(
+            &format!("teams/kinrin/services/{MODEL_SERVICE}"),
+            MODEL_VALUE,
+        );
+        self.put_value(
+            &format!("teams/kinrin/services/{PLAIN_SERVICE}"),
+            SERVICE_VALUE,
+        );
         for customer in CUSTOMERS {
             let path = format!("teams/kinrin/customers/{customer}");
             self.put_value(&path, "[customer]\nshare_weight = 1\n");
--- a/crates/celeryknot_faults/src/workload.rs
+++ b/crates/celeryknot_faults/src/workload.rs
@@ -260,9 +260,9 @@
             execution: refused.execution.unwrap_or(Execution::Unknown),
             code: refused.code.clone(),
         },
-        // An aborted answer is plainly one, so the caller knows that it knows nothing.
-        Outcome::Truncated => unknown("aborted"),
-        Outcome::CrossDelivered => BookingAnswer::Done { booking: 0 },
+        // An answer to another booking counts as one that no endpoint gave.
+        Outcome::Truncated | Outcome::CrossDelivered => BookingAnswer::Done { booking: 0 },
+        Outcome::Aborted => unknown("aborted"),
         Outcome::Lost(_) => unknown("no-answer"),
     }
 }
@@ -271,7 +271,8 @@
     match outcome {
         Outcome::Completed(_) => AskOutcome::Whole,
         // Callers see a reset, an abort or an error event as such.
-        Outcome::Refused(_) | Outcome::Lost(_) | Outcome::Truncated => AskOutcome::Refused,
+        Outcome::Refused(_) | Outcome::Lost(_) | Outcome::Aborted => AskOutcome::Refused,
+        Outcome::Truncated => AskOutcome::Truncated,
         Outcome::CrossDelivered => AskOutcome::CrossDelivered,
     }
 }
