Tell an answer that was cut off from one passed off as whole

Cause: a caller that sees a reset, an aborted body or an error event knows that the answer is not whole; only a clean end that is not whole breaks a promise. The stand-in caller counted both as truncated.

--- a/crates/celeryknot_standins/src/caller/stream.rs
+++ b/crates/celeryknot_standins/src/caller/stream.rs
@@ -14,7 +14,14 @@
 #[serde(untagged)]
 enum Event {
     Chunk(Chunk),
-    Error { error: serde::de::IgnoredAny },
+    Error(ErrorEvent),
+}
+
+/// The event that ends an answer which could not be completed.
+#[derive(Deserialize)]
+struct ErrorEvent {
+    #[serde(rename = "error")]
+    _error: serde::de::IgnoredAny,
 }
 
 #[derive(Deserialize)]
@@ -62,7 +69,7 @@
         };
         let chunk = match event {
             Event::Chunk(chunk) => chunk,
-            Event::Error { .. } => return Step::Failed,
+            Event::Error(_) => return Step::Failed,
         };
         let Some(choice) = chunk.choices.first() else {
             return Step::Broken;
--- a/crates/celeryknot_standins/src/load/report.rs
+++ b/crates/celeryknot_standins/src/load/report.rs
@@ -20,11 +20,11 @@
     Completed,
     /// A refusal said that the call was not run.
     Refused,
-    /// The answer ended before it was whole.
+    /// The answer was passed off as whole, but is not.
     Truncated,
     /// The answer belongs to another request.
     CrossDelivered,
-    /// Neither a whole answer nor a refusal that says `not-run` came.
+    /// Neither a whole answer nor a refusal that says `not-run` came, or the answer was cut off.
     Lost,
 }
 
@@ -67,7 +67,7 @@
     pub refused: u64,
     /// Calls with neither a whole answer nor a refusal that says `not-run`.
     pub lost: u64,
-    /// Answers that ended before they were whole.
+    /// Answers that were passed off as whole, but are not.
     pub truncated: u64,
     /// Answers that belong to another request.
     pub cross_delivered: u64,
@@ -176,6 +176,7 @@
         Outcome::Refused(refused) => (EndKind::Refused, Some(refused), None),
         Outcome::Truncated => (EndKind::Truncated, None, None),
         Outcome::CrossDelivered => (EndKind::CrossDelivered, None, None),
+        Outcome::Aborted => (EndKind::Lost, None, Some("the answer was cut off")),
         Outcome::Lost(reason) => (EndKind::Lost, None, Some(reason)),
     }
 }
