--- a/crates/celeryknot_standins/tests/common/mod.rs
+++ b/crates/celeryknot_standins/tests/common/mod.rs
@@ -17,22 +17,22 @@
 use serde::Serialize;
 use smol::Timer;
 
-pub const TIMEOUT: Duration = Duration::from_secs(20);
+pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
 const MODEL: &str = "wakai-8b";
 
 /// A caller of one address.
 #[derive(Clone)]
-pub struct Exchange {
+pub(crate) struct Exchange {
     caller: Caller,
     target: CallTarget,
 }
 
 impl Exchange {
-    pub fn with(address: SocketAddr) -> Self {
+    pub(crate) fn with(address: SocketAddr) -> Self {
         Self::with_timeout(address, TIMEOUT)
     }
 
-    pub fn with_timeout(address: SocketAddr, timeout: Duration) -> Self {
+    pub(crate) fn with_timeout(address: SocketAddr, timeout: Duration) -> Self {
         let options = CallerOptions::default().timeout_ms(DurationMs::from(timeout));
         Self::new(address, options)
     }
@@ -48,16 +48,16 @@
         }
     }
 
-    pub fn with_urgency(&self, urgency: u8) -> Self {
+    pub(crate) fn with_urgency(&self, urgency: u8) -> Self {
         let options = CallerOptions::default().urgency(Some(urgency));
         Self::new(self.target.address, options)
     }
 
-    pub async fn chat(&self, chat: &str, request: &ChatRequest) -> Outcome<Completed> {
+    pub(crate) async fn chat(&self, chat: &str, request: &ChatRequest) -> Outcome<Completed> {
         self.caller.chat(&self.target, chat, None, request).await
     }
 
-    pub fn into_chat(
+    pub(crate) fn into_chat(
         self,
         chat: &str,
         request: ChatRequest,
@@ -68,7 +68,7 @@
 }
 
 /// Builds the request of a chat after so many answers.
-pub fn chat_request(words: usize, turns: usize) -> ChatRequest {
+pub(crate) fn chat_request(words: usize, turns: usize) -> ChatRequest {
     let mut messages = vec![message("user", &"complaint ".repeat(words))];
     for turn in 0..turns {
         let answer = AnswerText::new(MODEL, &messages, None).text();
@@ -91,12 +91,12 @@
 }
 
 /// Returns the tokens of a request together with its answer.
-pub fn answered_tokens(request: &ChatRequest) -> u32 {
+pub(crate) fn answered_tokens(request: &ChatRequest) -> u32 {
     let answer = AnswerText::new(MODEL, &request.messages, None);
     prompt_tokens(&request.messages).len() as u32 + 1 + answer.len
 }
 
-pub fn completed<T: std::fmt::Debug>(outcome: Outcome<T>) -> T {
+pub(crate) fn completed<T: std::fmt::Debug>(outcome: Outcome<T>) -> T {
     match outcome {
         Outcome::Completed(value) => value,
         Outcome::Refused(_)
@@ -109,15 +109,19 @@
     }
 }
 
-pub async fn post<T: Serialize>(address: SocketAddr, path: &str, body: &T) -> (StatusCode, Bytes) {
-    let body = serde_json::to_vec(body).unwrap();
+pub(crate) async fn post<T: Serialize>(
+    address: SocketAddr,
+    path: &str,
+    body: &T,
+) -> (StatusCode, Bytes) {
+    let body = serde_json::to_vec(body).expect("test bodies have a JSON form");
     call(address, Method::POST, path, body, TIMEOUT)
         .await
-        .unwrap()
+        .expect("the stand-in answers")
 }
 
 /// Sends a chat request and returns once the head of the answer is there.
-pub async fn raw_chat(
+pub(crate) async fn raw_chat(
     address: SocketAddr,
     request: &ChatRequest,
     id: RequestId,
@@ -130,34 +134,44 @@
     if let Some(index) = resume_from {
         builder = builder.header(header::RESUME_FROM, index);
     }
-    let body = Full::new(Bytes::from(serde_json::to_vec(request).unwrap()));
+    let body = Full::new(Bytes::from(
+        serde_json::to_vec(request).expect("a request has a JSON form"),
+    ));
     let open = Client::default()
-        .send(address, builder.body(body).unwrap())
+        .send(address, builder.body(body).expect("the headers are valid"))
         .await
-        .unwrap();
-    let echoed = open.answer.headers().get(header::REQUEST_ID).unwrap();
-    assert_eq!(echoed.to_str().unwrap(), id.to_string());
+        .expect("the stand-in answers");
+    let echoed = open.answer.headers().get(header::REQUEST_ID);
+    assert_eq!(
+        echoed.and_then(|id| id.to_str().ok()),
+        Some(&*id.to_string())
+    );
     open
 }
 
 /// Reads the words of a streamed answer.
-pub async fn words(open: OpenAnswer) -> Vec<String> {
+pub(crate) async fn words(open: OpenAnswer) -> Vec<String> {
     let (answer, _, _sender) = open.into_parts();
-    let bytes = answer.into_body().collect().await.unwrap().to_bytes();
+    let bytes = answer
+        .into_body()
+        .collect()
+        .await
+        .expect("the answer is whole")
+        .to_bytes();
     String::from_utf8(bytes.to_vec())
-        .unwrap()
+        .expect("events are text")
         .lines()
         .filter_map(|line| line.strip_prefix("data: "))
         .filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok())
         .map(|event| {
             let content = &event["choices"][0]["delta"]["content"];
-            content.as_str().unwrap().to_owned()
+            content.as_str().expect("an event has content").to_owned()
         })
         .collect()
 }
 
 /// Waits until the condition holds, and fails after a generous time.
-pub async fn wait_until(condition: impl Fn() -> bool) {
+pub(crate) async fn wait_until(condition: impl Fn() -> bool) {
     let end = Instant::now() + TIMEOUT;
     while !condition() {
         assert!(Instant::now() < end, "the condition never came true");
