Add the command line: check, codes, status and explain

Operators check settings before they publish them, and ask a live daemon what it knows.

A wrong name of two or three letters got no hint, since the likeness that was used looks at equal places only; one slip now always counts as near.

--- /dev/null
+++ b/crates/celeryknot/src/command/check.rs
@@ -0,0 +1,163 @@
+//! `check`: checks settings offline.
+
+use std::io::Write;
+use std::path::Path;
+
+use celeryknot_settings::{DaemonSettings, Diagnostic, ValueText, check_tree};
+use serde::Serialize;
+
+use super::write_json;
+use crate::arguments::{CheckArguments, Format};
+use crate::exit_status::{ExitStatus, Failure};
+
+pub mod source;
+
+use source::{Sources, ValueFile};
+
+/// One finding as JSON.
+#[derive(Debug, Serialize)]
+struct Finding {
+    source: String,
+    line: Option<u32>,
+    code: String,
+    reason: String,
+    nearest: Option<String>,
+}
+
+impl From<Diagnostic> for Finding {
+    fn from(diagnostic: Diagnostic) -> Self {
+        Self {
+            code: diagnostic.code.to_string(),
+            source: diagnostic.source,
+            line: diagnostic.line,
+            reason: diagnostic.reason,
+            nearest: diagnostic.nearest,
+        }
+    }
+}
+
+/// Checks files and folders.
+///
+/// # Errors
+///
+/// Fails when a file can't be read, or when there is nothing to check.
+pub fn run(arguments: &CheckArguments, out: &mut impl Write) -> Result<ExitStatus, Failure> {
+    let sources = read_sources(arguments)?;
+    let mut findings = check_daemons(&sources)?;
+    findings.extend(check_values(&sources)?);
+    let is_clean = findings.is_empty();
+    match arguments.format {
+        Format::Json => {
+            let findings: Vec<Finding> = findings.into_iter().map(Finding::from).collect();
+            write_json(out, &findings)?;
+        }
+        Format::Text => write_text(out, &sources, &findings)?,
+    }
+    if is_clean {
+        return Ok(ExitStatus::Done);
+    }
+    Ok(ExitStatus::Findings)
+}
+
+fn read_sources(arguments: &CheckArguments) -> Result<Sources, Failure> {
+    let Some(path) = &arguments.as_path else {
+        if arguments.paths.is_empty() {
+            return Err(Failure::usage("name a file or a folder to check"));
+        }
+        return Sources::find(&arguments.paths);
+    };
+    let [file] = arguments.paths.as_slice() else {
+        return Err(Failure::usage("--as-path takes exactly one file"));
+    };
+    Ok(Sources::one_value(file.clone(), path.as_str()))
+}
+
+fn check_daemons(sources: &Sources) -> Result<Vec<Diagnostic>, Failure> {
+    let mut findings = Vec::new();
+    for file in &sources.daemons {
+        let source = file.display().to_string();
+        match read_text(file)? {
+            Ok(text) => findings.extend(
+                DaemonSettings::parse(&text)
+                    .err()
+                    .unwrap_or_default()
+                    .into_iter()
+                    .map(|finding| finding.in_source(&source)),
+            ),
+            Err(finding) => findings.push(finding.in_source(source)),
+        }
+    }
+    Ok(findings)
+}
+
+/// Checks each tree by itself, since two folders may hold two fleets.
+fn check_values(sources: &Sources) -> Result<Vec<Diagnostic>, Failure> {
+    let mut findings = Vec::new();
+    for files in sources.trees.values() {
+        let mut texts = Vec::new();
+        for file in files {
+            match read_text(&file.file)? {
+                Ok(text) => texts.push(ValueText {
+                    path: file.path.clone(),
+                    text,
+                }),
+                Err(finding) => findings.push(finding.in_source(file.file.display().to_string())),
+            }
+        }
+        let found = if sources.is_whole {
+            check_tree(&texts)
+        } else {
+            check_each(&texts)
+        };
+        findings.extend(found.into_iter().map(|finding| name_file(finding, files)));
+    }
+    Ok(findings)
+}
+
+/// Checks single values, whose tree is not at hand.
+fn check_each(texts: &[ValueText]) -> Vec<Diagnostic> {
+    use celeryknot_settings::DiagnosticCode::{UnknownService, UnknownZone};
+    texts
+        .iter()
+        .flat_map(|text| check_tree(std::slice::from_ref(text)))
+        .filter(|finding| !matches!(finding.code, UnknownService | UnknownZone))
+        .collect()
+}
+
+/// Puts the file in place of the path, so that editors can follow it.
+fn name_file(finding: Diagnostic, files: &[ValueFile]) -> Diagnostic {
+    let file = files.iter().find(|file| file.path == finding.source);
+    match file {
+        Some(file) => finding.in_source(file.file.display().to_string()),
+        None => finding,
+    }
+}
+
+fn read_text(file: &Path) -> Result<Result<String, Diagnostic>, Failure> {
+    use celeryknot_settings::DiagnosticCode::Syntax;
+    let bytes = std::fs::read(file)
+        .map_err(|error| Failure::usage(format!("{}: {error}", file.display())))?;
+    Ok(String::from_utf8(bytes).map_err(|error| {
+        let readable = error.utf8_error().valid_up_to();
+        let newlines = error.as_bytes()[..readable].iter().filter(|b| **b == b'\n');
+        let line = u32::try_from(newlines.count() + 1).ok();
+        Diagnostic::new(Syntax, line, "the line is not UTF-8")
+    }))
+}
+
+fn write_text(
+    out: &mut impl Write,
+    sources: &Sources,
+    findings: &[Diagnostic],
+) -> Result<(), Failure> {
+    for finding in findings {
+        writeln!(out, "{finding}")?;
+    }
+    let count = match findings.len() {
+        0 => "no findings".to_owned(),
+        1 => "1 finding".to_owned(),
+        n => format!("{n} findings"),
+    };
+    writeln!(out, "checked {sources}: {count}")?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/celeryknot/src/command/check/source.rs
@@ -0,0 +1,171 @@
+//! Which files are settings, and of which kind.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+use crate::exit_status::Failure;
+
+/// Deepest folder that is searched, so that links in a circle end.
+const DEPTH_MAX: usize = 16;
+
+/// A file that holds one value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ValueFile {
+    /// The file.
+    pub file: PathBuf,
+    /// The path of the value in its tree.
+    pub path: String,
+}
+
+/// The settings found below files and folders.
+#[derive(Debug, Default)]
+pub struct Sources {
+    /// Daemons' files.
+    pub daemons: Vec<PathBuf>,
+    /// Values by the folder that their tree begins in.
+    pub trees: BTreeMap<PathBuf, Vec<ValueFile>>,
+    /// Whether the trees were found by searching folders, so that they are whole.
+    pub is_whole: bool,
+    /// Files that are not settings.
+    pub others: usize,
+}
+
+impl Sources {
+    /// Finds the settings below files and folders.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a folder can't be read, or when there is nothing to check.
+    pub fn find(paths: &[PathBuf]) -> Result<Self, Failure> {
+        let mut sources = Self {
+            is_whole: paths.iter().any(|path| path.is_dir()),
+            ..Self::default()
+        };
+        for path in paths {
+            if path.is_dir() {
+                sources.search(path, 0)?;
+            } else {
+                sources.add_named(path);
+            }
+        }
+        if sources.daemons.is_empty() && sources.trees.is_empty() {
+            return Err(Failure::usage(
+                "no settings here: daemons' files end in `.ini`, values lie below `teams` or `fleet`",
+            ));
+        }
+        Ok(sources)
+    }
+
+    /// Takes one file as the value of a path.
+    pub fn one_value(file: PathBuf, path: &str) -> Self {
+        let value = ValueFile {
+            file,
+            path: path.to_owned(),
+        };
+        Self {
+            trees: BTreeMap::from([(PathBuf::new(), vec![value])]),
+            ..Self::default()
+        }
+    }
+
+    fn search(&mut self, folder: &Path, depth: usize) -> Result<(), Failure> {
+        let failure = |error| Failure::usage(format!("{}: {error}", folder.display()));
+        if depth > DEPTH_MAX {
+            return Err(Failure::usage(format!(
+                "{}: more than {DEPTH_MAX} folders deep",
+                folder.display()
+            )));
+        }
+        let mut paths = Vec::new();
+        for entry in std::fs::read_dir(folder).map_err(failure)? {
+            paths.push(entry.map_err(failure)?.path());
+        }
+        paths.sort();
+        for path in paths.iter().filter(|path| !is_hidden(path)) {
+            if path.is_dir() {
+                self.search(path, depth + 1)?;
+            } else {
+                self.add_found(path);
+            }
+        }
+        Ok(())
+    }
+
+    fn add_found(&mut self, file: &Path) {
+        if is_daemon_file(file) {
+            self.daemons.push(file.to_owned());
+        } else if !self.add_value(file) {
+            self.others += 1;
+        }
+    }
+
+    /// Adds a file that the operator named, so it is checked whatever its name is.
+    fn add_named(&mut self, file: &Path) {
+        if is_daemon_file(file) || !self.add_value(file) {
+            self.daemons.push(file.to_owned());
+        }
+    }
+
+    fn add_value(&mut self, file: &Path) -> bool {
+        let Some((root, path)) = split_tree(file) else {
+            return false;
+        };
+        let value = ValueFile {
+            file: file.to_owned(),
+            path,
+        };
+        self.trees.entry(root).or_default().push(value);
+        true
+    }
+}
+
+fn is_hidden(path: &Path) -> bool {
+    path.file_name()
+        .is_some_and(|name| name.to_string_lossy().starts_with('.'))
+}
+
+fn is_daemon_file(file: &Path) -> bool {
+    file.extension().is_some_and(|extension| extension == "ini")
+}
+
+/// Splits a file's path at the last folder `teams` or `fleet`.
+fn split_tree(file: &Path) -> Option<(PathBuf, String)> {
+    let parts: Vec<_> = file.components().collect();
+    let is_top = |part: &std::path::Component<'_>| {
+        part.as_os_str() == "teams" || part.as_os_str() == "fleet"
+    };
+    let top = parts[..parts.len().checked_sub(1)?]
+        .iter()
+        .rposition(is_top)?;
+    let root = parts[..top].iter().collect();
+    let names: Vec<_> = parts[top..]
+        .iter()
+        .map(|part| part.as_os_str().to_string_lossy())
+        .collect();
+    Some((root, names.join("/")))
+}
+
+impl fmt::Display for Sources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let plural = |count: usize, one: &str, many: &str| match count {
+            1 => format!("1 {one}"),
+            n => format!("{n} {many}"),
+        };
+        let daemons = plural(self.daemons.len(), "daemon file", "daemon files");
+        let values = plural(self.trees.values().map(Vec::len).sum(), "value", "values");
+        match (self.daemons.is_empty(), self.trees.is_empty()) {
+            (false, false) => write!(f, "{daemons} and {values}")?,
+            (true, _) => f.write_str(&values)?,
+            (false, true) => f.write_str(&daemons)?,
+        }
+        if self.others > 0 {
+            write!(
+                f,
+                ", passed over {}",
+                plural(self.others, "other file", "other files")
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/celeryknot/src/command/mod.rs
@@ -0,0 +1,25 @@
+//! The commands, one module each.
+
+pub mod check;
+pub mod codes;
+pub mod explain;
+pub mod status;
+
+use std::io::Write;
+
+use serde::Serialize;
+
+use crate::exit_status::Failure;
+
+/// Writes a value as indented JSON.
+fn write_json<T: Serialize>(out: &mut impl Write, value: &T) -> Result<(), Failure> {
+    let text = serde_json::to_string_pretty(value)
+        .map_err(|error| Failure::unavailable(format!("the answer can't be written: {error}")))?;
+    writeln!(out, "{text}")?;
+    Ok(())
+}
+
+/// Writes an optional value, or a dash.
+fn or_dash<T: ToString>(value: Option<T>) -> String {
+    value.map_or("-".to_owned(), |value| value.to_string())
+}
--- a/crates/celeryknot/src/main.rs
+++ b/crates/celeryknot/src/main.rs
@@ -1,3 +1,8 @@
 //! Thin binary around the library's run.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    celeryknot::run(&words, &mut std::io::stdout().lock()).into()
+}
--- /dev/null
+++ b/crates/celeryknot/tests/program.rs
@@ -0,0 +1,239 @@
+//! Runs the program and compares what it prints.
+
+#![allow(
+    clippy::unwrap_used,
+    reason = "tests may unwrap, in their helper functions too"
+)]
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// What the program printed and how it ended.
+#[derive(Debug, PartialEq, Eq)]
+struct Outcome {
+    status: i32,
+    out: String,
+    err: String,
+}
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn run_in(folder: &Path, words: &[&str]) -> Outcome {
+    let output = Command::new(env!("CARGO_BIN_EXE_celeryknot"))
+        .args(words)
+        .current_dir(folder)
+        .output()
+        .unwrap();
+    Outcome {
+        status: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+struct Case {
+    name: &'static str,
+    words: &'static [&'static str],
+    status: i32,
+    out: &'static str,
+    err: &'static str,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "version",
+        words: &["--version"],
+        status: 0,
+        out: "celeryknot 0.1.0\n",
+        err: "",
+    },
+    Case {
+        name: "no command",
+        words: &[],
+        status: 2,
+        out: "",
+        err: "celeryknot: no command given; `celeryknot --help` lists them\n",
+    },
+    Case {
+        name: "unknown command",
+        words: &["chek"],
+        status: 2,
+        out: "",
+        err: "Unrecognized argument: chek\nRun `celeryknot --help` for the commands.\n",
+    },
+    Case {
+        name: "example deployments",
+        words: &["check", "examples"],
+        status: 0,
+        out: "checked 17 daemon files and 33 values, passed over 3 other files: no findings\n",
+        err: "",
+    },
+    Case {
+        name: "one value",
+        words: &[
+            "check",
+            "examples/kinrin-wakai/values/teams/kinrin/rollouts/wakai-llm",
+        ],
+        status: 0,
+        out: "checked 1 value: no findings\n",
+        err: "",
+    },
+    Case {
+        name: "missing file",
+        words: &["check", "examples/none.ini"],
+        status: 2,
+        out: "",
+        err: "celeryknot: examples/none.ini: No such file or directory (os error 2)\n",
+    },
+    Case {
+        name: "folder without settings",
+        words: &["check", "docs"],
+        status: 2,
+        out: "",
+        err: "celeryknot: no settings here: daemons' files end in `.ini`, values lie below `teams` or `fleet`\n",
+    },
+    Case {
+        name: "value as another path",
+        words: &[
+            "check",
+            "--as-path",
+            "fleet/zones/hkd-a",
+            "examples/kinrin-wakai/values/teams/kinrin/customers/sapporo",
+        ],
+        status: 1,
+        out: "examples/kinrin-wakai/values/teams/kinrin/customers/sapporo:1: unknown-section: no section [customer] here\nchecked 1 value: 1 finding\n",
+        err: "",
+    },
+    Case {
+        name: "daemon that is not there",
+        words: &["status", "--address", "127.0.0.1:1"],
+        status: 3,
+        out: "",
+        err: "celeryknot: 127.0.0.1:1: the daemon can't be reached: Connection refused (os error 111)\n",
+    },
+    Case {
+        name: "chat of a daemon that is not there",
+        words: &[
+            "explain",
+            "--address",
+            "127.0.0.1:1",
+            "--service",
+            "s",
+            "--customer",
+            "c",
+            "--chat",
+            "1",
+        ],
+        status: 3,
+        out: "",
+        err: "celeryknot: 127.0.0.1:1: the daemon can't be reached: Connection refused (os error 111)\n",
+    },
+];
+
+#[test]
+fn program_prints() {
+    for case in CASES {
+        let expected = Outcome {
+            status: case.status,
+            out: case.out.to_owned(),
+            err: case.err.to_owned(),
+        };
+        assert_eq!(run_in(&root(), case.words), expected, "{}", case.name);
+    }
+}
+
+/// A folder that is removed at the end of its test.
+struct Scratch(PathBuf);
+
+impl Scratch {
+    fn new(name: &str, files: &[(&str, &[u8])]) -> Self {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = std::fs::remove_dir_all(&folder);
+        for (file, text) in files {
+            let file = folder.join(file);
+            std::fs::create_dir_all(file.parent().unwrap()).unwrap();
+            std::fs::write(file, text).unwrap();
+        }
+        Self(folder)
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+const FAULTY_TREE: &[(&str, &[u8])] = &[
+    (
+        "teams/kinrin/services/llm",
+        b"[service]\nmodels = wakai-8b\nramp = 5s\n",
+    ),
+    (
+        "teams/kinrin/rollouts/lm",
+        b"[rollout]\nmodel = wakai-8b\nversion = 2\n",
+    ),
+    (
+        "teams/kinrin/customers/otaru",
+        b"[customer]\nshare_weight = \xff\n",
+    ),
+    ("notes.txt", b"not settings"),
+    (".git/teams/kinrin/x", b"not settings"),
+];
+
+#[test]
+fn check_names_files_and_lines() {
+    let scratch = Scratch::new("faulty-tree", FAULTY_TREE);
+    let outcome = run_in(&scratch.0, &["check", "."]);
+    let expected = "\
+./teams/kinrin/customers/otaru:2: syntax: the line is not UTF-8
+./teams/kinrin/rollouts/lm: unknown-service: the team has no service `lm` (did you mean `llm`?)
+./teams/kinrin/services/llm:3: unknown-key: no key `ramp` in [service] (did you mean `ramp_ms`?)
+checked 3 values, passed over 1 other file: 3 findings
+";
+    assert_eq!((outcome.out.as_str(), outcome.status), (expected, 1));
+}
+
+#[test]
+fn check_writes_json() {
+    let scratch = Scratch::new("faulty-json", &FAULTY_TREE[..1]);
+    let outcome = run_in(&scratch.0, &["check", "--format", "json", "."]);
+    let findings: serde_json::Value = serde_json::from_str(&outcome.out).unwrap();
+    let expected = serde_json::json!([{
+        "source": "./teams/kinrin/services/llm",
+        "line": 3,
+        "code": "unknown-key",
+        "reason": "no key `ramp` in [service]",
+        "nearest": "ramp_ms",
+    }]);
+    assert_eq!((findings, outcome.status), (expected, 1));
+}
+
+#[test]
+fn codes_are_listed_as_text_and_json() {
+    let text = run_in(&root(), &["codes"]).out;
+    assert_eq!(
+        text.lines().next(),
+        Some("code                  status  execution  retry        after   title")
+    );
+    let json = run_in(&root(), &["codes", "--format", "json"]).out;
+    let codes: Vec<serde_json::Value> = serde_json::from_str(&json).unwrap();
+    assert_eq!(codes.len() + 1, text.lines().count());
+    let queue_full = codes
+        .iter()
+        .find(|code| code["code"] == "queue-full")
+        .unwrap();
+    assert_eq!(queue_full["execution"], "not-run");
+}
+
+#[test]
+fn help_goes_to_standard_output() {
+    for words in [&["--help"][..], &["check", "--help"], &["status", "help"]] {
+        let outcome = run_in(&root(), words);
+        assert_eq!((outcome.status, outcome.err.as_str()), (0, ""), "{words:?}");
+        assert!(outcome.out.starts_with("Usage: celeryknot"), "{words:?}");
+        assert!(outcome.out.contains("Examples:"), "{words:?}");
+    }
+}
--- a/crates/celeryknot_settings/src/diagnostic.rs
+++ b/crates/celeryknot_settings/src/diagnostic.rs
@@ -127,8 +127,17 @@
     names: impl Iterator<Item = &'a str>,
 ) -> Option<&'a str> {
     names
-        .map(|name| (strsim::jaro_winkler(wrong, name), name))
+        .map(|name| (likeness(wrong, name), name))
         .filter(|(likeness, _)| *likeness >= LIKENESS_MIN)
         .max_by(|(a, _), (b, _)| a.total_cmp(b))
         .map(|(_, name)| name)
 }
+
+/// Rates two names from 0 to 1; one slip is enough for short names, a common start for long ones.
+fn likeness(wrong: &str, name: &str) -> f64 {
+    let by_start = strsim::jaro_winkler(wrong, name);
+    if strsim::damerau_levenshtein(wrong, name) <= 1 {
+        return by_start.max(LIKENESS_MIN);
+    }
+    by_start
+}
