--- /dev/null
+++ b/crates/celeryknot_faults/src/lib.rs
@@ -0,0 +1,11 @@
+//! Runs real daemons under seeded faults and checks the history of what callers and
+//! endpoints saw.
+
+pub mod booking;
+pub mod check;
+pub mod history;
+pub mod plan;
+pub mod process;
+pub mod run;
+pub mod site;
+pub mod workload;
--- a/crates/celeryknot_standins/src/seen.rs
+++ b/crates/celeryknot_standins/src/seen.rs
@@ -15,6 +15,9 @@
     pub request: BookingRequest,
     /// The customer that the router named.
     pub customer: String,
+    /// When it was run.
+    #[serde(skip)]
+    pub at: Option<Instant>,
 }
 
 /// What an endpoint saw since it started.
--- a/crates/celeryknot_standins/src/service.rs
+++ b/crates/celeryknot_standins/src/service.rs
@@ -148,6 +148,7 @@
             state.seen.bookings.push(SeenBooking {
                 request: request.clone(),
                 customer,
+                at: Some(Instant::now()),
             });
             state.next_booking += 1;
             Booking {
