Run stand-ins and load from the command line

Tests and people who try the router out need the platform, engines, plain services and a fault proxy as processes of their own. An example deployment runs from its instance list: engines and services take all endpoints of one service in a process. Load is open-loop, reports latency from each request's planned time, and ends with status 1 where an answer was lost, truncated or crossed. Tests start each stand-in as a process and ask it over HTTP.

--- a/crates/celeryknot/src/arguments.rs
+++ b/crates/celeryknot/src/arguments/mod.rs
@@ -1,5 +1,8 @@
 //! The arguments of each command.
 
+mod load;
+mod stand_in;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -7,6 +10,12 @@
 use celeryknot_core::{CustomerName, ModelName, ServiceName, SettingPath};
 use strum::{Display, EnumString};
 
+pub use load::{CustomerWeight, LoadArguments};
+pub use stand_in::{
+    EngineArguments, FaultProxyArguments, PlatformArguments, ServiceArguments, StandInArguments,
+    StandInKind,
+};
+
 /// Operates and tries out the celeryknot router fleet.
 #[derive(FromArgs, Debug)]
 #[argh(
@@ -31,6 +40,10 @@
     Codes(CodesArguments),
     /// Show why a chat goes where it goes.
     Explain(ExplainArguments),
+    /// Send load and measure what callers see.
+    Load(LoadArguments),
+    /// Run a stand-in.
+    StandIn(StandInArguments),
     /// Show what a daemon knows.
     Status(StatusArguments),
 }
--- /dev/null
+++ b/crates/celeryknot/src/command/load.rs
@@ -0,0 +1,155 @@
+//! `load`: sends load and measures what callers see.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::time::Duration;
+
+use celeryknot_core::DurationMs;
+use celeryknot_standins::load::{Balancer, CustomerShare, run_load};
+use celeryknot_standins::{Caller, CallerOptions, LoadOptions, LoadPlan, LoadReport};
+use serde::Serialize;
+
+use super::write_json;
+use crate::arguments::{CustomerWeight, Format, LoadArguments};
+use crate::exit_status::{ExitStatus, Failure};
+use crate::progress;
+
+/// What callers saw, with the latency from each request's planned time.
+#[derive(Debug, Serialize)]
+struct Answer<'a> {
+    #[serde(flatten)]
+    report: &'a LoadReport,
+    cache_reuse_ratio: f64,
+    first_token_ms: Quantiles,
+    whole_ms: Quantiles,
+}
+
+#[derive(Debug, Serialize)]
+struct Quantiles {
+    p50: Option<f64>,
+    p90: Option<f64>,
+    p99: Option<f64>,
+    max: Option<f64>,
+}
+
+impl Quantiles {
+    fn of(quantile: impl Fn(f64) -> Option<f64>) -> Self {
+        Self {
+            p50: quantile(0.5),
+            p90: quantile(0.9),
+            p99: quantile(0.99),
+            max: quantile(1.0),
+        }
+    }
+}
+
+/// Sends the load and writes the report.
+///
+/// # Errors
+///
+/// Fails when the arguments make no load.
+pub fn run(arguments: &LoadArguments, out: &mut impl Write) -> Result<ExitStatus, Failure> {
+    if arguments.address.is_empty() {
+        return Err(Failure::usage("give at least one --address"));
+    }
+    let rates = [
+        arguments.chats_per_s,
+        arguments.bookings_per_s,
+        arguments.reads_per_s,
+    ];
+    if rates.iter().any(|rate| !rate.is_finite() || *rate < 0.0) {
+        return Err(Failure::usage("a rate is a number from 0 up"));
+    }
+    let plan = Arc::new(LoadPlan::draw(options(arguments)));
+    let placement = Arc::new(Balancer::new(
+        arguments.service.as_str(),
+        arguments.address.clone(),
+    ));
+    let work = run_load(plan, Caller::new(CallerOptions::default()), placement);
+    let length = Duration::from_secs(arguments.seconds);
+    let report = smol::block_on(progress::show("load", length, work));
+    let answer = answer(&report);
+    match arguments.format {
+        Format::Json => write_json(out, &answer)?,
+        Format::Text => out.write_all(render(&answer).as_bytes())?,
+    }
+    if report.lost + report.truncated + report.cross_delivered > 0 {
+        return Ok(ExitStatus::Findings);
+    }
+    Ok(ExitStatus::Done)
+}
+
+fn options(arguments: &LoadArguments) -> LoadOptions {
+    let share = |customer: &CustomerWeight| CustomerShare {
+        name: customer.name.to_string(),
+        weight: customer.weight,
+    };
+    let options = LoadOptions::default()
+        .chats_per_s(arguments.chats_per_s)
+        .bookings_per_s(arguments.bookings_per_s)
+        .reads_per_s(arguments.reads_per_s)
+        .length_ms(DurationMs(arguments.seconds.saturating_mul(1000)))
+        .model_service(arguments.service.to_string())
+        .model(arguments.model.to_string())
+        .plain_service(arguments.plain_service.to_string())
+        .pause_ms(arguments.pause_ms)
+        .seed(arguments.seed);
+    if arguments.customer.is_empty() {
+        return options;
+    }
+    options.customers(arguments.customer.iter().map(share).collect())
+}
+
+fn answer(report: &LoadReport) -> Answer<'_> {
+    let whole = report.histogram_ms();
+    let whole_quantile = |quantile| {
+        // A duration in milliseconds fits a float exactly.
+        (!whole.is_empty()).then(|| whole.value_at_quantile(quantile) as f64)
+    };
+    Answer {
+        report,
+        cache_reuse_ratio: report.reuse_ratio(),
+        first_token_ms: Quantiles::of(|quantile| report.first_token_ms(quantile, |_| true)),
+        whole_ms: Quantiles::of(whole_quantile),
+    }
+}
+
+fn render(answer: &Answer<'_>) -> String {
+    let report = answer.report;
+    let mut text = format!(
+        "requests {}  completed {}  refused {}  lost {}  truncated {}  cross-delivered {}\n\
+         prompt tokens found in a cache: {:.1} %\n",
+        report.requests,
+        report.completed,
+        report.refused,
+        report.lost,
+        report.truncated,
+        report.cross_delivered,
+        answer.cache_reuse_ratio * 100.0,
+    );
+    let rows = [
+        ("first token", &answer.first_token_ms),
+        ("whole answer", &answer.whole_ms),
+    ];
+    let mut table =
+        crate::table::Table::new(&["from the planned time", "p50", "p90", "p99", "max"]);
+    for (name, quantiles) in rows {
+        let [p50, p90, p99, max] =
+            [quantiles.p50, quantiles.p90, quantiles.p99, quantiles.max].map(write_ms);
+        table.add([name.to_owned(), p50, p90, p99, max]);
+    }
+    text.push_str(&table.to_string());
+    for (name, counts) in [
+        ("refused", &report.refused_by_code),
+        ("lost", &report.lost_by_reason),
+    ] {
+        for (reason, count) in counts {
+            text.push_str(&format!("{name}: {count} {reason}\n"));
+        }
+    }
+    text
+}
+
+fn write_ms(time_ms: Option<f64>) -> String {
+    time_ms.map_or("-".to_owned(), |time_ms| format!("{time_ms:.0} ms"))
+}
--- a/crates/celeryknot/src/command/mod.rs
+++ b/crates/celeryknot/src/command/mod.rs
@@ -3,6 +3,8 @@
 pub mod check;
 pub mod codes;
 pub mod explain;
+pub mod load;
+pub mod stand_in;
 pub mod status;
 
 use std::io::Write;
@@ -11,6 +13,11 @@
 
 use crate::exit_status::Failure;
 
+/// Spells an error with its causes on one line.
+fn unavailable(report: &eyre::Report) -> Failure {
+    Failure::unavailable(format!("{report:#}"))
+}
+
 /// Writes a value as indented JSON.
 fn write_json<T: Serialize>(out: &mut impl Write, value: &T) -> Result<(), Failure> {
     let text = serde_json::to_string_pretty(value)
--- a/crates/celeryknot/src/lib.rs
+++ b/crates/celeryknot/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod arguments;
 pub mod command;
 pub mod exit_status;
+mod progress;
 pub mod table;
 
 use std::io::Write;
@@ -67,6 +68,8 @@
         Command::Check(arguments) => command::check::run(&arguments, out),
         Command::Codes(arguments) => command::codes::run(&arguments, out),
         Command::Explain(arguments) => command::explain::run(&arguments, out),
+        Command::Load(arguments) => command::load::run(&arguments, out),
+        Command::StandIn(arguments) => command::stand_in::run(&arguments, out),
         Command::Status(arguments) => command::status::run(&arguments, out),
     }
 }
--- /dev/null
+++ b/crates/celeryknot/tests/stand_ins.rs
@@ -0,0 +1,228 @@
+//! Runs stand-ins and load as processes of their own.
+
+#![allow(
+    clippy::unwrap_used,
+    reason = "tests may unwrap, in their helper functions too"
+)]
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, ChildStdout, Command, Stdio};
+
+use celeryknot_operators::client::fetch;
+
+/// A process that is ended with its test.
+struct Process {
+    child: Child,
+    out: BufReader<ChildStdout>,
+}
+
+impl Process {
+    fn start(words: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_celeryknot"))
+            .args(words)
+            .current_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../.."))
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let out = BufReader::new(child.stdout.take().unwrap());
+        Self { child, out }
+    }
+
+    /// Reads the next line `<name> on <address>`.
+    fn address(&mut self, name: &str) -> SocketAddr {
+        let mut line = String::new();
+        self.out.read_line(&mut line).unwrap();
+        let address = line
+            .strip_prefix(name)
+            .and_then(|rest| rest.strip_prefix(" on "));
+        address
+            .unwrap_or_else(|| panic!("{line:?}"))
+            .trim()
+            .parse()
+            .unwrap()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn get_json(address: SocketAddr, path: &str) -> serde_json::Value {
+    let body = smol::block_on(fetch(address, path)).unwrap();
+    serde_json::from_slice(&body).unwrap()
+}
+
+struct Example {
+    name: &'static str,
+    values: usize,
+    instances: usize,
+}
+
+const EXAMPLES: &[Example] = &[
+    Example {
+        name: "kinrin-wakai",
+        values: 16,
+        instances: 22,
+    },
+    Example {
+        name: "quayline",
+        values: 17,
+        instances: 22,
+    },
+];
+
+#[test]
+fn platform_publishes_the_example_deployments() {
+    for example in EXAMPLES {
+        let values = format!("examples/{}/values", example.name);
+        let instances = format!("examples/{}/instances.json", example.name);
+        let words = [
+            "stand-in",
+            "platform",
+            "--address",
+            "127.0.0.1:0",
+            "--replicas",
+            "2",
+            "--values",
+            &values,
+            "--instances",
+            &instances,
+        ];
+        let mut platform = Process::start(&words);
+        for _replica in 0..2 {
+            let address = platform.address("platform");
+            let list = get_json(address, "/v1/values");
+            let count = list["values"].as_array().unwrap().len();
+            assert_eq!(count, example.values, "{}", example.name);
+            let list = get_json(address, "/v1/instances");
+            let count = list["instances"].as_array().unwrap().len();
+            assert_eq!(count, example.instances, "{}", example.name);
+        }
+    }
+}
+
+#[test]
+fn engines_and_services_run_at_each_address() {
+    for kind in ["engine", "service"] {
+        let words = [
+            "stand-in",
+            kind,
+            "--address",
+            "127.0.0.1:0",
+            "--address",
+            "127.0.0.1:0",
+        ];
+        let mut process = Process::start(&words);
+        let first = process.address(kind);
+        let second = process.address(kind);
+        assert_ne!(first, second, "{kind}");
+        for address in [first, second] {
+            assert_eq!(get_json(address, "/v1/load")["in_flight"], 0, "{kind}");
+        }
+    }
+}
+
+#[test]
+fn fault_proxy_passes_on_to_its_target() {
+    let mut engine = Process::start(&["stand-in", "engine", "--address", "127.0.0.1:0"]);
+    let target = engine.address("engine").to_string();
+    let mut proxy = Process::start(&[
+        "stand-in",
+        "fault-proxy",
+        "--address",
+        "127.0.0.1:0",
+        "--control-address",
+        "127.0.0.1:0",
+        "--target",
+        &target,
+    ]);
+    let address = proxy.address("fault-proxy");
+    let control = proxy.address("control");
+    assert_ne!(address, control);
+    assert_eq!(get_json(address, "/v1/load")["in_flight"], 0);
+}
+
+#[test]
+fn load_on_a_dead_address_loses_every_request() {
+    let output = Command::new(env!("CARGO_BIN_EXE_celeryknot"))
+        .args([
+            "load",
+            "--address",
+            "127.0.0.1:1",
+            "--seconds",
+            "1",
+            "--format",
+            "json",
+        ])
+        .output()
+        .unwrap();
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    assert!(report["requests"].as_u64().unwrap() > 0);
+    assert_eq!(report["lost"], report["requests"]);
+    assert_eq!(report["completed"], 0);
+    assert_eq!(report["whole_ms"]["p50"], serde_json::Value::Null);
+}
+
+struct UsageCase {
+    name: &'static str,
+    words: &'static [&'static str],
+    err: &'static str,
+}
+
+const USAGE_CASES: &[UsageCase] = &[
+    UsageCase {
+        name: "load without an address",
+        words: &["load"],
+        err: "celeryknot: give at least one --address\n",
+    },
+    UsageCase {
+        name: "load with a negative rate",
+        words: &["load", "--address", "127.0.0.1:1", "--reads-per-s", "-1"],
+        err: "celeryknot: a rate is a number from 0 up\n",
+    },
+    UsageCase {
+        name: "engine without an address",
+        words: &["stand-in", "engine"],
+        err: "celeryknot: no address to listen on: give --address, or --instances with a --service that it lists\n",
+    },
+    UsageCase {
+        name: "instances without a service",
+        words: &["stand-in", "service", "--instances", "x.json"],
+        err: "celeryknot: --instances and --service go together\n",
+    },
+    UsageCase {
+        name: "values that are no folder",
+        words: &[
+            "stand-in",
+            "platform",
+            "--address",
+            "127.0.0.1:0",
+            "--values",
+            "none",
+        ],
+        err: "celeryknot: none: not a folder\n",
+    },
+];
+
+#[test]
+fn wrong_arguments_are_refused_at_once() {
+    for case in USAGE_CASES {
+        let output = Command::new(env!("CARGO_BIN_EXE_celeryknot"))
+            .args(case.words)
+            .output()
+            .unwrap();
+        assert_eq!(
+            String::from_utf8(output.stderr).unwrap(),
+            case.err,
+            "{}",
+            case.name
+        );
+        assert_eq!(output.status.code(), Some(2), "{}", case.name);
+    }
+}
