--- a/crates/celeryknot_standins/src/caller/outcome.rs
+++ b/crates/celeryknot_standins/src/caller/outcome.rs
@@ -65,8 +65,10 @@
     Completed(T),
     /// The call was refused.
     Refused(Refused),
-    /// The answer ended before it was whole.
+    /// The answer was passed off as whole, but is not.
     Truncated,
+    /// The answer was cut off, and the caller could see that.
+    Aborted,
     /// The answer belongs to another request.
     CrossDelivered,
     /// No answer came.
@@ -80,6 +82,7 @@
             Self::Completed(value) => Outcome::Completed(change(value)),
             Self::Refused(refused) => Outcome::Refused(refused),
             Self::Truncated => Outcome::Truncated,
+            Self::Aborted => Outcome::Aborted,
             Self::CrossDelivered => Outcome::CrossDelivered,
             Self::Lost(reason) => Outcome::Lost(reason),
         }
@@ -103,7 +106,7 @@
             Self::Refused(refused) => {
                 ANSWERS_OF_TICKETS.contains(&refused.status) && refused.code != "ticket-in-progress"
             }
-            Self::Truncated | Self::Lost(_) => false,
+            Self::Truncated | Self::Aborted | Self::Lost(_) => false,
         }
     }
 }
