--- a/crates/celeryknot_fleet/src/byte_budget.rs
+++ b/crates/celeryknot_fleet/src/byte_budget.rs
@@ -142,7 +142,9 @@
     /// Takes bytes off the budget that have been sent already.
     pub fn spend(&mut self, now: MonotonicMs, kind: ControlKind, size_bytes: usize) {
         self.fill(now);
-        self.left_millibytes -= to_millibytes(size_bytes);
+        let full = self.rate_bytes_per_s * MILLI;
+        let left = self.left_millibytes - to_millibytes(size_bytes);
+        self.left_millibytes = left.max(-full);
         let count = &mut self.counts[kind as usize];
         count.sent += 1;
         count.sent_bytes += size_bytes as u64;
--- a/crates/celeryknot_fleet/src/fleet.rs
+++ b/crates/celeryknot_fleet/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use celeryknot_core::{
-    EndpointName, EndpointSummary, Incarnation, MemberName, MonotonicMs, Revision,
+    DurationMs, EndpointName, EndpointSummary, Incarnation, MemberName, MonotonicMs, Revision,
 };
 
 use crate::byte_budget::{ByteBudget, ControlKind};
@@ -106,6 +106,7 @@
     records_cursor: usize,
     platform_values_at: Option<MonotonicMs>,
     platform_list_at: Option<MonotonicMs>,
+    settings_confirmed_at: Option<MonotonicMs>,
     version: u64,
     actions: Vec<Action>,
 }
@@ -135,6 +136,7 @@
             records_cursor: 0,
             platform_values_at: None,
             platform_list_at: None,
+            settings_confirmed_at: None,
             version: 0,
             actions: Vec::new(),
             config,
@@ -144,6 +146,7 @@
     /// Takes over values that the platform gave.
     pub fn apply_platform_values(&mut self, now: MonotonicMs, values: &[ValueRecord]) {
         self.platform_values_at = Some(now);
+        self.settings_confirmed_at = Some(now);
         self.note_platform();
         self.take_values(now, values, None);
     }
@@ -310,9 +313,9 @@
         &self.neighbours
     }
 
-    /// Returns when the platform last gave values.
-    pub fn platform_values_at(&self) -> Option<MonotonicMs> {
-        self.platform_values_at
+    /// Returns the time since the platform last confirmed the settings, here or at a peer.
+    pub fn settings_age(&self, now: MonotonicMs) -> Option<DurationMs> {
+        self.settings_confirmed_at.map(|at| now - at)
     }
 
     /// Tells whether this daemon has caught up.
--- a/crates/celeryknot_fleet/src/fleet/exchange.rs
+++ b/crates/celeryknot_fleet/src/fleet/exchange.rs
@@ -88,6 +88,10 @@
         if heartbeat.is_ready && has_same_values && has_list {
             self.readiness.note_peer();
         }
+        if let Some(age) = heartbeat.settings_age.filter(|_| has_same_values) {
+            let confirmed_at = MonotonicMs(now.0.saturating_sub(age.0));
+            self.settings_confirmed_at = self.settings_confirmed_at.max(Some(confirmed_at));
+        }
         let Some(link) = self.links.get_mut(from) else {
             return;
         };
--- a/crates/celeryknot_fleet/src/fleet/publish.rs
+++ b/crates/celeryknot_fleet/src/fleet/publish.rs
@@ -95,12 +95,12 @@
             return;
         }
         self.revival_cursor = (self.revival_cursor + 1) % dead.len();
-        let heartbeat = self.heartbeat(true);
+        let heartbeat = self.heartbeat(now, true);
         let name = &dead[self.revival_cursor];
         self.send(now, name, Message::Heartbeat(heartbeat));
     }
 
-    fn heartbeat(&self, has_info: bool) -> Heartbeat {
+    fn heartbeat(&self, now: MonotonicMs, has_info: bool) -> Heartbeat {
         let own = self.members.own();
         Heartbeat {
             sequence: own.sequence,
@@ -109,6 +109,7 @@
             list_revision: self.list.revision(),
             values_digest: self.values.digest(),
             members_digest: self.members.digest(),
+            settings_age: self.settings_age(now),
             info: has_info.then(|| own.info.clone()),
         }
     }
@@ -124,7 +125,7 @@
         if due.is_empty() {
             return;
         }
-        let (short, long) = (self.heartbeat(false), self.heartbeat(true));
+        let (short, long) = (self.heartbeat(now, false), self.heartbeat(now, true));
         for name in due {
             let Some(link) = self.links.get_mut(&name) else {
                 continue;
--- a/crates/celeryknot_fleet/src/message.rs
+++ b/crates/celeryknot_fleet/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons.
 
-use celeryknot_core::Revision;
+use celeryknot_core::{DurationMs, Revision};
 
 use crate::byte_budget::ControlKind;
 use crate::instance_list::{InstanceKey, ListChange, ListPage};
@@ -24,6 +24,8 @@
     pub values_digest: u64,
     /// The hash of the sender's member records.
     pub members_digest: u64,
+    /// The time since the platform last confirmed the sender's settings, there or at a peer.
+    pub settings_age: Option<DurationMs>,
     /// Where the sender runs; sent at first and now and then.
     pub info: Option<MemberInfo>,
 }
@@ -99,7 +101,7 @@
     /// Returns about how many bytes the message takes in a stream.
     pub fn size_bytes(&self) -> usize {
         let content = match self {
-            Self::Heartbeat(heartbeat) => 34 + heartbeat.info.as_ref().map_or(0, info_size),
+            Self::Heartbeat(heartbeat) => 38 + heartbeat.info.as_ref().map_or(0, info_size),
             Self::Members(records) => records.iter().map(|r| info_size(&r.info) + 20).sum(),
             Self::Values(page) => {
                 8 + page
--- a/crates/celeryknot_fleet/src/settings_store.rs
+++ b/crates/celeryknot_fleet/src/settings_store.rs
@@ -18,10 +18,8 @@
 /// Why a value is not accepted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rejection {
-    /// The line of the text, from 1, where there is one.
-    pub line: Option<u32>,
-    /// One line for operators.
-    pub reason: String,
+    /// What is wrong, one line each, with path and line number.
+    pub findings: Vec<String>,
 }
 
 /// Checks the text of a value.
@@ -286,8 +284,10 @@
 
 fn check(path: &SettingPath, text: &str, validate: Validator) -> Result<(), Rejection> {
     if text.len() > VALUE_SIZE_MAX_BYTES {
-        let reason = format!("the value is larger than {VALUE_SIZE_MAX_BYTES} bytes");
-        return Err(Rejection { line: None, reason });
+        let finding = format!("{path}: too-large: more than {VALUE_SIZE_MAX_BYTES} bytes");
+        return Err(Rejection {
+            findings: vec![finding],
+        });
     }
     validate(path, text)
 }
--- a/crates/celeryknot_peers/src/wire.rs
+++ b/crates/celeryknot_peers/src/wire.rs
@@ -149,6 +149,9 @@
     /// Where the sender runs.
     #[prost(message, optional, tag = "7")]
     pub info: Option<MemberInfo>,
+    /// The time since the platform last confirmed the sender's settings.
+    #[prost(uint64, optional, tag = "8")]
+    pub settings_age_ms: Option<u64>,
 }
 
 /// One statement about a member.
--- a/crates/celeryknot_peers/src/wire/convert.rs
+++ b/crates/celeryknot_peers/src/wire/convert.rs
@@ -128,6 +128,7 @@
             values_digest: heartbeat.values_digest,
             members_digest: heartbeat.members_digest,
             info: heartbeat.info.as_ref().map(Into::into),
+            settings_age_ms: heartbeat.settings_age.map(|age| age.0),
         }
     }
 }
@@ -144,6 +145,7 @@
             values_digest: heartbeat.values_digest,
             members_digest: heartbeat.members_digest,
             info: heartbeat.info.as_ref().map(TryInto::try_into).transpose()?,
+            settings_age: heartbeat.settings_age_ms.map(DurationMs),
         })
     }
 }
--- a/crates/celeryknot_peers/tests/streams.rs
+++ b/crates/celeryknot_peers/tests/streams.rs
@@ -6,7 +6,7 @@
 
 use async_channel::Receiver;
 use celeryknot_core::keyed_hash::KeyRing;
-use celeryknot_core::{Incarnation, MemberName, Revision};
+use celeryknot_core::{DurationMs, Incarnation, MemberName, Revision};
 use celeryknot_fleet::message::{Heartbeat, ListPull};
 use celeryknot_fleet::{MemberState, Message};
 use celeryknot_peers::{PeerEvent, Peers, PeersConfig, VersionRange};
@@ -68,6 +68,7 @@
         list_revision: Revision(1),
         values_digest: 2,
         members_digest: 3,
+        settings_age: Some(DurationMs(1_500)),
         info: None,
     })
 }
--- a/crates/celeryknot_peers/tests/wire.rs
+++ b/crates/celeryknot_peers/tests/wire.rs
@@ -85,6 +85,7 @@
         list_revision: Revision(100_000),
         values_digest: u64::MAX,
         members_digest: u64::MAX,
+        settings_age: Some(DurationMs(1_500)),
         info: None,
     };
     let values = |count: u64| ValuePage {
--- a/crates/celeryknot_platform/src/client.rs
+++ b/crates/celeryknot_platform/src/client.rs
@@ -120,6 +120,15 @@
         }
     }
 
+    /// Moves to the replica with the given number, modulo their number.
+    pub fn select(&mut self, index: usize) {
+        let index = index.checked_rem(self.addresses.len()).unwrap_or(0);
+        if index != self.current {
+            self.current = index;
+            self.connection = None;
+        }
+    }
+
     /// Reads the values above a revision, or all; waits up to `wait` for the first one.
     pub async fn values(
         &mut self,
--- /dev/null
+++ b/crates/celeryknotd/src/control/platform.rs
@@ -0,0 +1,165 @@
+//! Tasks that read the platform once at the start, and watch it while this daemon is a reader.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use celeryknot_core::{Backoff, DurationMs, Revision};
+use celeryknot_platform::{ByteMeter, InstanceList, PlatformClient, PlatformError, ValueList};
+use smol::Timer;
+
+/// Time for which a watch waits; then it moves on, since a stale replica looks like a quiet one.
+const WATCH_WAIT: DurationMs = DurationMs(2_000);
+/// Time between two looks at whether this daemon is a reader.
+const ROLE_PERIOD: Duration = Duration::from_millis(100);
+/// Shortest time between two calls of one watch.
+const CALL_GAP: Duration = Duration::from_millis(50);
+const BACKOFF_FIRST_MS: DurationMs = DurationMs(100);
+const BACKOFF_LONGEST_MS: DurationMs = DurationMs(2_000);
+
+/// What the control loop tells the tasks.
+#[derive(Debug, Default)]
+pub(super) struct Role {
+    /// This daemon's rank among its zone's readers, if it is one.
+    pub(super) reader_rank: Cell<Option<usize>>,
+    /// Raised when both lists must be read again, after a pause.
+    pub(super) read_again_count: Cell<u64>,
+}
+
+/// What the tasks tell the control loop.
+#[derive(Debug)]
+pub(super) enum PlatformEvent {
+    /// Values came.
+    Values(ValueList),
+    /// An instance list came.
+    Instances(InstanceList),
+    /// A call was made.
+    Called {
+        /// Bytes written and read by it.
+        size_bytes: u64,
+    },
+}
+
+/// One of the two lists that the platform gives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Subject {
+    /// The configuration service's values.
+    Values,
+    /// The instance list.
+    Instances,
+}
+
+/// A task that reads or watches one list.
+pub(super) struct PlatformTask {
+    subject: Subject,
+    client: PlatformClient,
+    meter: Arc<ByteMeter>,
+    role: Rc<Role>,
+    events: Sender<PlatformEvent>,
+    cursor: Option<Revision>,
+    rank_seen: Option<usize>,
+    read_count_seen: Option<u64>,
+}
+
+impl PlatformTask {
+    /// Builds the task for one list.
+    pub(super) fn new(
+        subject: Subject,
+        addresses: Vec<SocketAddr>,
+        first: usize,
+        role: Rc<Role>,
+        events: Sender<PlatformEvent>,
+    ) -> Self {
+        let meter = Arc::new(ByteMeter::default());
+        Self {
+            subject,
+            client: PlatformClient::new(addresses, first, Arc::clone(&meter)),
+            meter,
+            role,
+            events,
+            cursor: None,
+            rank_seen: None,
+            read_count_seen: None,
+        }
+    }
+
+    /// Reads and watches until the control loop is gone.
+    pub(super) async fn run(mut self) {
+        let mut backoff = Backoff::new(BACKOFF_FIRST_MS, BACKOFF_LONGEST_MS);
+        while !self.events.is_closed() {
+            let Some(wait) = self.next_wait() else {
+                Timer::after(ROLE_PERIOD).await;
+                continue;
+            };
+            let pause = match self.call(wait).await {
+                Ok(()) => {
+                    backoff.reset();
+                    CALL_GAP
+                }
+                Err(error) => {
+                    tracing::debug!(subject = ?self.subject, %error, "the platform was not read");
+                    backoff.next_wait(rand::random()).as_std()
+                }
+            };
+            Timer::after(pause).await;
+        }
+    }
+
+    /// Returns how long the next call may wait, or none if no call is due.
+    fn next_wait(&mut self) -> Option<DurationMs> {
+        if self.read_count_seen != Some(self.role.read_again_count.get()) {
+            return Some(DurationMs(0));
+        }
+        let rank = self.role.reader_rank.get();
+        if rank != self.rank_seen {
+            self.rank_seen = rank;
+            if let Some(rank) = rank {
+                self.client.select(rank);
+            }
+        }
+        rank.map(|_| WATCH_WAIT)
+    }
+
+    async fn call(&mut self, wait: DurationMs) -> Result<(), PlatformError> {
+        let read_count = self.role.read_again_count.get();
+        let before = self.size_bytes();
+        let result = match self.subject {
+            Subject::Values => self.read_values(wait).await,
+            Subject::Instances => self.read_instances(wait).await,
+        };
+        let called = PlatformEvent::Called {
+            size_bytes: self.size_bytes() - before,
+        };
+        // A closed channel ends the task's loop.
+        drop(self.events.send(called).await);
+        let event = result?;
+        self.read_count_seen = Some(read_count);
+        drop(self.events.send(event).await);
+        Ok(())
+    }
+
+    async fn read_values(&mut self, wait: DurationMs) -> Result<PlatformEvent, PlatformError> {
+        let list = self.client.values(self.cursor, wait).await?;
+        if list.values.is_empty() {
+            self.client.rotate();
+        }
+        self.cursor = self.cursor.max(Some(list.revision));
+        Ok(PlatformEvent::Values(list))
+    }
+
+    async fn read_instances(&mut self, wait: DurationMs) -> Result<PlatformEvent, PlatformError> {
+        let list = self.client.instances(self.cursor, wait).await?;
+        if Some(list.revision) <= self.cursor {
+            self.client.rotate();
+        }
+        self.cursor = self.cursor.max(Some(list.revision));
+        Ok(PlatformEvent::Instances(list))
+    }
+
+    fn size_bytes(&self) -> u64 {
+        self.meter.sent().0 + self.meter.received().0
+    }
+}
