--- a/crates/celeryknotd/src/daemon.rs
+++ b/crates/celeryknotd/src/daemon.rs
@@ -14,6 +14,7 @@
 use eyre::WrapErr;
 
 use crate::clock::Clock;
+use crate::control::{self, ControlHandle};
 use crate::event::TrafficEvent;
 use crate::feed::{FleetFeed, event_channel};
 use crate::listeners::Listeners;
@@ -47,11 +48,51 @@
 pub struct Daemon {
     shared: Arc<Shared>,
     triggers: ShutdownTriggers,
+    control: Option<ControlHandle>,
     threads: Vec<JoinHandle<()>>,
     drained: Option<JoinHandle<ShutdownReport>>,
 }
 
 impl Daemon {
+    /// Starts a daemon: its control thread and its traffic threads.
+    ///
+    /// # Errors
+    ///
+    /// Names the address that could not be bound, or the thread that could not be started.
+    ///
+    /// # Examples
+    ///
+    /// ```no_run
+    /// use celeryknot_settings::DaemonSettings;
+    /// use celeryknotd::Daemon;
+    ///
+    /// let settings = DaemonSettings::builder("entry-1".parse()?, "hkd-a".parse()?)
+    ///     .platform_addresses(vec!["127.0.0.1:8500".parse()?])
+    ///     .build();
+    /// let mut daemon = Daemon::start(settings)?;
+    /// println!("callers connect to {}", daemon.settings().callers_address);
+    /// daemon.begin_shutdown();
+    /// assert_eq!(daemon.wait().leftover, 0);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn start(mut settings: DaemonSettings) -> eyre::Result<Self> {
+        let listeners = Listeners::bind(&mut settings)?;
+        let incarnation = Incarnation(rand::random());
+        let (events, received) = event_channel();
+        let peers = listeners
+            .peers
+            .try_clone()
+            .wrap_err("can't share a listener")?;
+        let control = control::spawn(settings.clone(), incarnation, peers, received)?;
+        let feed = FleetFeed {
+            snapshot: Arc::clone(&control.snapshot),
+            status: Arc::clone(&control.status),
+        };
+        let mut daemon = Self::start_traffic(settings, listeners, feed, incarnation, events)?;
+        daemon.control = Some(control);
+        Ok(daemon)
+    }
+
     /// Starts the traffic threads on a fleet that somebody else publishes.
     ///
     /// Returns the daemon and the events that its traffic threads send.
@@ -101,6 +142,7 @@
         let mut daemon = Self {
             shared,
             triggers,
+            control: None,
             threads: Vec::new(),
             drained: None,
         };
@@ -160,6 +202,9 @@
             return;
         }
         tracing::info!(daemon = %self.shared.settings.name, "shutting down");
+        if let Some(control) = &self.control {
+            control.start_leaving();
+        }
         let shared = Arc::clone(&self.shared);
         let (callers, peers) = (self.triggers.callers.clone(), self.triggers.peers.clone());
         self.drained = std::thread::Builder::new()
@@ -186,6 +231,9 @@
 
     fn end(&mut self) {
         self.triggers.kill.close();
+        if let Some(control) = self.control.take() {
+            control.stop();
+        }
         for thread in self.threads.drain(..) {
             if thread.join().is_err() {
                 tracing::error!("a thread of the daemon panicked");
--- a/crates/celeryknotd/src/lib.rs
+++ b/crates/celeryknotd/src/lib.rs
@@ -1,6 +1,7 @@
 //! The daemon: one control thread, traffic threads, and the wiring between the packages.
 
 pub mod clock;
+pub mod control;
 pub mod daemon;
 pub mod event;
 pub mod feed;
