Explain every metric and the operators' tasks on a page

docs/OPERATING.md names what to do about each metric and walks through the usual tasks; a test holds its table to the one table of metrics, and another that table to what a daemon exposes. Counters of control traffic follow the byte budget's own counts, so that nothing is counted twice. The operators' server ends a connection after a minute, since a reader that stands still would keep its place for ever. The check bounds a text as daemons do: 16 KiB, where it accepted 1 MiB that no daemon would have passed on.

--- a/crates/celeryknot/tests/pages.rs
+++ b/crates/celeryknot/tests/pages.rs
@@ -92,3 +92,12 @@
         );
     }
 }
+
+#[test]
+fn check_and_daemons_bound_texts_alike() {
+    let checked = celeryknot_settings::ini::TEXT_SIZE_MAX_BYTES;
+    assert_eq!(
+        checked,
+        celeryknot_fleet::settings_store::VALUE_SIZE_MAX_BYTES
+    );
+}
--- a/crates/celeryknot_operators/src/metrics/control.rs
+++ b/crates/celeryknot_operators/src/metrics/control.rs
@@ -1,7 +1,7 @@
 //! Metrics that the control thread writes.
 
 use celeryknot_core::EndpointCondition;
-use celeryknot_fleet::MemberState;
+use celeryknot_fleet::{ControlKind, KindCount, MemberState};
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 use strum::{Display, EnumIter, IntoEnumIterator, IntoStaticStr};
 
@@ -79,6 +79,9 @@
             settings_revision: register_gauge(registry, "celeryknot_settings_revision"),
             settings_refused: register_gauge(registry, "celeryknot_settings_refused"),
         };
+        for kind in ControlKind::iter() {
+            metrics.set_kind_count(kind, KindCount::default());
+        }
         for outcome in PlatformOutcome::iter() {
             metrics
                 .platform_calls
@@ -90,21 +93,17 @@
         metrics
     }
 
-    /// Counts a control message that was sent.
-    pub fn sent(&self, kind: &'static str, size_bytes: u64) {
-        self.control_bytes
-            .with_label_values(&[kind])
-            .inc_by(size_bytes);
-        self.control_messages
-            .with_label_values(&[kind, "sent"])
-            .inc();
-    }
-
-    /// Counts a control message that was dropped for the byte budget.
-    pub fn dropped(&self, kind: &'static str) {
-        self.control_messages
-            .with_label_values(&[kind, "dropped"])
-            .inc();
+    /// Brings the counters of one kind of control traffic up to the byte budget's own count.
+    pub fn set_kind_count(&self, kind: ControlKind, count: KindCount) {
+        let name = <&str>::from(kind);
+        raise(
+            &self.control_bytes.with_label_values(&[name]),
+            count.sent_bytes,
+        );
+        for (outcome, total) in [("sent", count.sent), ("dropped", count.dropped)] {
+            let counter = self.control_messages.with_label_values(&[name, outcome]);
+            raise(&counter, total);
+        }
     }
 
     /// Counts a call of the platform's service.
@@ -170,6 +169,11 @@
     }
 }
 
+/// Raises a counter to a total, which may have been counted elsewhere.
+fn raise(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
 fn saturate(number: u64) -> i64 {
     i64::try_from(number).unwrap_or(i64::MAX)
 }
--- a/crates/celeryknot_operators/src/server.rs
+++ b/crates/celeryknot_operators/src/server.rs
@@ -1,10 +1,12 @@
 //! Answers operators over HTTP/1.1.
 
 use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use celeryknot_core::ErrorKind;
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
 use http::header::{ALLOW, CONTENT_TYPE};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -18,8 +20,14 @@
 use crate::metrics::Metrics;
 use crate::status::Status;
 
-/// Longest time for an operator's header block to arrive, in seconds.
-const HEADER_TIMEOUT_S: u64 = 5;
+/// Longest time for an operator's header block to arrive.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest life of an operator's connection, so that one that stands still gives its place back.
+const CONNECTION_LIFE: Duration = Duration::from_secs(60);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Most operators served at the same time.
 const OPERATORS_MAX: usize = 32;
@@ -118,16 +126,16 @@
     state: S,
 ) -> std::io::Result<()> {
     let executor = smol::LocalExecutor::new();
-    let places = std::rc::Rc::new(());
+    let places = Rc::new(());
     let accept = async {
         let mut incoming = listener.incoming();
         while let Some(stream) = incoming.next().await {
             let Ok(stream) = stream else {
                 // Accepting fails while descriptors are short; others may become free.
-                smol::Timer::after(std::time::Duration::from_millis(50)).await;
+                smol::Timer::after(ACCEPT_PAUSE).await;
                 continue;
             };
-            if std::rc::Rc::strong_count(&places) > OPERATORS_MAX {
+            if Rc::strong_count(&places) > OPERATORS_MAX {
                 continue;
             }
             let place = places.clone();
@@ -151,9 +159,13 @@
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(std::time::Duration::from_secs(HEADER_TIMEOUT_S))
+        .header_read_timeout(HEADER_TIMEOUT)
         .serve_connection(FuturesIo::new(stream), service);
-    if let Err(error) = connection.await {
+    let end_of_life = async {
+        smol::Timer::after(CONNECTION_LIFE).await;
+        Ok(())
+    };
+    if let Err(error) = connection.or(end_of_life).await {
         tracing::debug!(%error, "an operator's connection ended early");
     }
 }
--- /dev/null
+++ b/crates/celeryknot_operators/tests/metrics.rs
@@ -0,0 +1,150 @@
+//! Holds the metrics to their table, and the operators' page to both.
+
+#![allow(
+    clippy::unwrap_used,
+    reason = "tests may unwrap, in their helper functions too"
+)]
+
+use celeryknot_core::{DurationMs, ErrorKind};
+use celeryknot_fleet::{ControlKind, KindCount};
+use celeryknot_operators::metrics::{METRICS, RequestKind};
+use celeryknot_operators::{ControlStatus, Metrics};
+use strum::IntoEnumIterator;
+
+const PAGE: &str = include_str!("../../../docs/OPERATING.md");
+
+/// Returns metrics in which every labelled metric has a value.
+fn filled() -> Metrics {
+    let metrics = Metrics::new();
+    let service = metrics.traffic.service(&"wakai-llm".parse().unwrap());
+    service.entered(RequestKind::Chat);
+    service.first_byte(DurationMs(3));
+    let endpoint = "engine-1".parse().unwrap();
+    metrics.traffic.set_endpoint_load(&endpoint, 4, 2);
+    metrics
+        .control
+        .set_status(&ControlStatus::default(), true, "entry-1");
+    metrics
+}
+
+#[test]
+fn every_metric_of_the_table_is_exposed_and_no_other() {
+    let text = filled().render();
+    let mut exposed: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .collect();
+    let lines: Vec<String> = METRICS
+        .iter()
+        .map(|spec| format!("{} {}", spec.name, spec.kind))
+        .collect();
+    let mut declared: Vec<&str> = lines.iter().map(String::as_str).collect();
+    exposed.sort_unstable();
+    declared.sort_unstable();
+    assert_eq!(exposed, declared);
+}
+
+#[test]
+fn page_explains_every_metric() {
+    let rows: Vec<&str> = PAGE
+        .lines()
+        .filter(|line| line.starts_with("| `celeryknot_"))
+        .collect();
+    assert_eq!(rows.len(), METRICS.len());
+    for (row, spec) in rows.iter().zip(METRICS) {
+        let labels: Vec<String> = spec
+            .labels
+            .iter()
+            .map(|label| format!("`{label}`"))
+            .collect();
+        let labels = if labels.is_empty() {
+            "-".to_owned()
+        } else {
+            labels.join(", ")
+        };
+        let start = format!(
+            "| `{}` | {} | {labels} | {} | ",
+            spec.name, spec.kind, spec.help
+        );
+        let action = row
+            .strip_prefix(&start)
+            .unwrap_or_else(|| panic!("{start}\n{row}"));
+        assert!(action.ends_with(". |"), "{row}");
+    }
+}
+
+#[test]
+fn each_kind_counts_under_its_own_code() {
+    for kind in ErrorKind::iter() {
+        let metrics = Metrics::new();
+        metrics.traffic.refused(kind);
+        metrics.traffic.retried(kind);
+        metrics.traffic.retry_denied(kind);
+        metrics.traffic.admission_refused(kind);
+        let text = metrics.render();
+        for series in [
+            format!("celeryknot_refusals_total{{code=\"{kind}\"}} 1"),
+            format!("celeryknot_retries_total{{reason=\"{kind}\"}} 1"),
+            format!("celeryknot_retries_denied_total{{reason=\"{kind}\"}} 1"),
+            format!("celeryknot_admissions_refused_total{{code=\"{kind}\"}} 1"),
+        ] {
+            assert!(text.contains(&series), "{series}");
+        }
+        assert_eq!(text.matches("} 1\n").count(), 4, "{kind}");
+    }
+}
+
+#[test]
+fn each_kind_of_request_counts_under_its_own_name() {
+    for kind in RequestKind::iter() {
+        let metrics = Metrics::new();
+        metrics
+            .traffic
+            .service(&"case-svc".parse().unwrap())
+            .entered(kind);
+        let series = format!("celeryknot_requests_total{{kind=\"{kind}\",service=\"case-svc\"}} 1");
+        assert!(metrics.render().contains(&series), "{series}");
+    }
+}
+
+#[test]
+fn control_traffic_counts_up_to_the_budgets_totals() {
+    let metrics = Metrics::new();
+    let count = |sent| KindCount {
+        sent,
+        sent_bytes: sent * 60,
+        dropped: 1,
+    };
+    metrics
+        .control
+        .set_kind_count(ControlKind::Heartbeat, count(3));
+    metrics
+        .control
+        .set_kind_count(ControlKind::Heartbeat, count(5));
+    let text = metrics.render();
+    for series in [
+        "celeryknot_control_bytes_total{kind=\"heartbeat\"} 300",
+        "celeryknot_control_messages_total{kind=\"heartbeat\",outcome=\"sent\"} 5",
+        "celeryknot_control_messages_total{kind=\"heartbeat\",outcome=\"dropped\"} 1",
+        "celeryknot_control_bytes_total{kind=\"orders\"} 0",
+    ] {
+        assert!(text.contains(series), "{series}");
+    }
+}
+
+#[test]
+fn an_endpoint_that_is_no_longer_owned_is_forgotten() {
+    let metrics = filled();
+    metrics
+        .traffic
+        .remove_endpoint(&"engine-1".parse().unwrap());
+    assert!(!metrics.render().contains("engine-1"));
+}
+
+#[test]
+fn daemons_of_one_process_count_apart() {
+    let (one, other) = (Metrics::new(), Metrics::new());
+    one.traffic.cancels.inc();
+    assert!(one.render().contains("celeryknot_cancels_total 1"));
+    assert!(other.render().contains("celeryknot_cancels_total 0"));
+}
--- a/crates/celeryknot_settings/src/diagnostic.rs
+++ b/crates/celeryknot_settings/src/diagnostic.rs
@@ -10,7 +10,7 @@
 pub enum DiagnosticCode {
     /// A line is not INI.
     Syntax,
-    /// The text is larger than the platform can hold.
+    /// The text is larger than daemons pass on.
     TooLarge,
     /// No section has the name.
     UnknownSection,
--- a/crates/celeryknot_settings/src/ini.rs
+++ b/crates/celeryknot_settings/src/ini.rs
@@ -6,8 +6,8 @@
 
 use crate::diagnostic::{Diagnostic, DiagnosticCode};
 
-/// Largest text of a value or file in bytes, as large as a value of the platform may be.
-pub const TEXT_SIZE_MAX_BYTES: usize = 1 << 20;
+/// Largest text of a value or file in bytes; daemons pass values to each other in few bytes.
+pub const TEXT_SIZE_MAX_BYTES: usize = 16 << 10;
 
 /// The header of one section.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
