--- a/crates/celeryknotd/src/daemon.rs
+++ b/crates/celeryknotd/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::feed::{FleetFeed, event_channel};
 use crate::listeners::Listeners;
 use crate::operators::run_operators;
+use crate::snapshot::Snapshot;
 use crate::traffic::shared::{Shared, ShutdownSignals};
 use crate::traffic::thread::{ThreadParts, run_thread};
 
@@ -187,6 +188,11 @@
         self.shared.incarnation
     }
 
+    /// Returns the fleet as the daemon sees it now.
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        self.shared.feed.snapshot.load_full()
+    }
+
     /// Returns the daemon's metrics.
     pub fn metrics(&self) -> &Metrics {
         &self.shared.metrics
--- /dev/null
+++ b/crates/celeryknotd/tests/live_fleet.rs
@@ -0,0 +1,68 @@
+//! Whole daemons: control threads, traffic threads, platform and endpoints together.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod live;
+
+use celeryknot_standins::text::Message;
+use celeryknot_standins::wire::{BookingRequest, ChatRequest};
+use celeryknot_standins::{Caller, CallerOptions, Outcome};
+use live::{LiveFleet, MODEL_SERVICE, PLAIN_SERVICE};
+
+const DAEMONS: usize = 3;
+const CHATS: usize = 6;
+
+#[test]
+fn returning_chats_and_bookings_pass_through_every_daemon() {
+    let fleet = LiveFleet::start(DAEMONS, 3, 2);
+    smol::block_on(async {
+        let caller = Caller::new(CallerOptions::default());
+        for chat in 0..CHATS {
+            let mut affinity = None;
+            for turn in 0..3 {
+                let target = fleet.target((chat + turn) % DAEMONS, MODEL_SERVICE);
+                let request = chat_request(chat, turn);
+                let name = format!("chat-{chat}");
+                let outcome = caller
+                    .chat(&target, &name, affinity.as_deref(), &request)
+                    .await;
+                let Outcome::Completed(completed) = outcome else {
+                    panic!("chat {chat}, turn {turn}: {outcome:?}");
+                };
+                affinity = completed.affinity;
+            }
+        }
+        for index in 0..DAEMONS {
+            let booking = BookingRequest {
+                slot: format!("slot-{index}"),
+                party: "household".to_owned(),
+            };
+            let targets: Vec<_> = (0..DAEMONS)
+                .map(|step| fleet.target((index + step) % DAEMONS, PLAIN_SERVICE))
+                .collect();
+            let outcome = caller.book(&targets, PLAIN_SERVICE, &booking).await;
+            assert!(matches!(outcome, Outcome::Completed(_)), "{outcome:?}");
+        }
+    });
+    let bookings: usize = fleet
+        .services
+        .iter()
+        .map(|service| service.seen().bookings.len())
+        .sum();
+    assert_eq!(bookings, DAEMONS);
+}
+
+fn chat_request(chat: usize, turn: usize) -> ChatRequest {
+    let messages = (0..=turn)
+        .map(|step| Message {
+            role: "user".to_owned(),
+            content: format!("complaint {chat} part {step}"),
+        })
+        .collect();
+    ChatRequest {
+        model: "wakai-8b".to_owned(),
+        messages,
+        stream: true,
+        max_tokens: Some(12),
+    }
+}
