Test control threads against the platform's stand-in

Six runs of whole control threads: owners and summaries agree, a zone goes out and returns, an invalid value leaves the last accepted one in force on a new daemon as well, a new daemon becomes ready with the platform down, a leaving daemon loses its duties, stale replicas do not hold a change back. Two of them showed that tasks kept their executor alive, so that a stopped daemon never closed its sockets; tasks now hold it weakly.

--- a/crates/celeryknot_peers/src/inbound.rs
+++ b/crates/celeryknot_peers/src/inbound.rs
@@ -41,16 +41,16 @@
 ) -> eyre::Result<Task<()>> {
     let listener = smol::net::TcpListener::from(Async::new(listener)?);
     let (accepted, streams) = async_channel::bounded::<AcceptedStream>(ACCEPTED_LEN_MAX);
-    let spawner = LocalSpawner(Rc::clone(executor));
+    let spawner = LocalSpawner(Rc::downgrade(executor));
     let serve_streams = {
-        let executor = Rc::clone(executor);
+        let spawner = spawner.clone();
         async move {
             while let Ok(stream) = streams.recv().await {
                 let session = InboundStream {
                     config: Rc::clone(&config),
                     events: events.clone(),
                 };
-                executor.spawn(session.serve(stream)).detach();
+                spawner.spawn(session.serve(stream));
             }
         }
     };
@@ -61,7 +61,7 @@
                 Ok((socket, _)) => {
                     let connection =
                         serve_connection(spawner.clone(), socket, service.clone(), meter.clone());
-                    spawner.0.spawn(connection).detach();
+                    spawner.spawn(connection);
                 }
                 Err(error) => {
                     tracing::warn!(%error, "accepting a peer failed");
--- a/crates/celeryknot_peers/src/outbound.rs
+++ b/crates/celeryknot_peers/src/outbound.rs
@@ -12,8 +12,8 @@
 use eyre::{WrapErr, bail, eyre};
 use futures_lite::future;
 use hyper::client::conn::http2;
+use smol::Timer;
 use smol::net::TcpStream;
-use smol::{LocalExecutor, Timer};
 use smol_hyper::rt::FuturesIo;
 use tonic::Streaming;
 
@@ -35,7 +35,7 @@
 /// The task that keeps the stream to one peer.
 pub(crate) struct OutboundLink {
     pub(crate) config: Rc<PeersConfig>,
-    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    pub(crate) spawner: LocalSpawner,
     pub(crate) events: Sender<PeerEvent>,
     pub(crate) meter: Arc<ByteMeter>,
     pub(crate) to: MemberName,
@@ -166,15 +166,14 @@
         let socket = TcpStream::connect(self.address).await?;
         socket.set_nodelay(true)?;
         let io = FuturesIo::new(MeteredStream::new(socket, Arc::clone(&self.meter)));
-        let spawner = LocalSpawner(Rc::clone(&self.executor));
-        let (sender, connection) = http2::Builder::new(spawner).handshake(io).await?;
-        self.executor
-            .spawn(async move {
-                if let Err(error) = connection.await {
-                    tracing::debug!(%error, "connection to a peer ended");
-                }
-            })
-            .detach();
+        let (sender, connection) = http2::Builder::new(self.spawner.clone())
+            .handshake(io)
+            .await?;
+        self.spawner.spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%error, "connection to a peer ended");
+            }
+        });
         let origin = http::Uri::builder()
             .scheme("http")
             .authority(self.address.to_string())
--- a/crates/celeryknot_peers/src/peers.rs
+++ b/crates/celeryknot_peers/src/peers.rs
@@ -12,6 +12,7 @@
 use celeryknot_platform::ByteMeter;
 use smol::{LocalExecutor, Task};
 
+use crate::executor::LocalSpawner;
 use crate::handshake::VersionRange;
 use crate::{inbound, outbound};
 
@@ -123,7 +124,7 @@
         let (messages, queue) = async_channel::bounded(LINK_LEN_MAX);
         let link = outbound::OutboundLink {
             config: Rc::clone(&self.config),
-            executor: Rc::clone(&self.executor),
+            spawner: LocalSpawner(Rc::downgrade(&self.executor)),
             events: self.events.clone(),
             meter: Arc::clone(&self.meter),
             to: to.clone(),
--- /dev/null
+++ b/crates/celeryknotd/tests/control.rs
@@ -0,0 +1,295 @@
+//! Control threads of several daemons against the platform's stand-in.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::Sender;
+use celeryknot_core::{
+    DurationMs, EndpointCondition, EndpointSummary, Incarnation, MemberName, ZoneName,
+};
+use celeryknot_fleet::MemberState;
+use celeryknot_platform::{DaemonInstance, EndpointInstance, Fencing, Instance, InstanceState};
+use celeryknot_settings::DaemonSettings;
+use celeryknot_standins::wire::PlatformMode;
+use celeryknot_standins::{LOOPBACK, Platform, PlatformOptions};
+use celeryknotd::control::{self, ControlHandle};
+use celeryknotd::event::TrafficEvent;
+use celeryknotd::snapshot::Snapshot;
+
+/// Generous limit for what must happen.
+const WAIT: Duration = Duration::from_secs(30);
+const SERVICE_PATH: &str = "teams/kinrin/services/wakai-llm";
+const SERVICE_TEXT: &str = "[service]\nkind = model\nmodels = wakai-8b\n";
+
+struct Daemon {
+    handle: ControlHandle,
+    events: Sender<TrafficEvent>,
+}
+
+struct Fleet {
+    platform: Platform,
+    listeners: Vec<Option<TcpListener>>,
+    addresses: Vec<SocketAddr>,
+    daemons: Vec<Option<Daemon>>,
+}
+
+fn name(index: usize) -> MemberName {
+    format!("daemon-{index}").parse().expect("a valid name")
+}
+
+fn zone(index: usize) -> ZoneName {
+    ["hkd-a", "hkd-b", "hkd-c"][index % 3]
+        .parse()
+        .expect("a valid zone")
+}
+
+impl Fleet {
+    fn start(count: usize, replicas: u32) -> Self {
+        let options = PlatformOptions::default().replicas(replicas);
+        let platform = Platform::start(options, LOOPBACK).expect("started");
+        let listeners: Vec<TcpListener> = (0..count)
+            .map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port"))
+            .collect();
+        let addresses = listeners
+            .iter()
+            .map(|listener| listener.local_addr().expect("bound"))
+            .collect();
+        platform.put_value(SERVICE_PATH, SERVICE_TEXT);
+        let mut fleet = Self {
+            platform,
+            listeners: listeners.into_iter().map(Some).collect(),
+            addresses,
+            daemons: Vec::new(),
+        };
+        fleet.platform.put_instances(fleet.instances());
+        for index in 0..count {
+            let daemon = fleet.spawn(index, 1);
+            fleet.daemons.push(Some(daemon));
+        }
+        fleet
+    }
+
+    fn instances(&self) -> Vec<Instance> {
+        let daemons = self.addresses.iter().enumerate().map(|(index, address)| {
+            Instance::Daemon(DaemonInstance {
+                name: name(index),
+                zone: zone(index),
+                address: *address,
+                forwards_address: *address,
+                state: InstanceState::Live,
+            })
+        });
+        let engines = (0..6).map(|index| {
+            Instance::Endpoint(EndpointInstance {
+                name: format!("engine-{index}").parse().expect("a valid name"),
+                service: "wakai-llm".parse().expect("a valid name"),
+                zone: zone(index),
+                address: (Ipv4Addr::LOCALHOST, 9).into(),
+                state: InstanceState::Live,
+                fencing: Fencing::Refuses,
+            })
+        });
+        daemons.chain(engines).collect()
+    }
+
+    fn spawn(&mut self, index: usize, life: u64) -> Daemon {
+        let settings = DaemonSettings::builder(name(index), zone(index))
+            .platform_addresses(self.platform.addresses())
+            .forwards_address(self.addresses[index])
+            .build();
+        let listener = match self.listeners[index].take() {
+            Some(listener) => listener,
+            None => TcpListener::bind(self.addresses[index]).expect("the port is free again"),
+        };
+        let (events, queue) = async_channel::unbounded();
+        let incarnation = Incarnation(life * 100 + index as u64);
+        let handle =
+            control::spawn(settings, incarnation, listener, queue).expect("the thread starts");
+        Daemon { handle, events }
+    }
+
+    fn snapshots(&self) -> Vec<Arc<Snapshot>> {
+        self.daemons
+            .iter()
+            .flatten()
+            .map(|daemon| daemon.handle.snapshot.load_full())
+            .collect()
+    }
+
+    fn wait_for(&self, what: &str, holds: impl Fn(&[Arc<Snapshot>]) -> bool) {
+        let start = Instant::now();
+        while !holds(&self.snapshots()) {
+            assert!(start.elapsed() < WAIT, "{what}: {:#?}", self.snapshots());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn wait_until_ready(&self) {
+        self.wait_for("all are ready and agree on owners", |snapshots| {
+            let owners: Vec<_> = snapshots.iter().map(|s| owners(s)).collect();
+            let is_whole = |snapshot: &Arc<Snapshot>| snapshot.is_ready && has_members(snapshot);
+            snapshots.iter().all(is_whole) && owners.iter().all(|o| *o == owners[0])
+        });
+    }
+}
+
+fn has_members(snapshot: &Snapshot) -> bool {
+    snapshot
+        .members
+        .values()
+        .all(|member| member.state == MemberState::Alive && member.incarnation.is_some())
+}
+
+fn owners(snapshot: &Snapshot) -> Vec<Option<MemberName>> {
+    let services = snapshot.services.values();
+    services
+        .flat_map(|service| &service.endpoints)
+        .map(|endpoint| endpoint.owner.clone())
+        .collect()
+}
+
+fn zone_takes_work(snapshot: &Snapshot, name: &str) -> bool {
+    let mut endpoints = snapshot.services.values().flat_map(|s| &s.endpoints);
+    endpoints.any(|e| e.zone.as_str() == name && e.takes_new_work)
+}
+
+#[test]
+fn daemons_agree_on_owners_and_share_summaries() {
+    let fleet = Fleet::start(4, 1);
+    fleet.wait_until_ready();
+    let snapshot = &fleet.snapshots()[0];
+    let service = snapshot.services.values().next().unwrap();
+    let endpoint = &service.endpoints[0];
+    let owner = endpoint.owner.clone().unwrap();
+    let index = (0..4).find(|i| name(*i) == owner).unwrap();
+    assert_eq!(zone(index), endpoint.zone, "the owner is in the zone");
+    let summary = EndpointSummary {
+        in_flight: 5,
+        queued: 2,
+        in_flight_max: 64,
+        wait_ms: DurationMs(250),
+        condition: EndpointCondition::Warm,
+    };
+    let changed = TrafficEvent::EndpointChanged {
+        endpoint: endpoint.name.clone(),
+        summary,
+    };
+    let daemon = fleet.daemons[index].as_ref().unwrap();
+    daemon.events.send_blocking(changed).unwrap();
+    fleet.wait_for("the summary is everywhere", |snapshots| {
+        snapshots.iter().all(|s| {
+            let service = s.services.values().next().unwrap();
+            service.endpoints[0].summary == Some(summary)
+        })
+    });
+}
+
+#[test]
+fn a_zone_that_is_taken_out_gets_no_new_work_and_comes_back() {
+    let fleet = Fleet::start(3, 1);
+    fleet.wait_until_ready();
+    fleet
+        .platform
+        .put_value("fleet/zones/hkd-a", "[zone]\nstate = out\n");
+    fleet.wait_for("the zone is out", |snapshots| {
+        snapshots.iter().all(|s| !zone_takes_work(s, "hkd-a"))
+    });
+    assert!(
+        fleet
+            .snapshots()
+            .iter()
+            .all(|s| zone_takes_work(s, "hkd-b"))
+    );
+    fleet
+        .platform
+        .put_value("fleet/zones/hkd-a", "[zone]\nstate = gone\n");
+    fleet
+        .platform
+        .put_value("teams/kinrin/zones/hkd-b", "[zone]\nstate = out\n");
+    fleet.wait_for("the other zone is out for the team", |snapshots| {
+        snapshots.iter().all(|s| !zone_takes_work(s, "hkd-b"))
+    });
+    assert!(
+        fleet
+            .snapshots()
+            .iter()
+            .all(|s| !zone_takes_work(s, "hkd-a")),
+        "an invalid value leaves the last accepted one in force"
+    );
+    fleet
+        .platform
+        .put_value("fleet/zones/hkd-a", "[zone]\nstate = in\n");
+    fleet.wait_for("the zone is back", |snapshots| {
+        snapshots.iter().all(|s| zone_takes_work(s, "hkd-a"))
+    });
+}
+
+#[test]
+fn a_new_daemon_gets_the_last_accepted_value_from_its_peers() {
+    let mut fleet = Fleet::start(4, 1);
+    fleet.wait_until_ready();
+    fleet
+        .platform
+        .put_value("fleet/zones/hkd-a", "[zone]\nstate = out\n");
+    fleet.wait_for("the zone is out", |snapshots| {
+        snapshots.iter().all(|s| !zone_takes_work(s, "hkd-a"))
+    });
+    fleet
+        .platform
+        .put_value("fleet/zones/hkd-a", "[zone]\nstate = gone\n");
+    drop(fleet.daemons[1].take());
+    let daemon = fleet.spawn(1, 2);
+    fleet.daemons[1] = Some(daemon);
+    fleet.wait_until_ready();
+    let snapshot = fleet.daemons[1].as_ref().unwrap().handle.snapshot.load();
+    assert!(!zone_takes_work(&snapshot, "hkd-a"));
+    assert!(zone_takes_work(&snapshot, "hkd-b"));
+}
+
+#[test]
+fn with_the_platform_down_a_new_daemon_is_made_ready_by_its_peers() {
+    let mut fleet = Fleet::start(3, 1);
+    fleet.wait_until_ready();
+    let down = PlatformMode {
+        down: Some(true),
+        ..PlatformMode::default()
+    };
+    fleet.platform.set_mode(0, down);
+    drop(fleet.daemons[2].take());
+    // A daemon that knows no list hears of its peers from them.
+    let daemon = fleet.spawn(2, 2);
+    fleet.daemons[2] = Some(daemon);
+    fleet.wait_until_ready();
+}
+
+#[test]
+fn a_leaving_daemon_loses_its_duties_at_once() {
+    let fleet = Fleet::start(3, 1);
+    fleet.wait_until_ready();
+    fleet.daemons[1].as_ref().unwrap().handle.start_leaving();
+    fleet.wait_for("the leaving daemon owns nothing", |snapshots| {
+        snapshots.iter().all(|s| {
+            let is_leaving = s.members[&name(1)].state == MemberState::Leaving;
+            is_leaving && owners(s).iter().all(|o| o.is_some() && *o != Some(name(1)))
+        })
+    });
+}
+
+#[test]
+fn stale_replicas_do_not_hold_a_change_back() {
+    let fleet = Fleet::start(3, 3);
+    fleet.wait_until_ready();
+    let stale = PlatformMode {
+        stale: Some(true),
+        ..PlatformMode::default()
+    };
+    fleet.platform.set_mode(0, stale);
+    fleet.platform.set_mode(1, stale);
+    fleet
+        .platform
+        .put_value("fleet/zones/hkd-c", "[zone]\nstate = out\n");
+    fleet.wait_for("the zone is out", |snapshots| {
+        snapshots.iter().all(|s| !zone_takes_work(s, "hkd-c"))
+    });
+}
