--- a/crates/celeryknotd/tests/failures.rs
+++ b/crates/celeryknotd/tests/failures.rs
@@ -16,9 +16,7 @@
 
 impl RunPermit {
     fn acquire() -> Self {
-        let runs = RUNS
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        let runs = RUNS.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         let mut runs = RUN_ENDED
             .wait_while(runs, |runs| *runs >= PARALLEL_RUNS_MAX)
             .unwrap_or_else(|poisoned| poisoned.into_inner());
@@ -29,9 +27,7 @@
 
 impl Drop for RunPermit {
     fn drop(&mut self) {
-        let mut runs = RUNS
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut runs = RUNS.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         *runs -= 1;
         RUN_ENDED.notify_one();
     }
