--- a/crates/celeryknotd/src/control/mod.rs
+++ b/crates/celeryknotd/src/control/mod.rs
@@ -59,6 +59,7 @@
 }
 
 /// A running control thread and what it publishes.
+#[derive(Debug)]
 pub struct ControlHandle {
     /// The fleet and the settings in force.
     pub snapshot: Arc<ArcSwap<Snapshot>>,
