--- a/crates/celeryknot_faults/src/lib.rs
+++ b/crates/celeryknot_faults/src/lib.rs
@@ -2,6 +2,7 @@
 //! endpoints saw.
 
 pub mod booking;
+pub mod campaign;
 pub mod check;
 pub mod history;
 pub mod plan;
