--- a/crates/celeryknot_fleet/src/membership.rs
+++ b/crates/celeryknot_fleet/src/membership.rs
@@ -239,7 +239,7 @@
         if record.order() < self.own.order() {
             return None;
         }
-        self.own.sequence = record.sequence + 1;
+        self.own.sequence = record.sequence.saturating_add(1);
         self.version += 1;
         Some(self.own.clone())
     }
--- /dev/null
+++ b/crates/celeryknot_fleet/tests/duties.rs
@@ -0,0 +1,142 @@
+//! Duties are agreed on, move little, and bear two holders.
+
+use celeryknot_core::{
+    DurationMs, EndpointCondition, EndpointName, EndpointSummary, Incarnation, MemberName,
+    MonotonicMs, Revision, ServiceName, ZoneName,
+};
+use celeryknot_fleet::settings_store::{Offered, SettingsStore, ValueRecord};
+use celeryknot_fleet::summaries::{EndpointHash, Summaries, SummaryBatch, SummaryEntry, Telling};
+use celeryknot_fleet::{MemberInfo, duties};
+
+fn members(count: usize) -> Vec<MemberInfo> {
+    (0..count)
+        .map(|index| MemberInfo {
+            name: format!("daemon-{index}").parse().expect("a valid name"),
+            zone: format!("zone-{}", index % 3).parse().expect("a valid zone"),
+            peers_address: "127.0.0.1:7001".parse().expect("an address"),
+            forwards_address: "127.0.0.1:7003".parse().expect("an address"),
+        })
+        .collect()
+}
+
+fn endpoint(index: usize) -> EndpointName {
+    format!("engine-{index}").parse().expect("a valid name")
+}
+
+fn zone(index: usize) -> ZoneName {
+    format!("zone-{index}").parse().expect("a valid zone")
+}
+
+#[test]
+fn an_endpoint_is_owned_in_its_zone_or_anywhere() {
+    let all = members(9);
+    let holders: Vec<&MemberInfo> = all.iter().collect();
+    for index in 0..60 {
+        let owner = duties::owner(&endpoint(index), &zone(index % 3), &holders).unwrap();
+        let info = all.iter().find(|info| info.name == *owner).unwrap();
+        assert_eq!(info.zone, zone(index % 3));
+    }
+    assert!(duties::owner(&endpoint(0), &zone(7), &holders).is_some());
+    assert_eq!(duties::owner(&endpoint(0), &zone(0), &[]), None);
+}
+
+#[test]
+fn the_end_of_one_member_moves_only_its_endpoints() {
+    let all = members(9);
+    let before: Vec<&MemberInfo> = all.iter().collect();
+    let after: Vec<&MemberInfo> = all.iter().skip(1).collect();
+    for index in 0..200 {
+        let owner = duties::owner(&endpoint(index), &zone(index % 3), &before);
+        if owner != Some(&all[0].name) {
+            let now = duties::owner(&endpoint(index), &zone(index % 3), &after);
+            assert_eq!(owner, now, "engine-{index}");
+        }
+    }
+}
+
+#[test]
+fn each_zone_has_as_many_readers_as_are_asked_for() {
+    for count in [9, 64, 320] {
+        let all = members(count);
+        let holders: Vec<&MemberInfo> = all.iter().collect();
+        let rank = |info: &MemberInfo| duties::reader_rank(&info.name, &info.zone, &holders, 3);
+        let mut ranks: Vec<usize> = all.iter().filter_map(rank).collect();
+        ranks.sort_unstable();
+        assert_eq!(ranks, [0, 0, 0, 1, 1, 1, 2, 2, 2], "{count} members");
+    }
+}
+
+#[test]
+fn two_readers_are_harmless() {
+    let value = |revision, text: &str| ValueRecord {
+        path: "fleet/zones/zone-0".parse().expect("a valid path"),
+        revision: Revision(revision),
+        text: Some(text.into()),
+    };
+    let mut store = SettingsStore::new(|_, _| Ok(()));
+    // A reader of a stale replica comes after one of a fresh replica.
+    assert_eq!(store.offer(&value(4, "new")), Offered::Accepted);
+    assert_eq!(store.offer(&value(3, "old")), Offered::Old);
+    assert_eq!(store.offer(&value(4, "new")), Offered::Old);
+}
+
+fn batch(origin: &MemberName, sequence: u64, in_flight: u32) -> SummaryBatch {
+    SummaryBatch {
+        origin: origin.clone(),
+        incarnation: Incarnation(1),
+        entries: vec![SummaryEntry {
+            endpoint: EndpointHash::new(&endpoint(0)),
+            sequence,
+            summary: EndpointSummary {
+                in_flight,
+                condition: EndpointCondition::Warm,
+                ..EndpointSummary::default()
+            },
+        }],
+    }
+}
+
+#[test]
+fn of_two_owners_the_one_in_the_view_is_heard() {
+    let all = members(3);
+    let (rightful, other) = (&all[0].name, &all[1].name);
+    let mut summaries = Summaries::default();
+    let mut hear = |now: u64, from: &MemberName, sequence: u64, in_flight: u32| {
+        let batch = batch(from, sequence, in_flight);
+        let is_owner = |_| from == rightful;
+        summaries.receive(
+            MonotonicMs(now),
+            from,
+            &batch,
+            Telling::Change,
+            is_owner,
+            &[],
+        );
+        let age_max = DurationMs(10_000);
+        let seen = summaries.get(&endpoint(0), MonotonicMs(now), age_max);
+        seen.map(|summary| summary.in_flight)
+    };
+    assert_eq!(hear(0, other, 50, 9), Some(9), "better than nothing");
+    assert_eq!(hear(10, rightful, 1, 4), Some(4));
+    assert_eq!(
+        hear(20, other, 51, 9),
+        Some(4),
+        "the other owner is passed over"
+    );
+    assert_eq!(hear(30, rightful, 1, 7), Some(4), "so is a repeated number");
+    assert_eq!(
+        hear(5_000, other, 52, 9),
+        Some(9),
+        "until the first has gone silent"
+    );
+}
+
+#[test]
+fn one_daemon_holds_the_orders_of_a_service() {
+    let all = members(9);
+    let holders: Vec<&MemberInfo> = all.iter().collect();
+    let service: ServiceName = "wakai-llm".parse().unwrap();
+    let holder = duties::orders_holder(&service, &holders).unwrap();
+    let rest: Vec<&MemberInfo> = all.iter().filter(|info| info.name != *holder).collect();
+    assert!(duties::orders_holder(&service, &rest).is_some_and(|next| next != holder));
+}
--- /dev/null
+++ b/crates/celeryknot_fleet/tests/membership.rs
@@ -0,0 +1,163 @@
+//! Views of members do not depend on the order in which records come.
+
+use celeryknot_core::{DurationMs, Incarnation, MemberName, MonotonicMs};
+use celeryknot_fleet::membership::Heard;
+use celeryknot_fleet::{FleetTiming, MemberInfo, MemberRecord, MemberState, Membership};
+use proptest::prelude::*;
+
+fn info(index: usize) -> MemberInfo {
+    MemberInfo {
+        name: format!("daemon-{index}").parse().expect("a valid name"),
+        zone: "hkd-a".parse().expect("a valid zone"),
+        peers_address: "127.0.0.1:7001".parse().expect("an address"),
+        forwards_address: "127.0.0.1:7003".parse().expect("an address"),
+    }
+}
+
+fn record(index: usize, life: u64, sequence: u64, state: MemberState) -> MemberRecord {
+    MemberRecord {
+        info: info(index),
+        incarnation: Incarnation(life),
+        sequence,
+        state,
+    }
+}
+
+fn membership() -> Membership {
+    Membership::new(info(0), Incarnation(100), FleetTiming::default())
+}
+
+const STATES: [MemberState; 4] = [
+    MemberState::Alive,
+    MemberState::Suspect,
+    MemberState::Leaving,
+    MemberState::Dead,
+];
+
+fn any_record() -> impl Strategy<Value = MemberRecord> {
+    (1..4_usize, 1..4_u64, 1..6_u64, 0..4_usize)
+        .prop_map(|(index, life, sequence, state)| record(index, life, sequence, STATES[state]))
+}
+
+fn states(members: &Membership) -> Vec<(MemberName, Option<Incarnation>, MemberState)> {
+    let view = members.view().into_iter();
+    view.map(|m| (m.name, m.incarnation, m.state)).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    #[test]
+    fn any_order_ends_in_the_same_view(
+        records in prop::collection::vec(any_record(), 1..24),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..48),
+    ) {
+        let now = MonotonicMs(0);
+        let mut in_order = membership();
+        let mut shuffled = membership();
+        for record in &records {
+            in_order.offer(now, record);
+        }
+        for index in order {
+            shuffled.offer(now, index.get(&records));
+        }
+        for record in records.iter().rev() {
+            shuffled.offer(now, record);
+        }
+        prop_assert_eq!(states(&in_order), states(&shuffled));
+        prop_assert_eq!(in_order.digest(), shuffled.digest());
+    }
+
+    #[test]
+    fn whatever_is_said_of_it_a_member_refutes(
+        life in 1..200_u64,
+        sequence in 1..1_000_u64,
+        state in 0..4_usize,
+    ) {
+        let now = MonotonicMs(0);
+        let mut members = membership();
+        let said = record(0, life, sequence, STATES[state]);
+        members.offer(now, &said);
+        // Whoever has heard the statement takes the refutation over it.
+        let mut other = Membership::new(info(9), Incarnation(1), FleetTiming::default());
+        other.offer(now, &said);
+        other.offer(now, members.own());
+        let known = other.record(&info(0).name).map(|r| (r.incarnation, r.state));
+        prop_assert_eq!(known, Some((Incarnation(100), MemberState::Alive)));
+    }
+}
+
+#[test]
+fn an_earlier_life_is_contradicted() {
+    let now = MonotonicMs(0);
+    let mut members = membership();
+    members.offer(now, &record(1, 7, 5, MemberState::Alive));
+    let heard = members.hear(now, &record(1, 3, 1, MemberState::Alive));
+    let known = record(1, 7, 5, MemberState::Alive);
+    assert_eq!(heard, Heard::Contradicted(known));
+}
+
+#[test]
+fn silence_leads_to_suspicion_and_then_to_death() {
+    let timing = FleetTiming::default();
+    let mut members = membership();
+    let name = info(1).name;
+    members.offer(MonotonicMs(0), &record(1, 7, 1, MemberState::Alive));
+    let state = |members: &Membership| members.record(&name).map(|record| record.state);
+    let neighbours = [name.clone()];
+    members.tick(MonotonicMs(timing.suspect_after.0 - 1), &neighbours);
+    assert_eq!(state(&members), Some(MemberState::Alive));
+    members.tick(MonotonicMs(timing.suspect_after.0), &neighbours);
+    assert_eq!(state(&members), Some(MemberState::Suspect));
+    assert_eq!(
+        members.duty_holders(MonotonicMs(0)).len(),
+        2,
+        "it keeps its duties"
+    );
+    let dead_at = timing.suspect_after.0 + timing.dead_after.0;
+    members.tick(MonotonicMs(dead_at), &neighbours);
+    assert_eq!(state(&members), Some(MemberState::Dead));
+    assert_eq!(members.duty_holders(MonotonicMs(dead_at)).len(), 1);
+}
+
+#[test]
+fn after_a_pause_nobody_is_held_dead_for_the_silence() {
+    let mut members = membership();
+    let name = info(1).name;
+    members.offer(MonotonicMs(0), &record(1, 7, 1, MemberState::Alive));
+    let woken_at = MonotonicMs(60_000);
+    members.observe_pause(woken_at);
+    assert!(
+        members
+            .tick(woken_at, std::slice::from_ref(&name))
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_peer_that_can_not_be_reached_is_suspected_unless_it_was_just_heard() {
+    let mut members = membership();
+    let name = info(1).name;
+    members.offer(MonotonicMs(0), &record(1, 7, 1, MemberState::Alive));
+    assert_eq!(members.note_unreachable(MonotonicMs(500), &name), None);
+    let suspected = record(1, 7, 1, MemberState::Suspect);
+    let found = members.note_unreachable(MonotonicMs(1_500), &name);
+    assert_eq!(found, Some(suspected));
+}
+
+#[test]
+fn a_member_that_returns_again_and_again_waits_longer_for_duties() {
+    let mut members = membership();
+    let mut waits = Vec::new();
+    let mut now = MonotonicMs(0);
+    for sequence in 1..6 {
+        members.offer(now, &record(1, 7, sequence, MemberState::Alive));
+        let start = now;
+        while members.duty_holders(now).len() == 1 {
+            now = now + DurationMs(100);
+        }
+        waits.push((now - start).0);
+        members.offer(now, &record(1, 7, sequence, MemberState::Dead));
+    }
+    assert_eq!(waits, [0, 0, 4_000, 8_000, 16_000]);
+}
