Give orders to engines from the settings, step by step

A rollout is desired state, so one assigned daemon asserts it until every engine reports the version. Fencing numbers hold the revision of the settings above that of the instance list; numbers of holders alone were ruled out, since a holder with a newer view but older settings would pass the engines' check. A new holder waits out the old lease, the sender checks the lease directly before the first byte, capacity and the weight store's rate bound each step, and a sick updated engine stops the rollout until its settings change.

--- a/crates/celeryknot/tests/live.rs
+++ b/crates/celeryknot/tests/live.rs
@@ -50,6 +50,7 @@
             {"path": "teams/kinrin/services/wakai-llm", "revision_in_force": 7, "refused": {"revision": 39,
              "findings": ["teams/kinrin/services/wakai-llm:3: unknown-key: no key `ramp` in [service] (did you mean `ramp_ms`?)"]}},
         ])),
+        ..ControlStatus::default()
     }
 }
 
--- a/crates/celeryknot_endpoints/src/load.rs
+++ b/crates/celeryknot_endpoints/src/load.rs
@@ -97,6 +97,28 @@
     serde_json::from_slice(&body).map_err(|_| ErrorKind::AnswerIncomplete)
 }
 
+/// What an engine says of the version that it serves.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct EngineState {
+    /// The version of the model, with `+<adapter>` where one is loaded.
+    pub version: String,
+    /// Whether the engine is in cold start.
+    pub cold: bool,
+}
+
+/// Asks an engine for the version that it serves.
+///
+/// # Errors
+///
+/// Why no report came.
+pub async fn fetch_engine_state(
+    address: SocketAddr,
+    timeout: DurationMs,
+) -> Result<EngineState, ErrorKind> {
+    let body = fetch(&Connections::new(), address, "/v1/load", timeout).await?;
+    serde_json::from_slice(&body).map_err(|_| ErrorKind::AnswerIncomplete)
+}
+
 /// Reads one small JSON document of an endpoint on a connection of its own.
 pub(crate) async fn fetch(
     connections: &Connections,
--- a/crates/celeryknot_endpoints/src/orders.rs
+++ b/crates/celeryknot_endpoints/src/orders.rs
@@ -66,6 +66,9 @@
 
 /// Gives an order to an engine, on a new connection.
 ///
+/// `may_send` is asked directly before the first byte, so that a holder whose lease has ended
+/// meanwhile sends nothing.
+///
 /// # Errors
 ///
 /// Why no answer came; the order may have been carried out unless the kind says `not-run`.
@@ -73,6 +76,7 @@
     address: SocketAddr,
     order: &FencedOrder,
     timeout: DurationMs,
+    may_send: impl Fn() -> Result<(), ErrorKind>,
 ) -> Result<OrderOutcome, ErrorKind> {
     let body = serde_json::to_vec(order).map_err(|_| ErrorKind::InternalError)?;
     let request = Request::post("/v1/orders")
@@ -89,7 +93,7 @@
         timeouts: CallTimeouts::all(timeout),
     };
     let answer = call
-        .send(&Connections::new(), address, || Ok(()))
+        .send(&Connections::new(), address, may_send)
         .await
         .map_err(|failure| failure.kind)?;
     if answer.head.status == StatusCode::ACCEPTED {
--- a/crates/celeryknot_fleet/src/fleet.rs
+++ b/crates/celeryknot_fleet/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use celeryknot_core::{
     DurationMs, EndpointName, EndpointSummary, Incarnation, MemberName, MonotonicMs, Revision,
+    ServiceName,
 };
 
 use crate::byte_budget::{ByteBudget, ControlKind};
@@ -289,6 +290,12 @@
         duties::reader_rank(&own.name, &own.zone, &holders, self.config.readers_per_zone)
     }
 
+    /// Tells whether this daemon gives the orders to the engines of a service.
+    pub fn holds_orders(&self, now: MonotonicMs, service: &ServiceName) -> bool {
+        let holders = self.members.duty_holders(now);
+        duties::orders_holder(service, &holders) == Some(&self.config.own.name)
+    }
+
     /// Returns the members, for tests and status.
     pub fn members(&self) -> &Membership {
         &self.members
--- /dev/null
+++ b/crates/celeryknot_fleet/tests/orders.rs
@@ -0,0 +1,347 @@
+//! Rollouts against small model engines, with two holders, pauses and engines that ignore fencing.
+
+use std::collections::BTreeMap;
+
+use celeryknot_core::{
+    DurationMs, EndpointCondition, EndpointName, EndpointSummary, MonotonicMs, Revision,
+    ServiceName,
+};
+use celeryknot_fleet::{
+    EndpointView, EngineReport, FencingMode, FencingNumber, FleetView, Order, Orders, OrdersConfig,
+    Rollout, RolloutState,
+};
+
+const LOAD_MS: u64 = 2_000;
+const TICK_MS: u64 = 500;
+const LEASE_MS: u64 = 3_000;
+
+struct Engine {
+    mode: FencingMode,
+    version: String,
+    loading: Option<(MonotonicMs, String)>,
+    highest: FencingNumber,
+    loads: u32,
+    summary: EndpointSummary,
+}
+
+struct World {
+    now: MonotonicMs,
+    engines: BTreeMap<EndpointName, Engine>,
+    most_loading: usize,
+}
+
+fn service(name: &str) -> ServiceName {
+    name.parse().expect("a valid name")
+}
+
+fn rollout(name: &str, revision: u64, version: &str) -> Rollout {
+    Rollout {
+        service: service(name),
+        revision: Revision(revision),
+        model: "wakai-8b".parse().expect("a valid name"),
+        version: version.to_owned(),
+        adapter: None,
+        parallel_max: 2,
+    }
+}
+
+impl World {
+    fn new(count: usize, mode: FencingMode) -> Self {
+        let engine = |index: usize| {
+            let name = format!("wakai-{index}").parse().expect("a valid name");
+            let engine = Engine {
+                mode,
+                version: "v1".to_owned(),
+                loading: None,
+                highest: FencingNumber(0),
+                loads: 0,
+                summary: EndpointSummary {
+                    in_flight: 4,
+                    in_flight_max: 16,
+                    condition: EndpointCondition::Warm,
+                    ..EndpointSummary::default()
+                },
+            };
+            (name, engine)
+        };
+        Self {
+            now: MonotonicMs(0),
+            engines: (0..count).map(engine).collect(),
+            most_loading: 0,
+        }
+    }
+
+    fn view(&self) -> FleetView {
+        let endpoints = self.engines.iter().map(|(name, engine)| EndpointView {
+            name: name.clone(),
+            service: service("wakai"),
+            zone: "hkd-a".parse().expect("a valid zone"),
+            address: "127.0.0.1:9001".parse().expect("an address"),
+            is_leaving: false,
+            fencing: engine.mode,
+            owner: None,
+            summary: Some(engine.summary),
+        });
+        FleetView {
+            is_ready: true,
+            endpoints: endpoints.collect(),
+            ..FleetView::default()
+        }
+    }
+
+    /// Lets an engine take an order; returns the highest number it has seen if it refuses.
+    fn take(&mut self, order: &Order) -> Result<(), FencingNumber> {
+        let engine = self.engines.get_mut(&order.endpoint).expect("known");
+        if engine.mode == FencingMode::Refuses && order.fencing < engine.highest {
+            return Err(engine.highest);
+        }
+        engine.highest = engine.highest.max(order.fencing);
+        engine.loads += 1;
+        let done = self.now + DurationMs(LOAD_MS);
+        engine.loading = Some((done, order.version.clone()));
+        Ok(())
+    }
+
+    fn step(&mut self) {
+        self.now = self.now + DurationMs(TICK_MS);
+        let now = self.now;
+        for engine in self.engines.values_mut() {
+            if let Some((_, version)) = engine.loading.take_if(|(done, _)| now >= *done) {
+                engine.version = version;
+            }
+        }
+        let loading = self
+            .engines
+            .values()
+            .filter(|e| e.loading.is_some())
+            .count();
+        self.most_loading = self.most_loading.max(loading);
+    }
+
+    /// Lets one holder look at the engines and give its orders.
+    fn let_hold(&mut self, orders: &mut Orders, list: u64, rollouts: &[Rollout]) {
+        for (name, engine) in &self.engines {
+            let report = EngineReport {
+                version: engine.version.clone(),
+                is_cold: false,
+            };
+            orders.observe_engine(name, report);
+        }
+        let view = self.view();
+        for order in orders.tick(self.now, &view, Revision(list), rollouts, |_| true) {
+            assert!(order.send_before > self.now);
+            if let Err(highest) = self.take(&order) {
+                orders.note_refused(&order.endpoint, highest);
+            }
+        }
+    }
+
+    fn all_serve(&self, version: &str) -> bool {
+        self.engines
+            .values()
+            .all(|engine| engine.version == version)
+    }
+
+    fn loads(&self) -> u32 {
+        self.engines.values().map(|engine| engine.loads).sum()
+    }
+}
+
+fn holder() -> Orders {
+    Orders::new(OrdersConfig {
+        lease: DurationMs(LEASE_MS),
+        loads_per_min_max: 600,
+        load_timeout: DurationMs(10_000),
+    })
+}
+
+#[test]
+fn a_rollout_updates_every_engine_once_within_its_limits() {
+    let mut world = World::new(10, FencingMode::Refuses);
+    let mut orders = holder();
+    let target = [rollout("wakai", 5, "v2")];
+    while !world.all_serve("v2") {
+        world.let_hold(&mut orders, 3, &target);
+        world.step();
+        assert!(world.now < MonotonicMs(120_000), "the rollout does not end");
+    }
+    assert_eq!(world.loads(), 10);
+    assert_eq!(world.most_loading, 2);
+    world.let_hold(&mut orders, 3, &target);
+    assert_eq!(orders.state(&service("wakai")), RolloutState::Done);
+}
+
+#[test]
+fn a_new_holder_waits_out_the_lease_of_the_old_one() {
+    let mut world = World::new(4, FencingMode::Refuses);
+    let mut orders = holder();
+    let target = [rollout("wakai", 5, "v2")];
+    while world.now < MonotonicMs(LEASE_MS) {
+        world.let_hold(&mut orders, 3, &target);
+        assert_eq!(world.loads(), 0);
+        world.step();
+    }
+    world.let_hold(&mut orders, 3, &target);
+    assert_eq!(world.loads(), 1);
+    orders.observe_pause();
+    world.let_hold(&mut orders, 3, &target);
+    assert_eq!(world.loads(), 1, "a daemon that wakes has lost its lease");
+}
+
+#[test]
+fn no_engine_is_updated_while_the_others_could_not_carry_the_load() {
+    let mut world = World::new(4, FencingMode::Refuses);
+    let mut orders = holder();
+    let target = [rollout("wakai", 5, "v2")];
+    let set_load = |world: &mut World, in_flight: u32| {
+        for engine in world.engines.values_mut() {
+            engine.summary.in_flight = in_flight;
+        }
+    };
+    // Three engines of 16 carry at most 38 requests within four fifths of their bounds.
+    set_load(&mut world, 10);
+    for _ in 0..20 {
+        world.let_hold(&mut orders, 3, &target);
+        world.step();
+    }
+    assert_eq!(world.loads(), 0);
+    set_load(&mut world, 9);
+    for _ in 0..60 {
+        world.let_hold(&mut orders, 3, &target);
+        world.step();
+    }
+    assert!(world.all_serve("v2"));
+    assert_eq!(world.most_loading, 1);
+}
+
+#[test]
+fn a_rollout_stops_by_itself_when_the_new_version_errs() {
+    let mut world = World::new(6, FencingMode::Refuses);
+    let mut orders = holder();
+    let target = [rollout("wakai", 5, "v2")];
+    for _ in 0..40 {
+        world.let_hold(&mut orders, 3, &target);
+        world.step();
+        for engine in world.engines.values_mut().filter(|e| e.version == "v2") {
+            engine.summary.condition = EndpointCondition::Sick;
+        }
+    }
+    assert_eq!(orders.state(&service("wakai")), RolloutState::Stopped);
+    let updated = world.engines.values().filter(|e| e.version == "v2").count();
+    assert!(updated <= 2, "{updated} engines were updated");
+    let back = [rollout("wakai", 6, "v1")];
+    for _ in 0..40 {
+        world.let_hold(&mut orders, 3, &back);
+        world.step();
+        for engine in world.engines.values_mut() {
+            engine.summary.condition = EndpointCondition::Warm;
+        }
+    }
+    assert!(world.all_serve("v1"), "new settings take it back");
+}
+
+#[test]
+fn rollouts_share_the_rate_of_the_weight_store() {
+    let config = OrdersConfig {
+        loads_per_min_max: 12,
+        ..OrdersConfig::default()
+    };
+    let mut world = World::new(20, FencingMode::Refuses);
+    let mut orders = Orders::new(config);
+    // A second rollout, held by another daemon, has its half of the rate.
+    let targets = [rollout("wakai", 5, "v2"), rollout("other", 6, "v9")];
+    while world.now < MonotonicMs(60_000 + LEASE_MS) {
+        world.let_hold(&mut orders, 3, &targets);
+        world.step();
+    }
+    assert_eq!(world.loads(), 6);
+}
+
+/// Two holders at the same time.
+struct TwoHolders {
+    name: &'static str,
+    mode: FencingMode,
+    other_revision: u64,
+    other_version: &'static str,
+    other_list: u64,
+    loads_max: u32,
+}
+
+#[test]
+fn two_holders_end_in_the_newest_settings() {
+    let cases = [
+        TwoHolders {
+            name: "same settings",
+            mode: FencingMode::Refuses,
+            other_revision: 5,
+            other_version: "v2",
+            other_list: 2,
+            loads_max: 16,
+        },
+        TwoHolders {
+            name: "same settings, fencing ignored",
+            mode: FencingMode::Ignores,
+            other_revision: 5,
+            other_version: "v2",
+            other_list: 2,
+            loads_max: 16,
+        },
+        TwoHolders {
+            name: "the other one has old settings and a newer list",
+            mode: FencingMode::Refuses,
+            other_revision: 4,
+            other_version: "v0",
+            other_list: 9,
+            loads_max: 24,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(8, case.mode);
+        let (mut one, mut other) = (holder(), holder());
+        let target = [rollout("wakai", 5, "v2")];
+        let other_target = [rollout("wakai", case.other_revision, case.other_version)];
+        for _ in 0..120 {
+            world.let_hold(&mut other, case.other_list, &other_target);
+            world.let_hold(&mut one, 3, &target);
+            world.step();
+        }
+        assert!(world.all_serve("v2"), "{}", case.name);
+        assert!(
+            world.loads() <= case.loads_max,
+            "{}: {}",
+            case.name,
+            world.loads()
+        );
+    }
+}
+
+#[test]
+fn what_a_woken_holder_does_to_engines_that_ignore_fencing_is_put_right() {
+    let mut world = World::new(4, FencingMode::Ignores);
+    let mut orders = holder();
+    let target = [rollout("wakai", 5, "v2")];
+    let run = |world: &mut World, orders: &mut Orders, rounds: u32| {
+        for _ in 0..rounds {
+            world.let_hold(orders, 3, &target);
+            world.step();
+        }
+    };
+    run(&mut world, &mut orders, 60);
+    assert!(world.all_serve("v2"));
+    // One order that had passed its sender's last check before the pause.
+    let endpoint = world.engines.keys().next().cloned().expect("an engine");
+    let late = Order {
+        endpoint,
+        address: "127.0.0.1:9001".parse().expect("an address"),
+        fencing: FencingNumber::new(Revision(4), Revision(1)),
+        model: "wakai-8b".parse().expect("a valid name"),
+        version: "v0".to_owned(),
+        adapter: None,
+        send_before: MonotonicMs(0),
+    };
+    assert_eq!(world.take(&late), Ok(()));
+    run(&mut world, &mut orders, 4);
+    assert!(!world.all_serve("v2"), "the engine has obeyed");
+    run(&mut world, &mut orders, 8);
+    assert!(world.all_serve("v2"), "the holder has put it right");
+}
--- a/crates/celeryknot_operators/src/status.rs
+++ b/crates/celeryknot_operators/src/status.rs
@@ -4,9 +4,9 @@
 
 use celeryknot_core::{
     DurationMs, EndpointName, EndpointSummary, Incarnation, MemberName, Revision, ServiceName,
-    SettingPath, ZoneName,
+    SettingPath, SizeBytes, ZoneName,
 };
-use celeryknot_fleet::{FencingMode, MemberState};
+use celeryknot_fleet::{FencingMode, MemberState, RolloutState};
 use serde::{Deserialize, Serialize};
 
 /// What one daemon knows and does at one moment.
@@ -49,6 +49,38 @@
     pub zones: Vec<ZoneStatus>,
     /// The settings, in the order of their paths.
     pub settings: Vec<SettingStatus>,
+    /// The control traffic of this daemon, by kind.
+    #[serde(default)]
+    pub traffic: Vec<ControlTrafficStatus>,
+    /// The rollouts, in the order of their services.
+    #[serde(default)]
+    pub rollouts: Vec<RolloutStatus>,
+}
+
+/// The control traffic of one kind since the daemon's start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlTrafficStatus {
+    /// The kind.
+    pub kind: String,
+    /// Messages sent.
+    pub sent: u64,
+    /// Bytes sent.
+    pub sent_bytes: SizeBytes,
+    /// Messages dropped or put off for want of budget.
+    pub dropped: u64,
+}
+
+/// One rollout as this daemon sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutStatus {
+    /// The service whose engines are updated.
+    pub service: ServiceName,
+    /// The revision of the rollout's settings.
+    pub revision: Revision,
+    /// The version, with `+<adapter>` where one is loaded.
+    pub version: String,
+    /// How far this daemon's duty has come.
+    pub state: RolloutState,
 }
 
 /// One daemon of the fleet.
--- a/crates/celeryknotd/src/control/actor.rs
+++ b/crates/celeryknotd/src/control/actor.rs
@@ -7,7 +7,6 @@
 
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
-use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
 use celeryknot_fleet::{Action, ControlKind, Fleet, FleetConfig, FleetTiming, MemberInfo};
 use celeryknot_operators::ControlStatus;
@@ -16,7 +15,8 @@
 use futures_lite::future;
 use smol::{LocalExecutor, Timer};
 
-use super::platform::{PlatformEvent, PlatformTask, Role, Subject};
+use super::orders::OrdersDesk;
+use super::platform::{self, PlatformEvent, Role};
 use super::sources::SourcesBuilder;
 use super::{Command, Subscribers, convert, publish, status, validate_value};
 use crate::event::TrafficEvent;
@@ -84,6 +84,7 @@
     peers: Peers,
     role: Rc<Role>,
     sources: SourcesBuilder,
+    orders: OrdersDesk,
     peer_events: Receiver<PeerEvent>,
     platform_events: Receiver<PlatformEvent>,
     inlets: Inlets,
@@ -124,7 +125,8 @@
             peer_sender,
         )?;
         let role = Rc::new(Role::default());
-        let platform_events = watch_platform(executor, &settings, &role);
+        let platform_events = platform::watch(executor, &settings, &role);
+        let started_at = Instant::now();
         let now = MonotonicMs(0);
         let fleet = Fleet::new(fleet_config(settings, own_incarnation), now);
         Ok(Self {
@@ -136,7 +138,8 @@
             platform_events,
             inlets,
             outlets,
-            started_at: Instant::now(),
+            started_at,
+            orders: OrdersDesk::new(Rc::clone(executor), started_at),
             last_tick_at: now,
             next_tick_at: Instant::now(),
             published_version: None,
@@ -207,6 +210,7 @@
         tracing::warn!(late_ms = late.0, "the process was paused");
         self.last_tick_at = now;
         self.fleet.observe_pause(now);
+        self.orders.observe_pause();
         let count = self.role.read_again_count.get();
         self.role.read_again_count.set(count + 1);
         self.publish_now(now);
@@ -245,6 +249,8 @@
         self.next_tick_at = Instant::now() + TICK_PERIOD;
         self.fleet.tick(now);
         self.role.reader_rank.set(self.fleet.reader_rank(now));
+        let sources = self.sources.update(self.fleet.values());
+        self.orders.tick(now, &mut self.fleet, &sources);
     }
 
     fn handle_peer(&mut self, now: MonotonicMs, event: PeerEvent) {
@@ -338,6 +344,10 @@
         let sources = self.sources.update(self.fleet.values());
         let snapshot = self.outlets.snapshot.load();
         let status = status::build_status(&self.fleet, now, &view, &sources, &snapshot);
+        let status = ControlStatus {
+            rollouts: status::rollout_statuses(&self.orders),
+            ..status
+        };
         self.outlets.status.store(Arc::new(status));
     }
 }
@@ -356,23 +366,3 @@
         timing: FleetTiming::default().with_control_bytes_per_s(settings.control_bytes_per_s),
     }
 }
-
-fn watch_platform(
-    executor: &Rc<LocalExecutor<'static>>,
-    settings: &DaemonSettings,
-    role: &Rc<Role>,
-) -> Receiver<PlatformEvent> {
-    let (sender, events) = async_channel::bounded(EVENTS_LEN_MAX);
-    let first = rendezvous_score(0, settings.name.as_str()) % 1_024;
-    for subject in [Subject::Values, Subject::Instances] {
-        let task = PlatformTask::new(
-            subject,
-            settings.platform_addresses.clone(),
-            usize::try_from(first).unwrap_or(0),
-            Rc::clone(role),
-            sender.clone(),
-        );
-        executor.spawn(task.run()).detach();
-    }
-    events
-}
--- a/crates/celeryknotd/src/control/mod.rs
+++ b/crates/celeryknotd/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod actor;
 mod convert;
+mod orders;
 mod platform;
 mod publish;
 mod sources;
--- a/crates/celeryknotd/src/control/platform.rs
+++ b/crates/celeryknotd/src/control/platform.rs
@@ -6,10 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
+use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{Backoff, DurationMs, Revision};
 use celeryknot_platform::{ByteMeter, InstanceList, PlatformClient, PlatformError, ValueList};
-use smol::Timer;
+use celeryknot_settings::DaemonSettings;
+use smol::{LocalExecutor, Timer};
 
 /// Time for which a watch waits; then it moves on, since a stale replica looks like a quiet one.
 const WATCH_WAIT: DurationMs = DurationMs(2_000);
@@ -17,6 +19,8 @@
 const ROLE_PERIOD: Duration = Duration::from_millis(100);
 /// Shortest time between two calls of one watch.
 const CALL_GAP: Duration = Duration::from_millis(50);
+/// Events that wait for the control loop.
+const EVENTS_LEN_MAX: usize = 64;
 const BACKOFF_FIRST_MS: DurationMs = DurationMs(100);
 const BACKOFF_LONGEST_MS: DurationMs = DurationMs(2_000);
 
@@ -43,9 +47,30 @@
     },
 }
 
+/// Starts the tasks for both lists and returns what they tell.
+pub(super) fn watch(
+    executor: &Rc<LocalExecutor<'static>>,
+    settings: &DaemonSettings,
+    role: &Rc<Role>,
+) -> Receiver<PlatformEvent> {
+    let (sender, events) = async_channel::bounded(EVENTS_LEN_MAX);
+    let first = rendezvous_score(0, settings.name.as_str()) % 1_024;
+    for subject in [Subject::Values, Subject::Instances] {
+        let task = PlatformTask::new(
+            subject,
+            settings.platform_addresses.clone(),
+            usize::try_from(first).unwrap_or(0),
+            Rc::clone(role),
+            sender.clone(),
+        );
+        executor.spawn(task.run()).detach();
+    }
+    events
+}
+
 /// One of the two lists that the platform gives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Subject {
+enum Subject {
     /// The configuration service's values.
     Values,
     /// The instance list.
@@ -53,7 +78,7 @@
 }
 
 /// A task that reads or watches one list.
-pub(super) struct PlatformTask {
+struct PlatformTask {
     subject: Subject,
     client: PlatformClient,
     meter: Arc<ByteMeter>,
@@ -66,7 +91,7 @@
 
 impl PlatformTask {
     /// Builds the task for one list.
-    pub(super) fn new(
+    fn new(
         subject: Subject,
         addresses: Vec<SocketAddr>,
         first: usize,
@@ -87,7 +112,7 @@
     }
 
     /// Reads and watches until the control loop is gone.
-    pub(super) async fn run(mut self) {
+    async fn run(mut self) {
         let mut backoff = Backoff::new(BACKOFF_FIRST_MS, BACKOFF_LONGEST_MS);
         while !self.events.is_closed() {
             let Some(wait) = self.next_wait() else {
--- a/crates/celeryknotd/src/control/status.rs
+++ b/crates/celeryknotd/src/control/status.rs
@@ -2,14 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use celeryknot_core::{MonotonicMs, Revision, ZoneName};
+use celeryknot_core::{MonotonicMs, Revision, SizeBytes, ZoneName};
 use celeryknot_fleet::{EndpointView, Fleet, FleetView, MemberState, MemberView, SettingsStore};
 use celeryknot_operators::{
     ControlStatus, EndpointStatus, MemberStatus, SettingStatus, ZoneStatus,
 };
 
-use celeryknot_operators::status::RefusedSetting;
+use celeryknot_operators::status::{ControlTrafficStatus, RefusedSetting, RolloutStatus};
 
+use super::orders::OrdersDesk;
 use super::sources::Sources;
 use crate::snapshot::Snapshot;
 
@@ -35,9 +36,37 @@
             .collect(),
         zones: zone_statuses(view, sources),
         settings: setting_statuses(fleet.values()),
+        traffic: traffic_statuses(fleet),
+        rollouts: Vec::new(),
     }
 }
 
+/// Builds what operators see of the rollouts.
+pub(super) fn rollout_statuses(orders: &OrdersDesk) -> Vec<RolloutStatus> {
+    orders
+        .states()
+        .map(|(rollout, state)| RolloutStatus {
+            service: rollout.service.clone(),
+            revision: rollout.revision,
+            version: rollout.reported_version(),
+            state,
+        })
+        .collect()
+}
+
+fn traffic_statuses(fleet: &Fleet) -> Vec<ControlTrafficStatus> {
+    fleet
+        .budget()
+        .counts()
+        .map(|(kind, count)| ControlTrafficStatus {
+            kind: kind.to_string(),
+            sent: count.sent,
+            sent_bytes: SizeBytes(count.sent_bytes),
+            dropped: count.dropped,
+        })
+        .collect()
+}
+
 fn member_status(member: &MemberView) -> MemberStatus {
     MemberStatus {
         name: member.name.clone(),
--- a/crates/celeryknotd/tests/control.rs
+++ b/crates/celeryknotd/tests/control.rs
@@ -8,17 +8,19 @@
 use celeryknot_core::{
     DurationMs, EndpointCondition, EndpointSummary, Incarnation, MemberName, ZoneName,
 };
-use celeryknot_fleet::MemberState;
+use celeryknot_fleet::{MemberState, RolloutState};
+use celeryknot_operators::ControlStatus;
 use celeryknot_platform::{DaemonInstance, EndpointInstance, Fencing, Instance, InstanceState};
 use celeryknot_settings::DaemonSettings;
 use celeryknot_standins::wire::PlatformMode;
-use celeryknot_standins::{LOOPBACK, Platform, PlatformOptions};
+use celeryknot_standins::{Engine, EngineOptions, LOOPBACK, Platform, PlatformOptions};
 use celeryknotd::control::{self, ControlHandle};
 use celeryknotd::event::TrafficEvent;
 use celeryknotd::snapshot::Snapshot;
 
 /// Generous limit for what must happen.
 const WAIT: Duration = Duration::from_secs(30);
+const ENGINE_COUNT: usize = 6;
 const SERVICE_PATH: &str = "teams/kinrin/services/wakai-llm";
 const SERVICE_TEXT: &str = "[service]\nkind = model\nmodels = wakai-8b\n";
 
@@ -32,6 +34,12 @@
     listeners: Vec<Option<TcpListener>>,
     addresses: Vec<SocketAddr>,
     daemons: Vec<Option<Daemon>>,
+    engines: Vec<Engine>,
+}
+
+fn start_engine() -> Engine {
+    let options = EngineOptions::default().model("wakai-8b".parse().expect("a valid name"));
+    Engine::start(options, LOOPBACK).expect("started")
 }
 
 fn name(index: usize) -> MemberName {
@@ -61,6 +69,7 @@
             listeners: listeners.into_iter().map(Some).collect(),
             addresses,
             daemons: Vec::new(),
+            engines: (0..ENGINE_COUNT).map(|_| start_engine()).collect(),
         };
         fleet.platform.put_instances(fleet.instances());
         for index in 0..count {
@@ -80,12 +89,12 @@
                 state: InstanceState::Live,
             })
         });
-        let engines = (0..6).map(|index| {
+        let engines = self.engines.iter().enumerate().map(|(index, engine)| {
             Instance::Endpoint(EndpointInstance {
                 name: format!("engine-{index}").parse().expect("a valid name"),
                 service: "wakai-llm".parse().expect("a valid name"),
                 zone: zone(index),
-                address: (Ipv4Addr::LOCALHOST, 9).into(),
+                address: engine.address(),
                 state: InstanceState::Live,
                 fencing: Fencing::Refuses,
             })
@@ -125,6 +134,20 @@
         }
     }
 
+    fn wait_for_status(&self, what: &str, holds: impl Fn(&[Arc<ControlStatus>]) -> bool) {
+        let statuses = || -> Vec<Arc<ControlStatus>> {
+            let daemons = self.daemons.iter().flatten();
+            daemons
+                .map(|daemon| daemon.handle.status.load_full())
+                .collect()
+        };
+        let start = Instant::now();
+        while !holds(&statuses()) {
+            assert!(start.elapsed() < WAIT, "{what}: {:#?}", statuses());
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     fn wait_until_ready(&self) {
         self.wait_for("all are ready and agree on owners", |snapshots| {
             let owners: Vec<_> = snapshots.iter().map(|s| owners(s)).collect();
@@ -293,3 +316,31 @@
         snapshots.iter().all(|s| !zone_takes_work(s, "hkd-c"))
     });
 }
+
+#[test]
+fn a_rollout_updates_each_engine_once() {
+    let fleet = Fleet::start(3, 1);
+    fleet.wait_until_ready();
+    let text = "[rollout]\nmodel = wakai-8b\nversion = 2\nparallel_max = 3\n";
+    fleet
+        .platform
+        .put_value("teams/kinrin/rollouts/wakai-llm", text);
+    let start = Instant::now();
+    let is_updated = |engine: &Engine| engine.seen().orders.len() == 1;
+    while !fleet.engines.iter().all(is_updated) {
+        let orders: Vec<_> = fleet.engines.iter().map(|e| e.seen().orders).collect();
+        assert!(start.elapsed() < WAIT, "{orders:?}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    fleet.wait_for_status("one daemon has done its duty", |statuses| {
+        let states = statuses.iter().flat_map(|status| &status.rollouts);
+        states
+            .filter(|rollout| rollout.state == RolloutState::Done)
+            .count()
+            == 1
+    });
+    assert!(
+        fleet.engines.iter().all(is_updated),
+        "no order is given twice"
+    );
+}
