--- a/crates/celeryknot_fleet/src/lib.rs
+++ b/crates/celeryknot_fleet/src/lib.rs
@@ -4,12 +4,14 @@
 //! socket, so that daemons, tests and measurements drive the same code.
 
 pub mod byte_budget;
+pub mod drive;
 pub mod duties;
 pub mod fleet;
 pub mod instance_list;
 pub mod membership;
 pub mod message;
 pub mod neighbours;
+pub mod orders;
 pub mod readiness;
 pub mod settings_store;
 pub mod summaries;
@@ -21,6 +23,7 @@
 pub use instance_list::{ListedDaemon, ListedEndpoint, ListedInstance};
 pub use membership::{MemberInfo, MemberRecord, Membership};
 pub use message::Message;
+pub use orders::{EngineReport, FencingNumber, Order, Orders, OrdersConfig, Rollout, RolloutState};
 pub use settings_store::{Rejection, SettingsStore, Validator};
 pub use timing::FleetTiming;
 pub use view::{EndpointView, FencingMode, FleetView, MemberState, MemberView, SettingInForce};
