Refuse requests whose end can be read in two ways

The HTTP library resolves a length beside a transfer coding and drops the evidence, so the bytes of an HTTP/1.1 connection are followed beside it. A check of the parsed headers alone was tried first: the test with both fields got past it.

--- a/crates/celeryknot_callers/src/lib.rs
+++ b/crates/celeryknot_callers/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod executor;
 pub mod framing;
+pub mod head_scanner;
 pub mod hop_by_hop;
 pub mod limits;
 pub mod problem;
--- a/crates/celeryknot_callers/src/request.rs
+++ b/crates/celeryknot_callers/src/request.rs
@@ -9,6 +9,7 @@
 use serde::de::IgnoredAny;
 
 use crate::framing::check_framing;
+use crate::head_scanner::AmbiguousFraming;
 
 /// Longest name of a chat in bytes.
 pub const CHAT_LEN_MAX_BYTES: usize = 128;
@@ -85,6 +86,9 @@
     /// assert_eq!(CallerRequest::parse(&parts).unwrap_err(), ErrorKind::MissingCustomer);
     /// ```
     pub fn parse(parts: &Parts) -> Result<Self, ErrorKind> {
+        if parts.extensions.get::<AmbiguousFraming>().is_some() {
+            return Err(ErrorKind::MalformedRequest);
+        }
         check_framing(&parts.headers)?;
         let target = parse_target(parts)?;
         let customer = single(&parts.headers, header::CUSTOMER)?
--- a/crates/celeryknot_callers/src/server.rs
+++ b/crates/celeryknot_callers/src/server.rs
@@ -1,6 +1,6 @@
 //! Serves one connection of a caller in HTTP/1.1 or HTTP/2.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -11,7 +11,8 @@
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind, Refusal, RequestId};
 use futures_lite::{AsyncWriteExt, future};
-use http::{Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
@@ -20,6 +21,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::executor::ThreadExecutor;
+use crate::head_scanner::{AmbiguousFraming, HeadScanner, ScannedStream};
 use crate::limits::CallerLimits;
 use crate::problem::problem_answer;
 
@@ -118,15 +120,29 @@
 {
     let has_served = Rc::new(Cell::new(false));
     let noted = Rc::clone(&has_served);
-    let service = service_fn(move |request| {
+    let scanner = Rc::new(RefCell::new(HeadScanner::default()));
+    let scanned = ScannedStream::new(stream.clone(), Rc::clone(&scanner));
+    let service = service_fn(move |mut request: Request<Incoming>| {
         noted.set(true);
-        handler(request)
+        let is_ambiguous = scanner.borrow_mut().take_is_ambiguous();
+        if is_ambiguous {
+            request.extensions_mut().insert(AmbiguousFraming);
+        }
+        let answer = handler(request);
+        async move {
+            let mut answer = answer.await?;
+            if is_ambiguous {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(context.limits.header_timeout_ms.as_std())
         .max_buf_size(context.limits.header_size_bytes())
-        .serve_connection(FuturesIo::new(stream.clone()), service);
+        .serve_connection(FuturesIo::new(scanned), service);
     let result = drive(connection, |it| it.graceful_shutdown(), &context.shutdown).await;
     if let Err(error) = &result
         && error.is_timeout()
