Keep refusals true when endpoints answer oddly

A table of odd answers (refused, cut, crossed, withheld, too large, without a known end) against one daemon and two found four faults, now mended: a request that the endpoint refused was called unknown; a small broken answer lost its kind between two daemons; a size above the limit was noticed late; and a request was refused by an endpoint that was busy only in comparison with one that failed.

--- a/crates/celeryknot_endpoints/src/call.rs
+++ b/crates/celeryknot_endpoints/src/call.rs
@@ -7,7 +7,7 @@
 use futures_lite::future;
 use http::header::{CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Request, Response, StatusCode, response};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::answer::{AnswerBody, ReturnTo};
 use crate::connection::{Connections, Link};
@@ -225,6 +225,9 @@
         if !has_known_end(self.request.method(), &head) {
             return Err(ErrorKind::AnswerIncomplete.into());
         }
+        if incoming.size_hint().lower() > self.answer_size_max.0 {
+            return Err(ErrorKind::AnswerTooLarge.into());
+        }
         let return_to = (self.reuse != Reuse::Never).then(|| ReturnTo {
             connections: connections.clone(),
             address,
--- a/crates/celeryknotd/src/traffic/body.rs
+++ b/crates/celeryknotd/src/traffic/body.rs
@@ -8,7 +8,7 @@
 
 use async_channel::Receiver;
 use bytes::Bytes;
-use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs};
+use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, SizeBytes};
 use celeryknot_endpoints::{AnswerBody, AnswerError};
 use celeryknot_policy::admission::{FinishOutcome, FinishStatus};
 use futures_lite::Stream;
@@ -19,6 +19,10 @@
 use super::shared::Counted;
 use crate::clock::Clock;
 
+/// Largest answer that is read whole before its head is passed on, so that a broken one can be
+/// asked for again or refused by its kind.
+const SMALL_SIZE_MAX: SizeBytes = SizeBytes(64 << 10);
+
 /// Where the bytes of an answer come from.
 #[derive(Debug)]
 pub(crate) enum AnswerSource {
@@ -51,6 +55,13 @@
         Self::new(AnswerSource::Whole((!bytes.is_empty()).then_some(bytes)))
     }
 
+    /// Tells whether the answer announces a size that is read whole.
+    pub(crate) fn is_small(&self) -> bool {
+        self.size_hint()
+            .exact()
+            .is_some_and(|size_bytes| size_bytes <= SMALL_SIZE_MAX.0)
+    }
+
     pub(crate) fn counted(mut self, in_flight: Counted) -> Self {
         self.in_flight = Some(in_flight);
         self
--- a/crates/celeryknotd/src/traffic/dispatch.rs
+++ b/crates/celeryknotd/src/traffic/dispatch.rs
@@ -1,14 +1,12 @@
 //! Tries the endpoints for one request in order, as far as that is safe.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Execution, MemberName, Refusal};
 use celeryknot_endpoints::sse::Usage;
-use celeryknot_policy::attempt::{
-    AttemptEvent, AttemptIndex, AttemptState, CallSafety, Judgement, Submission,
-};
+use celeryknot_policy::attempt::{AttemptEvent, AttemptIndex, CallSafety, Judgement, Submission};
 use celeryknot_policy::placement::{EndpointHash, PlacementRequest};
 use smallvec::SmallVec;
 
@@ -44,6 +42,10 @@
     work: Rc<Work>,
     submission: RefCell<Submission>,
     excluded: SmallVec<[EndpointName; 4]>,
+    /// Endpoints that were busy only in comparison with others.
+    busy: SmallVec<[EndpointName; 4]>,
+    /// Whether the others have failed, so that the busy ones are asked to queue the request.
+    is_last_round: bool,
     last_refusal: Option<Refusal>,
     come_back_ms: Option<DurationMs>,
 }
@@ -56,6 +58,8 @@
             work,
             submission,
             excluded: SmallVec::new(),
+            busy: SmallVec::new(),
+            is_last_round: false,
             last_refusal: None,
             come_back_ms: None,
         }
@@ -76,6 +80,9 @@
                 return Err(self.refusal());
             }
             let Some(choice) = self.choose() else {
+                if self.start_last_round() {
+                    continue;
+                }
                 return Err(self.refusal());
             };
             let started = self.submission.borrow_mut().start_attempt();
@@ -127,6 +134,17 @@
             .apply(attempt, AttemptEvent::AnswerCompleted);
     }
 
+    /// Gives the endpoints that were busy in comparison another chance.
+    fn start_last_round(&mut self) -> bool {
+        if self.is_last_round || self.busy.is_empty() {
+            return false;
+        }
+        self.is_last_round = true;
+        let busy = std::mem::take(&mut self.busy);
+        self.excluded.retain(|name| !busy.contains(name));
+        true
+    }
+
     fn choose(&self) -> Option<Choice> {
         let snapshot = self.context.snapshot();
         let key = (
@@ -146,7 +164,10 @@
             service: Arc::clone(service),
             endpoint: service.endpoints.get(first.index)?.clone(),
             uncached_tokens: first.uncached_tokens,
-            alternative_wait_ms: candidates.get(1).map(|second| second.wait_ms),
+            alternative_wait_ms: candidates
+                .get(1)
+                .filter(|_| !self.is_last_round)
+                .map(|second| second.wait_ms),
         })
     }
 
@@ -204,10 +225,14 @@
     where
         M: Fn() -> Result<(), ErrorKind>,
     {
-        let result =
-            peer_link::hand_to_owner(&self.context, member, address, work, &may_send).await;
+        let was_asked = Cell::new(false);
+        let check = || {
+            was_asked.set(true);
+            may_send()
+        };
+        let result = peer_link::hand_to_owner(&self.context, member, address, work, check).await;
         match result {
-            Err(refusal) if refusal.kind == ErrorKind::ConnectFailed => {
+            Err(refusal) if refusal.kind == ErrorKind::ConnectFailed && !was_asked.get() => {
                 owner::run(&self.context, work, may_send).await
             }
             Ok(_) | Err(_) => result,
@@ -238,11 +263,8 @@
         let mut submission = self.submission.borrow_mut();
         match refusal.kind.answer().execution {
             Execution::NotRun => {
-                // The owner knows better than this daemon, which only handed the request over.
-                let state = submission.apply(attempt, AttemptEvent::OwnerRefused);
-                if state == AttemptState::MaybeSent {
-                    submission.apply(attempt, AttemptEvent::EndpointRefused);
-                }
+                // Whether the owner or the endpoint refused: whoever had the request did not run it.
+                submission.apply(attempt, AttemptEvent::EndpointRefused);
             }
             Execution::Run | Execution::Unknown => {
                 submission.apply(attempt, AttemptEvent::SendStarted);
@@ -250,6 +272,9 @@
             }
         }
         drop(submission);
+        if refusal.kind == ErrorKind::EndpointBusy {
+            self.busy.push(endpoint.clone());
+        }
         self.excluded.push(endpoint);
         self.last_refusal = Some(refusal);
         self.come_back_ms = match (self.come_back_ms, refusal.retry_after_ms) {
--- a/crates/celeryknotd/src/traffic/entry.rs
+++ b/crates/celeryknotd/src/traffic/entry.rs
@@ -10,7 +10,7 @@
 use celeryknot_callers::problem::problem_answer;
 use celeryknot_callers::request::{CHAT_COMPLETIONS_PATH, Target, keep_end_to_end};
 use celeryknot_callers::token::has_token;
-use celeryknot_core::{EndpointName, ErrorKind, Refusal, RequestId, ServiceName, SizeBytes};
+use celeryknot_core::{EndpointName, ErrorKind, Refusal, RequestId, ServiceName};
 use celeryknot_operators::metrics::RequestKind;
 use celeryknot_policy::attempt::CallSafety;
 use celeryknot_settings::{ServiceKind, ServiceSettings};
@@ -18,7 +18,7 @@
 use http::request::Parts;
 use http::{HeaderValue, Method, Request, Response, Version, response};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 
 use super::body::DaemonBody;
 use super::chat;
@@ -32,10 +32,6 @@
 use super::work::Work;
 use crate::snapshot::{CustomerSnapshot, ServiceSnapshot, Snapshot};
 
-/// Largest answer that is read whole before its head is passed on, so that a broken one can be
-/// asked for again.
-const WHOLE_SIZE_MAX: SizeBytes = SizeBytes(64 << 10);
-
 /// Answers one request of a caller.
 pub(crate) async fn serve_caller(
     context: Rc<ThreadContext>,
@@ -252,7 +248,7 @@
             let answered = Answered { head, body };
             return Ok(finish_head(context, work, &endpoint, answered));
         }
-        if !is_small(&placed.answered) {
+        if !placed.answered.body.is_small() {
             return Ok(finish_head(context, work, &endpoint, placed.answered));
         }
         if let Some(answered) = read_whole(&mut dispatch, &mut placed).await? {
@@ -261,15 +257,6 @@
     }
 }
 
-/// Tells whether the answer announces a size that is read whole.
-fn is_small(answered: &Answered) -> bool {
-    answered
-        .body
-        .size_hint()
-        .exact()
-        .is_some_and(|size_bytes| size_bytes <= WHOLE_SIZE_MAX.0)
-}
-
 /// Reads an answer whole; `None` where it broke and may be asked for again.
 async fn read_whole(
     dispatch: &mut Dispatch,
--- a/crates/celeryknotd/src/traffic/peer_server.rs
+++ b/crates/celeryknotd/src/traffic/peer_server.rs
@@ -6,6 +6,7 @@
 use celeryknot_callers::body::read_body;
 use celeryknot_core::{ErrorKind, Refusal};
 use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::body::DaemonBody;
@@ -59,7 +60,21 @@
         .await
         .map_err(Refusal::new)?;
     let work = hop::read_attempt(&head, service, body, context.now()).map_err(Refusal::new)?;
-    owner::run(context, &work, || Ok(())).await
+    let answered = owner::run(context, &work, || Ok(())).await?;
+    read_if_small(answered).await
+}
+
+/// Reads a small answer whole, so that a broken one is refused by its kind.
+async fn read_if_small(answered: Answered) -> Result<Answered, Refusal> {
+    if !answered.body.is_small() {
+        return Ok(answered);
+    }
+    let collected = answered.body.collect().await;
+    let bytes = collected.map_err(|error| Refusal::new(error.0))?.to_bytes();
+    Ok(Answered {
+        head: answered.head,
+        body: DaemonBody::whole(bytes),
+    })
 }
 
 async fn take_ticketed(
