Add the measurements and the demo on a cluster of stand-ins

Engines, plain endpoints, a platform and daemons in one process, with the usual placements and one with full knowledge in the router's place.

The figures are counted at the stand-ins and callers; only control bytes and settings' revisions are read from the daemons, which alone know them. Not run against daemons yet.

--- /dev/null
+++ b/crates/celeryknot_measure/src/cluster/endpoints.rs
@@ -0,0 +1,254 @@
+//! The engines and plain endpoints of a cluster.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard};
+
+use celeryknot_core::ChatKey;
+use celeryknot_platform::{EndpointInstance, Fencing, Instance, InstanceState};
+use celeryknot_standins::wire::EndpointMode;
+use celeryknot_standins::{Engine, EngineOptions, LOOPBACK, Seen, Service, ServiceOptions};
+use serde::Serialize;
+
+use crate::deployment::DeploymentSpec;
+
+/// One engine, or the place of one that was stopped.
+#[derive(Debug)]
+pub struct EngineSlot {
+    /// The engine's name.
+    pub name: String,
+    /// The engine's zone.
+    pub zone: &'static str,
+    /// The engine, while it runs.
+    pub engine: Option<Engine>,
+    /// The engine's state in the instance list.
+    pub state: InstanceState,
+    /// Whether the engine's zone is in.
+    pub is_zone_in: bool,
+    address: SocketAddr,
+    /// Where daemons are told to reach the engine.
+    pub(super) advertised: SocketAddr,
+    /// What engines that were stopped saw here.
+    past: Vec<Seen>,
+}
+
+/// What one engine carries at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct EngineLoad {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Whether the engine may get its full share: it runs, stays, is warm and its zone is in.
+    pub is_full_member: bool,
+}
+
+impl EngineSlot {
+    /// Tells whether the engine may get new work.
+    pub fn takes_new_work(&self) -> bool {
+        self.engine.is_some() && self.state == InstanceState::Live && self.is_zone_in
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the requests in flight.
+    pub fn in_flight(&self) -> u32 {
+        self.engine.as_ref().map_or(0, Engine::in_flight)
+    }
+
+    /// Returns how many tokens of a chat are cached.
+    pub fn cached_tokens(&self, chat: ChatKey) -> usize {
+        self.engine
+            .as_ref()
+            .map_or(0, |engine| engine.cached_tokens(chat))
+    }
+
+    fn load(&self) -> EngineLoad {
+        let load = self.engine.as_ref().map(Engine::load).unwrap_or_default();
+        EngineLoad {
+            in_flight: load.in_flight,
+            is_full_member: self.takes_new_work() && !load.cold,
+        }
+    }
+}
+
+/// All engines of a cluster.
+#[derive(Debug)]
+pub struct Engines(Mutex<Vec<EngineSlot>>);
+
+impl Engines {
+    pub(super) fn start(
+        spec: &DeploymentSpec,
+        count: usize,
+        options: &EngineOptions,
+    ) -> eyre::Result<Self> {
+        let mut slots = Vec::with_capacity(count);
+        for index in 0..count {
+            let seed = options.seed.wrapping_add(index as u64);
+            let engine = Engine::start(options.clone().seed(seed), LOOPBACK)?;
+            slots.push(EngineSlot {
+                name: format!("{}-{}", spec.model_service, index + 1),
+                zone: spec.zone(index),
+                address: engine.address(),
+                advertised: engine.address(),
+                engine: Some(engine),
+                state: InstanceState::Live,
+                is_zone_in: true,
+                past: Vec::new(),
+            });
+        }
+        Ok(Self(Mutex::new(slots)))
+    }
+
+    /// Returns the engines.
+    pub fn slots(&self) -> MutexGuard<'_, Vec<EngineSlot>> {
+        self.0
+            .lock()
+            .expect("no thread panics while it holds the engines")
+    }
+
+    /// Returns the load of every engine now.
+    pub fn loads(&self) -> Vec<EngineLoad> {
+        self.slots().iter().map(EngineSlot::load).collect()
+    }
+
+    /// Returns what the engines saw, together with those that stood in the same place before.
+    pub fn seen(&self) -> Vec<Vec<Seen>> {
+        self.slots()
+            .iter()
+            .map(|slot| {
+                let now = slot.engine.as_ref().map(Engine::seen);
+                slot.past.iter().cloned().chain(now).collect()
+            })
+            .collect()
+    }
+
+    /// Returns the cached part of all prompt tokens that engines were asked for.
+    pub fn reuse_ratio(&self) -> f64 {
+        let (mut prompt, mut cached) = (0, 0);
+        for seen in self.seen().iter().flatten() {
+            prompt += seen.prompt_tokens;
+            cached += seen.cached_tokens;
+        }
+        cached as f64 / (prompt as f64).max(1.0)
+    }
+
+    /// Changes how one engine behaves.
+    pub fn set_mode(&self, index: usize, mode: EndpointMode) {
+        if let Some(engine) = &self.slots()[index].engine {
+            engine.set_mode(mode);
+        }
+    }
+
+    pub(super) fn set_zone(&self, zone: &str, is_in: bool) {
+        for slot in self.slots().iter_mut().filter(|slot| slot.zone == zone) {
+            slot.is_zone_in = is_in;
+        }
+    }
+
+    pub(super) fn set_state(&self, index: usize, state: InstanceState) {
+        self.slots()[index].state = state;
+    }
+
+    pub(super) async fn stop(&self, index: usize) {
+        let engine = {
+            let mut slots = self.slots();
+            let slot = &mut slots[index];
+            let engine = slot.engine.take();
+            slot.past.extend(engine.as_ref().map(Engine::seen));
+            engine
+        };
+        if let Some(engine) = engine {
+            engine.stop().await;
+        }
+    }
+
+    pub(super) async fn stop_all(&self) {
+        let count = self.slots().len();
+        for index in 0..count {
+            self.stop(index).await;
+        }
+    }
+
+    pub(super) fn restart(&self, index: usize, options: EngineOptions) -> eyre::Result<()> {
+        let mut slots = self.slots();
+        let slot = &mut slots[index];
+        let seed = options.seed.wrapping_add(index as u64);
+        // A new engine instance comes with an address of its own.
+        let engine = Engine::start(options.seed(seed), LOOPBACK)?;
+        slot.address = engine.address();
+        slot.advertised = engine.address();
+        slot.engine = Some(engine);
+        slot.state = InstanceState::Live;
+        Ok(())
+    }
+
+    pub(super) fn instances(&self, service: &str) -> Vec<Instance> {
+        self.slots()
+            .iter()
+            .filter(|slot| slot.engine.is_some())
+            .map(|slot| instance(&slot.name, service, slot.zone, slot.advertised, slot.state))
+            .collect()
+    }
+}
+
+/// One plain endpoint.
+#[derive(Debug)]
+pub struct ServiceSlot {
+    /// The endpoint's name.
+    pub name: String,
+    /// The endpoint's zone.
+    pub zone: &'static str,
+    /// The endpoint.
+    pub service: Service,
+    /// Where daemons are told to reach the endpoint.
+    pub(super) advertised: SocketAddr,
+}
+
+impl ServiceSlot {
+    pub(super) fn instance(&self, spec: &DeploymentSpec) -> Instance {
+        instance(
+            &self.name,
+            spec.plain_service,
+            self.zone,
+            self.advertised,
+            InstanceState::Live,
+        )
+    }
+}
+
+pub(super) fn start_services(
+    spec: &DeploymentSpec,
+    count: usize,
+    options: &ServiceOptions,
+) -> eyre::Result<Vec<ServiceSlot>> {
+    (0..count)
+        .map(|index| {
+            let service = Service::start(options.clone(), LOOPBACK)?;
+            Ok(ServiceSlot {
+                name: format!("{}-{}", spec.plain_service, index + 1),
+                zone: spec.zone(index),
+                advertised: service.address(),
+                service,
+            })
+        })
+        .collect()
+}
+
+fn instance(
+    name: &str,
+    service: &str,
+    zone: &str,
+    address: SocketAddr,
+    state: InstanceState,
+) -> Instance {
+    const VALID: &str = "the deployments' names are valid";
+    Instance::Endpoint(EndpointInstance {
+        name: name.parse().expect(VALID),
+        service: service.parse().expect(VALID),
+        zone: zone.parse().expect(VALID),
+        address,
+        state,
+        fencing: Fencing::Refuses,
+    })
+}
--- a/crates/celeryknot_measure/src/lib.rs
+++ b/crates/celeryknot_measure/src/lib.rs
@@ -1,1 +1,20 @@
 //! Measurements of the router against stand-ins, baselines and an oracle.
+//!
+//! Every figure is counted at the stand-ins and at the callers, but for control bytes and
+//! settings' revisions, which only the daemons know.
+
+pub mod baseline;
+pub mod cluster;
+pub mod demo;
+pub mod deployment;
+mod measurements;
+pub mod options;
+pub mod plot;
+pub mod report;
+pub mod sampler;
+mod scrape;
+
+pub use deployment::Deployment;
+pub use measurements::{Measurement, run};
+pub use options::MeasureOptions;
+pub use report::Report;
--- /dev/null
+++ b/crates/celeryknot_measure/src/measurements/cache_reuse.rs
@@ -0,0 +1,136 @@
+//! How much of the prompts is found in caches, through churn, against other placements.
+
+use std::sync::Arc;
+
+use celeryknot_standins::load::{Placement, run_load};
+use celeryknot_standins::{Caller, LoadPlan, LoadReport};
+use futures_lite::future;
+use serde::Serialize;
+use strum::IntoEnumIterator;
+
+use super::churn;
+use crate::baseline::{Alternative, Baseline};
+use crate::cluster::{Cluster, ClusterOptions};
+use crate::options::MeasureOptions;
+use crate::report::Report;
+use crate::sampler::{Sampler, Skew};
+
+const NAME: &str = "cache-reuse";
+const OURS: &str = "celeryknot";
+
+#[derive(Debug, Clone, Serialize)]
+struct Row {
+    name: &'static str,
+    reuse_ratio: f64,
+    max_over_mean: f64,
+    share_above: f64,
+    first_token_ms_p95: f64,
+    completed: u64,
+    refused: u64,
+    lost: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    set_multiple: f64,
+    alternatives: Vec<Row>,
+}
+
+pub(super) async fn measure(options: &MeasureOptions) -> eyre::Result<Report> {
+    let cluster_options = ClusterOptions::new(options.deployment, options.seed);
+    let multiple = cluster_options.load_multiple;
+    let plan = Arc::new(LoadPlan::draw(options.chat_load_options()));
+    let mut rows = vec![run_ours(options, &cluster_options, &plan).await?];
+    for alternative in Alternative::iter() {
+        rows.push(run_baseline(options, &cluster_options, &plan, alternative).await?);
+    }
+    let reuse = |name: &str| {
+        rows.iter()
+            .find(|row| row.name == name)
+            .map_or(0.0, |row| row.reuse_ratio)
+    };
+    let ours = reuse(OURS);
+    let oracle_part = ours / reuse(Alternative::Oracle.into()).max(1e-9);
+    let random_multiple = ours / reuse(Alternative::Random.into()).max(1e-9);
+    let is_ahead_of_hash = ours > reuse(Alternative::ConsistentHash.into());
+    let is_bounded = rows[0].share_above == 0.0;
+    let report = Report::new(
+        NAME,
+        &Figures {
+            set_multiple: multiple,
+            alternatives: rows,
+        },
+    );
+    Ok(report
+        .with_verdict(
+            &format!("at least 0.95 of the oracle ({oracle_part:.3})"),
+            oracle_part >= 0.95,
+        )
+        .with_verdict(
+            &format!("at least 3 times random ({random_multiple:.2})"),
+            random_multiple >= 3.0,
+        )
+        .with_verdict("ahead of consistent-hash", is_ahead_of_hash)
+        .with_verdict("within the load bound and one request", is_bounded))
+}
+
+async fn run_ours(
+    options: &MeasureOptions,
+    cluster_options: &ClusterOptions,
+    plan: &Arc<LoadPlan>,
+) -> eyre::Result<Row> {
+    let cluster = Cluster::start(cluster_options.clone()).await?;
+    let balancer = Arc::clone(&cluster.balancer);
+    run_one(OURS, options, cluster, plan, balancer).await
+}
+
+async fn run_baseline(
+    options: &MeasureOptions,
+    cluster_options: &ClusterOptions,
+    plan: &Arc<LoadPlan>,
+    alternative: Alternative,
+) -> eyre::Result<Row> {
+    let routers = cluster_options.daemons;
+    let own_options = ClusterOptions {
+        daemons: 0,
+        ..cluster_options.clone()
+    };
+    let cluster = Cluster::start(own_options).await?;
+    let placement = Arc::new(Baseline::new(
+        alternative,
+        cluster.spec(),
+        Arc::clone(&cluster.engines),
+        cluster_options,
+        routers,
+    ));
+    run_one(alternative.into(), options, cluster, plan, placement).await
+}
+
+async fn run_one<P: Placement>(
+    name: &'static str,
+    options: &MeasureOptions,
+    mut cluster: Cluster,
+    plan: &Arc<LoadPlan>,
+    placement: Arc<P>,
+) -> eyre::Result<Row> {
+    let multiple = cluster.options.load_multiple;
+    let sampler = Sampler::start(Arc::clone(&cluster.engines));
+    let caller = Caller::new(options.caller_options());
+    let load = run_load(Arc::clone(plan), caller, placement);
+    let churn = churn::run(&mut cluster, options.seed, options.length());
+    let (load, churned): (LoadReport, _) = future::zip(load, churn).await;
+    churned?;
+    let skew = Skew::new(&sampler.stop().await, multiple);
+    let row = Row {
+        name,
+        reuse_ratio: cluster.engines.reuse_ratio(),
+        max_over_mean: skew.max_over_mean,
+        share_above: skew.share_above,
+        first_token_ms_p95: load.first_token_ms(0.95, |_| true).unwrap_or(0.0),
+        completed: load.completed,
+        refused: load.refused,
+        lost: load.lost + load.truncated,
+    };
+    cluster.stop().await;
+    Ok(row)
+}
--- /dev/null
+++ b/crates/celeryknot_measure/src/measurements/control_traffic.rs
@@ -0,0 +1,78 @@
+//! Bytes of control traffic of each daemon, in calm and in churn.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use celeryknot_standins::load::run_load;
+use celeryknot_standins::{Caller, LoadPlan};
+use futures_lite::future;
+use serde::Serialize;
+use smol::Timer;
+
+use super::churn;
+use crate::cluster::{Cluster, ClusterOptions};
+use crate::options::MeasureOptions;
+use crate::report::Report;
+use crate::scrape::{control_bytes, largest_rate_per_s};
+
+const NAME: &str = "control-traffic";
+/// Time that the fleet gets to settle.
+const SETTLE: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    calm_bytes_per_s_max: f64,
+    churn_bytes_per_s_max: f64,
+    daemons: usize,
+    completed: u64,
+    refused: u64,
+    lost: u64,
+}
+
+pub(super) async fn measure(options: &MeasureOptions) -> eyre::Result<Report> {
+    let plan = LoadPlan::draw(options.load_options());
+    let mut cluster = Cluster::start(ClusterOptions::new(options.deployment, options.seed)).await?;
+    Timer::after(SETTLE).await;
+    let caller = Caller::new(options.caller_options());
+    let load = run_load(Arc::new(plan), caller, Arc::clone(&cluster.balancer));
+    let rates = async {
+        let calm = rate_during(&mut cluster, options, false).await?;
+        let churn = rate_during(&mut cluster, options, true).await?;
+        Ok::<_, eyre::Report>((calm, churn))
+    };
+    let (load, rates) = future::zip(load, rates).await;
+    let (calm, churn) = rates?;
+    let figures = Figures {
+        calm_bytes_per_s_max: calm,
+        churn_bytes_per_s_max: churn,
+        daemons: cluster.daemon_count(),
+        completed: load.completed,
+        refused: load.refused,
+        lost: load.lost,
+    };
+    cluster.stop().await;
+    Ok(Report::new(NAME, &figures)
+        .with_verdict("counted at all", figures.calm_bytes_per_s_max > 0.0)
+        .with_verdict(
+            "under 2 KB/s in calm and in churn",
+            figures.calm_bytes_per_s_max.max(churn) < 2_000.0,
+        ))
+}
+
+async fn rate_during(
+    cluster: &mut Cluster,
+    options: &MeasureOptions,
+    is_churning: bool,
+) -> eyre::Result<f64> {
+    let addresses = cluster.operators_addresses();
+    let before = control_bytes(&addresses).await;
+    let start = Instant::now();
+    let length = options.part(0.45);
+    if is_churning {
+        churn::run(cluster, options.seed, length).await?;
+    }
+    Timer::at(start + length).await;
+    let after = control_bytes(&addresses).await;
+    let seconds = start.elapsed().as_secs_f64();
+    Ok(largest_rate_per_s(&before, &after, seconds).unwrap_or(0.0))
+}
--- /dev/null
+++ b/crates/celeryknot_measure/src/measurements/settings.rs
@@ -0,0 +1,182 @@
+//! Time from the publication of a value until it is in force at every daemon.
+
+use std::time::{Duration, Instant};
+
+use celeryknot_standins::wire::PlatformMode;
+use serde::Serialize;
+use smol::Timer;
+
+use crate::cluster::{Cluster, ClusterOptions};
+use crate::options::MeasureOptions;
+use crate::report::Report;
+use crate::scrape::metric_sum;
+
+const NAME: &str = "settings";
+const REPLICAS: u32 = 3;
+const CHECK: Duration = Duration::from_millis(5);
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(150);
+const METRIC: &str = "celeryknot_settings_revision";
+
+/// What happens while values are published.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Phase {
+    Calm,
+    StaleReplicas,
+    DaemonsReplaced,
+}
+
+#[derive(Debug, Serialize)]
+struct PhaseFigures {
+    phase: Phase,
+    changes: usize,
+    p50_ms: u64,
+    p99_ms: u64,
+    worst_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    p50_ms: u64,
+    p99_ms: u64,
+    worst_ms: u64,
+    reverts: u64,
+    never_in_force: u64,
+    service_calls_per_s: f64,
+    phases: Vec<PhaseFigures>,
+}
+
+struct Publisher {
+    cluster: Cluster,
+    revision: u64,
+    highest: Vec<f64>,
+    reverts: u64,
+    never_in_force: u64,
+}
+
+pub(super) async fn measure(options: &MeasureOptions) -> eyre::Result<Report> {
+    let mut cluster_options = ClusterOptions::new(options.deployment, options.seed);
+    cluster_options.platform_replicas = REPLICAS;
+    let cluster = Cluster::start(cluster_options).await?;
+    let start = Instant::now();
+    let calls_before = cluster.platform.calls().calls;
+    let daemons = cluster.daemon_count();
+    let readers_max = 3 * cluster.spec().zones.len();
+    let mut publisher = Publisher {
+        revision: cluster.platform.revision(),
+        highest: vec![0.0; daemons],
+        cluster,
+        reverts: 0,
+        never_in_force: 0,
+    };
+    let mut phases = Vec::new();
+    let mut all_ms = Vec::new();
+    for phase in [Phase::Calm, Phase::StaleReplicas, Phase::DaemonsReplaced] {
+        let times_ms = publisher.run_phase(phase, options.part(1.0 / 3.0)).await?;
+        all_ms.extend_from_slice(&times_ms);
+        phases.push(PhaseFigures {
+            phase,
+            changes: times_ms.len(),
+            p50_ms: quantile(&times_ms, 0.5),
+            p99_ms: quantile(&times_ms, 0.99),
+            worst_ms: quantile(&times_ms, 1.0),
+        });
+    }
+    let calls = publisher.cluster.platform.calls().calls - calls_before;
+    let figures = Figures {
+        p50_ms: quantile(&all_ms, 0.5),
+        p99_ms: quantile(&all_ms, 0.99),
+        worst_ms: quantile(&all_ms, 1.0),
+        reverts: publisher.reverts,
+        never_in_force: publisher.never_in_force,
+        service_calls_per_s: calls as f64 / start.elapsed().as_secs_f64(),
+        phases,
+    };
+    publisher.cluster.stop().await;
+    let is_timely = figures.worst_ms <= 2_000 && figures.never_in_force == 0;
+    Ok(Report::new(NAME, &figures)
+        .with_verdict("worst 2 s", is_timely)
+        .with_verdict("0 reverts", figures.reverts == 0)
+        .with_verdict(
+            &format!("no more watches at once than {readers_max} readers have"),
+            calls_per_change_is_bounded(&figures, readers_max),
+        ))
+}
+
+/// Each reader makes two calls for each change of values or instances, and one now and then.
+fn calls_per_change_is_bounded(figures: &Figures, readers_max: usize) -> bool {
+    let changes_per_s = 1.0 / PAUSE.as_secs_f64();
+    figures.service_calls_per_s <= readers_max as f64 * (changes_per_s + 2.0)
+}
+
+fn quantile(times_ms: &[u64], quantile: f64) -> u64 {
+    let mut sorted = times_ms.to_vec();
+    sorted.sort_unstable();
+    let place = (sorted.len() as f64 * quantile).ceil() as usize;
+    sorted.get(place.saturating_sub(1)).copied().unwrap_or(0)
+}
+
+impl Publisher {
+    async fn run_phase(&mut self, phase: Phase, length: Duration) -> eyre::Result<Vec<u64>> {
+        self.set_stale(phase == Phase::StaleReplicas);
+        let end = Instant::now() + length;
+        let mut times_ms = Vec::new();
+        while Instant::now() < end {
+            if phase == Phase::DaemonsReplaced && times_ms.len() % 4 == 0 {
+                let index = (times_ms.len() / 4) % self.cluster.daemon_count();
+                self.cluster.replace_daemon(index).await?;
+            }
+            match self.publish_one().await {
+                Some(time) => times_ms.push(time.as_millis() as u64),
+                None => self.never_in_force += 1,
+            }
+            Timer::after(PAUSE).await;
+        }
+        self.set_stale(false);
+        Ok(times_ms)
+    }
+
+    /// Two thirds of the replicas learn nothing new.
+    fn set_stale(&self, is_stale: bool) {
+        for replica in 1..REPLICAS as usize {
+            let mode = PlatformMode {
+                stale: Some(is_stale),
+                ..PlatformMode::default()
+            };
+            self.cluster.platform.set_mode(replica, mode);
+        }
+    }
+
+    async fn publish_one(&mut self) -> Option<Duration> {
+        let spec = self.cluster.spec();
+        let (customer, _) = spec.customers[9];
+        self.revision += 1;
+        let weight = 1.0 + (self.revision % 7) as f64;
+        let path = format!("teams/{}/customers/{customer}", spec.team);
+        let text = format!("[customer]\nshare_weight = {weight}\n");
+        self.cluster.platform.put_value(&path, &text);
+        let start = Instant::now();
+        while start.elapsed() < IN_FORCE_TIMEOUT {
+            if self.is_in_force().await {
+                return Some(start.elapsed());
+            }
+            Timer::after(CHECK).await;
+        }
+        None
+    }
+
+    async fn is_in_force(&mut self) -> bool {
+        let mut is_everywhere = true;
+        let addresses = self.cluster.operators_addresses();
+        for (highest, address) in self.highest.iter_mut().zip(addresses) {
+            let revision = metric_sum(address, METRIC).await.unwrap_or(0.0);
+            if revision < *highest {
+                self.reverts += 1;
+            }
+            *highest = revision;
+            is_everywhere &= revision >= self.revision as f64;
+        }
+        is_everywhere
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_measure/src/measurements/silent_connections.rs
@@ -0,0 +1,111 @@
+//! Requests on time after all open connections went silent, against a run without.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use celeryknot_core::Execution;
+use celeryknot_standins::load::{EndKind, Sample, run_load};
+use celeryknot_standins::{Caller, Fault, LoadPlan, LoadReport};
+use futures_lite::future;
+use serde::Serialize;
+use smol::Timer;
+
+use crate::cluster::{Cluster, ClusterOptions};
+use crate::options::MeasureOptions;
+use crate::report::Report;
+
+const NAME: &str = "silent-connections";
+const SILENT_AT: f64 = 0.3;
+const WINDOW: Duration = Duration::from_secs(10);
+/// A call is on time within so many times the 99th percentile of the calm run.
+const ON_TIME_MULTIPLE: u64 = 2;
+const ON_TIME_MIN_MS: u64 = 2_000;
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    on_time_ms: u64,
+    reads_on_time_share_calm: f64,
+    reads_on_time_share: f64,
+    chats_on_time_share_calm: f64,
+    chats_on_time_share: f64,
+    bookings_unknown: usize,
+    doubled_bookings: u64,
+    truncated: u64,
+    lost: u64,
+    refused: u64,
+}
+
+struct Run {
+    load: LoadReport,
+    doubled_bookings: u64,
+}
+
+pub(super) async fn measure(options: &MeasureOptions) -> eyre::Result<Report> {
+    let calm = run(options, false).await?;
+    let silent = run(options, true).await?;
+    let calm_p99_ms = calm.load.histogram_ms().value_at_quantile(0.99);
+    let on_time_ms = (calm_p99_ms * ON_TIME_MULTIPLE).max(ON_TIME_MIN_MS);
+    let share = |load: &LoadReport, is_chat| on_time_share(load, options, is_chat, on_time_ms);
+    let is_unknown = |execution: Option<Execution>| execution == Some(Execution::Unknown);
+    let bookings = silent.load.bookings.iter();
+    let figures = Figures {
+        on_time_ms,
+        reads_on_time_share_calm: share(&calm.load, false),
+        reads_on_time_share: share(&silent.load, false),
+        chats_on_time_share_calm: share(&calm.load, true),
+        chats_on_time_share: share(&silent.load, true),
+        bookings_unknown: bookings.filter(|end| is_unknown(end.execution)).count(),
+        doubled_bookings: silent.doubled_bookings,
+        truncated: silent.load.truncated,
+        lost: silent.load.lost,
+        refused: silent.load.refused,
+    };
+    Ok(Report::new(NAME, &figures)
+        .with_verdict(
+            "at least 99 % of the calls of plain services on time",
+            figures.reads_on_time_share >= 0.99,
+        )
+        .with_verdict("0 doubled bookings", figures.doubled_bookings == 0))
+}
+
+async fn run(options: &MeasureOptions, goes_silent: bool) -> eyre::Result<Run> {
+    let load_options = options.load_options();
+    let reads_per_s = load_options.reads_per_s * 5.0;
+    let plan = LoadPlan::draw(load_options.reads_per_s(reads_per_s));
+    let mut cluster_options = ClusterOptions::new(options.deployment, options.seed);
+    cluster_options.has_proxies = true;
+    let cluster = Cluster::start(cluster_options).await?;
+    let caller = Caller::new(options.caller_options());
+    let load = run_load(Arc::new(plan), caller, Arc::clone(&cluster.balancer));
+    let start = Instant::now();
+    let fault = async {
+        Timer::at(start + options.part(SILENT_AT)).await;
+        if goes_silent {
+            cluster.apply_everywhere(Fault::SilentDrop);
+        }
+    };
+    let (load, ()) = future::zip(load, fault).await;
+    let doubled_bookings = cluster.doubled_bookings();
+    cluster.stop().await;
+    Ok(Run {
+        load,
+        doubled_bookings,
+    })
+}
+
+fn on_time_share(
+    load: &LoadReport,
+    options: &MeasureOptions,
+    is_chat: bool,
+    on_time_ms: u64,
+) -> f64 {
+    let from_ms = options.part(SILENT_AT).as_millis() as u64;
+    let to_ms = from_ms + WINDOW.as_millis() as u64;
+    let in_window = |sample: &&Sample| {
+        sample.is_chat == is_chat && (from_ms..to_ms).contains(&sample.at_ms)
+    };
+    let samples: Vec<&Sample> = load.samples.iter().filter(in_window).collect();
+    let is_on_time =
+        |sample: &&&Sample| sample.end == EndKind::Completed && sample.whole_ms <= on_time_ms;
+    samples.iter().filter(is_on_time).count() as f64 / samples.len().max(1) as f64
+}
--- /dev/null
+++ b/crates/celeryknot_measure/src/measurements/skew.rs
@@ -0,0 +1,88 @@
+//! The largest load of an engine over the mean, with surging customers and late reports.
+
+use std::sync::Arc;
+
+use celeryknot_core::DurationMs;
+use celeryknot_standins::load::{Surge, run_load};
+use celeryknot_standins::{Caller, LoadPlan};
+use serde::Serialize;
+
+use crate::cluster::{Cluster, ClusterOptions};
+use crate::options::MeasureOptions;
+use crate::plot::{Plot, Series};
+use crate::report::Report;
+use crate::sampler::{LoadSample, Sampler, Skew};
+
+const NAME: &str = "skew";
+const SURGE_MULTIPLE: f64 = 6.0;
+
+#[derive(Debug, Serialize)]
+struct Figures {
+    max_over_mean: f64,
+    set_multiple: f64,
+    mean_in_flight: f64,
+    share_above: f64,
+    excess_max: f64,
+    samples: usize,
+    completed: u64,
+    refused: u64,
+    lost: u64,
+}
+
+pub(super) async fn measure(options: &MeasureOptions) -> eyre::Result<Report> {
+    let surge = |customer, from, to| Surge {
+        customer,
+        from_ms: DurationMs::from(options.part(from)),
+        to_ms: DurationMs::from(options.part(to)),
+        multiple: SURGE_MULTIPLE,
+    };
+    let surges = vec![surge(3, 0.2, 0.5), surge(4, 0.4, 0.7)];
+    let plan = LoadPlan::draw(options.chat_load_options().surges(surges));
+    let cluster = Cluster::start(ClusterOptions::new(options.deployment, options.seed)).await?;
+    let multiple = cluster.options.load_multiple;
+    let sampler = Sampler::start(Arc::clone(&cluster.engines));
+    let caller = Caller::new(options.caller_options());
+    let load = run_load(Arc::new(plan), caller, Arc::clone(&cluster.balancer)).await;
+    let samples = sampler.stop().await;
+    cluster.stop().await;
+    let skew = Skew::new(&samples, multiple);
+    let figures = Figures {
+        max_over_mean: skew.max_over_mean,
+        set_multiple: multiple,
+        mean_in_flight: skew.mean_in_flight,
+        share_above: skew.share_above,
+        excess_max: skew.excess_max,
+        samples: samples.len(),
+        completed: load.completed,
+        refused: load.refused,
+        lost: load.lost,
+    };
+    Ok(Report::new(NAME, &figures)
+        .with_verdict(
+            "never above the set multiple and one request",
+            skew.share_above == 0.0,
+        )
+        .with_plot(plot(&samples, multiple)))
+}
+
+fn plot(samples: &[LoadSample], multiple: f64) -> Plot {
+    let series = |name: &str, value: &dyn Fn(&LoadSample) -> f64| Series {
+        name: name.to_owned(),
+        points: samples
+            .iter()
+            .map(|sample| (sample.at_ms as f64 / 1_000.0, value(sample)))
+            .collect(),
+    };
+    Plot {
+        title: "Requests in flight at the engines".to_owned(),
+        x_label: "seconds".to_owned(),
+        y_label: "requests in flight".to_owned(),
+        series: vec![
+            series("most loaded engine", &LoadSample::max),
+            series("mean", &LoadSample::mean),
+            series("bound and one request", &|sample| {
+                multiple * sample.mean() + 1.0
+            }),
+        ],
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_measure/src/options.rs
@@ -0,0 +1,68 @@
+//! What a measurement is asked for.
+
+use std::time::Duration;
+
+use celeryknot_core::DurationMs;
+use celeryknot_standins::{CallerOptions, LoadOptions};
+
+use crate::Deployment;
+
+/// What a measurement is asked for.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct MeasureOptions {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// Decides everything that is drawn.
+    pub seed: u64,
+    /// How long each run of a measurement lasts.
+    pub seconds: u64,
+    /// The load as a multiple of the ordinary one.
+    pub load: f64,
+}
+
+impl Default for MeasureOptions {
+    fn default() -> Self {
+        Self {
+            deployment: Deployment::KinrinWakai,
+            seed: 1,
+            seconds: 20,
+            load: 1.0,
+        }
+    }
+}
+
+impl MeasureOptions {
+    /// Returns the length of a run.
+    pub fn length(&self) -> Duration {
+        Duration::from_secs(self.seconds)
+    }
+
+    /// Returns a fraction of the length.
+    pub(crate) fn part(&self, fraction: f64) -> Duration {
+        self.length().mul_f64(fraction)
+    }
+
+    /// Returns the load of chats, bookings and reads.
+    pub(crate) fn load_options(&self) -> LoadOptions {
+        let spec = self.deployment.spec();
+        LoadOptions::default()
+            .chats_per_s(80.0 * self.load)
+            .bookings_per_s(4.0 * self.load)
+            .reads_per_s(4.0 * self.load)
+            .length_ms(DurationMs::from(self.length()))
+            .model_service(spec.model_service.to_owned())
+            .model(spec.model.to_owned())
+            .plain_service(spec.plain_service.to_owned())
+            .customers(spec.customer_shares())
+            .seed(self.seed)
+    }
+
+    /// Returns the load of chats alone.
+    pub(crate) fn chat_load_options(&self) -> LoadOptions {
+        self.load_options().bookings_per_s(0.0).reads_per_s(0.0)
+    }
+
+    pub(crate) fn caller_options(&self) -> CallerOptions {
+        CallerOptions::default().timeout_ms(DurationMs(20_000))
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_measure/src/report.rs
@@ -0,0 +1,131 @@
+//! The result of a measurement: JSON, text and plot.
+
+use std::path::Path;
+
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::plot::{Plot, draw};
+
+/// Whether a figure reached its aim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Verdict {
+    /// The aim, for people.
+    pub aim: String,
+    /// Whether the run reached it.
+    pub is_reached: bool,
+}
+
+/// The result of a measurement.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Report {
+    /// The measurement's name.
+    pub name: &'static str,
+    /// The figures.
+    #[serde(flatten)]
+    pub figures: Value,
+    /// The aims, and whether the run reached them.
+    pub verdicts: Vec<Verdict>,
+    /// What to draw.
+    #[serde(skip)]
+    pub plot: Option<Plot>,
+}
+
+impl Report {
+    /// Builds a report of figures that have a JSON form.
+    pub(crate) fn new<T: Serialize>(name: &'static str, figures: &T) -> Self {
+        let figures = serde_json::to_value(figures).expect("figures have a JSON form");
+        Self {
+            name,
+            figures,
+            verdicts: Vec::new(),
+            plot: None,
+        }
+    }
+
+    pub(crate) fn with_verdict(mut self, aim: &str, is_reached: bool) -> Self {
+        self.verdicts.push(Verdict {
+            aim: aim.to_owned(),
+            is_reached,
+        });
+        self
+    }
+
+    pub(crate) fn with_plot(mut self, plot: Plot) -> Self {
+        self.plot = Some(plot);
+        self
+    }
+
+    /// Returns the report as JSON.
+    pub fn json(&self) -> String {
+        serde_json::to_string_pretty(self).expect("a report has a JSON form")
+    }
+
+    /// Returns the report for people.
+    pub fn text(&self) -> String {
+        let mut text = format!("{}\n", self.name);
+        if let Value::Object(figures) = &self.figures {
+            for (key, value) in figures {
+                text.push_str(&render(key, value));
+            }
+        }
+        for verdict in &self.verdicts {
+            let mark = if verdict.is_reached {
+                "reached"
+            } else {
+                "missed "
+            };
+            text.push_str(&format!("  {mark}  {}\n", verdict.aim));
+        }
+        text
+    }
+
+    /// Tells whether every aim was reached.
+    pub fn is_reached(&self) -> bool {
+        self.verdicts.iter().all(|verdict| verdict.is_reached)
+    }
+
+    /// Draws the plot as SVG, where the measurement has one.
+    pub fn write_plot(&self, path: &Path) -> eyre::Result<()> {
+        match &self.plot {
+            Some(plot) => draw(plot, path),
+            None => Err(eyre::eyre!("{} has no plot", self.name)),
+        }
+    }
+}
+
+fn render(key: &str, value: &Value) -> String {
+    match value {
+        Value::Array(rows) => {
+            let rows: String = rows.iter().map(render_row).collect();
+            format!("  {key}\n{rows}")
+        }
+        Value::Null
+        | Value::Bool(_)
+        | Value::Number(_)
+        | Value::String(_)
+        | Value::Object(_) => format!("  {key:<28} {}\n", plain(value)),
+    }
+}
+
+fn render_row(row: &Value) -> String {
+    let Value::Object(cells) = row else {
+        return format!("    {}\n", plain(row));
+    };
+    let cells: Vec<String> = cells
+        .iter()
+        .map(|(key, value)| format!("{key} {:<16}", plain(value)))
+        .collect();
+    format!("    {}\n", cells.join("  "))
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::Number(number) => match number.as_f64() {
+            Some(float) if number.is_f64() => format!("{float:.3}"),
+            Some(_) | None => number.to_string(),
+        },
+        Value::String(text) => text.clone(),
+        Value::Null | Value::Bool(_) | Value::Array(_) | Value::Object(_) => value.to_string(),
+    }
+}
--- a/crates/celeryknot_standins/src/load.rs
+++ b/crates/celeryknot_standins/src/load.rs
@@ -8,4 +8,4 @@
     CallKind, ChatPlan, CustomerShare, LoadOptions, LoadPlan, PlannedCall, Surge,
 };
 pub use self::report::{BookingEnd, EndKind, LoadReport, Sample};
-pub use self::run::{Balancer, ChatCall, Placed, Placement, run_load};
+pub use self::run::{Balancer, ChatCall, Placed, Placement, Route, run_load};
--- a/crates/celeryknot_standins/src/load/run.rs
+++ b/crates/celeryknot_standins/src/load/run.rs
@@ -26,6 +26,15 @@
     pub request: &'a ChatRequest,
 }
 
+/// Which router and engine a placement picked, for its own account.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Route {
+    /// The index of the router.
+    pub router: usize,
+    /// The index of the engine.
+    pub engine: usize,
+}
+
 /// Where a chat request goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Placed {
@@ -33,6 +42,8 @@
     pub target: CallTarget,
     /// The value of the header `Celeryknot-Chat`.
     pub chat: String,
+    /// What the placement remembers of the request.
+    pub route: Route,
 }
 
 /// Decides where the calls of a load go.
@@ -92,6 +103,7 @@
                 customer: call.customer.to_owned(),
             },
             chat: call.chat.to_owned(),
+            route: Route::default(),
         }
     }
 
--- a/crates/celeryknot_standins/src/platform.rs
+++ b/crates/celeryknot_standins/src/platform.rs
@@ -81,6 +81,11 @@
         lock(&self.store).put_value(path, None);
     }
 
+    /// Returns the service's revision.
+    pub fn revision(&self) -> u64 {
+        lock(&self.store).contents.values_after(None).revision.0
+    }
+
     /// Replaces the instance list.
     pub fn put_instances(&self, instances: Vec<Instance>) {
         lock(&self.store).put_instances(instances);
