--- a/crates/celeryknot_standins/src/caller.rs
+++ b/crates/celeryknot_standins/src/caller.rs
@@ -193,7 +193,7 @@
     async fn read_booking(&self, open: OpenAnswer, request: &BookingRequest) -> Outcome<Booking> {
         let (answer, address, sender) = open.into_parts();
         let Ok(body) = answer.into_body().collect().await else {
-            return Outcome::Truncated;
+            return Outcome::Aborted;
         };
         let Ok(booking) = serde_json::from_slice::<Booking>(&body.to_bytes()) else {
             return Outcome::Truncated;
@@ -254,7 +254,7 @@
             }
             let (answer, address, sender) = open.into_parts();
             let Ok(body) = answer.into_body().collect().await else {
-                return Outcome::Truncated;
+                return Outcome::Aborted;
             };
             self.client.keep(address, sender);
             let expected = serde_json::json!({"record": name}).to_string();
@@ -270,7 +270,7 @@
         let (answer, address, sender) = open.into_parts();
         let (head, body) = answer.into_parts();
         let Ok(body) = body.collect().await else {
-            return Outcome::Truncated;
+            return Outcome::Aborted;
         };
         self.client.keep(address, sender);
         let body = body.to_bytes();
@@ -313,7 +313,7 @@
     started: Instant,
 ) -> Outcome<Completed> {
     let Ok(body) = body.collect().await else {
-        return Outcome::Truncated;
+        return Outcome::Aborted;
     };
     let Ok(answer) = serde_json::from_slice::<WholeAnswer>(&body.to_bytes()) else {
         return Outcome::Truncated;
--- a/crates/celeryknot_standins/src/caller/stream.rs
+++ b/crates/celeryknot_standins/src/caller/stream.rs
@@ -10,6 +10,20 @@
 use crate::text::AnswerText;
 use crate::wire::Usage;
 
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Event {
+    Chunk(Chunk),
+    Error(ErrorEvent),
+}
+
+/// The event that ends an answer which could not be completed.
+#[derive(Deserialize)]
+struct ErrorEvent {
+    #[serde(rename = "error")]
+    _error: serde::de::IgnoredAny,
+}
+
 #[derive(Deserialize)]
 struct Chunk {
     choices: Vec<Choice>,
@@ -34,6 +48,7 @@
     Done,
     Wrong,
     Broken,
+    Failed,
 }
 
 #[derive(Default)]
@@ -49,9 +64,13 @@
             let is_whole = self.is_finished && self.next_index == expected.len;
             return if is_whole { Step::Done } else { Step::Broken };
         }
-        let Ok(chunk) = serde_json::from_str::<Chunk>(data) else {
+        let Ok(event) = serde_json::from_str::<Event>(data) else {
             return Step::Broken;
         };
+        let chunk = match event {
+            Event::Chunk(chunk) => chunk,
+            Event::Error(_) => return Step::Failed,
+        };
         let Some(choice) = chunk.choices.first() else {
             return Step::Broken;
         };
@@ -76,7 +95,10 @@
     let mut progress = Progress::default();
     let mut text = String::new();
     let mut first_token = None;
-    while let Some(Ok(frame)) = body.frame().await {
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return Outcome::Aborted;
+        };
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -92,6 +114,7 @@
                 }
                 Step::Wrong => return Outcome::CrossDelivered,
                 Step::Broken => return Outcome::Truncated,
+                Step::Failed => return Outcome::Aborted,
                 Step::Done => {
                     // The end of the body frees the connection for the next call.
                     while let Some(Ok(_)) = body.frame().await {}
