--- a/crates/celeryknot_measure/src/baseline.rs
+++ b/crates/celeryknot_measure/src/baseline.rs
@@ -175,7 +175,8 @@
             .collect();
         let total: u32 = live.iter().map(|index| slots[*index].in_flight()).sum();
         let mean = f64::from(total + 1) / live.len().max(1) as f64;
-        let bound = (self.load_multiple * mean).max(1.0);
+        // With the new request an engine may be one request above the multiple.
+        let bound = self.load_multiple * mean;
         let cost = |index: &usize| {
             let slot = &slots[*index];
             let cached = slot.cached_tokens(chat).min(prompt_len);
@@ -183,7 +184,7 @@
             let prefill_s = (prompt_len - cached) as f64 / self.prefill_tokens_per_s;
             // Among engines with the same context the one with less work goes first.
             let busy_s = in_flight / 10_000.0;
-            let is_above = in_flight + 1.0 > bound;
+            let is_above = in_flight > bound;
             (is_above, prefill_s + busy_s)
         };
         live.into_iter()
--- a/crates/celeryknot_measure/src/cluster.rs
+++ b/crates/celeryknot_measure/src/cluster.rs
@@ -23,6 +23,8 @@
 use crate::deployment::DeploymentSpec;
 
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for daemons to have heard of each other and of all endpoints.
+const SETTLE: Duration = Duration::from_secs(2);
 const READY_CHECK: Duration = Duration::from_millis(20);
 
 /// What a cluster is made of.
@@ -126,6 +128,13 @@
         Ok(cluster)
     }
 
+    /// Starts everything and lets the fleet settle, as one that has run for a while.
+    pub async fn start_settled(options: ClusterOptions) -> eyre::Result<Self> {
+        let cluster = Self::start(options).await?;
+        Timer::after(SETTLE).await;
+        Ok(cluster)
+    }
+
     /// Puts a fault proxy in front of everything that daemons connect to.
     fn start_proxies(&mut self) -> eyre::Result<()> {
         let mut proxies = Vec::new();
@@ -293,8 +302,9 @@
 
     /// Stops everything.
     pub async fn stop(self) {
+        // No work is left, so that nothing is cut.
         for mut daemon in self.daemons {
-            daemon.stop().await;
+            daemon.kill();
         }
         self.engines.stop_all().await;
         for slot in self.services {
--- a/crates/celeryknot_measure/src/cluster/daemon.rs
+++ b/crates/celeryknot_measure/src/cluster/daemon.rs
@@ -51,11 +51,18 @@
         Ok(())
     }
 
-    /// Shuts the daemon down gracefully.
-    pub(super) async fn stop(&mut self) {
-        if let Some(daemon) = self.daemon.take() {
-            daemon.shut_down().await;
-        }
+    /// Shuts the daemon down gracefully, and returns the requests that it cut.
+    pub(super) async fn stop(&mut self) -> u64 {
+        let Some(mut daemon) = self.daemon.take() else {
+            return 0;
+        };
+        daemon.begin_shutdown();
+        smol::unblock(move || daemon.wait().leftover).await
+    }
+
+    /// Ends the daemon at once, as if its process was killed.
+    pub(super) fn kill(&mut self) {
+        self.daemon = None;
     }
 
     pub(super) fn name(&self) -> &MemberName {
--- a/crates/celeryknot_measure/src/demo.rs
+++ b/crates/celeryknot_measure/src/demo.rs
@@ -2,6 +2,7 @@
 
 mod table;
 
+use std::collections::BTreeMap;
 use std::io::{IsTerminal, Write};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -49,6 +50,10 @@
     pub control_bytes_per_s: f64,
     /// The 95th percentile of the time to the first token.
     pub first_token_ms_p95: f64,
+    /// Refusals by code.
+    pub refused_by_code: BTreeMap<String, u64>,
+    /// Lost calls by what was seen last.
+    pub lost_by_reason: BTreeMap<String, u64>,
 }
 
 impl DemoFigures {
@@ -134,6 +139,8 @@
         control_bytes_per_s: largest_rate_per_s(&bytes_before, &bytes_after, seconds)
             .unwrap_or(0.0),
         first_token_ms_p95: load.first_token_ms(0.95, |_| true).unwrap_or(0.0),
+        refused_by_code: load.refused_by_code.clone(),
+        lost_by_reason: load.lost_by_reason.clone(),
     };
     let text = table::render(&cluster, &figures, &load, &samples, &events(&options, zone));
     cluster.stop().await;
--- a/crates/celeryknot_measure/src/demo/table.rs
+++ b/crates/celeryknot_measure/src/demo/table.rs
@@ -166,5 +166,13 @@
     for (name, value) in rows {
         writeln!(text, "{name:<20} {value}")?;
     }
+    for (title, counts) in [
+        ("refused", &figures.refused_by_code),
+        ("lost", &figures.lost_by_reason),
+    ] {
+        for (reason, count) in counts {
+            writeln!(text, "{title}: {reason:<30} {count}")?;
+        }
+    }
     Ok(())
 }
--- a/crates/celeryknot_measure/src/measurements.rs
+++ b/crates/celeryknot_measure/src/measurements.rs
@@ -20,16 +20,7 @@
 
 /// A measurement.
 #[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Display,
-    EnumIter,
-    EnumString,
-    IntoStaticStr,
-    VariantNames,
+    Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, EnumString, IntoStaticStr, VariantNames,
 )]
 #[strum(serialize_all = "kebab-case")]
 pub enum Measurement {
--- a/crates/celeryknot_measure/src/measurements/cache_reuse.rs
+++ b/crates/celeryknot_measure/src/measurements/cache_reuse.rs
@@ -1,5 +1,6 @@
 //! How much of the prompts is found in caches, through churn, against other placements.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use celeryknot_standins::load::{Placement, run_load};
@@ -28,6 +29,8 @@
     completed: u64,
     refused: u64,
     lost: u64,
+    refused_by_code: BTreeMap<String, u64>,
+    lost_by_reason: BTreeMap<String, u64>,
 }
 
 #[derive(Debug, Serialize)]
@@ -79,7 +82,7 @@
     cluster_options: &ClusterOptions,
     plan: &Arc<LoadPlan>,
 ) -> eyre::Result<Row> {
-    let cluster = Cluster::start(cluster_options.clone()).await?;
+    let cluster = Cluster::start_settled(cluster_options.clone()).await?;
     let balancer = Arc::clone(&cluster.balancer);
     run_one(OURS, options, cluster, plan, balancer).await
 }
@@ -95,7 +98,7 @@
         daemons: 0,
         ..cluster_options.clone()
     };
-    let cluster = Cluster::start(own_options).await?;
+    let cluster = Cluster::start_settled(own_options).await?;
     let placement = Arc::new(Baseline::new(
         alternative,
         cluster.spec(),
@@ -130,6 +133,8 @@
         completed: load.completed,
         refused: load.refused,
         lost: load.lost + load.truncated,
+        refused_by_code: load.refused_by_code,
+        lost_by_reason: load.lost_by_reason,
     };
     cluster.stop().await;
     Ok(row)
--- a/crates/celeryknot_measure/src/measurements/cold_start.rs
+++ b/crates/celeryknot_measure/src/measurements/cold_start.rs
@@ -1,5 +1,6 @@
 //! Work at engines in cold start, also at such as turn cold with no notice.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -29,6 +30,8 @@
     completed: u64,
     refused: u64,
     lost: u64,
+    refused_by_code: BTreeMap<String, u64>,
+    lost_by_reason: BTreeMap<String, u64>,
 }
 
 pub(super) async fn measure(options: &MeasureOptions) -> eyre::Result<Report> {
@@ -54,6 +57,8 @@
         completed: load.completed,
         refused: load.refused,
         lost: load.lost + load.truncated,
+        refused_by_code: load.refused_by_code,
+        lost_by_reason: load.lost_by_reason,
     };
     cluster.stop().await;
     let is_bounded = figures.peak_in_flight <= bound_in_flight;
--- a/crates/celeryknot_measure/src/measurements/control_traffic.rs
+++ b/crates/celeryknot_measure/src/measurements/control_traffic.rs
@@ -1,7 +1,8 @@
 //! Bytes of control traffic of each daemon, in calm and in churn.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use celeryknot_standins::load::run_load;
 use celeryknot_standins::{Caller, LoadPlan};
@@ -16,8 +17,6 @@
 use crate::scrape::{control_bytes, largest_rate_per_s};
 
 const NAME: &str = "control-traffic";
-/// Time that the fleet gets to settle.
-const SETTLE: Duration = Duration::from_secs(2);
 
 #[derive(Debug, Serialize)]
 struct Figures {
@@ -27,12 +26,14 @@
     completed: u64,
     refused: u64,
     lost: u64,
+    refused_by_code: BTreeMap<String, u64>,
+    lost_by_reason: BTreeMap<String, u64>,
 }
 
 pub(super) async fn measure(options: &MeasureOptions) -> eyre::Result<Report> {
     let plan = LoadPlan::draw(options.load_options());
-    let mut cluster = Cluster::start(ClusterOptions::new(options.deployment, options.seed)).await?;
-    Timer::after(SETTLE).await;
+    let mut cluster =
+        Cluster::start_settled(ClusterOptions::new(options.deployment, options.seed)).await?;
     let caller = Caller::new(options.caller_options());
     let load = run_load(Arc::new(plan), caller, Arc::clone(&cluster.balancer));
     let rates = async {
@@ -49,6 +50,8 @@
         completed: load.completed,
         refused: load.refused,
         lost: load.lost,
+        refused_by_code: load.refused_by_code,
+        lost_by_reason: load.lost_by_reason,
     };
     cluster.stop().await;
     Ok(Report::new(NAME, &figures)
--- a/crates/celeryknot_measure/src/measurements/cost.rs
+++ b/crates/celeryknot_measure/src/measurements/cost.rs
@@ -87,7 +87,7 @@
     cluster_options.service = ServiceOptions::default().work_ms(DurationMs(0));
     cluster_options.plain_endpoints = Some(1);
     let resident_before = resident_bytes();
-    let cluster = Cluster::start(cluster_options).await?;
+    let cluster = Cluster::start_settled(cluster_options).await?;
     let target = cluster.services[0].service.address();
     let pass_through = PassThrough::start(target)?;
     let ways = [
@@ -197,6 +197,7 @@
             Outcome::Completed(latency) => latencies_us.push(latency.as_micros() as u64),
             Outcome::Refused(_)
             | Outcome::Truncated
+            | Outcome::Aborted
             | Outcome::CrossDelivered
             | Outcome::Lost(_) => failed += 1,
         }
--- a/crates/celeryknot_measure/src/measurements/decision.rs
+++ b/crates/celeryknot_measure/src/measurements/decision.rs
@@ -3,8 +3,8 @@
 use std::hint::black_box;
 use std::time::Instant;
 
-use celeryknot_core::{ChatKey, DurationMs, EndpointCondition, EndpointName, EndpointSummary};
 use celeryknot_core::MonotonicMs;
+use celeryknot_core::{ChatKey, DurationMs, EndpointCondition, EndpointName, EndpointSummary};
 use celeryknot_policy::placement::{
     ContextAware, EndpointHash, Placement, PlacementEndpoint, PlacementRequest,
 };
--- a/crates/celeryknot_measure/src/measurements/settings.rs
+++ b/crates/celeryknot_measure/src/measurements/settings.rs
@@ -58,7 +58,7 @@
 pub(super) async fn measure(options: &MeasureOptions) -> eyre::Result<Report> {
     let mut cluster_options = ClusterOptions::new(options.deployment, options.seed);
     cluster_options.platform_replicas = REPLICAS;
-    let cluster = Cluster::start(cluster_options).await?;
+    let cluster = Cluster::start_settled(cluster_options).await?;
     let start = Instant::now();
     let calls_before = cluster.platform.calls().calls;
     let daemons = cluster.daemon_count();
--- a/crates/celeryknot_measure/src/measurements/silent_connections.rs
+++ b/crates/celeryknot_measure/src/measurements/silent_connections.rs
@@ -1,5 +1,6 @@
 //! Requests on time after all open connections went silent, against a run without.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -33,6 +34,8 @@
     truncated: u64,
     lost: u64,
     refused: u64,
+    refused_by_code: BTreeMap<String, u64>,
+    lost_by_reason: BTreeMap<String, u64>,
 }
 
 struct Run {
@@ -59,6 +62,8 @@
         truncated: silent.load.truncated,
         lost: silent.load.lost,
         refused: silent.load.refused,
+        refused_by_code: silent.load.refused_by_code,
+        lost_by_reason: silent.load.lost_by_reason,
     };
     Ok(Report::new(NAME, &figures)
         .with_verdict(
@@ -74,7 +79,7 @@
     let plan = LoadPlan::draw(load_options.reads_per_s(reads_per_s));
     let mut cluster_options = ClusterOptions::new(options.deployment, options.seed);
     cluster_options.has_proxies = true;
-    let cluster = Cluster::start(cluster_options).await?;
+    let cluster = Cluster::start_settled(cluster_options).await?;
     let caller = Caller::new(options.caller_options());
     let load = run_load(Arc::new(plan), caller, Arc::clone(&cluster.balancer));
     let start = Instant::now();
@@ -101,9 +106,8 @@
 ) -> f64 {
     let from_ms = options.part(SILENT_AT).as_millis() as u64;
     let to_ms = from_ms + WINDOW.as_millis() as u64;
-    let in_window = |sample: &&Sample| {
-        sample.is_chat == is_chat && (from_ms..to_ms).contains(&sample.at_ms)
-    };
+    let in_window =
+        |sample: &&Sample| sample.is_chat == is_chat && (from_ms..to_ms).contains(&sample.at_ms);
     let samples: Vec<&Sample> = load.samples.iter().filter(in_window).collect();
     let is_on_time =
         |sample: &&&Sample| sample.end == EndKind::Completed && sample.whole_ms <= on_time_ms;
--- a/crates/celeryknot_measure/src/measurements/skew.rs
+++ b/crates/celeryknot_measure/src/measurements/skew.rs
@@ -1,5 +1,6 @@
 //! The largest load of an engine over the mean, with surging customers and late reports.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use celeryknot_core::DurationMs;
@@ -27,6 +28,8 @@
     completed: u64,
     refused: u64,
     lost: u64,
+    refused_by_code: BTreeMap<String, u64>,
+    lost_by_reason: BTreeMap<String, u64>,
 }
 
 pub(super) async fn measure(options: &MeasureOptions) -> eyre::Result<Report> {
@@ -38,7 +41,8 @@
     };
     let surges = vec![surge(3, 0.2, 0.5), surge(4, 0.4, 0.7)];
     let plan = LoadPlan::draw(options.chat_load_options().surges(surges));
-    let cluster = Cluster::start(ClusterOptions::new(options.deployment, options.seed)).await?;
+    let cluster =
+        Cluster::start_settled(ClusterOptions::new(options.deployment, options.seed)).await?;
     let multiple = cluster.options.load_multiple;
     let sampler = Sampler::start(Arc::clone(&cluster.engines));
     let caller = Caller::new(options.caller_options());
@@ -56,6 +60,8 @@
         completed: load.completed,
         refused: load.refused,
         lost: load.lost,
+        refused_by_code: load.refused_by_code,
+        lost_by_reason: load.lost_by_reason,
     };
     Ok(Report::new(NAME, &figures)
         .with_verdict(
--- a/crates/celeryknot_measure/src/measurements/surge.rs
+++ b/crates/celeryknot_measure/src/measurements/surge.rs
@@ -74,7 +74,7 @@
 async fn run(options: &MeasureOptions, load: LoadOptions) -> eyre::Result<LoadReport> {
     let mut cluster_options = ClusterOptions::new(options.deployment, options.seed);
     cluster_options.engine = cluster_options.engine.batch_max(BATCH_MAX);
-    let cluster = Cluster::start(cluster_options).await?;
+    let cluster = Cluster::start_settled(cluster_options).await?;
     let caller = Caller::new(options.caller_options());
     let plan = Arc::new(LoadPlan::draw(load));
     let report = run_load(plan, caller, Arc::clone(&cluster.balancer)).await;
--- a/crates/celeryknot_measure/src/measurements/zone_drain.rs
+++ b/crates/celeryknot_measure/src/measurements/zone_drain.rs
@@ -1,5 +1,6 @@
 //! A zone goes out under load and returns.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -34,11 +35,14 @@
     max_over_mean: f64,
     share_above: f64,
     returned_share: f64,
+    refused_by_code: BTreeMap<String, u64>,
+    lost_by_reason: BTreeMap<String, u64>,
 }
 
 pub(super) async fn measure(options: &MeasureOptions) -> eyre::Result<Report> {
     let plan = LoadPlan::draw(options.load_options());
-    let cluster = Cluster::start(ClusterOptions::new(options.deployment, options.seed)).await?;
+    let cluster =
+        Cluster::start_settled(ClusterOptions::new(options.deployment, options.seed)).await?;
     let zone = cluster.spec().zones[0];
     let sampler = Sampler::start(Arc::clone(&cluster.engines));
     let caller = Caller::new(options.caller_options());
@@ -60,12 +64,17 @@
         max_over_mean: skew.max_over_mean,
         share_above: skew.share_above,
         returned_share: returned_share(&cluster, &samples, zone),
+        refused_by_code: load.refused_by_code.clone(),
+        lost_by_reason: load.lost_by_reason.clone(),
     };
     cluster.stop().await;
     let slower = figures.first_token_ms_p95_during / figures.first_token_ms_p95_before.max(1.0);
     Ok(Report::new(NAME, &figures)
         .with_verdict("0 lost", figures.lost == 0 && figures.truncated == 0)
-        .with_verdict("last new work within 2 s", figures.last_new_work_ms <= 2_000)
+        .with_verdict(
+            "last new work within 2 s",
+            figures.last_new_work_ms <= 2_000,
+        )
         .with_verdict(
             &format!("p95 during at most 1.5 times before ({slower:.2})"),
             slower <= 1.5,
@@ -133,8 +142,8 @@
             }
         }
     }
-    let engine_share = is_in_zone.iter().filter(|inside| **inside).count() as f64
-        / is_in_zone.len().max(1) as f64;
+    let engine_share =
+        is_in_zone.iter().filter(|inside| **inside).count() as f64 / is_in_zone.len().max(1) as f64;
     inside / f64::max(all, 1.0) / engine_share.max(1e-9)
 }
 
--- a/crates/celeryknot_measure/src/options.rs
+++ b/crates/celeryknot_measure/src/options.rs
@@ -7,6 +7,11 @@
 
 use crate::Deployment;
 
+/// Ordinary load of the ten engines: a little over half of what they can bear.
+const CHATS_PER_S: f64 = 120.0;
+/// Ordinary pause of a chat, scaled down from minutes.
+const PAUSE_MS: DurationMs = DurationMs(2_000);
+
 /// What a measurement is asked for.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct MeasureOptions {
@@ -46,7 +51,8 @@
     pub(crate) fn load_options(&self) -> LoadOptions {
         let spec = self.deployment.spec();
         LoadOptions::default()
-            .chats_per_s(80.0 * self.load)
+            .chats_per_s(CHATS_PER_S * self.load)
+            .pause_ms(PAUSE_MS)
             .bookings_per_s(4.0 * self.load)
             .reads_per_s(4.0 * self.load)
             .length_ms(DurationMs::from(self.length()))
--- a/crates/celeryknot_measure/src/report.rs
+++ b/crates/celeryknot_measure/src/report.rs
@@ -100,11 +100,9 @@
             let rows: String = rows.iter().map(render_row).collect();
             format!("  {key}\n{rows}")
         }
-        Value::Null
-        | Value::Bool(_)
-        | Value::Number(_)
-        | Value::String(_)
-        | Value::Object(_) => format!("  {key:<28} {}\n", plain(value)),
+        Value::Null | Value::Bool(_) | Value::Number(_) | Value::String(_) | Value::Object(_) => {
+            format!("  {key:<28} {}\n", plain(value))
+        }
     }
 }
 
--- a/crates/celeryknot_measure/src/scrape.rs
+++ b/crates/celeryknot_measure/src/scrape.rs
@@ -46,7 +46,11 @@
         .zip(after)
         .filter_map(|(before, after)| {
             let (before, after) = ((*before).unwrap_or(0.0), (*after)?);
-            let sent = if after >= before { after - before } else { after };
+            let sent = if after >= before {
+                after - before
+            } else {
+                after
+            };
             Some(sent / seconds)
         })
         .reduce(f64::max)
--- a/crates/celeryknot_standins/src/load/plan.rs
+++ b/crates/celeryknot_standins/src/load/plan.rs
@@ -125,7 +125,7 @@
 /// Shortest pause between two requests of a chat.
 const PAUSE_MIN_S: f64 = 1.2;
 /// Chats may have started this many mean pauses before the run.
-const HISTORY_PAUSES: f64 = 6.0;
+const HISTORY_PAUSES: f64 = 24.0;
 const TURNS_MAX: u32 = 24;
 
 impl LoadPlan {
