Expose what the control thread knows and counts

On running daemons all metrics of the control thread stood at 0: nothing wrote them. The control thread publishes its status already, so its counters (control traffic by kind, calls of the platform, pauses) join the status, and the metrics are brought up to it whenever they are read. That keeps one way from control to operators and no metric handle in the control loop. A counter of refused values went, since the gauge says the same. Log lines carry colour only on a terminal; files had escape sequences.

--- a/crates/celeryknot/tests/live.rs
+++ b/crates/celeryknot/tests/live.rs
@@ -10,8 +10,8 @@
 
 use celeryknot_core::{ErrorKind, Revision};
 use celeryknot_operators::{
-    ControlStatus, ExplainQuery, Explanation, Metrics, OperatorsState, Status, TrafficStatus,
-    serve_operators,
+    ControlCounters, ControlStatus, ExplainQuery, Explanation, Metrics, OperatorsState, Status,
+    TrafficStatus, serve_operators,
 };
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -50,6 +50,7 @@
             {"path": "teams/kinrin/services/wakai-llm", "revision_in_force": 7, "refused": {"revision": 39,
              "findings": ["teams/kinrin/services/wakai-llm:3: unknown-key: no key `ramp` in [service] (did you mean `ramp_ms`?)"]}},
         ])),
+        counters: ControlCounters::default(),
     }
 }
 
--- a/crates/celeryknot_fleet/src/byte_budget.rs
+++ b/crates/celeryknot_fleet/src/byte_budget.rs
@@ -1,7 +1,7 @@
 //! One budget for all control traffic, with priorities and counters by kind.
 
 use celeryknot_core::{MonotonicMs, SizeBytes};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use strum::{Display, EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
 
 /// The kinds of control traffic.
@@ -19,6 +19,7 @@
     EnumIter,
     IntoStaticStr,
     Serialize,
+    Deserialize,
 )]
 #[strum(serialize_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
@@ -70,7 +71,7 @@
 }
 
 /// What was sent and dropped of one kind.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KindCount {
     /// Messages sent.
     pub sent: u64,
--- a/crates/celeryknot_operators/src/lib.rs
+++ b/crates/celeryknot_operators/src/lib.rs
@@ -14,5 +14,6 @@
 pub use metrics::Metrics;
 pub use server::{OperatorsState, answer, serve_operators};
 pub use status::{
-    ControlStatus, EndpointStatus, MemberStatus, SettingStatus, Status, TrafficStatus, ZoneStatus,
+    ControlCounters, ControlStatus, EndpointStatus, MemberStatus, OrderCounts, PlatformCallCounts,
+    SettingStatus, Status, TrafficStatus, ZoneStatus,
 };
--- a/crates/celeryknot_operators/src/metrics/control.rs
+++ b/crates/celeryknot_operators/src/metrics/control.rs
@@ -1,40 +1,14 @@
-//! Metrics that the control thread writes.
+//! Metrics that follow from the control thread's status.
 
 use celeryknot_core::EndpointCondition;
 use celeryknot_fleet::{ControlKind, KindCount, MemberState};
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
-use strum::{Display, EnumIter, IntoEnumIterator, IntoStaticStr};
+use strum::IntoEnumIterator;
 
 use super::spec::{register_counter, register_counters, register_gauge, register_gauges};
-use crate::status::ControlStatus;
+use crate::status::{ControlCounters, ControlStatus, EndpointStatus};
 
-/// How a call of the platform's service ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub enum PlatformOutcome {
-    /// The service answered with something new.
-    Changed,
-    /// The service answered that nothing is new.
-    Unchanged,
-    /// The service answered with a revision older than one seen before.
-    Stale,
-    /// The service did not answer.
-    Failed,
-}
-
-/// How an order to an engine ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-pub enum OrderOutcome {
-    /// The engine accepted the order.
-    Accepted,
-    /// The engine refused the fencing number.
-    Refused,
-    /// The engine did not answer.
-    Failed,
-}
-
-/// Metrics that the control thread writes; clones share their values.
+/// Metrics that follow from the control thread's status; clones share their values.
 #[derive(Debug, Clone)]
 pub struct ControlMetrics {
     control_bytes: IntCounterVec,
@@ -43,22 +17,13 @@
     orders: IntCounterVec,
     members: IntGaugeVec,
     endpoints: IntGaugeVec,
-    /// Values of the settings that were refused.
-    pub settings_refused_total: IntCounter,
-    /// Times that the process was paused for longer than its peers wait.
-    pub pauses: IntCounter,
-    /// 1 while the daemon takes callers.
-    pub ready: IntGauge,
-    /// 1 while the daemon watches the platform.
-    pub reader: IntGauge,
-    /// The version of the snapshot.
-    pub snapshot_version: IntGauge,
-    /// Time since the settings were last confirmed.
-    pub settings_age_ms: IntGauge,
-    /// The highest accepted revision.
-    pub settings_revision: IntGauge,
-    /// Values whose newest revision is refused.
-    pub settings_refused: IntGauge,
+    pauses: IntCounter,
+    ready: IntGauge,
+    reader: IntGauge,
+    snapshot_version: IntGauge,
+    settings_age_ms: IntGauge,
+    settings_revision: IntGauge,
+    settings_refused: IntGauge,
 }
 
 impl ControlMetrics {
@@ -70,7 +35,6 @@
             orders: register_counters(registry, "celeryknot_orders_total"),
             members: register_gauges(registry, "celeryknot_members"),
             endpoints: register_gauges(registry, "celeryknot_endpoints"),
-            settings_refused_total: register_counter(registry, "celeryknot_settings_refused_total"),
             pauses: register_counter(registry, "celeryknot_pauses_total"),
             ready: register_gauge(registry, "celeryknot_ready"),
             reader: register_gauge(registry, "celeryknot_reader"),
@@ -79,48 +43,11 @@
             settings_revision: register_gauge(registry, "celeryknot_settings_revision"),
             settings_refused: register_gauge(registry, "celeryknot_settings_refused"),
         };
-        for kind in ControlKind::iter() {
-            metrics.set_kind_count(kind, KindCount::default());
-        }
-        for outcome in PlatformOutcome::iter() {
-            metrics
-                .platform_calls
-                .with_label_values(&[<&str>::from(outcome)]);
-        }
-        for outcome in OrderOutcome::iter() {
-            metrics.orders.with_label_values(&[<&str>::from(outcome)]);
-        }
+        metrics.set_counters(&ControlCounters::default());
         metrics
     }
 
-    /// Brings the counters of one kind of control traffic up to the byte budget's own count.
-    pub fn set_kind_count(&self, kind: ControlKind, count: KindCount) {
-        let name = <&str>::from(kind);
-        raise(
-            &self.control_bytes.with_label_values(&[name]),
-            count.sent_bytes,
-        );
-        for (outcome, total) in [("sent", count.sent), ("dropped", count.dropped)] {
-            let counter = self.control_messages.with_label_values(&[name, outcome]);
-            raise(&counter, total);
-        }
-    }
-
-    /// Counts a call of the platform's service.
-    pub fn platform_called(&self, outcome: PlatformOutcome) {
-        self.platform_calls
-            .with_label_values(&[<&str>::from(outcome)])
-            .inc();
-    }
-
-    /// Counts an order to an engine.
-    pub fn ordered(&self, outcome: OrderOutcome) {
-        self.orders
-            .with_label_values(&[<&str>::from(outcome)])
-            .inc();
-    }
-
-    /// Sets all gauges that follow from the control thread's status.
+    /// Brings all metrics up to the control thread's status.
     pub fn set_status(&self, status: &ControlStatus, is_ready: bool, own_name: &str) {
         self.ready.set(i64::from(is_ready));
         self.reader.set(i64::from(status.is_reader));
@@ -136,6 +63,44 @@
         self.settings_refused.set(saturate(refused.count() as u64));
         self.set_members(status);
         self.set_endpoints(status, own_name);
+        self.set_counters(&status.counters);
+    }
+
+    fn set_counters(&self, counters: &ControlCounters) {
+        for kind in ControlKind::iter() {
+            let count = counters.traffic.get(&kind).copied().unwrap_or_default();
+            self.set_kind_count(kind, count);
+        }
+        let calls = counters.platform_calls;
+        for (outcome, total) in [
+            ("changed", calls.changed),
+            ("unchanged", calls.unchanged),
+            ("stale", calls.stale),
+            ("failed", calls.failed),
+        ] {
+            raise(&self.platform_calls.with_label_values(&[outcome]), total);
+        }
+        let orders = counters.orders;
+        for (outcome, total) in [
+            ("accepted", orders.accepted),
+            ("refused", orders.refused),
+            ("failed", orders.failed),
+        ] {
+            raise(&self.orders.with_label_values(&[outcome]), total);
+        }
+        raise(&self.pauses, counters.pauses);
+    }
+
+    fn set_kind_count(&self, kind: ControlKind, count: KindCount) {
+        let name = <&str>::from(kind);
+        raise(
+            &self.control_bytes.with_label_values(&[name]),
+            count.sent_bytes,
+        );
+        for (outcome, total) in [("sent", count.sent), ("dropped", count.dropped)] {
+            let counter = self.control_messages.with_label_values(&[name, outcome]);
+            raise(&counter, total);
+        }
     }
 
     fn set_members(&self, status: &ControlStatus) {
@@ -154,7 +119,7 @@
 
     fn set_endpoints(&self, status: &ControlStatus, own_name: &str) {
         for condition in EndpointCondition::iter() {
-            let is_counted = |endpoint: &&crate::status::EndpointStatus| {
+            let is_counted = |endpoint: &&EndpointStatus| {
                 endpoint
                     .owner
                     .as_ref()
--- a/crates/celeryknot_operators/src/metrics/spec.rs
+++ b/crates/celeryknot_operators/src/metrics/spec.rs
@@ -99,7 +99,6 @@
     counter("celeryknot_control_bytes_total", &["kind"], "Bytes of control traffic sent, by kind of message."),
     counter("celeryknot_control_messages_total", &["kind", "outcome"], "Control messages, sent or dropped for the byte budget, by kind."),
     counter("celeryknot_platform_calls_total", &["outcome"], "Calls of the platform's service, by outcome."),
-    counter("celeryknot_settings_refused_total", &[], "Values of the settings that were refused."),
     counter("celeryknot_orders_total", &["outcome"], "Orders sent to engines, by outcome."),
     counter("celeryknot_pauses_total", &[], "Times that the process was paused for longer than its peers wait."),
     gauge("celeryknot_ready", &[], "Whether the daemon takes callers."),
--- a/crates/celeryknot_operators/src/status.rs
+++ b/crates/celeryknot_operators/src/status.rs
@@ -1,12 +1,13 @@
 //! The state of a daemon as `/status` and `celeryknot status` give it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use celeryknot_core::{
     DurationMs, EndpointName, EndpointSummary, Incarnation, MemberName, Revision, ServiceName,
     SettingPath, ZoneName,
 };
-use celeryknot_fleet::{FencingMode, MemberState};
+use celeryknot_fleet::{ControlKind, FencingMode, KindCount, MemberState};
 use serde::{Deserialize, Serialize};
 
 /// What one daemon knows and does at one moment.
@@ -49,6 +50,46 @@
     pub zones: Vec<ZoneStatus>,
     /// The settings, in the order of their paths.
     pub settings: Vec<SettingStatus>,
+    /// What was counted since the daemon started.
+    #[serde(default)]
+    pub counters: ControlCounters,
+}
+
+/// What the control thread has counted since the daemon started.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlCounters {
+    /// Control traffic by kind.
+    pub traffic: BTreeMap<ControlKind, KindCount>,
+    /// Calls of the platform's service.
+    pub platform_calls: PlatformCallCounts,
+    /// Orders to engines.
+    pub orders: OrderCounts,
+    /// Times that the process was paused for longer than its peers wait.
+    pub pauses: u64,
+}
+
+/// Calls of the platform's service, by outcome.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCallCounts {
+    /// The service answered with something new.
+    pub changed: u64,
+    /// The service answered that nothing is new.
+    pub unchanged: u64,
+    /// The service answered with a revision older than one seen before.
+    pub stale: u64,
+    /// The service did not answer.
+    pub failed: u64,
+}
+
+/// Orders to engines, by outcome.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderCounts {
+    /// The engine accepted the order.
+    pub accepted: u64,
+    /// The engine refused the fencing number.
+    pub refused: u64,
+    /// The engine did not answer.
+    pub failed: u64,
 }
 
 /// One daemon of the fleet.
--- a/crates/celeryknot_operators/tests/metrics.rs
+++ b/crates/celeryknot_operators/tests/metrics.rs
@@ -110,23 +110,30 @@
 #[test]
 fn control_traffic_counts_up_to_the_budgets_totals() {
     let metrics = Metrics::new();
-    let count = |sent| KindCount {
-        sent,
-        sent_bytes: sent * 60,
-        dropped: 1,
+    let status = |sent| {
+        let count = KindCount {
+            sent,
+            sent_bytes: sent * 60,
+            dropped: 1,
+        };
+        let mut status = ControlStatus::default();
+        status
+            .counters
+            .traffic
+            .insert(ControlKind::Heartbeat, count);
+        status.counters.platform_calls.stale = sent;
+        status
     };
-    metrics
-        .control
-        .set_kind_count(ControlKind::Heartbeat, count(3));
-    metrics
-        .control
-        .set_kind_count(ControlKind::Heartbeat, count(5));
+    metrics.control.set_status(&status(3), true, "entry-1");
+    metrics.control.set_status(&status(5), true, "entry-1");
     let text = metrics.render();
     for series in [
         "celeryknot_control_bytes_total{kind=\"heartbeat\"} 300",
         "celeryknot_control_messages_total{kind=\"heartbeat\",outcome=\"sent\"} 5",
         "celeryknot_control_messages_total{kind=\"heartbeat\",outcome=\"dropped\"} 1",
         "celeryknot_control_bytes_total{kind=\"orders\"} 0",
+        "celeryknot_platform_calls_total{outcome=\"stale\"} 5",
+        "celeryknot_orders_total{outcome=\"failed\"} 0",
     ] {
         assert!(text.contains(series), "{series}");
     }
--- a/crates/celeryknotd/src/control/actor.rs
+++ b/crates/celeryknotd/src/control/actor.rs
@@ -337,7 +337,7 @@
         let view = self.fleet.view(now);
         let sources = self.sources.update(self.fleet.values());
         let snapshot = self.outlets.snapshot.load();
-        let status = status::build_status(&self.fleet, now, &view, &sources, &snapshot);
+        let status = status::build_status(&self.fleet, now, &view, &sources, &snapshot, &self.role);
         self.outlets.status.store(Arc::new(status));
     }
 }
--- a/crates/celeryknotd/src/control/platform.rs
+++ b/crates/celeryknotd/src/control/platform.rs
@@ -1,6 +1,7 @@
 //! Tasks that read the platform once at the start, and watch it while this daemon is a reader.
 
 use std::cell::Cell;
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -8,6 +9,7 @@
 
 use async_channel::Sender;
 use celeryknot_core::{Backoff, DurationMs, Revision};
+use celeryknot_operators::PlatformCallCounts;
 use celeryknot_platform::{ByteMeter, InstanceList, PlatformClient, PlatformError, ValueList};
 use smol::Timer;
 
@@ -27,6 +29,30 @@
     pub(super) reader_rank: Cell<Option<usize>>,
     /// Raised when both lists must be read again, after a pause.
     pub(super) read_again_count: Cell<u64>,
+    /// The tasks' calls so far.
+    pub(super) calls: Cell<PlatformCallCounts>,
+}
+
+impl Role {
+    fn count_call(&self, outcome: CallOutcome) {
+        let mut calls = self.calls.get();
+        match outcome {
+            CallOutcome::Changed => calls.changed += 1,
+            CallOutcome::Unchanged => calls.unchanged += 1,
+            CallOutcome::Stale => calls.stale += 1,
+            CallOutcome::Failed => calls.failed += 1,
+        }
+        self.calls.set(calls);
+    }
+}
+
+/// How a call of the platform's service ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallOutcome {
+    Changed,
+    Unchanged,
+    Stale,
+    Failed,
 }
 
 /// What the tasks tell the control loop.
@@ -126,6 +152,7 @@
     async fn call(&mut self, wait: DurationMs) -> Result<(), PlatformError> {
         let read_count = self.role.read_again_count.get();
         let before = self.size_bytes();
+        let cursor = self.cursor;
         let result = match self.subject {
             Subject::Values => self.read_values(wait).await,
             Subject::Instances => self.read_instances(wait).await,
@@ -135,6 +162,7 @@
         };
         // A closed channel ends the task's loop.
         drop(self.events.send(called).await);
+        self.role.count_call(outcome_of(&result, cursor));
         let event = result?;
         self.read_count_seen = Some(read_count);
         drop(self.events.send(event).await);
@@ -163,3 +191,20 @@
         self.meter.sent().0 + self.meter.received().0
     }
 }
+
+/// Compares an answer with the revision that was known before.
+fn outcome_of(
+    result: &Result<PlatformEvent, PlatformError>,
+    cursor: Option<Revision>,
+) -> CallOutcome {
+    let revision = match result {
+        Ok(PlatformEvent::Values(list)) => list.revision,
+        Ok(PlatformEvent::Instances(list)) => list.revision,
+        Ok(PlatformEvent::Called { .. }) | Err(_) => return CallOutcome::Failed,
+    };
+    match Some(revision).cmp(&cursor) {
+        Ordering::Greater => CallOutcome::Changed,
+        Ordering::Equal => CallOutcome::Unchanged,
+        Ordering::Less => CallOutcome::Stale,
+    }
+}
--- a/crates/celeryknotd/src/control/status.rs
+++ b/crates/celeryknotd/src/control/status.rs
@@ -5,11 +5,12 @@
 use celeryknot_core::{MonotonicMs, Revision, ZoneName};
 use celeryknot_fleet::{EndpointView, Fleet, FleetView, MemberState, MemberView, SettingsStore};
 use celeryknot_operators::{
-    ControlStatus, EndpointStatus, MemberStatus, SettingStatus, ZoneStatus,
+    ControlCounters, ControlStatus, EndpointStatus, MemberStatus, SettingStatus, ZoneStatus,
 };
 
 use celeryknot_operators::status::RefusedSetting;
 
+use super::platform::Role;
 use super::sources::Sources;
 use crate::snapshot::Snapshot;
 
@@ -20,6 +21,7 @@
     view: &FleetView,
     sources: &Sources,
     snapshot: &Snapshot,
+    role: &Role,
 ) -> ControlStatus {
     let in_force = view.settings.values().map(|value| value.revision);
     ControlStatus {
@@ -35,6 +37,16 @@
             .collect(),
         zones: zone_statuses(view, sources),
         settings: setting_statuses(fleet.values()),
+        counters: counters(fleet, role),
+    }
+}
+
+fn counters(fleet: &Fleet, role: &Role) -> ControlCounters {
+    ControlCounters {
+        traffic: fleet.budget().counts().collect(),
+        platform_calls: role.calls.get(),
+        pauses: role.read_again_count.get(),
+        ..ControlCounters::default()
     }
 }
 
--- a/crates/celeryknotd/src/operators.rs
+++ b/crates/celeryknotd/src/operators.rs
@@ -32,6 +32,10 @@
         let traffic = &self.0.metrics.traffic;
         traffic.connections.set(self.connections() as i64);
         traffic.requests_in_flight.set(self.in_flight() as i64);
+        let status = self.0.feed.status.load();
+        let own_name = self.0.settings.name.as_str();
+        let control = &self.0.metrics.control;
+        control.set_status(&status, self.is_ready(), own_name);
         &self.0.metrics
     }
 
--- a/crates/celeryknotd/src/run.rs
+++ b/crates/celeryknotd/src/run.rs
@@ -1,5 +1,6 @@
 //! The command `celeryknotd`: arguments, settings file, logs, signals.
 
+use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -106,6 +107,7 @@
         EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(LOG_LEVEL_DEFAULT));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     // A second start in the same process keeps the first one's logs.
     let _ = match format {
