--- a/crates/celeryknotd/src/control/actor.rs
+++ b/crates/celeryknotd/src/control/actor.rs
@@ -343,7 +343,7 @@
         let view = self.fleet.view(now);
         let sources = self.sources.update(self.fleet.values());
         let snapshot = self.outlets.snapshot.load();
-        let status = status::build_status(&self.fleet, now, &view, &sources, &snapshot);
+        let status = status::build_status(&self.fleet, now, &view, &sources, &snapshot, &self.role);
         let status = ControlStatus {
             rollouts: status::rollout_statuses(&self.orders),
             ..status
