--- a/crates/celeryknot/tests/live.rs
+++ b/crates/celeryknot/tests/live.rs
@@ -10,8 +10,8 @@
 
 use celeryknot_core::{ErrorKind, Revision};
 use celeryknot_operators::{
-    ControlCounters, ControlStatus, ExplainQuery, Explanation, Metrics, OperatorsState, Status,
-    TrafficStatus, serve_operators,
+    ControlStatus, ExplainQuery, Explanation, Metrics, OperatorsState, Status, TrafficStatus,
+    serve_operators,
 };
 use serde::de::DeserializeOwned;
 use serde_json::json;
--- a/crates/celeryknot_measure/src/measurements/decision.rs
+++ b/crates/celeryknot_measure/src/measurements/decision.rs
@@ -118,7 +118,7 @@
         condition: EndpointCondition::Warm,
     };
     PlacementEndpoint::new(name)
-        .with_own_zone(index % 3 == 0)
+        .with_own_zone(index.is_multiple_of(3))
         .with_summary(Some(summary))
 }
 
