--- a/crates/celeryknot_callers/src/executor.rs
+++ b/crates/celeryknot_callers/src/executor.rs
@@ -1,33 +1,33 @@
 //! One thread's executor in the form that hyper takes.
 
 use std::future::Future;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use smol::LocalExecutor;
 
-/// Runs the tasks of one traffic thread; clones share it.
-#[derive(Clone, Debug, Default)]
-pub struct ThreadExecutor(Rc<LocalExecutor<'static>>);
+/// Owns the tasks of one traffic thread; dropping it cancels all of them.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_callers::executor::ThreadRuntime;
+///
+/// let runtime = ThreadRuntime::new();
+/// let task = runtime.executor().spawn(async { 7 });
+/// assert_eq!(smol::block_on(runtime.run(task)), 7);
+/// ```
+#[derive(Debug, Default)]
+pub struct ThreadRuntime(Rc<LocalExecutor<'static>>);
 
-impl ThreadExecutor {
-    /// Builds an executor without tasks.
+impl ThreadRuntime {
+    /// Builds a runtime without tasks.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Spawns a task; dropping the returned task cancels it.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use celeryknot_callers::ThreadExecutor;
-    ///
-    /// let executor = ThreadExecutor::new();
-    /// let task = executor.spawn(async { 7 });
-    /// assert_eq!(smol::block_on(executor.run(task)), 7);
-    /// ```
-    pub fn spawn<T: 'static>(&self, future: impl Future<Output = T> + 'static) -> smol::Task<T> {
-        self.0.spawn(future)
+    /// Returns what tasks spawn others by.
+    pub fn executor(&self) -> ThreadExecutor {
+        ThreadExecutor(Rc::downgrade(&self.0))
     }
 
     /// Runs the tasks of the thread until the future is done.
@@ -36,12 +36,31 @@
     }
 }
 
+/// Spawns tasks of one traffic thread.
+///
+/// It does not keep the runtime alive: a task that holds it would otherwise
+/// keep itself, and its sockets, for ever.
+#[derive(Clone, Debug)]
+pub struct ThreadExecutor(Weak<LocalExecutor<'static>>);
+
+impl ThreadExecutor {
+    /// Spawns a task; dropping the returned task cancels it.
+    ///
+    /// The task never runs once the runtime is gone.
+    pub fn spawn<T: 'static>(&self, future: impl Future<Output = T> + 'static) -> smol::Task<T> {
+        match self.0.upgrade() {
+            Some(executor) => executor.spawn(future),
+            None => LocalExecutor::new().spawn(future),
+        }
+    }
+}
+
 impl<F> hyper::rt::Executor<F> for ThreadExecutor
 where
     F: Future + 'static,
     F::Output: 'static,
 {
     fn execute(&self, future: F) {
-        self.0.spawn(future).detach();
+        self.spawn(future).detach();
     }
 }
--- a/crates/celeryknotd/src/traffic.rs
+++ b/crates/celeryknotd/src/traffic.rs
@@ -1,6 +1,7 @@
 //! The traffic threads: from a caller's request to an endpoint's answer.
 
 pub(crate) mod admission;
+pub(crate) mod admitted;
 pub(crate) mod body;
 pub(crate) mod chat;
 pub(crate) mod context;
@@ -12,6 +13,7 @@
 pub(crate) mod owner;
 pub(crate) mod peer_link;
 pub(crate) mod peer_server;
+pub(crate) mod permit;
 pub(crate) mod places;
 pub(crate) mod shared;
 pub(crate) mod stream;
--- a/crates/celeryknotd/src/traffic/admission.rs
+++ b/crates/celeryknotd/src/traffic/admission.rs
@@ -5,18 +5,15 @@
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
-use celeryknot_core::{
-    DurationMs, EndpointName, EndpointSummary, ErrorKind, MonotonicMs, Refusal, RequestId,
-};
-use celeryknot_policy::admission::{
-    AdmissionAction, AdmissionLimits, AdmissionRequest, Decision, EndpointAdmission, FinishOutcome,
-    FinishStatus, ReportedLoad,
-};
+use celeryknot_core::{DurationMs, EndpointName, EndpointSummary, MonotonicMs, Refusal};
+use celeryknot_policy::admission::{AdmissionLimits, AdmissionRequest, Decision};
 use celeryknot_policy::bound::ServiceLoad;
 use futures_lite::future;
 
+use super::admitted::{Admitted, answer};
 use super::context::{TICK, ThreadContext};
-use super::shared::Shared;
+use super::load_poll::poll_now;
+use super::permit::AdmissionMessage;
 use crate::event::TrafficEvent;
 use crate::snapshot::{EndpointSnapshot, ServiceSnapshot};
 
@@ -26,125 +23,6 @@
 /// Time without work after which the admission of an endpoint with another owner is dropped.
 const FOREIGN_LIFE: DurationMs = DurationMs(10_000);
 
-/// A message to the thread that admits the work of an endpoint.
-#[derive(Debug)]
-pub(crate) enum AdmissionMessage {
-    /// A request asks for a place.
-    Offer {
-        endpoint: EndpointName,
-        service: Arc<ServiceSnapshot>,
-        request: AdmissionRequest,
-        reply: Sender<Result<(), Refusal>>,
-    },
-    /// A request is no longer wanted, whether it waits or is in flight.
-    Cancel {
-        endpoint: EndpointName,
-        id: RequestId,
-    },
-    /// A request in flight has ended.
-    Finish {
-        endpoint: EndpointName,
-        id: RequestId,
-        outcome: FinishOutcome,
-    },
-    /// The endpoint reported its load.
-    Load {
-        endpoint: EndpointName,
-        load: ReportedLoad,
-    },
-}
-
-/// A place at an endpoint; dropping it gives the place back.
-#[derive(Debug)]
-pub(crate) struct Permit {
-    shared: Arc<Shared>,
-    endpoint: EndpointName,
-    id: RequestId,
-    outcome: Option<FinishOutcome>,
-}
-
-impl Permit {
-    /// Asks for a place and waits for it.
-    ///
-    /// # Errors
-    ///
-    /// The owner's refusal; the request was not run.
-    pub(crate) async fn ask(
-        shared: &Arc<Shared>,
-        endpoint: &EndpointName,
-        service: &Arc<ServiceSnapshot>,
-        request: AdmissionRequest,
-    ) -> Result<Self, Refusal> {
-        let (reply, replies) = async_channel::bounded(1);
-        let mut permit = Self {
-            shared: Arc::clone(shared),
-            endpoint: endpoint.clone(),
-            id: request.id,
-            outcome: None,
-        };
-        permit.send(AdmissionMessage::Offer {
-            endpoint: endpoint.clone(),
-            service: Arc::clone(service),
-            request,
-            reply,
-        });
-        let decision = replies.recv().await;
-        let refusal = match decision {
-            Ok(Ok(())) => {
-                permit.outcome = Some(FinishOutcome::new(FinishStatus::Aborted));
-                return Ok(permit);
-            }
-            Ok(Err(refusal)) => refusal,
-            Err(_) => Refusal::new(ErrorKind::Draining),
-        };
-        Err(refusal)
-    }
-
-    /// Says how the request ended; the last word counts.
-    pub(crate) fn set_outcome(&mut self, outcome: FinishOutcome) {
-        self.outcome = Some(outcome);
-    }
-
-    /// Passes on the load that the endpoint reported.
-    pub(crate) fn report(&self, load: ReportedLoad) {
-        self.send(AdmissionMessage::Load {
-            endpoint: self.endpoint.clone(),
-            load,
-        });
-    }
-
-    fn send(&self, message: AdmissionMessage) {
-        // The channel is closed only when the daemon ends.
-        let _ = self.shared.home_of(&self.endpoint).try_send(message);
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let endpoint = self.endpoint.clone();
-        let id = self.id;
-        self.send(match self.outcome {
-            Some(outcome) => AdmissionMessage::Finish {
-                endpoint,
-                id,
-                outcome,
-            },
-            None => AdmissionMessage::Cancel { endpoint, id },
-        });
-    }
-}
-
-/// One endpoint's admission with those who wait for it.
-#[derive(Debug)]
-struct Admitted {
-    admission: EndpointAdmission,
-    service: Arc<ServiceSnapshot>,
-    waiting: HashMap<RequestId, Sender<Result<(), Refusal>>>,
-    told: Option<EndpointSummary>,
-    mean_at: Option<MonotonicMs>,
-    used_at: MonotonicMs,
-}
-
 /// The endpoints whose work one thread admits.
 #[derive(Debug)]
 pub(crate) struct AdmissionDesk {
@@ -215,7 +93,7 @@
                 outcome,
             } => {
                 if let Some(admitted) = self.endpoints.get_mut(&endpoint) {
-                    admitted.admission.finish(now, id, outcome);
+                    admitted.finish(now, id, outcome);
                     admitted.settle(now, &self.context.shared);
                 }
             }
@@ -265,16 +143,11 @@
         endpoint: &EndpointName,
         service: Arc<ServiceSnapshot>,
     ) -> &mut Admitted {
-        self.endpoints
-            .entry(endpoint.clone())
-            .or_insert_with(|| Admitted {
-                admission: EndpointAdmission::new(AdmissionLimits::from(&*service.settings), now),
-                service,
-                waiting: HashMap::new(),
-                told: None,
-                mean_at: None,
-                used_at: now,
-            })
+        let context = &self.context;
+        self.endpoints.entry(endpoint.clone()).or_insert_with(|| {
+            poll_now(context, endpoint, &service);
+            Admitted::new(now, service)
+        })
     }
 
     /// Computes the load of a service from the owners' summaries and this thread's exact state.
@@ -366,6 +239,7 @@
             return;
         }
         admitted.used_at = now;
+        admitted.judge_health(now, &endpoint.name);
         let summary = admitted.admission.summary(now);
         if admitted.told == Some(summary) {
             return;
@@ -396,28 +270,3 @@
         });
     }
 }
-
-impl Admitted {
-    /// Carries out what is due.
-    fn settle(&mut self, now: MonotonicMs, shared: &Shared) {
-        while let Some(action) = self.admission.poll(now) {
-            match action {
-                AdmissionAction::Start(id) => match self.waiting.remove(&id) {
-                    Some(reply) => answer(&reply, Ok(())),
-                    None => self.admission.cancel(now, id),
-                },
-                AdmissionAction::Refuse(id, refusal) => {
-                    shared.metrics.traffic.admission_refused(refusal.kind);
-                    if let Some(reply) = self.waiting.remove(&id) {
-                        answer(&reply, Err(refusal));
-                    }
-                }
-            }
-        }
-    }
-}
-
-fn answer(reply: &Sender<Result<(), Refusal>>, decision: Result<(), Refusal>) {
-    // Whoever went away has sent a cancellation, which gives the place back.
-    let _ = reply.try_send(decision);
-}
--- a/crates/celeryknotd/src/traffic/body.rs
+++ b/crates/celeryknotd/src/traffic/body.rs
@@ -14,8 +14,8 @@
 use futures_lite::Stream;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use super::admission::Permit;
 use super::failure::Failure;
+use super::permit::Permit;
 use super::shared::Counted;
 use crate::clock::Clock;
 
--- a/crates/celeryknotd/src/traffic/context.rs
+++ b/crates/celeryknotd/src/traffic/context.rs
@@ -38,7 +38,7 @@
 }
 
 impl ThreadContext {
-    pub(crate) fn new(index: usize, shared: Arc<Shared>) -> Rc<Self> {
+    pub(crate) fn new(index: usize, shared: Arc<Shared>, executor: ThreadExecutor) -> Rc<Self> {
         let settings = &shared.settings;
         let limits = CallerLimits::builder()
             .header_size_max_bytes(settings.header_size_max_bytes)
@@ -48,7 +48,7 @@
         let now = shared.clock.now();
         Rc::new(Self {
             index,
-            executor: ThreadExecutor::new(),
+            executor,
             limits,
             connections: Connections::new(),
             peers: PeerLinks::default(),
--- a/crates/celeryknotd/src/traffic/load_poll.rs
+++ b/crates/celeryknotd/src/traffic/load_poll.rs
@@ -7,8 +7,9 @@
 use celeryknot_endpoints::load::fetch_load;
 use celeryknot_policy::admission::ReportedLoad;
 
-use super::admission::AdmissionMessage;
 use super::context::ThreadContext;
+use super::permit::AdmissionMessage;
+use crate::snapshot::ServiceSnapshot;
 
 /// Time between two polls of one endpoint.
 const PERIOD: DurationMs = DurationMs(250);
@@ -34,6 +35,19 @@
     }
 }
 
+/// Polls an endpoint once, without waiting for its turn.
+pub(crate) fn poll_now(
+    context: &Rc<ThreadContext>,
+    endpoint: &EndpointName,
+    service: &ServiceSnapshot,
+) {
+    let known = service.endpoints.iter().find(|it| it.name == *endpoint);
+    if let Some(known) = known {
+        let poll = poll_one(Rc::clone(context), endpoint.clone(), known.address);
+        context.executor.spawn(poll).detach();
+    }
+}
+
 async fn poll_one(
     context: Rc<ThreadContext>,
     endpoint: EndpointName,
--- a/crates/celeryknotd/src/traffic/owner.rs
+++ b/crates/celeryknotd/src/traffic/owner.rs
@@ -9,11 +9,11 @@
 use http::header::HOST;
 use http::response;
 
-use super::admission::Permit;
 use super::body::{AnswerSource, DaemonBody, EndpointBody};
 use super::context::ThreadContext;
 use super::failure::Failure;
 use super::load_poll::reported;
+use super::permit::Permit;
 use super::work::{EndpointWork, text_value};
 use crate::snapshot::EndpointSnapshot;
 
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/permit.rs
@@ -0,0 +1,118 @@
+//! Places at endpoints, as requests hold them.
+
+use std::sync::Arc;
+
+use async_channel::Sender;
+use celeryknot_core::{EndpointName, ErrorKind, Refusal, RequestId};
+use celeryknot_policy::admission::{AdmissionRequest, FinishOutcome, FinishStatus, ReportedLoad};
+
+use super::shared::Shared;
+use crate::snapshot::ServiceSnapshot;
+
+/// A message to the thread that admits the work of an endpoint.
+#[derive(Debug)]
+pub(crate) enum AdmissionMessage {
+    /// A request asks for a place.
+    Offer {
+        endpoint: EndpointName,
+        service: Arc<ServiceSnapshot>,
+        request: AdmissionRequest,
+        reply: Sender<Result<(), Refusal>>,
+    },
+    /// A request is no longer wanted, whether it waits or is in flight.
+    Cancel {
+        endpoint: EndpointName,
+        id: RequestId,
+    },
+    /// A request in flight has ended.
+    Finish {
+        endpoint: EndpointName,
+        id: RequestId,
+        outcome: FinishOutcome,
+    },
+    /// The endpoint reported its load.
+    Load {
+        endpoint: EndpointName,
+        load: ReportedLoad,
+    },
+}
+
+/// A place at an endpoint; dropping it gives the place back.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    shared: Arc<Shared>,
+    endpoint: EndpointName,
+    id: RequestId,
+    outcome: Option<FinishOutcome>,
+}
+
+impl Permit {
+    /// Asks for a place and waits for it.
+    ///
+    /// # Errors
+    ///
+    /// The owner's refusal; the request was not run.
+    pub(crate) async fn ask(
+        shared: &Arc<Shared>,
+        endpoint: &EndpointName,
+        service: &Arc<ServiceSnapshot>,
+        request: AdmissionRequest,
+    ) -> Result<Self, Refusal> {
+        let (reply, replies) = async_channel::bounded(1);
+        let mut permit = Self {
+            shared: Arc::clone(shared),
+            endpoint: endpoint.clone(),
+            id: request.id,
+            outcome: None,
+        };
+        permit.send(AdmissionMessage::Offer {
+            endpoint: endpoint.clone(),
+            service: Arc::clone(service),
+            request,
+            reply,
+        });
+        let decision = replies.recv().await;
+        let refusal = match decision {
+            Ok(Ok(())) => {
+                permit.outcome = Some(FinishOutcome::new(FinishStatus::Aborted));
+                return Ok(permit);
+            }
+            Ok(Err(refusal)) => refusal,
+            Err(_) => Refusal::new(ErrorKind::Draining),
+        };
+        Err(refusal)
+    }
+
+    /// Says how the request ended; the last word counts.
+    pub(crate) fn set_outcome(&mut self, outcome: FinishOutcome) {
+        self.outcome = Some(outcome);
+    }
+
+    /// Passes on the load that the endpoint reported.
+    pub(crate) fn report(&self, load: ReportedLoad) {
+        self.send(AdmissionMessage::Load {
+            endpoint: self.endpoint.clone(),
+            load,
+        });
+    }
+
+    fn send(&self, message: AdmissionMessage) {
+        // The channel is closed only when the daemon ends.
+        let _ = self.shared.home_of(&self.endpoint).try_send(message);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let endpoint = self.endpoint.clone();
+        let id = self.id;
+        self.send(match self.outcome {
+            Some(outcome) => AdmissionMessage::Finish {
+                endpoint,
+                id,
+                outcome,
+            },
+            None => AdmissionMessage::Cancel { endpoint, id },
+        });
+    }
+}
--- a/crates/celeryknotd/src/traffic/places.rs
+++ b/crates/celeryknotd/src/traffic/places.rs
@@ -8,7 +8,8 @@
 use celeryknot_operators::metrics::ServiceMetrics;
 use celeryknot_policy::chat_cost::CostEstimator;
 use celeryknot_policy::placement::{
-    Candidates, ContextAware, EndpointHash, Placement, PlacementEndpoint, PlacementRequest,
+    Candidates, ChatAnswer, ContextAware, EndpointHash, Placement, PlacementEndpoint,
+    PlacementRequest,
 };
 use celeryknot_policy::retry::RetryBudget;
 use rand::SeedableRng;
@@ -91,10 +92,13 @@
     ) {
         let now = shared.clock.now();
         let place = self.of(shared, service);
-        let context_tokens = usage.prompt_tokens.saturating_add(usage.completion_tokens);
-        place
-            .placement
-            .observe_answer(now, chat, endpoint, context_tokens);
+        let answer = ChatAnswer {
+            chat,
+            endpoint,
+            context_tokens: usage.prompt_tokens.saturating_add(usage.completion_tokens),
+            cached_tokens: Some(usage.cached_tokens),
+        };
+        place.placement.observe_answer(now, &answer);
         place
             .metrics
             .prompt_tokens
@@ -123,6 +127,8 @@
             return;
         }
         self.version = snapshot.version;
+        self.placement
+            .set_prefill_tokens_per_s(service.settings.prefill_tokens_per_s);
         self.budget
             .set_percent_max(service.settings.retry_percent_max);
         self.endpoints = service
--- a/crates/celeryknotd/src/traffic/shared.rs
+++ b/crates/celeryknotd/src/traffic/shared.rs
@@ -9,7 +9,7 @@
 use celeryknot_operators::Metrics;
 use celeryknot_settings::DaemonSettings;
 
-use super::admission::AdmissionMessage;
+use super::permit::AdmissionMessage;
 use super::ticket_desk::TicketMessage;
 use crate::clock::Clock;
 use crate::event::TrafficEvent;
--- a/crates/celeryknotd/src/traffic/stream.rs
+++ b/crates/celeryknotd/src/traffic/stream.rs
@@ -4,7 +4,7 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
-use celeryknot_core::{EndpointName, ErrorKind, Refusal};
+use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal};
 use celeryknot_endpoints::{AnswerError, SseEvent, SseParser, TokenEvent};
 use celeryknot_policy::attempt::AttemptIndex;
 use celeryknot_policy::stream::{StreamCursor, TokenVerdict};
@@ -21,6 +21,9 @@
 /// Most resumptions of one stream.
 const RESUMES_MAX: u32 = 4;
 
+/// Time for the last event to leave before the body is aborted.
+const ABORT_PAUSE: DurationMs = DurationMs(50);
+
 /// Returns a body that relays the stream of the first answer, and of its successors.
 pub(crate) fn relay(context: &ThreadContext, dispatch: Dispatch, placed: Placed) -> DaemonBody {
     let (pieces, received) = async_channel::bounded(PIECES_MAX);
@@ -166,6 +169,8 @@
         );
         // A caller that went away needs no error.
         let _ = self.pieces.send(Ok(Bytes::from(event))).await;
+        // An abort throws away what the connection has not written yet.
+        smol::Timer::after(ABORT_PAUSE.as_std()).await;
         let _ = self.pieces.send(Err(AnswerError(refusal.kind))).await;
     }
 }
--- a/crates/celeryknotd/src/traffic/thread.rs
+++ b/crates/celeryknotd/src/traffic/thread.rs
@@ -7,17 +7,19 @@
 use std::sync::atomic::AtomicU64;
 
 use async_channel::Receiver;
+use celeryknot_callers::executor::ThreadRuntime;
 use celeryknot_callers::server::{ConnectionContext, serve_connection};
 use celeryknot_core::DurationMs;
 use futures_lite::future;
 use smol::Async;
 use smol::net::TcpStream;
 
-use super::admission::{AdmissionDesk, AdmissionMessage};
+use super::admission::AdmissionDesk;
 use super::context::ThreadContext;
 use super::entry::serve_caller;
 use super::load_poll::poll_loads;
 use super::peer_server::serve_peer;
+use super::permit::AdmissionMessage;
 use super::shared::{Counted, Shared, Signal, given};
 use super::ticket_desk::{TicketMessage, keep_tickets};
 
@@ -40,9 +42,10 @@
 
 /// Runs one traffic thread until the daemon is told to end.
 pub(crate) fn run_thread(parts: ThreadParts, shared: Arc<Shared>) {
-    let context = ThreadContext::new(parts.index, shared);
-    let executor = context.executor.clone();
-    smol::block_on(executor.run(async {
+    let runtime = ThreadRuntime::new();
+    let executor = runtime.executor();
+    let context = ThreadContext::new(parts.index, shared, executor.clone());
+    smol::block_on(runtime.run(async {
         let desk = AdmissionDesk::new(Rc::clone(&context)).run(parts.admissions);
         executor.spawn(desk).detach();
         executor.spawn(poll_loads(Rc::clone(&context))).detach();
--- a/crates/celeryknotd/tests/fleet/mod.rs
+++ b/crates/celeryknotd/tests/fleet/mod.rs
@@ -155,6 +155,20 @@
         }
     }
 
+    /// Publishes changed members to all daemons.
+    pub(crate) fn change_members(
+        &mut self,
+        change: impl FnOnce(&mut HashMap<MemberName, MemberView>),
+    ) {
+        change(&mut self.members);
+        for feed in &self.feeds {
+            let mut snapshot = Snapshot::clone(&feed.snapshot.load());
+            snapshot.version += 1;
+            snapshot.members = Arc::new(self.members.clone());
+            feed.snapshot.store(Arc::new(snapshot));
+        }
+    }
+
     pub(crate) fn daemon(&self, index: usize) -> &Daemon {
         self.daemons[index].as_ref().unwrap()
     }
--- /dev/null
+++ b/crates/celeryknotd/tests/streams.rs
@@ -0,0 +1,97 @@
+//! Streams of tokens that break are resumed, or end so that nobody takes them for whole.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet;
+mod raw;
+
+use celeryknot_settings::ServiceSettings;
+use celeryknot_standins::wire::EndpointMode;
+use celeryknot_standins::{Caller, CallerOptions, Engine, EngineOptions, LOOPBACK, Outcome};
+use fleet::{MODEL_SERVICE, TestEndpoint, TestFleet, TestOptions, chat_request, model_settings};
+
+/// Answers that the first engine cuts, in a hundred.
+const CUT_PERCENT: u32 = 100;
+
+fn options(daemons: usize) -> TestOptions {
+    TestOptions {
+        daemons,
+        model: ServiceSettings {
+            retry_percent_max: 100,
+            ..model_settings()
+        },
+        ..TestOptions::default()
+    }
+}
+
+fn engine(truncate_percent: u32) -> Engine {
+    let engine = Engine::start(EngineOptions::default(), LOOPBACK).unwrap();
+    engine.set_mode(EndpointMode {
+        truncate_percent: Some(truncate_percent),
+        ..EndpointMode::default()
+    });
+    engine
+}
+
+#[test]
+fn a_cut_stream_goes_on_at_another_engine() {
+    for (name, stream, daemons, owner) in [
+        ("stream, own engines", true, 1, 0),
+        ("stream, engines of another daemon", true, 2, 1),
+        ("whole, own engines", false, 1, 0),
+        ("whole, engines of another daemon", false, 2, 1),
+    ] {
+        let engines = [engine(CUT_PERCENT), engine(0)];
+        let names = ["engine-1", "engine-2"];
+        let endpoints: Vec<TestEndpoint> = (0..2)
+            .map(|index| TestEndpoint {
+                service: MODEL_SERVICE,
+                name: names[index],
+                address: engines[index].address(),
+                owner,
+            })
+            .collect();
+        let fleet = TestFleet::start(options(daemons), &endpoints);
+        let caller = Caller::new(CallerOptions::default());
+        let target = fleet.target(0, MODEL_SERVICE);
+        for chat in 0..8 {
+            let chat_name = format!("chat-{chat}");
+            let request = chat_request(&format!("file {chat}"), stream);
+            let outcome = smol::block_on(caller.chat(&target, &chat_name, None, &request));
+            assert!(
+                matches!(outcome, Outcome::Completed(_)),
+                "{name}, {chat_name}: {outcome:?}"
+            );
+        }
+        assert!(engines[0].seen().taken > 0, "{name}: nothing was cut");
+    }
+}
+
+#[test]
+fn a_stream_that_cannot_go_on_is_aborted() {
+    for (daemons, owner) in [(1, 0), (2, 1)] {
+        let engine = engine(CUT_PERCENT);
+        let endpoints = [TestEndpoint {
+            service: MODEL_SERVICE,
+            name: "engine-1",
+            address: engine.address(),
+            owner,
+        }];
+        let fleet = TestFleet::start(options(daemons), &endpoints);
+        let body = r#"{"model": "wakai-8b", "messages": [{"role": "user", "content": "a b"}], "stream": true}"#;
+        let request = format!(
+            "POST /wakai-llm/v1/chat/completions HTTP/1.1\r\nhost: x\r\n\
+             celeryknot-customer: otaru\r\nceleryknot-chat: a\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let answer = raw::exchange(fleet.callers_address(0), request.as_bytes());
+        assert_eq!(raw::status_of(&answer), 200, "{answer}");
+        assert!(
+            answer.contains("\"code\": \"answer-incomplete\""),
+            "{answer}"
+        );
+        assert!(!answer.contains("[DONE]"), "{answer}");
+        assert!(!answer.ends_with("0\r\n\r\n"), "a clean end: {answer}");
+    }
+}
