Give each life of a daemon addresses of its own

Ports that were looked up and let go were taken by the fault proxies; the daemon now binds any free port and is listed under it. Control bytes and revisions are read from /status.

--- a/crates/celeryknot_measure/src/cluster.rs
+++ b/crates/celeryknot_measure/src/cluster.rs
@@ -108,7 +108,7 @@
         let service_count = options.plain_endpoints.unwrap_or(spec.plain_endpoints);
         let services = endpoints::start_services(spec, service_count, &options.service)?;
         let daemons = (0..options.daemons)
-            .map(|index| DaemonSlot::new(spec.zone(index), index))
+            .map(|index| DaemonSlot::new(spec.zone(index), index, platform.addresses()))
             .collect::<eyre::Result<Vec<_>>>()?;
         let balancer = Arc::new(Balancer::new(spec.model_service, Vec::new()));
         let mut cluster = Self {
@@ -120,11 +120,15 @@
             daemons,
             proxies: Vec::new(),
         };
+        for daemon in &mut cluster.daemons {
+            daemon.start()?;
+        }
         if cluster.options.has_proxies {
             cluster.start_proxies()?;
         }
         cluster.publish_instances();
-        cluster.start_daemons().await?;
+        cluster.wait_until_ready().await?;
+        cluster.balance();
         Ok(cluster)
     }
 
@@ -151,8 +155,12 @@
             slot.advertised = start(slot.advertised)?;
         }
         for daemon in &mut self.daemons {
-            daemon.advertised_peers = start(daemon.advertised_peers)?;
-            daemon.advertised_forwards = start(daemon.advertised_forwards)?;
+            let Some(settings) = daemon.running() else {
+                continue;
+            };
+            let (peers, forwards) = (settings.peers_address, settings.forwards_address);
+            daemon.peers_proxy = Some(start(peers)?);
+            daemon.forwards_proxy = Some(start(forwards)?);
         }
         self.proxies = proxies;
         Ok(())
@@ -165,17 +173,6 @@
         }
     }
 
-    async fn start_daemons(&mut self) -> eyre::Result<()> {
-        let platform = self.platform.addresses();
-        for daemon in &mut self.daemons {
-            daemon.set_platform(platform.clone());
-            daemon.start()?;
-        }
-        self.wait_until_ready().await?;
-        self.balance();
-        Ok(())
-    }
-
     /// Returns the number of daemons.
     pub fn daemon_count(&self) -> usize {
         self.daemons.len()
@@ -183,11 +180,8 @@
 
     /// Returns where the running daemons take callers.
     pub fn callers_addresses(&self) -> Vec<SocketAddr> {
-        self.daemons
-            .iter()
-            .filter(|daemon| daemon.is_running())
-            .map(DaemonSlot::callers_address)
-            .collect()
+        let running = self.daemons.iter().filter_map(DaemonSlot::running);
+        running.map(|settings| settings.callers_address).collect()
     }
 
     /// Returns what the deployment consists of.
@@ -200,7 +194,7 @@
         let spec = self.spec();
         let mut list: Vec<Instance> = self.engines.instances(spec.model_service);
         list.extend(self.services.iter().map(|slot| slot.instance(spec)));
-        list.extend(self.daemons.iter().map(DaemonSlot::instance));
+        list.extend(self.daemons.iter().filter_map(DaemonSlot::instance));
         self.platform.put_instances(list);
     }
 
@@ -248,9 +242,9 @@
 
     /// Shuts a daemon down gracefully and starts another life of it.
     pub async fn replace_daemon(&mut self, index: usize) -> eyre::Result<()> {
-        let address = self.daemons[index].callers_address();
+        let leaving = self.daemons[index].running().map(|own| own.callers_address);
         let mut others = self.callers_addresses();
-        others.retain(|other| *other != address);
+        others.retain(|other| Some(*other) != leaving);
         self.balancer.set_addresses(others);
         self.daemons[index].stop().await;
         self.daemons[index].start()?;
@@ -265,10 +259,8 @@
 
     /// Returns the addresses of the operators' pages.
     pub fn operators_addresses(&self) -> Vec<SocketAddr> {
-        self.daemons
-            .iter()
-            .map(DaemonSlot::operators_address)
-            .collect()
+        let running = self.daemons.iter().filter_map(DaemonSlot::running);
+        running.map(|settings| settings.operators_address).collect()
     }
 
     /// Returns the bookings that were run more than once, over all endpoints.
--- a/crates/celeryknot_measure/src/cluster/daemon.rs
+++ b/crates/celeryknot_measure/src/cluster/daemon.rs
@@ -1,51 +1,48 @@
 //! One daemon of a cluster, over its lives.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use celeryknot_core::{MemberName, ZoneName};
 use celeryknot_platform::{DaemonInstance, Instance, InstanceState};
 use celeryknot_settings::DaemonSettings;
-use celeryknot_standins::LOOPBACK;
 use celeryknot_standins::client::call;
 use celeryknotd::Daemon;
 use http::{Method, StatusCode};
 
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A daemon; each life has addresses of its own, as a replaced instance has.
 #[derive(Debug)]
 pub(super) struct DaemonSlot {
     settings: DaemonSettings,
     daemon: Option<Daemon>,
-    /// Where peers are told to reach the daemon.
-    pub(super) advertised_peers: SocketAddr,
-    /// Where peers are told to hand over requests.
-    pub(super) advertised_forwards: SocketAddr,
+    /// Where peers are told to reach the daemon, in place of its own address.
+    pub(super) peers_proxy: Option<SocketAddr>,
+    /// Where peers are told to hand over requests, in place of its own address.
+    pub(super) forwards_proxy: Option<SocketAddr>,
 }
 
 impl DaemonSlot {
-    pub(super) fn new(zone: &str, index: usize) -> eyre::Result<Self> {
+    pub(super) fn new(
+        zone: &str,
+        index: usize,
+        platform_addresses: Vec<SocketAddr>,
+    ) -> eyre::Result<Self> {
         let name: MemberName = format!("entry-{}", index + 1).parse()?;
         let zone: ZoneName = zone.parse()?;
         let settings = DaemonSettings::builder(name, zone)
             .traffic_threads(1)
-            .callers_address(free_address()?)
-            .peers_address(free_address()?)
-            .forwards_address(free_address()?)
-            .operators_address(free_address()?)
+            .platform_addresses(platform_addresses)
             .build();
         Ok(Self {
-            advertised_peers: settings.peers_address,
-            advertised_forwards: settings.forwards_address,
             settings,
             daemon: None,
+            peers_proxy: None,
+            forwards_proxy: None,
         })
     }
 
-    pub(super) fn set_platform(&mut self, addresses: Vec<SocketAddr>) {
-        self.settings.platform_addresses = addresses;
-    }
-
     pub(super) fn start(&mut self) -> eyre::Result<()> {
         self.daemon = Some(Daemon::start(self.settings.clone())?);
         Ok(())
@@ -69,36 +66,28 @@
         &self.settings.name
     }
 
-    pub(super) fn is_running(&self) -> bool {
-        self.daemon.is_some()
-    }
-
-    pub(super) fn callers_address(&self) -> SocketAddr {
-        self.settings.callers_address
-    }
-
-    pub(super) fn operators_address(&self) -> SocketAddr {
-        self.settings.operators_address
+    /// Returns the settings with the addresses of the present life.
+    pub(super) fn running(&self) -> Option<&DaemonSettings> {
+        self.daemon.as_ref().map(Daemon::settings)
     }
 
     pub(super) async fn is_ready(&self) -> bool {
-        let address = self.settings.operators_address;
+        let Some(settings) = self.running() else {
+            return false;
+        };
+        let address = settings.operators_address;
         let answer = call(address, Method::GET, "/readyz", "", PROBE_TIMEOUT).await;
         matches!(answer, Ok((StatusCode::OK, _)))
     }
 
-    pub(super) fn instance(&self) -> Instance {
-        Instance::Daemon(DaemonInstance {
-            name: self.settings.name.clone(),
-            zone: self.settings.zone.clone(),
-            address: self.advertised_peers,
-            forwards_address: self.advertised_forwards,
+    pub(super) fn instance(&self) -> Option<Instance> {
+        let settings = self.running()?;
+        Some(Instance::Daemon(DaemonInstance {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            address: self.peers_proxy.unwrap_or(settings.peers_address),
+            forwards_address: self.forwards_proxy.unwrap_or(settings.forwards_address),
             state: InstanceState::Live,
-        })
+        }))
     }
 }
-
-/// Finds a loopback port that is free now.
-fn free_address() -> eyre::Result<SocketAddr> {
-    Ok(TcpListener::bind(LOOPBACK)?.local_addr()?)
-}
--- a/crates/celeryknot_measure/src/measurements/settings.rs
+++ b/crates/celeryknot_measure/src/measurements/settings.rs
@@ -9,14 +9,13 @@
 use crate::cluster::{Cluster, ClusterOptions};
 use crate::options::MeasureOptions;
 use crate::report::Report;
-use crate::scrape::metric_sum;
+use crate::scrape::status;
 
 const NAME: &str = "settings";
 const REPLICAS: u32 = 3;
 const CHECK: Duration = Duration::from_millis(5);
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(20);
 const PAUSE: Duration = Duration::from_millis(150);
-const METRIC: &str = "celeryknot_settings_revision";
 
 /// What happens while values are published.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -50,7 +49,7 @@
 struct Publisher {
     cluster: Cluster,
     revision: u64,
-    highest: Vec<f64>,
+    highest: Vec<u64>,
     reverts: u64,
     never_in_force: u64,
 }
@@ -65,7 +64,7 @@
     let readers_max = 3 * cluster.spec().zones.len();
     let mut publisher = Publisher {
         revision: cluster.platform.revision(),
-        highest: vec![0.0; daemons],
+        highest: vec![0; daemons],
         cluster,
         reverts: 0,
         never_in_force: 0,
@@ -170,12 +169,14 @@
         let mut is_everywhere = true;
         let addresses = self.cluster.operators_addresses();
         for (highest, address) in self.highest.iter_mut().zip(addresses) {
-            let revision = metric_sum(address, METRIC).await.unwrap_or(0.0);
+            let revision = status(address)
+                .await
+                .map_or(0, |status| status.control.settings_revision.0);
             if revision < *highest {
                 self.reverts += 1;
             }
             *highest = revision;
-            is_everywhere &= revision >= self.revision as f64;
+            is_everywhere &= revision >= self.revision;
         }
         is_everywhere
     }
--- a/crates/celeryknot_measure/src/scrape.rs
+++ b/crates/celeryknot_measure/src/scrape.rs
@@ -1,36 +1,27 @@
-//! Reads the counters that only daemons know from their operators' pages.
+//! Reads what only daemons know from their operators' pages.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use celeryknot_standins::client::call;
-use http::Method;
+use celeryknot_operators::Status;
+use celeryknot_standins::client::fetch_json;
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Sums the samples of one metric over all labels; `None` where the daemon does not answer.
-pub(crate) async fn metric_sum(address: SocketAddr, name: &str) -> Option<f64> {
-    let (status, body) = call(address, Method::GET, "/metrics", "", TIMEOUT)
-        .await
-        .ok()?;
-    if !status.is_success() {
-        return None;
-    }
-    let text = String::from_utf8(body.to_vec()).ok()?;
-    Some(
-        text.lines()
-            .filter_map(|line| line.rsplit_once(' '))
-            .filter(|(metric, _)| metric.split('{').next() == Some(name))
-            .filter_map(|(_, value)| value.parse::<f64>().ok())
-            .sum(),
-    )
+/// Reads the status of a daemon; `None` where it does not answer.
+pub(crate) async fn status(address: SocketAddr) -> Option<Status> {
+    fetch_json(address, "/status", TIMEOUT).await.ok()
 }
 
 /// Reads the bytes of control traffic that each daemon has sent.
 pub(crate) async fn control_bytes(addresses: &[SocketAddr]) -> Vec<Option<f64>> {
     let mut bytes = Vec::with_capacity(addresses.len());
     for address in addresses {
-        bytes.push(metric_sum(*address, "celeryknot_control_bytes_total").await);
+        let sent = status(*address).await.map(|status| {
+            let kinds = status.control.traffic.iter();
+            kinds.map(|kind| kind.sent_bytes.0 as f64).sum()
+        });
+        bytes.push(sent);
     }
     bytes
 }
