--- a/crates/celeryknotd/src/control/status.rs
+++ b/crates/celeryknotd/src/control/status.rs
@@ -2,15 +2,16 @@
 
 use std::collections::BTreeMap;
 
-use celeryknot_core::{MonotonicMs, Revision, SizeBytes, ZoneName};
+use celeryknot_core::{MonotonicMs, Revision, ZoneName};
 use celeryknot_fleet::{EndpointView, Fleet, FleetView, MemberState, MemberView, SettingsStore};
 use celeryknot_operators::{
-    ControlStatus, EndpointStatus, MemberStatus, SettingStatus, ZoneStatus,
+    ControlCounters, ControlStatus, EndpointStatus, MemberStatus, SettingStatus, ZoneStatus,
 };
 
-use celeryknot_operators::status::{ControlTrafficStatus, RefusedSetting, RolloutStatus};
+use celeryknot_operators::status::{RefusedSetting, RolloutStatus};
 
 use super::orders::OrdersDesk;
+use super::platform::Role;
 use super::sources::Sources;
 use crate::snapshot::Snapshot;
 
@@ -21,6 +22,7 @@
     view: &FleetView,
     sources: &Sources,
     snapshot: &Snapshot,
+    role: &Role,
 ) -> ControlStatus {
     let in_force = view.settings.values().map(|value| value.revision);
     ControlStatus {
@@ -36,8 +38,17 @@
             .collect(),
         zones: zone_statuses(view, sources),
         settings: setting_statuses(fleet.values()),
-        traffic: traffic_statuses(fleet),
         rollouts: Vec::new(),
+        counters: counters(fleet, role),
+    }
+}
+
+fn counters(fleet: &Fleet, role: &Role) -> ControlCounters {
+    ControlCounters {
+        traffic: fleet.budget().counts().collect(),
+        platform_calls: role.calls.get(),
+        pauses: role.read_again_count.get(),
+        ..ControlCounters::default()
     }
 }
 
@@ -54,19 +65,6 @@
         .collect()
 }
 
-fn traffic_statuses(fleet: &Fleet) -> Vec<ControlTrafficStatus> {
-    fleet
-        .budget()
-        .counts()
-        .map(|(kind, count)| ControlTrafficStatus {
-            kind: kind.to_string(),
-            sent: count.sent,
-            sent_bytes: SizeBytes(count.sent_bytes),
-            dropped: count.dropped,
-        })
-        .collect()
-}
-
 fn member_status(member: &MemberView) -> MemberStatus {
     MemberStatus {
         name: member.name.clone(),
