Print the slopes of the fleet's state over three sizes

The capacity page needs bytes, processor time and memory of one daemon by members, endpoints and settings.

--- /dev/null
+++ b/crates/celeryknot_fleet/examples/slopes.rs
@@ -0,0 +1,220 @@
+//! Prints what one daemon's fleet state costs, over three sizes of each kind, as JSON.
+//!
+//! `cargo run --release -p celeryknot_fleet --example slopes`
+
+use std::time::{Duration, Instant};
+
+use celeryknot_core::{DurationMs, EndpointCondition, EndpointName, EndpointSummary};
+use celeryknot_fleet::drive::{Drive, DriveConfig, SeededRandom};
+use celeryknot_fleet::{ControlKind, Fleet};
+
+/// Time that the fleet has to agree before anything is measured.
+const WARM_UP_MS: u64 = 15_000;
+/// Time over which each figure is taken.
+const MEASURED_MS: u64 = 20_000;
+/// Time between two changes of the endpoints' loads.
+const LOAD_PERIOD_MS: u64 = 250;
+/// Time between two replacements of a daemon in churn.
+const REPLACE_PERIOD_MS: u64 = 4_000;
+const PAGE_BYTES: u64 = 4_096;
+
+struct Size {
+    members: usize,
+    endpoints: usize,
+    settings: usize,
+}
+
+const SIZES: [Size; 7] = [
+    size(9, 10, 50),
+    size(64, 10, 50),
+    size(320, 10, 50),
+    size(64, 100, 50),
+    size(64, 600, 50),
+    size(64, 100, 2_000),
+    size(320, 600, 50),
+];
+
+const fn size(members: usize, endpoints: usize, settings: usize) -> Size {
+    Size {
+        members,
+        endpoints,
+        settings,
+    }
+}
+
+/// Bytes of each daemon by kind, and the processor time of all.
+struct Usage {
+    bytes: Vec<[u64; KINDS.len()]>,
+    processor: Duration,
+}
+
+const KINDS: [ControlKind; 7] = [
+    ControlKind::Heartbeat,
+    ControlKind::Members,
+    ControlKind::Values,
+    ControlKind::Instances,
+    ControlKind::Platform,
+    ControlKind::Summaries,
+    ControlKind::Refreshes,
+];
+
+fn bytes_of(fleet: &Fleet) -> [u64; KINDS.len()] {
+    KINDS.map(|kind| fleet.budget().count(kind).sent_bytes)
+}
+
+fn main() {
+    let rows: Vec<String> = SIZES.iter().map(measure).collect();
+    println!("[\n{}\n]", rows.join(",\n"));
+}
+
+fn measure(size: &Size) -> String {
+    let before_bytes = resident_bytes();
+    let mut drive = Drive::new(DriveConfig {
+        members: size.members,
+        endpoints: size.endpoints,
+        zones: 7,
+        ..DriveConfig::default()
+    });
+    for index in 0..size.settings {
+        let path = format!("teams/kinrin/customers/office-{index}");
+        let path = path.parse().expect("a valid path");
+        drive
+            .platform
+            .publish(&path, Some("[customer]\nshare_weight = 1\n"));
+    }
+    drive.advance(WARM_UP_MS);
+    let mut random = SeededRandom::new(5);
+    let owned = owned_endpoints(&drive, size.members);
+    let calm = run(&mut drive, &owned, &mut random, false);
+    let resident = resident_bytes().saturating_sub(before_bytes);
+    let latency = settings_latency(&mut drive);
+    let churn = run(&mut drive, &owned, &mut random, true);
+    let seconds = MEASURED_MS / 1_000;
+    let processor_us = calm.processor.as_micros() / u128::from(seconds) / size.members as u128;
+    format!(
+        "  {{\"members\": {}, \"endpoints\": {}, \"settings\": {}, \
+         \"calm_bytes_per_s\": {}, \"calm_bytes_per_s_max\": {}, \
+         \"churn_bytes_per_s\": {}, \"churn_bytes_per_s_max\": {}, \
+         \"calm_by_kind\": {}, \"processor_us_per_s\": {processor_us}, \
+         \"resident_bytes\": {}, \"settings_latency_ms\": {latency}}}",
+        size.members,
+        size.endpoints,
+        size.settings,
+        mean(&calm) / seconds,
+        max(&calm) / seconds,
+        mean(&churn) / seconds,
+        max(&churn) / seconds,
+        by_kind(&calm, seconds),
+        resident / size.members as u64,
+    )
+}
+
+fn owned_endpoints(drive: &Drive, members: usize) -> Vec<Vec<EndpointName>> {
+    let view = drive.daemon(0).expect("runs").fleet.view(drive.now());
+    let owned_by = |index: usize| {
+        let own = Drive::name(index);
+        let owned = view
+            .endpoints
+            .iter()
+            .filter(|e| e.owner.as_ref() == Some(&own));
+        owned.map(|endpoint| endpoint.name.clone()).collect()
+    };
+    (0..members).map(owned_by).collect()
+}
+
+fn run(
+    drive: &mut Drive,
+    owned: &[Vec<EndpointName>],
+    random: &mut SeededRandom,
+    has_churn: bool,
+) -> Usage {
+    let members = owned.len();
+    let mut before: Vec<_> = drive.daemons().map(|d| bytes_of(&d.fleet)).collect();
+    let mut processor = Duration::ZERO;
+    for step in 0..MEASURED_MS / LOAD_PERIOD_MS {
+        change_loads(drive, owned, random);
+        if has_churn && (step * LOAD_PERIOD_MS).is_multiple_of(REPLACE_PERIOD_MS) {
+            let index = usize::try_from(random.below(members as u64)).unwrap_or(0);
+            drive.kill(index);
+            drive.restart(index);
+            drive.publish_list(&[]);
+            before[index] = [0; KINDS.len()];
+        }
+        let start = Instant::now();
+        drive.advance(LOAD_PERIOD_MS);
+        processor += start.elapsed();
+    }
+    let after = drive.daemons().map(|d| bytes_of(&d.fleet));
+    let used = |(after, before): ([u64; KINDS.len()], &[u64; KINDS.len()])| {
+        std::array::from_fn(|kind| after[kind].saturating_sub(before[kind]))
+    };
+    Usage {
+        bytes: after.zip(&before).map(used).collect(),
+        processor,
+    }
+}
+
+fn change_loads(drive: &mut Drive, owned: &[Vec<EndpointName>], random: &mut SeededRandom) {
+    for (index, endpoints) in owned.iter().enumerate() {
+        let Some(fleet) = drive.fleet_mut(index) else {
+            continue;
+        };
+        for endpoint in endpoints {
+            let in_flight = 24 + u32::try_from(random.below(12)).unwrap_or(0);
+            let summary = EndpointSummary {
+                in_flight,
+                queued: 0,
+                in_flight_max: 64,
+                wait_ms: DurationMs(u64::from(in_flight)),
+                condition: EndpointCondition::Warm,
+            };
+            fleet.observe_own_endpoint(endpoint, summary);
+        }
+    }
+}
+
+/// Returns the time from a publication to the value being in force everywhere.
+fn settings_latency(drive: &mut Drive) -> String {
+    let path = "fleet/zones/zone-0".parse().expect("a valid path");
+    let revision = drive.platform.publish(&path, Some("[zone]\nstate = out\n"));
+    let took = drive.advance_until(60_000, |drive| {
+        drive.daemons().all(|daemon| {
+            let value = daemon.fleet.values().get(&path);
+            value.is_some_and(|value| value.revision == revision)
+        })
+    });
+    took.map_or_else(|| "null".to_owned(), |took| took.0.to_string())
+}
+
+fn total(bytes: &[u64; KINDS.len()]) -> u64 {
+    bytes.iter().sum()
+}
+
+fn mean(usage: &Usage) -> u64 {
+    usage.bytes.iter().map(total).sum::<u64>() / usage.bytes.len() as u64
+}
+
+fn max(usage: &Usage) -> u64 {
+    usage.bytes.iter().map(total).max().unwrap_or(0)
+}
+
+fn by_kind(usage: &Usage, seconds: u64) -> String {
+    let mean_of = |kind: usize| {
+        let sum: u64 = usage.bytes.iter().map(|bytes| bytes[kind]).sum();
+        sum / usage.bytes.len() as u64 / seconds
+    };
+    let parts = KINDS.iter().enumerate();
+    let parts: Vec<String> = parts
+        .map(|(index, kind)| format!("\"{kind}\": {}", mean_of(index)))
+        .collect();
+    format!("{{{}}}", parts.join(", "))
+}
+
+fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    pages
+        .and_then(|pages| pages.parse::<u64>().ok())
+        .unwrap_or(0)
+        * PAGE_BYTES
+}
