--- a/crates/celeryknot_measure/src/measurements/decision.rs
+++ b/crates/celeryknot_measure/src/measurements/decision.rs
@@ -6,7 +6,7 @@
 use celeryknot_core::MonotonicMs;
 use celeryknot_core::{ChatKey, DurationMs, EndpointCondition, EndpointName, EndpointSummary};
 use celeryknot_policy::placement::{
-    ContextAware, EndpointHash, Placement, PlacementEndpoint, PlacementRequest,
+    ChatAnswer, ContextAware, EndpointHash, Placement, PlacementEndpoint, PlacementRequest,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -43,7 +43,8 @@
     let us_at_600 = us_per_decision(&mut placement, 600, FEW_CHATS, &mut random);
     for chat in 0..CHATS {
         let endpoint = EndpointHash(chat % 600);
-        placement.observe_answer(MonotonicMs(chat / 100), chat_key(chat), endpoint, 800);
+        let answer = answer(chat_key(chat), endpoint, 800);
+        placement.observe_answer(MonotonicMs(chat / 100), &answer);
     }
     let us_at_600_many_chats = us_per_decision(&mut placement, 600, CHATS, &mut random);
     let resident = resident_bytes().saturating_sub(resident_before);
@@ -90,7 +91,7 @@
         let ranked = placement.rank(now, &request, &endpoints, random);
         if let Some(first) = black_box(ranked).first() {
             let endpoint = endpoints[first.index].name_hash;
-            placement.observe_answer(now, chat, endpoint, 1_100);
+            placement.observe_answer(now, &answer(chat, endpoint, 1_100));
         }
     }
     start.elapsed().as_secs_f64() * 1e6 / DECISIONS as f64
@@ -108,7 +109,7 @@
         condition: EndpointCondition::Warm,
     };
     PlacementEndpoint::new(name)
-        .with_own_zone(index % 3 == 0)
+        .with_own_zone(index.is_multiple_of(3))
         .with_summary(Some(summary))
 }
 
@@ -119,3 +120,12 @@
         .and_then(|text| text.split_whitespace().nth(1)?.parse::<u64>().ok());
     pages.unwrap_or(0) * PAGE_SIZE_BYTES
 }
+
+fn answer(chat: ChatKey, endpoint: EndpointHash, context_tokens: u32) -> ChatAnswer {
+    ChatAnswer {
+        chat,
+        endpoint,
+        context_tokens,
+        cached_tokens: None,
+    }
+}
--- a/crates/celeryknotd/src/control/status.rs
+++ b/crates/celeryknotd/src/control/status.rs
@@ -2,14 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use celeryknot_core::{MonotonicMs, Revision, ZoneName};
+use celeryknot_core::{MonotonicMs, Revision, SizeBytes, ZoneName};
 use celeryknot_fleet::{EndpointView, Fleet, FleetView, MemberState, MemberView, SettingsStore};
 use celeryknot_operators::{
     ControlCounters, ControlStatus, EndpointStatus, MemberStatus, SettingStatus, ZoneStatus,
 };
 
-use celeryknot_operators::status::RefusedSetting;
+use celeryknot_operators::status::{ControlTrafficStatus, RefusedSetting, RolloutStatus};
 
+use super::orders::OrdersDesk;
 use super::platform::Role;
 use super::sources::Sources;
 use crate::snapshot::Snapshot;
@@ -22,6 +23,7 @@
     sources: &Sources,
     snapshot: &Snapshot,
     role: &Role,
+    orders: &OrdersDesk,
 ) -> ControlStatus {
     let in_force = view.settings.values().map(|value| value.revision);
     ControlStatus {
@@ -37,19 +39,46 @@
             .collect(),
         zones: zone_statuses(view, sources),
         settings: setting_statuses(fleet.values()),
-        counters: counters(fleet, role),
+        traffic: traffic_statuses(fleet),
+        rollouts: rollout_statuses(orders),
+        counters: counters(role, orders),
     }
 }
 
-fn counters(fleet: &Fleet, role: &Role) -> ControlCounters {
+fn counters(role: &Role, orders: &OrdersDesk) -> ControlCounters {
     ControlCounters {
-        traffic: fleet.budget().counts().collect(),
         platform_calls: role.calls.get(),
+        orders: orders.counts(),
         pauses: role.read_again_count.get(),
-        ..ControlCounters::default()
     }
 }
 
+/// Builds what operators see of the rollouts.
+pub(super) fn rollout_statuses(orders: &OrdersDesk) -> Vec<RolloutStatus> {
+    orders
+        .states()
+        .map(|(rollout, state)| RolloutStatus {
+            service: rollout.service.clone(),
+            revision: rollout.revision,
+            version: rollout.reported_version(),
+            state,
+        })
+        .collect()
+}
+
+fn traffic_statuses(fleet: &Fleet) -> Vec<ControlTrafficStatus> {
+    fleet
+        .budget()
+        .counts()
+        .map(|(kind, count)| ControlTrafficStatus {
+            kind: kind.to_string(),
+            sent: count.sent,
+            sent_bytes: SizeBytes(count.sent_bytes),
+            dropped: count.dropped,
+        })
+        .collect()
+}
+
 fn member_status(member: &MemberView) -> MemberStatus {
     MemberStatus {
         name: member.name.clone(),
