--- a/crates/celeryknot_measure/src/measurements/decision.rs
+++ b/crates/celeryknot_measure/src/measurements/decision.rs
@@ -129,3 +129,12 @@
         .and_then(|text| text.split_whitespace().nth(1)?.parse::<u64>().ok());
     pages.unwrap_or(0) * PAGE_SIZE_BYTES
 }
+
+fn answer(chat: ChatKey, endpoint: EndpointHash, context_tokens: u32) -> ChatAnswer {
+    ChatAnswer {
+        chat,
+        endpoint,
+        context_tokens,
+        cached_tokens: None,
+    }
+}
--- a/crates/celeryknot_operators/src/lib.rs
+++ b/crates/celeryknot_operators/src/lib.rs
@@ -14,6 +14,7 @@
 pub use metrics::Metrics;
 pub use server::{OperatorsState, answer, serve_operators};
 pub use status::{
-    ControlCounters, ControlStatus, EndpointStatus, MemberStatus, OrderCounts, PlatformCallCounts,
-    SettingStatus, Status, TrafficStatus, ZoneStatus,
+    ControlCounters, ControlStatus, ControlTrafficStatus, EndpointStatus, MemberStatus,
+    OrderCounts, PlatformCallCounts, RolloutStatus, SettingStatus, Status, TrafficStatus,
+    ZoneStatus,
 };
