--- a/crates/celeryknot_measure/src/measurements/decision.rs
+++ b/crates/celeryknot_measure/src/measurements/decision.rs
@@ -69,15 +69,6 @@
     ChatKey(chat.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
-const fn answer(chat: ChatKey, endpoint: EndpointHash, context_tokens: u32) -> ChatAnswer {
-    ChatAnswer {
-        chat,
-        endpoint,
-        context_tokens,
-        cached_tokens: None,
-    }
-}
-
 fn us_per_decision(
     placement: &mut ContextAware,
     endpoint_count: usize,
