--- a/crates/celeryknot/src/arguments/mod.rs
+++ b/crates/celeryknot/src/arguments/mod.rs
@@ -1,6 +1,7 @@
 //! The arguments of each command.
 
 mod load;
+mod measure;
 mod stand_in;
 
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use strum::{Display, EnumString};
 
 pub use load::{CustomerWeight, LoadArguments};
+pub use measure::{DemoArguments, MeasureArguments};
 pub use stand_in::{
     EngineArguments, FaultProxyArguments, PlatformArguments, ServiceArguments, StandInArguments,
     StandInKind,
@@ -38,10 +40,14 @@
     Check(CheckArguments),
     /// List the codes of refusals.
     Codes(CodesArguments),
+    /// Run everything in one process.
+    Demo(DemoArguments),
     /// Show why a chat goes where it goes.
     Explain(ExplainArguments),
     /// Send load and measure what callers see.
     Load(LoadArguments),
+    /// Run a measurement.
+    Measure(MeasureArguments),
     /// Run a stand-in.
     StandIn(StandInArguments),
     /// Show what a daemon knows.
--- a/crates/celeryknot/src/command/mod.rs
+++ b/crates/celeryknot/src/command/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod check;
 pub mod codes;
+pub mod demo;
 pub mod explain;
 pub mod load;
+pub mod measure;
 pub mod stand_in;
 pub mod status;
 
--- a/crates/celeryknot/src/lib.rs
+++ b/crates/celeryknot/src/lib.rs
@@ -67,8 +67,10 @@
     match command {
         Command::Check(arguments) => command::check::run(&arguments, out),
         Command::Codes(arguments) => command::codes::run(&arguments, out),
+        Command::Demo(arguments) => command::demo::run(&arguments, out),
         Command::Explain(arguments) => command::explain::run(&arguments, out),
         Command::Load(arguments) => command::load::run(&arguments, out),
+        Command::Measure(arguments) => command::measure::run(&arguments, out),
         Command::StandIn(arguments) => command::stand_in::run(&arguments, out),
         Command::Status(arguments) => command::status::run(&arguments, out),
     }
