--- a/crates/celeryknotd/tests/live/mod.rs
+++ b/crates/celeryknotd/tests/live/mod.rs
@@ -120,13 +120,12 @@
             .values()
             .flat_map(|service| &service.endpoints)
             .collect();
-        let daemons = self.daemons.iter().flatten().count();
+        let mut daemons = self.daemons.iter().flatten();
         snapshot.is_ready
-            && snapshot.members.len() == daemons
-            && snapshot
-                .members
-                .values()
-                .all(|member| member.incarnation.is_some())
+            && daemons.all(|daemon| {
+                let member = snapshot.members.get(&daemon.settings().name);
+                member.and_then(|member| member.incarnation) == Some(daemon.incarnation())
+            })
             && endpoints.len() == self.engines.len() + self.services.len()
             && endpoints.iter().all(|endpoint| {
                 endpoint.owner.is_some()
