--- /dev/null
+++ b/crates/celeryknot_measure/src/scrape.rs
@@ -0,0 +1,48 @@
+//! Reads what only daemons know from their operators' pages.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use celeryknot_operators::Status;
+use celeryknot_standins::client::fetch_json;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Reads the status of a daemon; `None` where it does not answer.
+pub(crate) async fn status(address: SocketAddr) -> Option<Status> {
+    fetch_json(address, "/status", TIMEOUT).await.ok()
+}
+
+/// Reads the bytes of control traffic that each daemon has sent.
+pub(crate) async fn control_bytes(addresses: &[SocketAddr]) -> Vec<Option<f64>> {
+    let mut bytes = Vec::with_capacity(addresses.len());
+    for address in addresses {
+        let sent = status(*address).await.map(|status| {
+            let counts = status.control.traffic.iter();
+            counts.map(|count| count.sent_bytes.0 as f64).sum()
+        });
+        bytes.push(sent);
+    }
+    bytes
+}
+
+/// Returns the largest rate between two readings; a daemon that was replaced counts from 0.
+pub(crate) fn largest_rate_per_s(
+    before: &[Option<f64>],
+    after: &[Option<f64>],
+    seconds: f64,
+) -> Option<f64> {
+    before
+        .iter()
+        .zip(after)
+        .filter_map(|(before, after)| {
+            let (before, after) = ((*before).unwrap_or(0.0), (*after)?);
+            let sent = if after >= before {
+                after - before
+            } else {
+                after
+            };
+            Some(sent / seconds)
+        })
+        .reduce(f64::max)
+}
--- /dev/null
+++ b/crates/celeryknot_operators/src/metrics/control.rs
@@ -0,0 +1,141 @@
+//! Metrics that follow from the control thread's status.
+
+use celeryknot_core::EndpointCondition;
+use celeryknot_fleet::MemberState;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
+use strum::IntoEnumIterator;
+
+use super::spec::{register_counter, register_counters, register_gauge, register_gauges};
+use crate::status::{ControlCounters, ControlStatus, ControlTrafficStatus, EndpointStatus};
+
+/// Metrics that follow from the control thread's status; clones share their values.
+#[derive(Debug, Clone)]
+pub struct ControlMetrics {
+    control_bytes: IntCounterVec,
+    control_messages: IntCounterVec,
+    platform_calls: IntCounterVec,
+    orders: IntCounterVec,
+    members: IntGaugeVec,
+    endpoints: IntGaugeVec,
+    pauses: IntCounter,
+    ready: IntGauge,
+    reader: IntGauge,
+    snapshot_version: IntGauge,
+    settings_age_ms: IntGauge,
+    settings_revision: IntGauge,
+    settings_refused: IntGauge,
+}
+
+impl ControlMetrics {
+    pub(crate) fn new(registry: &Registry) -> Self {
+        let metrics = Self {
+            control_bytes: register_counters(registry, "celeryknot_control_bytes_total"),
+            control_messages: register_counters(registry, "celeryknot_control_messages_total"),
+            platform_calls: register_counters(registry, "celeryknot_platform_calls_total"),
+            orders: register_counters(registry, "celeryknot_orders_total"),
+            members: register_gauges(registry, "celeryknot_members"),
+            endpoints: register_gauges(registry, "celeryknot_endpoints"),
+            pauses: register_counter(registry, "celeryknot_pauses_total"),
+            ready: register_gauge(registry, "celeryknot_ready"),
+            reader: register_gauge(registry, "celeryknot_reader"),
+            snapshot_version: register_gauge(registry, "celeryknot_snapshot_version"),
+            settings_age_ms: register_gauge(registry, "celeryknot_settings_age_ms"),
+            settings_revision: register_gauge(registry, "celeryknot_settings_revision"),
+            settings_refused: register_gauge(registry, "celeryknot_settings_refused"),
+        };
+        metrics.set_counters(&ControlCounters::default());
+        metrics
+    }
+
+    /// Brings all metrics up to the control thread's status.
+    pub fn set_status(&self, status: &ControlStatus, is_ready: bool, own_name: &str) {
+        self.ready.set(i64::from(is_ready));
+        self.reader.set(i64::from(status.is_reader));
+        self.snapshot_version.set(saturate(status.snapshot_version));
+        self.settings_revision
+            .set(saturate(status.settings_revision.0));
+        let age_ms = status.settings_age_ms.map_or(-1, |age| saturate(age.0));
+        self.settings_age_ms.set(age_ms);
+        let refused = status
+            .settings
+            .iter()
+            .filter(|setting| setting.refused.is_some());
+        self.settings_refused.set(saturate(refused.count() as u64));
+        self.set_members(status);
+        self.set_endpoints(status, own_name);
+        for traffic in &status.traffic {
+            self.set_traffic(traffic);
+        }
+        self.set_counters(&status.counters);
+    }
+
+    fn set_counters(&self, counters: &ControlCounters) {
+        let calls = counters.platform_calls;
+        for (outcome, total) in [
+            ("changed", calls.changed),
+            ("unchanged", calls.unchanged),
+            ("stale", calls.stale),
+            ("failed", calls.failed),
+        ] {
+            raise(&self.platform_calls.with_label_values(&[outcome]), total);
+        }
+        let orders = counters.orders;
+        for (outcome, total) in [
+            ("accepted", orders.accepted),
+            ("refused", orders.refused),
+            ("failed", orders.failed),
+        ] {
+            raise(&self.orders.with_label_values(&[outcome]), total);
+        }
+        raise(&self.pauses, counters.pauses);
+    }
+
+    fn set_traffic(&self, traffic: &ControlTrafficStatus) {
+        let kind = traffic.kind.as_str();
+        let bytes = self.control_bytes.with_label_values(&[kind]);
+        raise(&bytes, traffic.sent_bytes.0);
+        for (outcome, total) in [("sent", traffic.sent), ("dropped", traffic.dropped)] {
+            let counter = self.control_messages.with_label_values(&[kind, outcome]);
+            raise(&counter, total);
+        }
+    }
+
+    fn set_members(&self, status: &ControlStatus) {
+        use MemberState::{Alive, Dead, Leaving, Suspect};
+        for state in [Alive, Suspect, Leaving, Dead] {
+            let count = status
+                .members
+                .iter()
+                .filter(|member| member.state == state)
+                .count();
+            self.members
+                .with_label_values(&[<&str>::from(state)])
+                .set(saturate(count as u64));
+        }
+    }
+
+    fn set_endpoints(&self, status: &ControlStatus, own_name: &str) {
+        for condition in EndpointCondition::iter() {
+            let is_counted = |endpoint: &&EndpointStatus| {
+                endpoint
+                    .owner
+                    .as_ref()
+                    .is_some_and(|owner| owner.as_str() == own_name)
+                    && endpoint.summary.unwrap_or_default().condition == condition
+            };
+            let count = status.endpoints.iter().filter(is_counted).count();
+            self.endpoints
+                .with_label_values(&[<&str>::from(condition)])
+                .set(saturate(count as u64));
+        }
+    }
+}
+
+/// Raises a counter to a total, which may have been counted elsewhere.
+fn raise(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
+fn saturate(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/celeryknotd/src/run.rs
@@ -0,0 +1,146 @@
+//! The command `celeryknotd`: arguments, settings file, logs, signals.
+
+use std::io::IsTerminal;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use async_signal::{Signal, Signals};
+use celeryknot_settings::{DaemonSettings, LogFormat};
+use eyre::WrapErr;
+use futures_lite::StreamExt;
+use strum::{EnumIter, IntoStaticStr};
+use tracing_subscriber::EnvFilter;
+
+use crate::daemon::Daemon;
+
+/// Level of the log lines where the environment sets none.
+const LOG_LEVEL_DEFAULT: &str = "info";
+
+/// The exit statuses of `celeryknotd`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+#[repr(u8)]
+pub enum ExitStatus {
+    /// Shut down by a signal; no request was cut.
+    Done = 0,
+    /// Shut down by a signal; requests in flight were cut at the end of the grace time.
+    Leftover = 1,
+    /// The arguments or the settings file can't be used.
+    Usage = 2,
+    /// An address can't be bound, or a thread can't be started.
+    Unavailable = 3,
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> Self {
+        Self::from(status as u8)
+    }
+}
+
+/// A router between callers and endpoints; one of a fleet of equals.
+///
+/// SIGTERM or SIGINT shuts it down gracefully; a second one ends it at once.
+#[derive(Debug, FromArgs)]
+#[argh(
+    example = "{command_name} --settings /etc/celeryknot/daemon.ini",
+    error_code(0, "shut down by a signal; no request was cut"),
+    error_code(
+        1,
+        "shut down by a signal; requests were cut at the end of the grace time"
+    ),
+    error_code(2, "the arguments or the settings file can't be used"),
+    error_code(3, "an address can't be bound, or a thread can't be started")
+)]
+struct Arguments {
+    /// the daemon's settings file, in INI
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// Runs the daemon until a signal ends it.
+pub fn run(words: &[String]) -> ExitStatus {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let arguments = match Arguments::from_args(&["celeryknotd"], &words) {
+        Ok(arguments) => arguments,
+        Err(exit) => {
+            let is_help = exit.status.is_ok();
+            if is_help {
+                println!("{}", exit.output);
+                return ExitStatus::Done;
+            }
+            eprintln!("{}", exit.output);
+            return ExitStatus::Usage;
+        }
+    };
+    let settings = match read_settings(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(report) => {
+            eprintln!("{report:#}");
+            return ExitStatus::Usage;
+        }
+    };
+    start_logs(settings.log_format);
+    match run_daemon(settings) {
+        Ok(status) => status,
+        Err(report) => {
+            tracing::error!("{report:#}");
+            ExitStatus::Unavailable
+        }
+    }
+}
+
+fn read_settings(path: &PathBuf) -> eyre::Result<DaemonSettings> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).wrap_err_with(|| format!("can't read {name}"))?;
+    DaemonSettings::parse(&text).map_err(|findings| {
+        let lines: Vec<String> = findings
+            .into_iter()
+            .map(|finding| finding.in_source(name.as_str()).to_string())
+            .collect();
+        eyre::Report::msg(lines.join("\n"))
+    })
+}
+
+fn start_logs(format: LogFormat) {
+    let filter =
+        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(LOG_LEVEL_DEFAULT));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
+        .with_writer(std::io::stderr);
+    // A second start in the same process keeps the first one's logs.
+    let _ = match format {
+        LogFormat::Human => builder.try_init(),
+        LogFormat::Json => builder.json().try_init(),
+    };
+}
+
+fn run_daemon(settings: DaemonSettings) -> eyre::Result<ExitStatus> {
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int]).wrap_err("signals can't be taken")?;
+    let mut daemon = Daemon::start(settings)?;
+    let bound = daemon.settings();
+    tracing::info!(
+        daemon = %bound.name,
+        zone = %bound.zone,
+        incarnation = %daemon.incarnation(),
+        callers = %bound.callers_address,
+        peers = %bound.peers_address,
+        forwards = %bound.forwards_address,
+        operators = %bound.operators_address,
+        "started"
+    );
+    smol::block_on(signals.next());
+    daemon.begin_shutdown();
+    std::thread::spawn(move || {
+        smol::block_on(signals.next());
+        std::process::exit(ExitStatus::Leftover as i32);
+    });
+    let report = daemon.wait();
+    Ok(if report.leftover == 0 {
+        ExitStatus::Done
+    } else {
+        ExitStatus::Leftover
+    })
+}
