--- a/crates/celeryknot_measure/src/measurements/decision.rs
+++ b/crates/celeryknot_measure/src/measurements/decision.rs
@@ -69,6 +69,15 @@
     ChatKey(chat.wrapping_mul(0x9e37_79b9_7f4a_7c15))
 }
 
+const fn answer(chat: ChatKey, endpoint: EndpointHash, context_tokens: u32) -> ChatAnswer {
+    ChatAnswer {
+        chat,
+        endpoint,
+        context_tokens,
+        cached_tokens: None,
+    }
+}
+
 fn us_per_decision(
     placement: &mut ContextAware,
     endpoint_count: usize,
@@ -120,12 +129,3 @@
         .and_then(|text| text.split_whitespace().nth(1)?.parse::<u64>().ok());
     pages.unwrap_or(0) * PAGE_SIZE_BYTES
 }
-
-fn answer(chat: ChatKey, endpoint: EndpointHash, context_tokens: u32) -> ChatAnswer {
-    ChatAnswer {
-        chat,
-        endpoint,
-        context_tokens,
-        cached_tokens: None,
-    }
-}
--- a/crates/celeryknot_operators/src/metrics/control.rs
+++ b/crates/celeryknot_operators/src/metrics/control.rs
@@ -1,12 +1,12 @@
 //! Metrics that follow from the control thread's status.
 
 use celeryknot_core::EndpointCondition;
-use celeryknot_fleet::MemberState;
+use celeryknot_fleet::{ControlKind, KindCount, MemberState};
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 use strum::IntoEnumIterator;
 
 use super::spec::{register_counter, register_counters, register_gauge, register_gauges};
-use crate::status::{ControlCounters, ControlStatus, ControlTrafficStatus, EndpointStatus};
+use crate::status::{ControlCounters, ControlStatus, EndpointStatus};
 
 /// Metrics that follow from the control thread's status; clones share their values.
 #[derive(Debug, Clone)]
@@ -63,13 +63,14 @@
         self.settings_refused.set(saturate(refused.count() as u64));
         self.set_members(status);
         self.set_endpoints(status, own_name);
-        for traffic in &status.traffic {
-            self.set_traffic(traffic);
-        }
         self.set_counters(&status.counters);
     }
 
     fn set_counters(&self, counters: &ControlCounters) {
+        for kind in ControlKind::iter() {
+            let count = counters.traffic.get(&kind).copied().unwrap_or_default();
+            self.set_kind_count(kind, count);
+        }
         let calls = counters.platform_calls;
         for (outcome, total) in [
             ("changed", calls.changed),
@@ -90,12 +91,14 @@
         raise(&self.pauses, counters.pauses);
     }
 
-    fn set_traffic(&self, traffic: &ControlTrafficStatus) {
-        let kind = traffic.kind.as_str();
-        let bytes = self.control_bytes.with_label_values(&[kind]);
-        raise(&bytes, traffic.sent_bytes.0);
-        for (outcome, total) in [("sent", traffic.sent), ("dropped", traffic.dropped)] {
-            let counter = self.control_messages.with_label_values(&[kind, outcome]);
+    fn set_kind_count(&self, kind: ControlKind, count: KindCount) {
+        let name = <&str>::from(kind);
+        raise(
+            &self.control_bytes.with_label_values(&[name]),
+            count.sent_bytes,
+        );
+        for (outcome, total) in [("sent", count.sent), ("dropped", count.dropped)] {
+            let counter = self.control_messages.with_label_values(&[name, outcome]);
             raise(&counter, total);
         }
     }
--- a/crates/celeryknot_operators/src/metrics/traffic.rs
+++ b/crates/celeryknot_operators/src/metrics/traffic.rs
@@ -61,16 +61,12 @@
     queue_wait_ms: HistogramVec,
     endpoint_in_flight: IntGaugeVec,
     endpoint_queued: IntGaugeVec,
-    /// Second attempts sent beside a slow first one.
-    pub hedges: IntCounter,
     /// Streams that were resumed.
     pub resumes: IntCounter,
     /// Requests handed over to a peer.
     pub forwards_out: IntCounter,
     /// Requests taken over from a peer.
     pub forwards_in: IntCounter,
-    /// Requests whose caller left.
-    pub cancels: IntCounter,
     /// Tickets that were issued.
     pub tickets_issued: IntCounter,
     /// Requests answered with a stored answer.
@@ -104,11 +100,9 @@
             queue_wait_ms: register_histograms(registry, "celeryknot_queue_wait_ms"),
             endpoint_in_flight: register_gauges(registry, "celeryknot_endpoint_in_flight"),
             endpoint_queued: register_gauges(registry, "celeryknot_endpoint_queued"),
-            hedges: register_counter(registry, "celeryknot_hedges_total"),
             resumes: register_counter(registry, "celeryknot_resumes_total"),
             forwards_out: forwards.with_label_values(&["out"]),
             forwards_in: forwards.with_label_values(&["in"]),
-            cancels: register_counter(registry, "celeryknot_cancels_total"),
             tickets_issued: register_counter(registry, "celeryknot_tickets_issued_total"),
             tickets_replayed: register_counter(registry, "celeryknot_tickets_replayed_total"),
             tickets_held: register_gauge(registry, "celeryknot_tickets_held"),
@@ -180,7 +174,7 @@
     requests: Arc<[IntCounter]>,
     first_byte_ms: Histogram,
     queue_wait_ms: Histogram,
-    /// Requests that got a whole answer.
+    /// Requests without a ticket that an endpoint began to answer.
     pub answers: IntCounter,
     /// Prompt tokens that engines reported.
     pub prompt_tokens: IntCounter,
--- a/crates/celeryknotd/src/control/status.rs
+++ b/crates/celeryknotd/src/control/status.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use celeryknot_core::{MonotonicMs, Revision, SizeBytes, ZoneName};
+use celeryknot_core::{MonotonicMs, Revision, ZoneName};
 use celeryknot_fleet::{EndpointView, Fleet, FleetView, MemberState, MemberView, SettingsStore};
 use celeryknot_operators::{
     ControlCounters, ControlStatus, EndpointStatus, MemberStatus, SettingStatus, ZoneStatus,
 };
 
-use celeryknot_operators::status::{ControlTrafficStatus, RefusedSetting, RolloutStatus};
+use celeryknot_operators::status::{RefusedSetting, RolloutStatus};
 
 use super::orders::OrdersDesk;
 use super::platform::Role;
@@ -39,14 +39,14 @@
             .collect(),
         zones: zone_statuses(view, sources),
         settings: setting_statuses(fleet.values()),
-        traffic: traffic_statuses(fleet),
         rollouts: rollout_statuses(orders),
-        counters: counters(role, orders),
+        counters: counters(fleet, role, orders),
     }
 }
 
-fn counters(role: &Role, orders: &OrdersDesk) -> ControlCounters {
+fn counters(fleet: &Fleet, role: &Role, orders: &OrdersDesk) -> ControlCounters {
     ControlCounters {
+        traffic: fleet.budget().counts().collect(),
         platform_calls: role.calls.get(),
         orders: orders.counts(),
         pauses: role.read_again_count.get(),
@@ -66,19 +66,6 @@
         .collect()
 }
 
-fn traffic_statuses(fleet: &Fleet) -> Vec<ControlTrafficStatus> {
-    fleet
-        .budget()
-        .counts()
-        .map(|(kind, count)| ControlTrafficStatus {
-            kind: kind.to_string(),
-            sent: count.sent,
-            sent_bytes: SizeBytes(count.sent_bytes),
-            dropped: count.dropped,
-        })
-        .collect()
-}
-
 fn member_status(member: &MemberView) -> MemberStatus {
     MemberStatus {
         name: member.name.clone(),
