--- a/crates/celeryknot_measure/src/cluster.rs
+++ b/crates/celeryknot_measure/src/cluster.rs
@@ -18,7 +18,7 @@
 use smol::Timer;
 
 use self::daemon::DaemonSlot;
-pub use self::endpoints::{EngineLoad, EngineSlot, Engines, ServiceSlot};
+pub use self::endpoints::{EngineLoad, EngineSlot, Engines, PromptCount, ServiceSlot};
 use crate::Deployment;
 use crate::deployment::DeploymentSpec;
 
--- a/crates/celeryknot_measure/src/cluster/endpoints.rs
+++ b/crates/celeryknot_measure/src/cluster/endpoints.rs
@@ -63,6 +63,12 @@
             .map_or(0, |engine| engine.cached_tokens(chat))
     }
 
+    /// Tells whether the engine can bear more work now, which matters while it is cold.
+    pub fn has_room(&self) -> bool {
+        let load = self.engine.as_ref().map(Engine::load).unwrap_or_default();
+        !load.cold || load.in_flight < load.bound
+    }
+
     fn load(&self) -> EngineLoad {
         let load = self.engine.as_ref().map(Engine::load).unwrap_or_default();
         EngineLoad {
@@ -72,6 +78,34 @@
     }
 }
 
+/// Prompt tokens that engines were asked for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PromptCount {
+    /// All of them.
+    pub tokens: u64,
+    /// Those that were found in a cache.
+    pub cached_tokens: u64,
+}
+
+impl PromptCount {
+    /// Returns the cached part of what came since an earlier count.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_measure::cluster::PromptCount;
+    ///
+    /// let before = PromptCount { tokens: 100, cached_tokens: 0 };
+    /// let now = PromptCount { tokens: 300, cached_tokens: 150 };
+    /// assert_eq!(now.reuse_ratio_since(before), 0.75);
+    /// ```
+    pub fn reuse_ratio_since(self, before: Self) -> f64 {
+        let tokens = self.tokens.saturating_sub(before.tokens);
+        let cached = self.cached_tokens.saturating_sub(before.cached_tokens);
+        cached as f64 / (tokens as f64).max(1.0)
+    }
+}
+
 /// All engines of a cluster.
 #[derive(Debug)]
 pub struct Engines(Mutex<Vec<EngineSlot>>);
@@ -123,14 +157,14 @@
             .collect()
     }
 
-    /// Returns the cached part of all prompt tokens that engines were asked for.
-    pub fn reuse_ratio(&self) -> f64 {
-        let (mut prompt, mut cached) = (0, 0);
+    /// Returns the prompt tokens that engines were asked for so far.
+    pub fn prompt_count(&self) -> PromptCount {
+        let mut count = PromptCount::default();
         for seen in self.seen().iter().flatten() {
-            prompt += seen.prompt_tokens;
-            cached += seen.cached_tokens;
+            count.tokens += seen.prompt_tokens;
+            count.cached_tokens += seen.cached_tokens;
         }
-        cached as f64 / (prompt as f64).max(1.0)
+        count
     }
 
     /// Changes how one engine behaves.
--- a/crates/celeryknot_measure/src/demo.rs
+++ b/crates/celeryknot_measure/src/demo.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use smol::Timer;
 
-use crate::cluster::{Cluster, ClusterOptions};
+use crate::cluster::{Cluster, ClusterOptions, PromptCount};
 use crate::options::MeasureOptions;
 use crate::sampler::{LoadSample, Sampler, Skew};
 use crate::scrape::{control_bytes, largest_rate_per_s};
@@ -134,7 +134,10 @@
         doubled_bookings: cluster.doubled_bookings(),
         truncated: load.truncated,
         cross_delivered: load.cross_delivered,
-        cache_reuse_ratio: cluster.engines.reuse_ratio(),
+        cache_reuse_ratio: cluster
+            .engines
+            .prompt_count()
+            .reuse_ratio_since(PromptCount::default()),
         max_over_mean_load: skew.max_over_mean,
         control_bytes_per_s: largest_rate_per_s(&bytes_before, &bytes_after, seconds)
             .unwrap_or(0.0),
--- a/crates/celeryknot_measure/src/measurements/cache_reuse.rs
+++ b/crates/celeryknot_measure/src/measurements/cache_reuse.rs
@@ -7,6 +7,7 @@
 use celeryknot_standins::{Caller, LoadPlan, LoadReport};
 use futures_lite::future;
 use serde::Serialize;
+use smol::Timer;
 use strum::IntoEnumIterator;
 
 use super::churn;
@@ -18,6 +19,8 @@
 
 const NAME: &str = "cache-reuse";
 const OURS: &str = "celeryknot";
+/// Part of a run that fills the caches and is not counted.
+const WARM_UP: f64 = 0.3;
 
 #[derive(Debug, Clone, Serialize)]
 struct Row {
@@ -120,13 +123,19 @@
     let sampler = Sampler::start(Arc::clone(&cluster.engines));
     let caller = Caller::new(options.caller_options());
     let load = run_load(Arc::clone(plan), caller, placement);
+    let engines = Arc::clone(&cluster.engines);
+    let warm_up = async {
+        Timer::after(options.part(WARM_UP)).await;
+        engines.prompt_count()
+    };
     let churn = churn::run(&mut cluster, options.seed, options.length());
-    let (load, churned): (LoadReport, _) = future::zip(load, churn).await;
+    let (load, (before, churned)) = future::zip(load, future::zip(warm_up, churn)).await;
+    let load: LoadReport = load;
     churned?;
     let skew = Skew::new(&sampler.stop().await, multiple);
     let row = Row {
         name,
-        reuse_ratio: cluster.engines.reuse_ratio(),
+        reuse_ratio: cluster.engines.prompt_count().reuse_ratio_since(before),
         max_over_mean: skew.max_over_mean,
         share_above: skew.share_above,
         first_token_ms_p95: load.first_token_ms(0.95, |_| true).unwrap_or(0.0),
--- a/crates/celeryknot_standins/src/load/run.rs
+++ b/crates/celeryknot_standins/src/load/run.rs
@@ -48,8 +48,8 @@
 
 /// Decides where the calls of a load go.
 pub trait Placement: Send + Sync + 'static {
-    /// Places a chat request.
-    fn place(&self, call: ChatCall<'_>) -> Placed;
+    /// Places a chat request, at once or as soon as there is room.
+    fn place(&self, call: ChatCall<'_>) -> impl Future<Output = Placed> + Send;
 
     /// Learns that a chat request has ended.
     fn ended(&self, placed: &Placed, outcome: &Outcome<Completed>);
@@ -95,7 +95,7 @@
 }
 
 impl Placement for Balancer {
-    fn place(&self, call: ChatCall<'_>) -> Placed {
+    async fn place(&self, call: ChatCall<'_>) -> Placed {
         Placed {
             target: CallTarget {
                 address: self.next().first().copied().unwrap_or(crate::LOOPBACK),
@@ -198,11 +198,14 @@
             max_tokens: None,
         };
         let name = format!("chat-{chat}");
-        let placed = self.placement.place(ChatCall {
-            customer: self.customer(call),
-            chat: &name,
-            request: &request,
-        });
+        let placed = self
+            .placement
+            .place(ChatCall {
+                customer: self.customer(call),
+                chat: &name,
+                request: &request,
+            })
+            .await;
         let late = self.start.elapsed().saturating_sub(call.at);
         let outcome = self
             .caller
