--- a/crates/celeryknot_operators/src/lib.rs
+++ b/crates/celeryknot_operators/src/lib.rs
@@ -14,7 +14,6 @@
 pub use metrics::Metrics;
 pub use server::{OperatorsState, answer, serve_operators};
 pub use status::{
-    ControlCounters, ControlStatus, ControlTrafficStatus, EndpointStatus, MemberStatus,
-    OrderCounts, PlatformCallCounts, RolloutStatus, SettingStatus, Status, TrafficStatus,
-    ZoneStatus,
+    ControlCounters, ControlStatus, EndpointStatus, MemberStatus, OrderCounts, PlatformCallCounts,
+    RolloutStatus, SettingStatus, Status, TrafficStatus, ZoneStatus,
 };
--- a/crates/celeryknot_operators/src/status.rs
+++ b/crates/celeryknot_operators/src/status.rs
@@ -1,12 +1,13 @@
 //! The state of a daemon as `/status` and `celeryknot status` give it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use celeryknot_core::{
     DurationMs, EndpointName, EndpointSummary, Incarnation, MemberName, Revision, ServiceName,
-    SettingPath, SizeBytes, ZoneName,
+    SettingPath, ZoneName,
 };
-use celeryknot_fleet::{FencingMode, MemberState, RolloutState};
+use celeryknot_fleet::{ControlKind, FencingMode, KindCount, MemberState, RolloutState};
 use serde::{Deserialize, Serialize};
 
 /// What one daemon knows and does at one moment.
@@ -49,9 +50,6 @@
     pub zones: Vec<ZoneStatus>,
     /// The settings, in the order of their paths.
     pub settings: Vec<SettingStatus>,
-    /// The control traffic of this daemon, by kind.
-    #[serde(default)]
-    pub traffic: Vec<ControlTrafficStatus>,
     /// The rollouts, in the order of their services.
     #[serde(default)]
     pub rollouts: Vec<RolloutStatus>,
@@ -60,35 +58,11 @@
     pub counters: ControlCounters,
 }
 
-/// The control traffic of one kind since the daemon's start.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ControlTrafficStatus {
-    /// The kind.
-    pub kind: String,
-    /// Messages sent.
-    pub sent: u64,
-    /// Bytes sent.
-    pub sent_bytes: SizeBytes,
-    /// Messages dropped or put off for want of budget.
-    pub dropped: u64,
-}
-
-/// One rollout as this daemon sees it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RolloutStatus {
-    /// The service whose engines are updated.
-    pub service: ServiceName,
-    /// The revision of the rollout's settings.
-    pub revision: Revision,
-    /// The version, with `+<adapter>` where one is loaded.
-    pub version: String,
-    /// How far this daemon's duty has come.
-    pub state: RolloutState,
-}
-
 /// What the control thread has counted since the daemon started.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ControlCounters {
+    /// Control traffic by kind.
+    pub traffic: BTreeMap<ControlKind, KindCount>,
     /// Calls of the platform's service.
     pub platform_calls: PlatformCallCounts,
     /// Orders to engines.
@@ -121,6 +95,19 @@
     pub failed: u64,
 }
 
+/// One rollout as this daemon sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutStatus {
+    /// The service whose engines are updated.
+    pub service: ServiceName,
+    /// The revision of the rollout's settings.
+    pub revision: Revision,
+    /// The version, with `+<adapter>` where one is loaded.
+    pub version: String,
+    /// How far this daemon's duty has come.
+    pub state: RolloutState,
+}
+
 /// One daemon of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
--- a/crates/celeryknot_operators/tests/metrics.rs
+++ b/crates/celeryknot_operators/tests/metrics.rs
@@ -5,9 +5,10 @@
     reason = "tests may unwrap, in their helper functions too"
 )]
 
-use celeryknot_core::{DurationMs, ErrorKind, SizeBytes};
+use celeryknot_core::{DurationMs, ErrorKind};
+use celeryknot_fleet::{ControlKind, KindCount};
 use celeryknot_operators::metrics::{METRICS, RequestKind};
-use celeryknot_operators::{ControlStatus, ControlTrafficStatus, Metrics};
+use celeryknot_operators::{ControlStatus, Metrics};
 use strum::IntoEnumIterator;
 
 const PAGE: &str = include_str!("../../../docs/OPERATING.md");
@@ -20,16 +21,9 @@
     service.first_byte(DurationMs(3));
     let endpoint = "engine-1".parse().unwrap();
     metrics.traffic.set_endpoint_load(&endpoint, 4, 2);
-    let status = ControlStatus {
-        traffic: vec![ControlTrafficStatus {
-            kind: "heartbeat".to_owned(),
-            sent: 1,
-            sent_bytes: SizeBytes(60),
-            dropped: 0,
-        }],
-        ..ControlStatus::default()
-    };
-    metrics.control.set_status(&status, true, "entry-1");
+    metrics
+        .control
+        .set_status(&ControlStatus::default(), true, "entry-1");
     metrics
 }
 
@@ -117,13 +111,16 @@
 fn control_traffic_counts_up_to_the_budgets_totals() {
     let metrics = Metrics::new();
     let status = |sent| {
-        let mut status = ControlStatus::default();
-        status.traffic.push(ControlTrafficStatus {
-            kind: "heartbeat".to_owned(),
+        let count = KindCount {
             sent,
-            sent_bytes: SizeBytes(sent * 60),
+            sent_bytes: sent * 60,
             dropped: 1,
-        });
+        };
+        let mut status = ControlStatus::default();
+        status
+            .counters
+            .traffic
+            .insert(ControlKind::Heartbeat, count);
         status.counters.platform_calls.stale = sent;
         status
     };
@@ -134,6 +131,7 @@
         "celeryknot_control_bytes_total{kind=\"heartbeat\"} 300",
         "celeryknot_control_messages_total{kind=\"heartbeat\",outcome=\"sent\"} 5",
         "celeryknot_control_messages_total{kind=\"heartbeat\",outcome=\"dropped\"} 1",
+        "celeryknot_control_bytes_total{kind=\"orders\"} 0",
         "celeryknot_platform_calls_total{outcome=\"stale\"} 5",
         "celeryknot_orders_total{outcome=\"failed\"} 0",
     ] {
@@ -153,7 +151,7 @@
 #[test]
 fn daemons_of_one_process_count_apart() {
     let (one, other) = (Metrics::new(), Metrics::new());
-    one.traffic.cancels.inc();
-    assert!(one.render().contains("celeryknot_cancels_total 1"));
-    assert!(other.render().contains("celeryknot_cancels_total 0"));
+    one.traffic.resumes.inc();
+    assert!(one.render().contains("celeryknot_resumes_total 1"));
+    assert!(other.render().contains("celeryknot_resumes_total 0"));
 }
--- a/crates/celeryknot_settings/src/key_table.rs
+++ b/crates/celeryknot_settings/src/key_table.rs
@@ -100,5 +100,4 @@
     key("rollout", "version", T::Word, Required, "2026-11-30", "The version of the model to load."),
     key("rollout", "adapter", T::Word, Optional, "mediation-ja-3", "An adapter to load on top of the model."),
     key("rollout", "parallel_max", T::Count(1, 1000), Default("1"), "2", "Most engines that may load at the same time."),
-    key("rollout", "error_percent_max", T::Count(0, 100), Default("5"), "2", "Most errors of an updated engine, in a hundred answers, before the rollout stops."),
 ];
