Pass endpoints' states along trees, paced by their owners

At 64 members and 100 endpoints each state went over every link, six times to each daemon, and used the whole budget; at 320 and 600 a change was not known everywhere within 60 s. In a ring with chords each daemon has one parent on the way from the origin, so everyone is reached once without any message to build the tree; a second tree, with the distances in the other order, carries the refreshes, so that a daemon that one tree misses is reached by the other. Owners pace changes of numbers so that the sum keeps to its part of the budget and nothing waits on the way; a change of condition or bound goes at once. Pruning links by messages was ruled out: it needs state that churn breaks.

--- a/crates/celeryknot_fleet/examples/slopes.rs
+++ b/crates/celeryknot_fleet/examples/slopes.rs
@@ -62,9 +62,27 @@
     KINDS.map(|kind| fleet.budget().count(kind).sent_bytes)
 }
 
+/// Measures one size in a process of its own, so that the memory of others does not count.
+fn measure_apart(index: usize) -> String {
+    let program = std::env::current_exe().expect("the program has a path");
+    let output = std::process::Command::new(program)
+        .arg(index.to_string())
+        .output()
+        .expect("the program starts again");
+    String::from_utf8_lossy(&output.stdout)
+        .trim_end()
+        .to_owned()
+}
+
 fn main() {
-    let rows: Vec<String> = SIZES.iter().map(measure).collect();
-    println!("[\n{}\n]", rows.join(",\n"));
+    let index = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    match index.and_then(|index: usize| SIZES.get(index)) {
+        Some(size) => println!("{}", measure(size)),
+        None => {
+            let rows: Vec<String> = (0..SIZES.len()).map(measure_apart).collect();
+            println!("[\n{}\n]", rows.join(",\n"));
+        }
+    }
 }
 
 fn measure(size: &Size) -> String {
@@ -88,6 +106,7 @@
     let calm = run(&mut drive, &owned, &mut random, false);
     let resident = resident_bytes().saturating_sub(before_bytes);
     let latency = settings_latency(&mut drive);
+    let load_latency = load_latency(&mut drive, &owned, &mut random);
     let churn = run(&mut drive, &owned, &mut random, true);
     let seconds = MEASURED_MS / 1_000;
     let processor_us = calm.processor.as_micros() / u128::from(seconds) / size.members as u128;
@@ -96,7 +115,8 @@
          \"calm_bytes_per_s\": {}, \"calm_bytes_per_s_max\": {}, \
          \"churn_bytes_per_s\": {}, \"churn_bytes_per_s_max\": {}, \
          \"calm_by_kind\": {}, \"processor_us_per_s\": {processor_us}, \
-         \"resident_bytes\": {}, \"settings_latency_ms\": {latency}}}",
+         \"resident_bytes\": {}, \"settings_latency_ms\": {latency}, \
+         \"load_latency_ms\": {load_latency}}}",
         size.members,
         size.endpoints,
         size.settings,
@@ -186,6 +206,45 @@
     took.map_or_else(|| "null".to_owned(), |took| took.0.to_string())
 }
 
+/// Returns the time until everyone has heard of one load, while all loads go on changing.
+fn load_latency(
+    drive: &mut Drive,
+    owned: &[Vec<EndpointName>],
+    random: &mut SeededRandom,
+) -> String {
+    const MARK: u32 = 63;
+    const LIMIT_MS: u64 = 60_000;
+    let marked = owned.iter().enumerate();
+    let mut marked = marked.filter_map(|(index, names)| Some((index, names.first()?)));
+    let Some((owner, endpoint)) = marked.next_back() else {
+        return "null".to_owned();
+    };
+    let knows = |fleet: &Fleet, drive: &Drive| {
+        let view = fleet.view(drive.now());
+        let known = view.endpoints.iter().find(|e| e.name == *endpoint);
+        let summary = known.and_then(|known| known.summary);
+        summary.is_some_and(|summary| summary.in_flight == MARK)
+    };
+    let start = drive.now();
+    while (drive.now() - start).0 < LIMIT_MS {
+        change_loads(drive, owned, random);
+        let summary = EndpointSummary {
+            in_flight: MARK,
+            in_flight_max: 64,
+            condition: EndpointCondition::Warm,
+            ..EndpointSummary::default()
+        };
+        if let Some(fleet) = drive.fleet_mut(owner) {
+            fleet.observe_own_endpoint(endpoint, summary);
+        }
+        drive.advance(LOAD_PERIOD_MS);
+        if drive.daemons().all(|daemon| knows(&daemon.fleet, drive)) {
+            return (drive.now() - start).0.to_string();
+        }
+    }
+    "null".to_owned()
+}
+
 fn total(bytes: &[u64; KINDS.len()]) -> u64 {
     bytes.iter().sum()
 }
--- a/crates/celeryknot_fleet/src/fleet.rs
+++ b/crates/celeryknot_fleet/src/fleet.rs
@@ -16,7 +16,7 @@
 use crate::instance_list::{InstanceList, ListedInstance};
 use crate::membership::{MemberInfo, MemberRecord, Membership};
 use crate::message::{Message, ValuePage};
-use crate::neighbours::{Neighbours, neighbours};
+use crate::neighbours::{Neighbours, Ring};
 use crate::readiness::Readiness;
 use crate::settings_store::{Offered, SettingsStore, Validator, ValueRecord};
 use crate::summaries::{EndpointHash, Summaries};
@@ -96,6 +96,7 @@
     budget: ByteBudget,
     readiness: Readiness,
     links: BTreeMap<MemberName, Link>,
+    ring: Ring,
     neighbours: Neighbours,
     owners: BTreeMap<EndpointName, MemberName>,
     owners_by_hash: BTreeMap<EndpointHash, MemberName>,
@@ -106,6 +107,8 @@
     list_pull_sent_at: Option<MonotonicMs>,
     next_revival_at: MonotonicMs,
     revival_cursor: usize,
+    /// The neighbour that is told first.
+    first_told: usize,
     platform_values_at: Option<MonotonicMs>,
     platform_list_at: Option<MonotonicMs>,
     settings_confirmed_at: Option<MonotonicMs>,
@@ -125,6 +128,7 @@
             budget: ByteBudget::new(timing.control_bytes_per_s, now),
             readiness: Readiness::new(now, timing.readiness_wait),
             links: BTreeMap::new(),
+            ring: Ring::default(),
             neighbours: Neighbours::new(),
             owners: BTreeMap::new(),
             owners_by_hash: BTreeMap::new(),
@@ -135,6 +139,7 @@
             list_pull_sent_at: None,
             next_revival_at: now,
             revival_cursor: 0,
+            first_told: 0,
             platform_values_at: None,
             platform_list_at: None,
             settings_confirmed_at: None,
@@ -339,7 +344,8 @@
             .collect();
         let own = self.config.own.name.clone();
         names.push(own.clone());
-        self.neighbours = neighbours(&own, &names);
+        self.ring = Ring::new(names);
+        self.neighbours = self.ring.neighbours(&own);
         for name in &self.neighbours {
             if !self.links.contains_key(name) {
                 let link = Link {
--- a/crates/celeryknot_fleet/src/fleet/exchange.rs
+++ b/crates/celeryknot_fleet/src/fleet/exchange.rs
@@ -6,7 +6,8 @@
 use crate::instance_list::{InstanceKey, ListChange};
 use crate::membership::{Heard, MemberRecord};
 use crate::message::{Heartbeat, ListPull, MemberNews, Message, ValuePage, ValuePull};
-use crate::summaries::{EndpointHash, SummaryBatch, Telling};
+use crate::neighbours::Tree;
+use crate::summaries::{EndpointHash, Origin, SummaryBatch, Telling, Told};
 
 /// Largest page of values or of the list in bytes.
 const PAGE_SIZE_MAX_BYTES: usize = 2_048;
@@ -41,10 +42,10 @@
             }
             Message::PullList(pull) => self.answer_list_pull(now, from, &pull),
             Message::Summaries(batches) => {
-                self.receive_summaries(now, from, &batches, Telling::Change);
+                self.receive_summaries(now, from, incarnation, &batches, Telling::Change);
             }
             Message::Refreshes(batches) => {
-                self.receive_summaries(now, from, &batches, Telling::Refresh);
+                self.receive_summaries(now, from, incarnation, &batches, Telling::Refresh);
             }
         }
     }
@@ -262,22 +263,35 @@
         &mut self,
         now: MonotonicMs,
         from: &MemberName,
+        incarnation: Incarnation,
         batches: &[SummaryBatch],
         telling: Telling,
     ) {
-        let forward_to = if self.is_sparse() {
-            self.neighbours.to_vec()
-        } else {
-            Vec::new()
+        let tree = match telling {
+            Telling::Change => Tree::LongFirst,
+            Telling::Refresh => Tree::ShortFirst,
         };
         for batch in batches {
-            if batch.origin == self.config.own.name {
+            let sender = || Origin {
+                name: from.clone(),
+                incarnation,
+            };
+            let origin = batch.origin.clone().unwrap_or_else(sender);
+            if origin.name == self.config.own.name {
                 continue;
             }
             let owners = &self.owners_by_hash;
-            let is_owner = |endpoint: EndpointHash| owners.get(&endpoint) == Some(&batch.origin);
-            self.summaries
-                .receive(now, from, batch, telling, is_owner, &forward_to);
+            let is_owner = |endpoint: EndpointHash| owners.get(&endpoint) == Some(&origin.name);
+            let forward_to = self
+                .ring
+                .children(&origin.name, &self.config.own.name, tree);
+            let told = Told {
+                from,
+                origin: &origin,
+                entries: &batch.entries,
+                telling,
+            };
+            self.summaries.receive(now, &told, is_owner, &forward_to);
         }
     }
 }
--- a/crates/celeryknot_fleet/src/fleet/publish.rs
+++ b/crates/celeryknot_fleet/src/fleet/publish.rs
@@ -6,8 +6,8 @@
 use super::{Fleet, PeerDigest};
 use crate::duties;
 use crate::message::{Heartbeat, MemberNews, Message};
-use crate::neighbours::MESH_MEMBERS_MAX;
-use crate::summaries::{EndpointHash, Telling};
+use crate::neighbours::{MESH_MEMBERS_MAX, Tree};
+use crate::summaries::{EndpointHash, Pace, Telling};
 use crate::view::{EndpointView, FleetView};
 
 /// Time that pushed news has to arrive before a difference leads to a pull.
@@ -18,8 +18,17 @@
 const MEMBERS_PATIENCE_COUNT: u32 = 3;
 /// Most member records in one message.
 const RECORDS_SENT_MAX: usize = 24;
-/// Times the summary gap for daemons that pass summaries on, so that duplicates are left out.
-const SPARSE_GAP_FACTOR: u64 = 5;
+/// Bytes of one summary in a message of its own.
+const TOLD_ENTRY_BYTES: u64 = 45;
+/// Bytes of one summary among others that are passed on.
+const PASSED_ENTRY_BYTES: u64 = 30;
+/// Part of the budget for summaries where all daemons talk to each other, in a hundred.
+const MESH_PERCENT: u64 = 25;
+/// Part of the budget for summaries where they are passed on, in a hundred.
+const SPARSE_PERCENT: u64 = 60;
+const MS_PER_S: u64 = 1_000;
+/// Times the summary gap for daemons that pass summaries on, so that one message holds more.
+const SPARSE_GAP_FACTOR: u64 = 2;
 
 impl Fleet {
     /// Does what is due.
@@ -253,21 +262,20 @@
         let own = self.members.own().clone();
         let neighbours = self.neighbours.clone();
         let timing = &self.config.timing;
-        let refresh_period = DurationMs(timing.summary_refresh.0 * self.size_factor());
         let gap_factor = if self.is_sparse() {
             SPARSE_GAP_FACTOR
         } else {
             1
         };
         let gap = DurationMs(timing.summary_gap.0 * gap_factor);
-        self.summaries.publish_own(
-            now,
-            &own.info.name,
-            own.incarnation,
-            &neighbours,
-            refresh_period,
-        );
-        for name in &neighbours {
+        let tell_to = [Tree::LongFirst, Tree::ShortFirst]
+            .map(|tree| self.ring.children(&own.info.name, &own.info.name, tree));
+        self.summaries
+            .publish_own(now, &own.info.name, own.incarnation, &tell_to, self.pace());
+        // Another neighbour is the first each time, so that none goes without budget for long.
+        let start = self.first_told % neighbours.len().max(1);
+        self.first_told = start + 1;
+        for name in neighbours.iter().cycle().skip(start).take(neighbours.len()) {
             let Some(link) = self.links.get_mut(name) else {
                 continue;
             };
@@ -282,7 +290,9 @@
 
     /// Sends what is queued for a neighbour; without budget it stays queued.
     fn send_batches(&mut self, now: MonotonicMs, to: &MemberName, telling: Telling) {
-        let batches = self.summaries.batches_for(to, telling);
+        let batches = self
+            .summaries
+            .batches_for(&self.config.own.name, to, telling);
         if batches.is_empty() {
             return;
         }
@@ -297,6 +307,24 @@
         }
     }
 
+    /// Returns how often this daemon may tell of its endpoints, so that all daemons together
+    /// keep to their part of the budget and nothing has to wait on the way.
+    fn pace(&self) -> Pace {
+        let timing = &self.config.timing;
+        let budget = timing.control_bytes_per_s.0.max(1);
+        let change_gap_ms = if self.is_sparse() {
+            let endpoints = self.owners.len() as u64;
+            endpoints * PASSED_ENTRY_BYTES * MS_PER_S * 100 / (budget * SPARSE_PERCENT)
+        } else {
+            let told = (self.summaries.own_count() * self.neighbours.len()) as u64;
+            told * TOLD_ENTRY_BYTES * MS_PER_S * 100 / (budget * MESH_PERCENT)
+        };
+        Pace {
+            change_gap: DurationMs(change_gap_ms.max(timing.summary_gap.0)),
+            refresh_period: DurationMs(timing.summary_refresh.0 * self.size_factor()),
+        }
+    }
+
     /// By how much unchanged summaries are sent less often than in a mesh.
     fn size_factor(&self) -> u64 {
         let members = self.members.peers_up().count() + 1;
@@ -305,7 +333,7 @@
 
     /// Tells whether messages are passed on, since not all daemons talk to each other.
     pub(super) fn is_sparse(&self) -> bool {
-        self.members.peers_up().count() + 1 > MESH_MEMBERS_MAX
+        !self.ring.is_mesh()
     }
 
     /// Rises with every change of what [`Fleet::view`] shows.
--- a/crates/celeryknot_fleet/src/neighbours.rs
+++ b/crates/celeryknot_fleet/src/neighbours.rs
@@ -1,5 +1,7 @@
 //! With whom a daemon exchanges messages: everyone in a small fleet, a few in a large one.
 
+use std::collections::BTreeMap;
+
 use celeryknot_core::MemberName;
 use celeryknot_core::id::rendezvous_score;
 use smallvec::SmallVec;
@@ -10,60 +12,167 @@
 /// A daemon's neighbours: at most six beyond the mesh.
 pub type Neighbours = SmallVec<[MemberName; MESH_MEMBERS_MAX]>;
 
-/// Returns the neighbours of `own` among all members, itself included.
+/// The members in the order of their hashes, in which everyone finds its neighbours.
 ///
-/// Beyond the mesh the members stand in a ring in the order of their hashes. A member's
-/// neighbours are the ones at distance 1, s and s² on both sides, where s is the cube root of
-/// their number: the relation is mutual, the graph connected, and a message reaches everyone in
-/// about 3s/2 steps.
+/// Up to [`MESH_MEMBERS_MAX`] members all are neighbours. Beyond, a member's neighbours are the
+/// ones at distance 1, s and s² on both sides, where s is the cube root of their number: the
+/// relation is mutual, the graph connected, and a message reaches everyone in about 3s/2 steps.
 ///
 /// # Examples
 ///
 /// ```
 /// use celeryknot_core::MemberName;
-/// use celeryknot_fleet::neighbours::neighbours;
+/// use celeryknot_fleet::neighbours::Ring;
 ///
 /// let names: Vec<MemberName> = (0..64)
 ///     .map(|i| format!("daemon-{i}").parse())
 ///     .collect::<Result<_, _>>()?;
-/// assert_eq!(neighbours(&names[0], &names).len(), 6);
-/// assert_eq!(neighbours(&names[0], &names[..9]).len(), 8);
+/// assert_eq!(Ring::new(names.clone()).neighbours(&names[0]).len(), 6);
+/// assert_eq!(Ring::new(names[..9].to_vec()).neighbours(&names[0]).len(), 8);
 /// # Ok::<(), celeryknot_core::IdError>(())
 /// ```
-pub fn neighbours(own: &MemberName, members: &[MemberName]) -> Neighbours {
-    if members.len() <= MESH_MEMBERS_MAX {
-        return members
-            .iter()
-            .filter(|name| *name != own)
-            .cloned()
-            .collect();
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Ring {
+    members: Vec<MemberName>,
+    positions: BTreeMap<MemberName, usize>,
+}
+
+/// Which of the two trees over the ring a message takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tree {
+    /// The longest distances first.
+    LongFirst,
+    /// The shortest distances first: another parent for most members.
+    ShortFirst,
+}
+
+impl Ring {
+    /// Builds the ring of all members.
+    pub fn new(mut members: Vec<MemberName>) -> Self {
+        members.sort_by_key(|name| (rendezvous_score(RING_SALT, name.as_str()), name.clone()));
+        members.dedup();
+        let positions = members.iter().cloned().zip(0..).collect();
+        Self { members, positions }
+    }
+
+    /// Tells whether everyone is everyone's neighbour.
+    pub fn is_mesh(&self) -> bool {
+        self.members.len() <= MESH_MEMBERS_MAX
     }
-    let mut ring: Vec<(u64, &MemberName)> = members
-        .iter()
-        .map(|name| (rendezvous_score(RING_SALT, name.as_str()), name))
-        .collect();
-    ring.sort();
-    let Some(position) = ring.iter().position(|(_, name)| *name == own) else {
-        return Neighbours::new();
-    };
-    let mut found = Neighbours::new();
-    for distance in distances(ring.len()) {
-        for index in [position + distance, position + ring.len() - distance] {
-            let name = ring[index % ring.len()].1;
+
+    /// Returns the neighbours of a member.
+    pub fn neighbours(&self, own: &MemberName) -> Neighbours {
+        if self.is_mesh() {
+            let others = self.members.iter().filter(|name| *name != own);
+            return others.cloned().collect();
+        }
+        let Some(position) = self.positions.get(own) else {
+            return Neighbours::new();
+        };
+        let mut found = Neighbours::new();
+        for step in self.steps() {
+            let name = self.at(*position, step);
             if name != own && !found.contains(name) {
                 found.push(name.clone());
             }
         }
+        found
+    }
+
+    /// Returns the neighbours to which `own` passes on what began at `origin`.
+    ///
+    /// Each member has one parent on the way from the origin, so that, where the views of all
+    /// agree, a message reaches everyone once. An origin that is unknown here is passed on to
+    /// all neighbours.
+    pub fn children(&self, origin: &MemberName, own: &MemberName, tree: Tree) -> Neighbours {
+        if self.is_mesh() {
+            return if origin == own {
+                self.neighbours(own)
+            } else {
+                Neighbours::new()
+            };
+        }
+        let (Some(root), Some(position)) = (self.positions.get(origin), self.positions.get(own))
+        else {
+            return self.neighbours(own);
+        };
+        let own_offset = self.offset(*root, *position);
+        let mut found = Neighbours::new();
+        for step in self.steps() {
+            let name = self.at(*position, step);
+            let offset = self.offset(*root, self.positions[name]);
+            let is_child = offset != 0 && self.parent(offset, tree) == own_offset;
+            if is_child && !found.contains(name) {
+                found.push(name.clone());
+            }
+        }
+        found
+    }
+
+    fn len(&self) -> i64 {
+        i64::try_from(self.members.len()).unwrap_or(i64::MAX)
+    }
+
+    fn at(&self, position: usize, step: i64) -> &MemberName {
+        let position = i64::try_from(position).unwrap_or(0);
+        let index = (position + step).rem_euclid(self.len());
+        &self.members[usize::try_from(index).unwrap_or(0)]
+    }
+
+    /// Returns how far a position lies from another one, the shorter way round.
+    fn offset(&self, from: usize, to: usize) -> i64 {
+        let distance =
+            |a: usize, b: usize| i64::try_from(b).unwrap_or(0) - i64::try_from(a).unwrap_or(0);
+        self.wrap(distance(from, to))
+    }
+
+    fn wrap(&self, offset: i64) -> i64 {
+        let offset = offset.rem_euclid(self.len());
+        if offset * 2 > self.len() {
+            offset - self.len()
+        } else {
+            offset
+        }
+    }
+
+    /// Returns the offset of the parent: one step nearer to the origin.
+    fn parent(&self, offset: i64, tree: Tree) -> i64 {
+        let root = self.root();
+        let square = root * root;
+        let long = nearest_multiple(offset, square);
+        let middle = nearest_multiple(offset - long, root);
+        let short = offset - long - middle;
+        let steps = [(short, 1), (middle, root), (long, square)];
+        let mut last_first = steps.iter().copied();
+        let mut first_first = steps.iter().rev().copied();
+        let is_left = |(part, _): &(i64, i64)| *part != 0;
+        let last = match tree {
+            Tree::LongFirst => last_first.find(is_left),
+            Tree::ShortFirst => first_first.find(is_left),
+        };
+        let step = last.map_or(0, |(part, distance)| part.signum() * distance);
+        self.wrap(offset - step)
+    }
+
+    /// Returns the cube root of the number of members, rounded down.
+    fn root(&self) -> i64 {
+        let mut root = 1_i64;
+        while (root + 1).pow(3) <= self.len() {
+            root += 1;
+        }
+        root
+    }
+
+    fn steps(&self) -> [i64; 6] {
+        let root = self.root();
+        [1, -1, root, -root, root * root, -root * root]
     }
-    found
 }
 
 const RING_SALT: u64 = 0x7269_6e67;
 
-fn distances(len: usize) -> [usize; 3] {
-    let mut root = 1;
-    while (root + 1_usize).pow(3) <= len {
-        root += 1;
-    }
-    [1, root, root * root]
+/// Rounds to a multiple of a unit; halves go up, so that a step of one unit moves the result
+/// by just that.
+fn nearest_multiple(offset: i64, unit: i64) -> i64 {
+    (offset + unit / 2).div_euclid(unit) * unit
 }
--- a/crates/celeryknot_fleet/src/summaries.rs
+++ b/crates/celeryknot_fleet/src/summaries.rs
@@ -11,6 +11,8 @@
     DurationMs, EndpointName, EndpointSummary, Incarnation, MemberName, MonotonicMs,
 };
 
+use crate::neighbours::Neighbours;
+
 /// The short hash that stands for an endpoint's name in messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EndpointHash(pub u32);
@@ -25,13 +27,20 @@
 
 const ENDPOINT_SALT: u64 = 0x656e_6470;
 
+/// The owner that made a summary.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Origin {
+    /// The owner's name.
+    pub name: MemberName,
+    /// The owner's life.
+    pub incarnation: Incarnation,
+}
+
 /// Summaries of one owner as they pass between daemons.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SummaryBatch {
-    /// The owner that made the summaries.
-    pub origin: MemberName,
-    /// The owner's life.
-    pub incarnation: Incarnation,
+    /// The owner that made the summaries, unless it is the sender itself.
+    pub origin: Option<Origin>,
     /// The summaries.
     pub entries: Vec<SummaryEntry>,
 }
@@ -51,7 +60,8 @@
     /// Returns about how many bytes the batch takes in a message.
     pub fn size_bytes(&self) -> usize {
         let entries: usize = self.entries.iter().map(SummaryEntry::size_bytes).sum();
-        self.origin.as_str().len() + 14 + entries
+        let origin = self.origin.as_ref();
+        4 + origin.map_or(0, |origin| origin.name.as_str().len() + 13) + entries
     }
 }
 
@@ -71,8 +81,7 @@
 
 #[derive(Debug, Clone)]
 struct Slot {
-    origin: MemberName,
-    incarnation: Incarnation,
+    origin: Origin,
     sequence: u64,
     summary: EndpointSummary,
     updated_at: MonotonicMs,
@@ -117,6 +126,28 @@
     Refresh,
 }
 
+/// How often the owner of an endpoint tells its state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// Shortest time between two changes of numbers; a change of another kind is told at once.
+    pub change_gap: DurationMs,
+    /// Time after which an unchanged state is told again.
+    pub refresh_period: DurationMs,
+}
+
+/// Summaries of one owner that a neighbour has told.
+#[derive(Debug, Clone, Copy)]
+pub struct Told<'a> {
+    /// The neighbour.
+    pub from: &'a MemberName,
+    /// The owner.
+    pub origin: &'a Origin,
+    /// The summaries.
+    pub entries: &'a [SummaryEntry],
+    /// Why they were told.
+    pub telling: Telling,
+}
+
 /// What is queued for one neighbour.
 #[derive(Debug, Clone, Default)]
 struct Queues {
@@ -180,6 +211,11 @@
         slot.latest = summary;
     }
 
+    /// Returns how many endpoints this daemon tells of.
+    pub fn own_count(&self) -> usize {
+        self.own.len()
+    }
+
     /// Forgets own summaries of endpoints that this daemon no longer owns.
     pub fn keep_own(&mut self, owned: &BTreeSet<EndpointHash>) {
         self.own.retain(|endpoint, _| owned.contains(endpoint));
@@ -191,14 +227,17 @@
         now: MonotonicMs,
         own_name: &MemberName,
         incarnation: Incarnation,
-        neighbours: &[MemberName],
-        refresh_period: DurationMs,
+        tell_to: &[Neighbours; 2],
+        pace: Pace,
     ) {
         let mut changed = Vec::new();
         let mut refreshed = Vec::new();
         for (endpoint, own) in &mut self.own {
-            let is_change = differs_much(&own.published, &own.latest);
-            let is_due = now - own.published_at >= refresh_period;
+            let age = now - own.published_at;
+            let is_urgent = differs_in_kind(&own.published, &own.latest);
+            let is_change =
+                is_urgent || (age >= pace.change_gap && differs_much(&own.published, &own.latest));
+            let is_due = age >= pace.refresh_period;
             if !is_change && !is_due {
                 continue;
             }
@@ -206,8 +245,10 @@
             own.published_at = now;
             self.sequence += 1;
             let slot = Slot {
-                origin: own_name.clone(),
-                incarnation,
+                origin: Origin {
+                    name: own_name.clone(),
+                    incarnation,
+                },
                 sequence: self.sequence,
                 summary: own.latest,
                 updated_at: now,
@@ -223,9 +264,13 @@
         if !changed.is_empty() || !refreshed.is_empty() {
             self.version += 1;
         }
-        for name in neighbours {
+        let [tell_changes_to, tell_refreshes_to] = tell_to;
+        for name in tell_changes_to {
             let queues = self.queues.entry(name.clone()).or_default();
             queues.changes.endpoints.extend(&changed);
+        }
+        for name in tell_refreshes_to {
+            let queues = self.queues.entry(name.clone()).or_default();
             queues.refreshes.endpoints.extend(&refreshed);
         }
     }
@@ -234,26 +279,27 @@
     pub fn receive(
         &mut self,
         now: MonotonicMs,
-        from: &MemberName,
-        batch: &SummaryBatch,
-        telling: Telling,
+        told: &Told<'_>,
         is_owner: impl Fn(EndpointHash) -> bool,
         forward_to: &[MemberName],
     ) {
-        for entry in &batch.entries {
+        for entry in told.entries {
             if self.own.contains_key(&entry.endpoint) {
                 continue;
             }
-            let news = self.take(now, batch, entry, &is_owner);
-            if let Some(queues) = self.queues.get_mut(from) {
+            let news = self.take(now, told.origin, entry, &is_owner);
+            if let Some(queues) = self.queues.get_mut(told.from) {
                 queues.remove(entry.endpoint);
             }
             if !news {
                 continue;
             }
-            for name in forward_to.iter().filter(|name| *name != from) {
+            for name in forward_to.iter().filter(|name| *name != told.from) {
                 let queues = self.queues.entry(name.clone()).or_default();
-                queues.queue_mut(telling).endpoints.insert(entry.endpoint);
+                queues
+                    .queue_mut(told.telling)
+                    .endpoints
+                    .insert(entry.endpoint);
             }
         }
     }
@@ -261,13 +307,12 @@
     fn take(
         &mut self,
         now: MonotonicMs,
-        batch: &SummaryBatch,
+        origin: &Origin,
         entry: &SummaryEntry,
         is_owner: impl Fn(EndpointHash) -> bool,
     ) -> bool {
         if let Some(known) = self.slots.get(&entry.endpoint) {
-            let is_same_origin =
-                known.origin == batch.origin && known.incarnation == batch.incarnation;
+            let is_same_origin = known.origin == *origin;
             let is_news = if is_same_origin {
                 entry.sequence > known.sequence
             } else {
@@ -278,8 +323,7 @@
             }
         }
         let slot = Slot {
-            origin: batch.origin.clone(),
-            incarnation: batch.incarnation,
+            origin: origin.clone(),
             sequence: entry.sequence,
             summary: entry.summary,
             updated_at: now,
@@ -295,17 +339,22 @@
     }
 
     /// Returns what is queued for a neighbour, up to the size of one message.
-    pub fn batches_for(&self, neighbour: &MemberName, telling: Telling) -> Vec<SummaryBatch> {
+    pub fn batches_for(
+        &self,
+        own_name: &MemberName,
+        neighbour: &MemberName,
+        telling: Telling,
+    ) -> Vec<SummaryBatch> {
         let Some(queues) = self.queues.get(neighbour) else {
             return Vec::new();
         };
-        let mut batches: BTreeMap<(&MemberName, Incarnation), Vec<SummaryEntry>> = BTreeMap::new();
+        let mut batches: BTreeMap<&Origin, Vec<SummaryEntry>> = BTreeMap::new();
         let mut size_bytes = 0;
         for endpoint in queues.queue(telling).in_turn() {
             let Some(slot) = self.slots.get(&endpoint) else {
                 continue;
             };
-            if slot.origin == *neighbour {
+            if slot.origin.name == *neighbour {
                 continue;
             }
             let entry = SummaryEntry {
@@ -314,17 +363,15 @@
                 summary: slot.summary,
             };
             size_bytes += entry.size_bytes();
-            let key = (&slot.origin, slot.incarnation);
-            batches.entry(key).or_default().push(entry);
+            batches.entry(&slot.origin).or_default().push(entry);
             if size_bytes >= MESSAGE_SIZE_MAX_BYTES {
                 break;
             }
         }
         batches
             .into_iter()
-            .map(|((origin, incarnation), entries)| SummaryBatch {
-                origin: origin.clone(),
-                incarnation,
+            .map(|(origin, entries)| SummaryBatch {
+                origin: (origin.name != *own_name).then(|| origin.clone()),
                 entries,
             })
             .collect()
@@ -376,12 +423,15 @@
 /// Smallest change of the expected wait that is told at once.
 const WAIT_STEP_MS: u64 = 20;
 
+/// Tells whether a change is one that placement must know at once.
+fn differs_in_kind(told: &EndpointSummary, now: &EndpointSummary) -> bool {
+    told.condition != now.condition || told.in_flight_max != now.in_flight_max
+}
+
 fn differs_much(told: &EndpointSummary, now: &EndpointSummary) -> bool {
     let count_differs = |a: u32, b: u32| a.abs_diff(b) > a.max(b) / 8;
     let wait_ms = told.wait_ms.0.max(now.wait_ms.0);
-    told.condition != now.condition
-        || told.in_flight_max != now.in_flight_max
-        || count_differs(told.in_flight, now.in_flight)
+    count_differs(told.in_flight, now.in_flight)
         || count_differs(told.queued, now.queued)
         || told.wait_ms.0.abs_diff(now.wait_ms.0) > WAIT_STEP_MS.max(wait_ms / 4)
 }
--- a/crates/celeryknot_fleet/tests/duties.rs
+++ b/crates/celeryknot_fleet/tests/duties.rs
@@ -5,7 +5,7 @@
     MonotonicMs, Revision, ServiceName, ZoneName,
 };
 use celeryknot_fleet::settings_store::{Offered, SettingsStore, ValueRecord};
-use celeryknot_fleet::summaries::{EndpointHash, Summaries, SummaryBatch, SummaryEntry, Telling};
+use celeryknot_fleet::summaries::{EndpointHash, Origin, Summaries, SummaryEntry, Telling, Told};
 use celeryknot_fleet::{MemberInfo, duties};
 
 fn members(count: usize) -> Vec<MemberInfo> {
@@ -80,19 +80,15 @@
     assert_eq!(store.offer(&value(4, "new")), Offered::Old);
 }
 
-fn batch(origin: &MemberName, sequence: u64, in_flight: u32) -> SummaryBatch {
-    SummaryBatch {
-        origin: origin.clone(),
-        incarnation: Incarnation(1),
-        entries: vec![SummaryEntry {
-            endpoint: EndpointHash::new(&endpoint(0)),
-            sequence,
-            summary: EndpointSummary {
-                in_flight,
-                condition: EndpointCondition::Warm,
-                ..EndpointSummary::default()
-            },
-        }],
+fn entry(sequence: u64, in_flight: u32) -> SummaryEntry {
+    SummaryEntry {
+        endpoint: EndpointHash::new(&endpoint(0)),
+        sequence,
+        summary: EndpointSummary {
+            in_flight,
+            condition: EndpointCondition::Warm,
+            ..EndpointSummary::default()
+        },
     }
 }
 
@@ -102,16 +98,17 @@
     let (rightful, other) = (&all[0].name, &all[1].name);
     let mut summaries = Summaries::default();
     let mut hear = |now: u64, from: &MemberName, sequence: u64, in_flight: u32| {
-        let batch = batch(from, sequence, in_flight);
-        let is_owner = |_| from == rightful;
-        summaries.receive(
-            MonotonicMs(now),
+        let origin = Origin {
+            name: from.clone(),
+            incarnation: Incarnation(1),
+        };
+        let told = Told {
             from,
-            &batch,
-            Telling::Change,
-            is_owner,
-            &[],
-        );
+            origin: &origin,
+            entries: &[entry(sequence, in_flight)],
+            telling: Telling::Change,
+        };
+        summaries.receive(MonotonicMs(now), &told, |_| from == rightful, &[]);
         let age_max = DurationMs(10_000);
         let seen = summaries.get(&endpoint(0), MonotonicMs(now), age_max);
         seen.map(|summary| summary.in_flight)
--- a/crates/celeryknot_peers/src/inbound.rs
+++ b/crates/celeryknot_peers/src/inbound.rs
@@ -196,7 +196,10 @@
             sequence = envelope.sequence;
             let is_heartbeat = matches!(envelope.body, Some(Body::Heartbeat(_)));
             if is_heartbeat {
-                let ack = self.envelope(sequence, Body::Ack(sequence));
+                let ack = Envelope {
+                    body: Some(Body::Ack(sequence)),
+                    ..Envelope::default()
+                };
                 if stream.answers.try_send(Ok(ack)).is_err() {
                     return;
                 }
--- a/crates/celeryknot_peers/src/wire.rs
+++ b/crates/celeryknot_peers/src/wire.rs
@@ -367,10 +367,10 @@
 /// Summaries of one owner.
 #[derive(Clone, PartialEq, Message)]
 pub struct SummaryBatch {
-    /// The owner.
+    /// The owner, unless it is the sender.
     #[prost(string, tag = "1")]
     pub origin: String,
-    /// The owner's life.
+    /// The owner's life, unless it is the sender's.
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// The summaries.
--- a/crates/celeryknot_peers/src/wire/convert.rs
+++ b/crates/celeryknot_peers/src/wire/convert.rs
@@ -264,8 +264,15 @@
 impl From<&fleet_summaries::SummaryBatch> for super::SummaryBatch {
     fn from(batch: &fleet_summaries::SummaryBatch) -> Self {
         Self {
-            origin: batch.origin.to_string(),
-            incarnation: batch.incarnation.0,
+            origin: batch
+                .origin
+                .as_ref()
+                .map(|origin| origin.name.to_string())
+                .unwrap_or_default(),
+            incarnation: batch
+                .origin
+                .as_ref()
+                .map_or(0, |origin| origin.incarnation.0),
             entries: all(&batch.entries),
         }
     }
@@ -275,9 +282,16 @@
     type Error = WireError;
 
     fn try_from(batch: &super::SummaryBatch) -> Result<Self, WireError> {
+        let origin = if batch.origin.is_empty() {
+            None
+        } else {
+            Some(fleet_summaries::Origin {
+                name: parse(&batch.origin, "member name")?,
+                incarnation: Incarnation(batch.incarnation),
+            })
+        };
         Ok(Self {
-            origin: parse(&batch.origin, "member name")?,
-            incarnation: Incarnation(batch.incarnation),
+            origin,
             entries: try_all(&batch.entries)?,
         })
     }
--- a/crates/celeryknot_peers/tests/wire.rs
+++ b/crates/celeryknot_peers/tests/wire.rs
@@ -6,7 +6,7 @@
     FRAME_SIZE_BYTES, Heartbeat, ListPull, MemberNews, ValuePage, ValuePull,
 };
 use celeryknot_fleet::settings_store::ValueRecord;
-use celeryknot_fleet::summaries::{EndpointHash, SummaryBatch, SummaryEntry};
+use celeryknot_fleet::summaries::{EndpointHash, Origin, SummaryBatch, SummaryEntry};
 use celeryknot_fleet::{
     FencingMode, ListedDaemon, ListedEndpoint, ListedInstance, MemberInfo, MemberState, Message,
 };
@@ -47,7 +47,14 @@
     }
 }
 
-fn batch(count: u32) -> SummaryBatch {
+fn origin() -> Option<Origin> {
+    Some(Origin {
+        name: info(3).name,
+        incarnation: Incarnation(u64::MAX),
+    })
+}
+
+fn batch(origin: Option<Origin>, count: u32) -> SummaryBatch {
     let entry = |index| SummaryEntry {
         endpoint: EndpointHash(0xffff_0000 + index),
         sequence: 40_000,
@@ -60,8 +67,7 @@
         },
     };
     SummaryBatch {
-        origin: info(3).name,
-        incarnation: Incarnation(u64::MAX),
+        origin,
         entries: (0..count).map(entry).collect(),
     }
 }
@@ -147,12 +153,12 @@
                 after: Some(key(5)),
             }),
         ),
-        case("one summary", Message::Summaries(vec![batch(1)])),
+        case("one summary", Message::Summaries(vec![batch(None, 1)])),
         case(
             "many summaries",
-            Message::Summaries(vec![batch(40), batch(2)]),
+            Message::Summaries(vec![batch(origin(), 40), batch(None, 2)]),
         ),
-        case("refreshes", Message::Refreshes(vec![batch(2)])),
+        case("refreshes", Message::Refreshes(vec![batch(origin(), 2)])),
     ]
 }
 
