--- a/crates/celeryknot_operators/src/lib.rs
+++ b/crates/celeryknot_operators/src/lib.rs
@@ -14,5 +14,7 @@
 pub use metrics::Metrics;
 pub use server::{OperatorsState, answer, serve_operators};
 pub use status::{
-    ControlStatus, EndpointStatus, MemberStatus, SettingStatus, Status, TrafficStatus, ZoneStatus,
+    ControlCounters, ControlStatus, ControlTrafficStatus, EndpointStatus, MemberStatus,
+    OrderCounts, PlatformCallCounts, RolloutStatus, SettingStatus, Status, TrafficStatus,
+    ZoneStatus,
 };
--- a/crates/celeryknot_operators/src/status.rs
+++ b/crates/celeryknot_operators/src/status.rs
@@ -55,6 +55,9 @@
     /// The rollouts, in the order of their services.
     #[serde(default)]
     pub rollouts: Vec<RolloutStatus>,
+    /// What was counted since the daemon started.
+    #[serde(default)]
+    pub counters: ControlCounters,
 }
 
 /// The control traffic of one kind since the daemon's start.
@@ -83,6 +86,41 @@
     pub state: RolloutState,
 }
 
+/// What the control thread has counted since the daemon started.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlCounters {
+    /// Calls of the platform's service.
+    pub platform_calls: PlatformCallCounts,
+    /// Orders to engines.
+    pub orders: OrderCounts,
+    /// Times that the process was paused for longer than its peers wait.
+    pub pauses: u64,
+}
+
+/// Calls of the platform's service, by outcome.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformCallCounts {
+    /// The service answered with something new.
+    pub changed: u64,
+    /// The service answered that nothing is new.
+    pub unchanged: u64,
+    /// The service answered with a revision older than one seen before.
+    pub stale: u64,
+    /// The service did not answer.
+    pub failed: u64,
+}
+
+/// Orders to engines, by outcome.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderCounts {
+    /// The engine accepted the order.
+    pub accepted: u64,
+    /// The engine refused the fencing number.
+    pub refused: u64,
+    /// The engine did not answer.
+    pub failed: u64,
+}
+
 /// One daemon of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
--- a/crates/celeryknot_operators/tests/metrics.rs
+++ b/crates/celeryknot_operators/tests/metrics.rs
@@ -5,10 +5,9 @@
     reason = "tests may unwrap, in their helper functions too"
 )]
 
-use celeryknot_core::{DurationMs, ErrorKind};
-use celeryknot_fleet::{ControlKind, KindCount};
+use celeryknot_core::{DurationMs, ErrorKind, SizeBytes};
 use celeryknot_operators::metrics::{METRICS, RequestKind};
-use celeryknot_operators::{ControlStatus, Metrics};
+use celeryknot_operators::{ControlStatus, ControlTrafficStatus, Metrics};
 use strum::IntoEnumIterator;
 
 const PAGE: &str = include_str!("../../../docs/OPERATING.md");
@@ -21,9 +20,16 @@
     service.first_byte(DurationMs(3));
     let endpoint = "engine-1".parse().unwrap();
     metrics.traffic.set_endpoint_load(&endpoint, 4, 2);
-    metrics
-        .control
-        .set_status(&ControlStatus::default(), true, "entry-1");
+    let status = ControlStatus {
+        traffic: vec![ControlTrafficStatus {
+            kind: "heartbeat".to_owned(),
+            sent: 1,
+            sent_bytes: SizeBytes(60),
+            dropped: 0,
+        }],
+        ..ControlStatus::default()
+    };
+    metrics.control.set_status(&status, true, "entry-1");
     metrics
 }
 
@@ -110,23 +116,26 @@
 #[test]
 fn control_traffic_counts_up_to_the_budgets_totals() {
     let metrics = Metrics::new();
-    let count = |sent| KindCount {
-        sent,
-        sent_bytes: sent * 60,
-        dropped: 1,
+    let status = |sent| {
+        let mut status = ControlStatus::default();
+        status.traffic.push(ControlTrafficStatus {
+            kind: "heartbeat".to_owned(),
+            sent,
+            sent_bytes: SizeBytes(sent * 60),
+            dropped: 1,
+        });
+        status.counters.platform_calls.stale = sent;
+        status
     };
-    metrics
-        .control
-        .set_kind_count(ControlKind::Heartbeat, count(3));
-    metrics
-        .control
-        .set_kind_count(ControlKind::Heartbeat, count(5));
+    metrics.control.set_status(&status(3), true, "entry-1");
+    metrics.control.set_status(&status(5), true, "entry-1");
     let text = metrics.render();
     for series in [
         "celeryknot_control_bytes_total{kind=\"heartbeat\"} 300",
         "celeryknot_control_messages_total{kind=\"heartbeat\",outcome=\"sent\"} 5",
         "celeryknot_control_messages_total{kind=\"heartbeat\",outcome=\"dropped\"} 1",
-        "celeryknot_control_bytes_total{kind=\"orders\"} 0",
+        "celeryknot_platform_calls_total{outcome=\"stale\"} 5",
+        "celeryknot_orders_total{outcome=\"failed\"} 0",
     ] {
         assert!(text.contains(series), "{series}");
     }
--- a/crates/celeryknotd/src/control/status.rs
+++ b/crates/celeryknotd/src/control/status.rs
@@ -5,12 +5,13 @@
 use celeryknot_core::{MonotonicMs, Revision, SizeBytes, ZoneName};
 use celeryknot_fleet::{EndpointView, Fleet, FleetView, MemberState, MemberView, SettingsStore};
 use celeryknot_operators::{
-    ControlStatus, EndpointStatus, MemberStatus, SettingStatus, ZoneStatus,
+    ControlCounters, ControlStatus, EndpointStatus, MemberStatus, SettingStatus, ZoneStatus,
 };
 
 use celeryknot_operators::status::{ControlTrafficStatus, RefusedSetting, RolloutStatus};
 
 use super::orders::OrdersDesk;
+use super::platform::Role;
 use super::sources::Sources;
 use crate::snapshot::Snapshot;
 
@@ -21,6 +22,8 @@
     view: &FleetView,
     sources: &Sources,
     snapshot: &Snapshot,
+    role: &Role,
+    orders: &OrdersDesk,
 ) -> ControlStatus {
     let in_force = view.settings.values().map(|value| value.revision);
     ControlStatus {
@@ -37,7 +40,16 @@
         zones: zone_statuses(view, sources),
         settings: setting_statuses(fleet.values()),
         traffic: traffic_statuses(fleet),
-        rollouts: Vec::new(),
+        rollouts: rollout_statuses(orders),
+        counters: counters(role, orders),
+    }
+}
+
+fn counters(role: &Role, orders: &OrdersDesk) -> ControlCounters {
+    ControlCounters {
+        platform_calls: role.calls.get(),
+        orders: orders.counts(),
+        pauses: role.read_again_count.get(),
     }
 }
 
