--- a/crates/celeryknotd/src/traffic/places.rs
+++ b/crates/celeryknotd/src/traffic/places.rs
@@ -92,11 +92,10 @@
     ) {
         let now = shared.clock.now();
         let place = self.of(shared, service);
-        let context_tokens = usage.prompt_tokens.saturating_add(usage.completion_tokens);
         let answer = ChatAnswer {
             chat,
             endpoint,
-            context_tokens,
+            context_tokens: usage.prompt_tokens.saturating_add(usage.completion_tokens),
             cached_tokens: Some(usage.cached_tokens),
         };
         place.placement.observe_answer(now, &answer);
@@ -128,6 +127,8 @@
             return;
         }
         self.version = snapshot.version;
+        self.placement
+            .set_prefill_tokens_per_s(service.settings.prefill_tokens_per_s);
         self.budget
             .set_percent_max(service.settings.retry_percent_max);
         self.endpoints = service
