Bound the first warm endpoint by the mean, too

Cause: the load bound counted warm endpoints only, and lets a lone endpoint go unbounded. Ruled out: a second owner (no request was run for an owner out of reach) and late summaries (the others had reported). The count is now that of all endpoints that take new work.

--- a/crates/celeryknot_policy/src/bound.rs
+++ b/crates/celeryknot_policy/src/bound.rs
@@ -7,7 +7,7 @@
 /// The load of a service over its endpoints, as old as the summaries it was made from.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ServiceLoad {
-    /// Endpoints that can carry a full share.
+    /// Endpoints that take new work, whatever their condition.
     pub endpoint_count: u32,
     /// Mean requests in flight at such an endpoint.
     pub mean_in_flight: f64,
@@ -49,10 +49,12 @@
         if warm.count == 0 {
             return all.mean();
         }
+        let endpoint_count = all.count;
         let all_mean = all.mean().mean_in_flight;
         let load = warm.mean();
         let held_down = 1.0 - all_mean / load.mean_in_flight.max(all_mean).max(f64::MIN_POSITIVE);
         Self {
+            endpoint_count,
             held_down_share: if all_mean > 0.0 { held_down } else { 0.0 },
             ..load
         }
--- a/crates/celeryknot_policy/tests/load_bound.rs
+++ b/crates/celeryknot_policy/tests/load_bound.rs
@@ -4,6 +4,8 @@
 
 mod fleet_fake;
 
+use celeryknot_core::{EndpointCondition, EndpointSummary};
+use celeryknot_policy::bound::{LoadBound, ServiceLoad};
 use celeryknot_policy::placement::ContextAware;
 use fleet_fake::{Outcome, Plan, run};
 
@@ -82,3 +84,40 @@
         assert!(ratio <= 1.2, "seed {seed}: {ratio}");
     }
 }
+
+#[test]
+fn bound_holds_for_the_first_endpoint_that_is_warm() {
+    let summary = |in_flight, condition| EndpointSummary {
+        in_flight,
+        condition,
+        ..EndpointSummary::default()
+    };
+    struct Case {
+        name: &'static str,
+        summaries: Vec<EndpointSummary>,
+        in_flight_max: u32,
+    }
+    let cases = [
+        Case {
+            name: "one warm among ramping ones",
+            summaries: std::iter::once(summary(2, EndpointCondition::Warm))
+                .chain((0..9).map(|_| summary(2, EndpointCondition::Ramping)))
+                .collect(),
+            in_flight_max: 4,
+        },
+        Case {
+            name: "an endpoint alone has no mean to keep to",
+            summaries: vec![summary(2, EndpointCondition::Warm)],
+            in_flight_max: u32::MAX,
+        },
+    ];
+    for case in cases {
+        let load = ServiceLoad::from_summaries(&case.summaries);
+        let in_flight_max = LoadBound::new(1.25).in_flight_max(&load);
+        assert!(
+            in_flight_max <= case.in_flight_max,
+            "{}: {in_flight_max}",
+            case.name
+        );
+    }
+}
