Move reads and streams off silent connections in time

The head of an idempotent request that is late by the 95th percentile is asked for at another endpoint as well, within the retry budget; the first head wins. A stream that stalls for 2 s goes on elsewhere. A connection to a peer is proved alive again after one of its answers broke.

The new test cuts all open connections without a word every 1.2 s.

What is known of the attempts moves out of the I/O into a file of its own.

--- a/crates/celeryknotd/src/traffic.rs
+++ b/crates/celeryknotd/src/traffic.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod admission;
 pub(crate) mod admitted;
+pub(crate) mod attempt_log;
 pub(crate) mod body;
 pub(crate) mod chat;
 pub(crate) mod context;
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/attempt_log.rs
@@ -0,0 +1,153 @@
+//! What is known of all attempts of one request, without any I/O.
+
+use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Execution, Refusal};
+use celeryknot_policy::attempt::{AttemptEvent, AttemptIndex, CallSafety, Judgement, Submission};
+use smallvec::SmallVec;
+
+use super::failure::{Failure, RetryCost};
+
+/// The attempts of one request, and why they failed.
+#[derive(Debug)]
+pub(crate) struct AttemptLog {
+    submission: Submission,
+    excluded: SmallVec<[EndpointName; 4]>,
+    /// Endpoints that may do better once the others have failed too.
+    second_chances: SmallVec<[EndpointName; 4]>,
+    is_last_round: bool,
+    last_refusal: Option<Refusal>,
+    come_back_ms: Option<DurationMs>,
+}
+
+impl AttemptLog {
+    pub(crate) fn new(safety: CallSafety) -> Self {
+        Self {
+            submission: Submission::new(safety),
+            excluded: SmallVec::new(),
+            second_chances: SmallVec::new(),
+            is_last_round: false,
+            last_refusal: None,
+            come_back_ms: None,
+        }
+    }
+
+    /// Starts a further attempt, if that is safe.
+    pub(crate) fn start_attempt(&mut self) -> Option<AttemptIndex> {
+        self.submission.start_attempt().ok()
+    }
+
+    /// Tells whether no other attempt was started.
+    pub(crate) fn is_first_attempt(&self) -> bool {
+        self.submission.attempt_count() == 1
+    }
+
+    /// Asks for leave to hand the first byte of an attempt to a connection.
+    pub(crate) fn may_send(&mut self, attempt: AttemptIndex) -> bool {
+        // A copy of an idempotent request on a second connection belongs to the same attempt.
+        self.submission.may_send(attempt) || self.submission.safety() == CallSafety::Idempotent
+    }
+
+    /// Returns the endpoints that have failed.
+    pub(crate) fn excluded(&self) -> &SmallVec<[EndpointName; 4]> {
+        &self.excluded
+    }
+
+    /// Tells whether busy endpoints are asked to queue the request.
+    pub(crate) fn is_last_round(&self) -> bool {
+        self.is_last_round
+    }
+
+    /// Gives endpoints that may do better another chance.
+    pub(crate) fn start_last_round(&mut self) -> bool {
+        if self.second_chances.is_empty() {
+            return false;
+        }
+        self.is_last_round = true;
+        let again = std::mem::take(&mut self.second_chances);
+        self.excluded.retain(|name| !again.contains(name));
+        true
+    }
+
+    /// Notes an event of an attempt that says nothing against its endpoint.
+    pub(crate) fn note(&mut self, attempt: AttemptIndex, event: AttemptEvent) {
+        self.submission.apply(attempt, event);
+    }
+
+    /// Notes why an attempt failed.
+    pub(crate) fn note_failure(
+        &mut self,
+        attempt: AttemptIndex,
+        endpoint: &EndpointName,
+        refusal: Refusal,
+    ) {
+        match refusal.kind.answer().execution {
+            Execution::NotRun => {
+                // Whether the owner or the endpoint refused: whoever had the request did not run it.
+                self.submission
+                    .apply(attempt, AttemptEvent::EndpointRefused);
+            }
+            Execution::Run | Execution::Unknown => {
+                self.submission.apply(attempt, AttemptEvent::SendStarted);
+                let event = Failure::from(refusal.kind).event_after_send();
+                self.submission.apply(attempt, event);
+            }
+        }
+        if self.may_do_better(refusal.kind) {
+            self.second_chances.push(endpoint.clone());
+        }
+        self.excluded.push(endpoint.clone());
+        self.last_refusal = Some(refusal);
+        self.come_back_ms = match (self.come_back_ms, refusal.retry_after_ms) {
+            (Some(one), Some(other)) => Some(one.min(other)),
+            (one, other) => one.or(other),
+        };
+    }
+
+    /// Notes why no further attempt is made.
+    pub(crate) fn give_up(&mut self, kind: ErrorKind) {
+        self.last_refusal = Some(Refusal::new(kind));
+    }
+
+    /// Returns the last failure with the cost of a further attempt.
+    pub(crate) fn next_cost(&self) -> Option<(ErrorKind, RetryCost)> {
+        let kind = self.last_refusal?.kind;
+        let cost = Failure::from(kind).retry_cost();
+        (self.submission.may_retry() && cost != RetryCost::Useless).then_some((kind, cost))
+    }
+
+    /// Says what is known of all attempts together, with the earliest time to come back.
+    pub(crate) fn refusal(&self) -> Refusal {
+        let last = self
+            .last_refusal
+            .unwrap_or(Refusal::new(ErrorKind::NoEndpoint));
+        let kind = match self.submission.judge() {
+            Judgement::Failed { kind, execution }
+                if execution != Execution::NotRun
+                    && last.kind.answer().execution == Execution::NotRun =>
+            {
+                kind
+            }
+            Judgement::Failed { .. } | Judgement::Pending | Judgement::Answered => last.kind,
+        };
+        let after_ms = self.come_back_ms.or(last.retry_after_ms);
+        match (kind.answer().retry_after_default_ms, after_ms) {
+            (Some(_), Some(after_ms)) => Refusal::after(kind, after_ms),
+            (Some(_), None) | (None, _) => Refusal::new(kind),
+        }
+    }
+
+    /// Tells whether a failure may be the fault of others: of a better endpoint that failed
+    /// since, or of the way to the endpoint.
+    fn may_do_better(&self, kind: ErrorKind) -> bool {
+        match Failure::from(kind) {
+            Failure::NotAdmitted => kind == ErrorKind::EndpointBusy && !self.is_last_round,
+            Failure::Lost | Failure::Incomplete => true,
+            Failure::Final
+            | Failure::Paused
+            | Failure::NoConnection
+            | Failure::Refused
+            | Failure::TimedOut
+            | Failure::Mismatched
+            | Failure::TooLarge => false,
+        }
+    }
+}
--- a/crates/celeryknotd/src/traffic/body.rs
+++ b/crates/celeryknotd/src/traffic/body.rs
@@ -190,6 +190,11 @@
     pub(crate) fn now(&self) {
         self.at.set(self.clock.now());
     }
+
+    /// Has the connection proved alive before it is used again.
+    pub(crate) fn distrust(&self) {
+        self.at.set(MonotonicMs(0));
+    }
 }
 
 /// An answer that comes from the owner of the endpoint.
@@ -249,7 +254,10 @@
             }
         };
         this.silence = None;
-        this.has_failed = result.is_err();
+        if result.is_err() {
+            this.has_failed = true;
+            this.heard.distrust();
+        }
         Poll::Ready(Some(result))
     }
 }
--- a/crates/celeryknotd/src/traffic/dispatch.rs
+++ b/crates/celeryknotd/src/traffic/dispatch.rs
@@ -1,17 +1,22 @@
 //! Tries the endpoints for one request in order, as far as that is safe.
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 
-use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Execution, MemberName, Refusal};
+use celeryknot_core::{DurationMs, EndpointName, ErrorKind, MemberName, Refusal};
 use celeryknot_endpoints::sse::Usage;
-use celeryknot_policy::attempt::{AttemptEvent, AttemptIndex, CallSafety, Judgement, Submission};
+use celeryknot_policy::attempt::{AttemptEvent, AttemptIndex, CallSafety};
 use celeryknot_policy::placement::{EndpointHash, PlacementRequest};
-use smallvec::SmallVec;
+use futures_lite::future;
 
+use super::attempt_log::AttemptLog;
 use super::context::ThreadContext;
-use super::failure::{Failure, RetryCost};
+use super::failure::RetryCost;
 use super::owner::{self, Answered};
 use super::peer_link;
 use super::shared::draw_request_id;
@@ -40,29 +45,13 @@
 pub(crate) struct Dispatch {
     context: Rc<ThreadContext>,
     work: Rc<Work>,
-    submission: RefCell<Submission>,
-    excluded: SmallVec<[EndpointName; 4]>,
-    /// Endpoints that were busy only in comparison with others.
-    busy: SmallVec<[EndpointName; 4]>,
-    /// Whether the others have failed, so that the busy ones are asked to queue the request.
-    is_last_round: bool,
-    last_refusal: Option<Refusal>,
-    come_back_ms: Option<DurationMs>,
+    log: RefCell<AttemptLog>,
 }
 
 impl Dispatch {
     pub(crate) fn new(context: Rc<ThreadContext>, work: Rc<Work>) -> Self {
-        let submission = RefCell::new(Submission::new(work.safety));
-        Self {
-            context,
-            work,
-            submission,
-            excluded: SmallVec::new(),
-            busy: SmallVec::new(),
-            is_last_round: false,
-            last_refusal: None,
-            come_back_ms: None,
-        }
+        let log = RefCell::new(AttemptLog::new(work.safety));
+        Self { context, work, log }
     }
 
     /// Tries endpoints until one answers.
@@ -70,41 +59,27 @@
     /// # Errors
     ///
     /// What is known of all attempts together, with the earliest time to come back.
-    pub(crate) async fn next_answer(
-        &mut self,
-        resume_from: Option<u64>,
-    ) -> Result<Placed, Refusal> {
+    pub(crate) async fn next_answer(&self, resume_from: Option<u64>) -> Result<Placed, Refusal> {
         loop {
             if let Err(kind) = self.context.check_time(self.work.deadline_at) {
-                self.last_refusal = Some(Refusal::new(kind));
-                return Err(self.refusal());
+                self.log.borrow_mut().give_up(kind);
+                return Err(self.log.borrow().refusal());
             }
-            let Some(choice) = self.choose() else {
-                if self.start_last_round() {
+            let Some(choice) = self.choose(None) else {
+                if self.log.borrow_mut().start_last_round() {
                     continue;
                 }
-                return Err(self.refusal());
+                return Err(self.log.borrow().refusal());
             };
-            let started = self.submission.borrow_mut().start_attempt();
-            let Ok(attempt) = started else {
-                return Err(self.refusal());
+            let started = self.log.borrow_mut().start_attempt();
+            let Some(attempt) = started else {
+                return Err(self.log.borrow().refusal());
             };
-            let result = self.run_attempt(&choice, attempt, resume_from).await;
-            let endpoint = choice.endpoint.name;
-            match result {
-                Ok(answered) => {
-                    let event = AttemptEvent::HeadReceived;
-                    self.submission.borrow_mut().apply(attempt, event);
-                    return Ok(Placed {
-                        answered,
-                        endpoint,
-                        attempt,
-                    });
-                }
-                Err(refusal) => self.note(attempt, endpoint, refusal),
+            if let Some(placed) = self.run_hedged(&choice, attempt, resume_from).await {
+                return Ok(placed);
             }
             if !self.may_go_on() {
-                return Err(self.refusal());
+                return Err(self.log.borrow().refusal());
             }
         }
     }
@@ -115,44 +90,34 @@
     ///
     /// What is known where no further attempt is safe or allowed.
     pub(crate) fn note_broken(
-        &mut self,
+        &self,
         attempt: AttemptIndex,
-        endpoint: EndpointName,
+        endpoint: &EndpointName,
         kind: ErrorKind,
     ) -> Result<(), Refusal> {
-        self.note(attempt, endpoint, Refusal::new(kind));
+        let refusal = Refusal::new(kind);
+        self.log
+            .borrow_mut()
+            .note_failure(attempt, endpoint, refusal);
         if self.may_go_on() {
             return Ok(());
         }
-        Err(self.refusal())
+        Err(self.log.borrow().refusal())
     }
 
     /// Notes that the answer is whole.
-    pub(crate) fn note_whole(&mut self, attempt: AttemptIndex) {
-        self.submission
-            .borrow_mut()
-            .apply(attempt, AttemptEvent::AnswerCompleted);
+    pub(crate) fn note_whole(&self, attempt: AttemptIndex) {
+        let event = AttemptEvent::AnswerCompleted;
+        self.log.borrow_mut().note(attempt, event);
     }
 
-    /// Gives the endpoints that were busy in comparison another chance.
-    fn start_last_round(&mut self) -> bool {
-        if self.is_last_round || self.busy.is_empty() {
-            return false;
-        }
-        self.is_last_round = true;
-        let busy = std::mem::take(&mut self.busy);
-        self.excluded.retain(|name| !busy.contains(name));
-        true
-    }
-
-    fn choose(&self) -> Option<Choice> {
+    /// Chooses the best endpoint that has not failed and is not the one to avoid.
+    fn choose(&self, avoided: Option<&EndpointName>) -> Option<Choice> {
         let snapshot = self.context.snapshot();
-        let key = (
-            self.work.service.team.clone(),
-            self.work.service.name.clone(),
-        );
+        let team = self.work.service.team.clone();
+        let key = (team, self.work.service.name.clone());
         let service = snapshot.services.get(&key)?;
-        let request = self.placement_request();
+        let request = self.placement_request(avoided);
         let shared = &self.context.shared;
         let candidates = self
             .context
@@ -160,26 +125,102 @@
             .borrow_mut()
             .rank(shared, &snapshot, service, &request);
         let first = candidates.first()?;
+        let is_last_round = self.log.borrow().is_last_round();
+        let second = candidates.get(1).filter(|_| !is_last_round);
         Some(Choice {
             service: Arc::clone(service),
             endpoint: service.endpoints.get(first.index)?.clone(),
             uncached_tokens: first.uncached_tokens,
-            alternative_wait_ms: candidates
-                .get(1)
-                .filter(|_| !self.is_last_round)
-                .map(|second| second.wait_ms),
+            alternative_wait_ms: second.map(|second| second.wait_ms),
         })
     }
 
-    fn placement_request(&self) -> PlacementRequest {
+    fn placement_request(&self, avoided: Option<&EndpointName>) -> PlacementRequest {
         let chat = self.work.chat.as_ref();
         let affinity = chat.and_then(|chat| chat.affinity.as_ref());
+        let mut excluded = self.log.borrow().excluded().clone();
+        excluded.extend(avoided.cloned());
         PlacementRequest {
             chat: chat.map(|chat| chat.key),
             affinity: affinity.map(|affinity| affinity.endpoint.clone()),
             cached_tokens_hint: affinity.map_or(0, |affinity| affinity.tokens),
             prompt_tokens: chat.map_or(1, |chat| chat.cost.prompt_tokens),
-            excluded: self.excluded.clone(),
+            excluded,
+        }
+    }
+
+    /// Runs an attempt, and a second one beside it when its head is late; the first head wins.
+    async fn run_hedged(
+        &self,
+        choice: &Choice,
+        attempt: AttemptIndex,
+        resume_from: Option<u64>,
+    ) -> Option<Placed> {
+        let first = self.run_noted(choice, attempt, resume_from);
+        if self.work.safety == CallSafety::NonIdempotent {
+            return first.await;
+        }
+        let shared = &self.context.shared;
+        let after_ms = self
+            .context
+            .places
+            .borrow_mut()
+            .hedge_after_ms(shared, &self.work.service);
+        let second_attempt = Cell::new(None);
+        let second = async {
+            smol::Timer::after(after_ms.as_std()).await;
+            let choice = self.choose_hedge(&choice.endpoint.name)?;
+            let started = self.log.borrow_mut().start_attempt()?;
+            second_attempt.set(Some(started));
+            self.run_noted(&choice, started, resume_from).await
+        };
+        let placed = race(first, second, || second_attempt.get().is_some()).await;
+        let loser = match &placed {
+            Some(placed) if placed.attempt == attempt => second_attempt.get(),
+            Some(_) => Some(attempt),
+            None => None,
+        };
+        if let Some(loser) = loser {
+            self.log.borrow_mut().note(loser, AttemptEvent::Cancelled);
+        }
+        placed
+    }
+
+    /// Chooses another endpoint for a hedge, if the retry budget allows one.
+    fn choose_hedge(&self, first: &EndpointName) -> Option<Choice> {
+        let choice = self.choose(Some(first))?;
+        let shared = &self.context.shared;
+        let service = &self.work.service;
+        if !self.context.places.borrow_mut().take_retry(shared, service) {
+            return None;
+        }
+        shared.metrics.traffic.hedges.inc();
+        Some(choice)
+    }
+
+    /// Runs an attempt and notes how it went.
+    async fn run_noted(
+        &self,
+        choice: &Choice,
+        attempt: AttemptIndex,
+        resume_from: Option<u64>,
+    ) -> Option<Placed> {
+        let result = self.run_attempt(choice, attempt, resume_from).await;
+        let endpoint = choice.endpoint.name.clone();
+        let mut log = self.log.borrow_mut();
+        match result {
+            Ok(answered) => {
+                log.note(attempt, AttemptEvent::HeadReceived);
+                Some(Placed {
+                    answered,
+                    endpoint,
+                    attempt,
+                })
+            }
+            Err(refusal) => {
+                log.note_failure(attempt, &endpoint, refusal);
+                None
+            }
         }
     }
 
@@ -189,7 +230,7 @@
         attempt: AttemptIndex,
         resume_from: Option<u64>,
     ) -> Result<Answered, Refusal> {
-        let is_first = self.submission.borrow().attempt_count() == 1;
+        let is_first = self.log.borrow().is_first_attempt();
         let id = if is_first {
             self.work.id
         } else {
@@ -218,7 +259,7 @@
     async fn hand_over<M>(
         &self,
         member: &MemberName,
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         work: &EndpointWork,
         may_send: M,
     ) -> Result<Answered, Refusal>
@@ -240,7 +281,7 @@
     }
 
     /// Returns the other daemon that owns the endpoint, if one does.
-    fn owner_of(&self, endpoint: &EndpointSnapshot) -> Option<(MemberName, std::net::SocketAddr)> {
+    fn owner_of(&self, endpoint: &EndpointSnapshot) -> Option<(MemberName, SocketAddr)> {
         let owner = endpoint.owner.as_ref()?;
         let snapshot = self.context.snapshot();
         if *owner == snapshot.own_name {
@@ -252,78 +293,28 @@
 
     fn may_send(&self, attempt: AttemptIndex) -> Result<(), ErrorKind> {
         self.context.check_time(self.work.deadline_at)?;
-        let mut submission = self.submission.borrow_mut();
-        if submission.may_send(attempt) || self.work.safety == CallSafety::Idempotent {
+        if self.log.borrow_mut().may_send(attempt) {
             return Ok(());
         }
         Err(ErrorKind::InternalError)
     }
 
-    fn note(&mut self, attempt: AttemptIndex, endpoint: EndpointName, refusal: Refusal) {
-        let mut submission = self.submission.borrow_mut();
-        match refusal.kind.answer().execution {
-            Execution::NotRun => {
-                // Whether the owner or the endpoint refused: whoever had the request did not run it.
-                submission.apply(attempt, AttemptEvent::EndpointRefused);
-            }
-            Execution::Run | Execution::Unknown => {
-                submission.apply(attempt, AttemptEvent::SendStarted);
-                submission.apply(attempt, Failure::from(refusal.kind).event_after_send());
-            }
-        }
-        drop(submission);
-        if refusal.kind == ErrorKind::EndpointBusy {
-            self.busy.push(endpoint.clone());
-        }
-        self.excluded.push(endpoint);
-        self.last_refusal = Some(refusal);
-        self.come_back_ms = match (self.come_back_ms, refusal.retry_after_ms) {
-            (Some(one), Some(other)) => Some(one.min(other)),
-            (one, other) => one.or(other),
-        };
-    }
-
     /// Tells whether a further attempt is safe, useful and within the retry budget.
     fn may_go_on(&self) -> bool {
-        let Some(refusal) = self.last_refusal else {
+        let Some((kind, cost)) = self.log.borrow().next_cost() else {
             return false;
         };
-        let cost = Failure::from(refusal.kind).retry_cost();
-        if cost == RetryCost::Useless || !self.submission.borrow().may_retry() {
-            return false;
-        }
         let shared = &self.context.shared;
-        let is_free = cost == RetryCost::Free;
         let service = &self.work.service;
+        let is_free = cost == RetryCost::Free;
         if is_free || self.context.places.borrow_mut().take_retry(shared, service) {
-            shared.metrics.traffic.retried(refusal.kind);
+            shared.metrics.traffic.retried(kind);
             return true;
         }
-        shared.metrics.traffic.retry_denied(refusal.kind);
+        shared.metrics.traffic.retry_denied(kind);
         false
     }
 
-    /// Says what is known of all attempts together.
-    fn refusal(&self) -> Refusal {
-        let last = self
-            .last_refusal
-            .unwrap_or(Refusal::new(ErrorKind::NoEndpoint));
-        let kind = match self.submission.borrow().judge() {
-            Judgement::Failed { kind, execution }
-                if execution != Execution::NotRun
-                    && last.kind.answer().execution == Execution::NotRun =>
-            {
-                kind
-            }
-            Judgement::Failed { .. } | Judgement::Pending | Judgement::Answered => last.kind,
-        };
-        let after_ms = self.come_back_ms.or(last.retry_after_ms);
-        match (kind.answer().retry_after_default_ms, after_ms) {
-            (Some(_), Some(after_ms)) => Refusal::after(kind, after_ms),
-            (Some(_), None) | (None, _) => Refusal::new(kind),
-        }
-    }
-
     /// Remembers where the chat was answered.
     pub(crate) fn remember(&self, endpoint: &EndpointName, usage: Usage) {
         let Some(chat) = &self.work.chat else {
@@ -331,12 +322,42 @@
         };
         let hash = EndpointHash::new(endpoint);
         let shared = &self.context.shared;
-        self.context.places.borrow_mut().answered(
-            shared,
-            &self.work.service,
-            chat.key,
-            hash,
-            usage,
-        );
+        let service = &self.work.service;
+        self.context
+            .places
+            .borrow_mut()
+            .answered(shared, service, chat.key, hash, usage);
     }
 }
+
+/// Returns the first success of two; the second is waited for only once it has begun its attempt.
+async fn race<T>(
+    first: impl Future<Output = Option<T>>,
+    second: impl Future<Output = Option<T>>,
+    has_second_begun: impl Fn() -> bool,
+) -> Option<T> {
+    let (mut first, mut second) = (pin!(first), pin!(second));
+    let (mut is_first_over, mut is_second_over) = (false, false);
+    future::poll_fn(|context| {
+        if !is_first_over && let Poll::Ready(result) = first.as_mut().poll(context) {
+            if result.is_some() {
+                return Poll::Ready(result);
+            }
+            is_first_over = true;
+        }
+        if is_first_over && !has_second_begun() {
+            return Poll::Ready(None);
+        }
+        if !is_second_over && let Poll::Ready(result) = second.as_mut().poll(context) {
+            if result.is_some() {
+                return Poll::Ready(result);
+            }
+            is_second_over = true;
+        }
+        if is_first_over && is_second_over {
+            return Poll::Ready(None);
+        }
+        Poll::Pending
+    })
+    .await
+}
--- a/crates/celeryknotd/src/traffic/entry.rs
+++ b/crates/celeryknotd/src/traffic/entry.rs
@@ -228,7 +228,7 @@
 
 async fn run_dispatch(
     context: &Rc<ThreadContext>,
-    mut dispatch: Dispatch,
+    dispatch: Dispatch,
     work: &Rc<Work>,
 ) -> Result<Response<DaemonBody>, Refusal> {
     let started_at = context.now();
@@ -238,7 +238,7 @@
         {
             let mut places = context.places.borrow_mut();
             let place = places.of(&context.shared, &work.service);
-            place.metrics.first_byte(context.now() - started_at);
+            place.observe_head(context.now() - started_at);
         }
         let asks_stream = work.chat.as_ref().is_some_and(|chat| chat.is_stream);
         if asks_stream && stream::is_stream(&placed.answered.head) {
@@ -251,17 +251,14 @@
         if !placed.answered.body.is_small() {
             return Ok(finish_head(context, work, &endpoint, placed.answered));
         }
-        if let Some(answered) = read_whole(&mut dispatch, &mut placed).await? {
+        if let Some(answered) = read_whole(&dispatch, &mut placed).await? {
             return Ok(finish_head(context, work, &endpoint, answered));
         }
     }
 }
 
 /// Reads an answer whole; `None` where it broke and may be asked for again.
-async fn read_whole(
-    dispatch: &mut Dispatch,
-    placed: &mut Placed,
-) -> Result<Option<Answered>, Refusal> {
+async fn read_whole(dispatch: &Dispatch, placed: &mut Placed) -> Result<Option<Answered>, Refusal> {
     let body = std::mem::replace(&mut placed.answered.body, DaemonBody::whole(Bytes::new()));
     match body.collect().await {
         Ok(collected) => {
@@ -276,7 +273,7 @@
             }))
         }
         Err(error) => {
-            dispatch.note_broken(placed.attempt, placed.endpoint.clone(), error.0)?;
+            dispatch.note_broken(placed.attempt, &placed.endpoint, error.0)?;
             Ok(None)
         }
     }
--- a/crates/celeryknotd/src/traffic/owner.rs
+++ b/crates/celeryknotd/src/traffic/owner.rs
@@ -29,6 +29,9 @@
 /// would be noticed late; one that was used just now is most likely alive.
 const CHAT_IDLE_MAX: DurationMs = DurationMs(100);
 
+/// Longest silence within a stream of tokens that could go on elsewhere.
+const STALL_MAX: DurationMs = DurationMs(2_000);
+
 /// An answer whose head has come.
 #[derive(Debug)]
 pub(crate) struct Answered {
@@ -125,11 +128,26 @@
         timeouts: CallTimeouts {
             connect_ms: CONNECT_TIMEOUT,
             first_byte_ms: settings.first_byte_timeout_ms.min(left_ms),
-            idle_ms: settings.idle_timeout_ms,
+            idle_ms: silence_max(work),
         },
     })
 }
 
+/// A stream that stalls goes on at another endpoint, where there is one, before its caller
+/// gives up.
+fn silence_max(work: &EndpointWork) -> DurationMs {
+    let idle_ms = work.service.settings.idle_timeout_ms;
+    let endpoints = &work.service.endpoints;
+    let others = endpoints
+        .iter()
+        .filter(|it| it.takes_new_work && it.name != work.endpoint)
+        .count();
+    if work.is_chat && !work.needs_whole_answer && others > 0 {
+        return idle_ms.min(STALL_MAX);
+    }
+    idle_ms
+}
+
 fn reuse_of(work: &EndpointWork) -> Reuse {
     match work.safety {
         CallSafety::NonIdempotent => Reuse::Never,
--- a/crates/celeryknotd/src/traffic/peer_link.rs
+++ b/crates/celeryknotd/src/traffic/peer_link.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use celeryknot_core::{DurationMs, ErrorKind, MemberName, Refusal, RequestId};
+use celeryknot_core::{DurationMs, ErrorKind, MemberName, MonotonicMs, Refusal, RequestId};
 use celeryknot_endpoints::RequestBody;
 use futures_lite::future;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -51,6 +51,8 @@
     pub(crate) address: SocketAddr,
     /// Whether the request may be sent twice.
     pub(crate) may_repeat: bool,
+    /// When the caller stops waiting.
+    pub(crate) deadline_at: Option<MonotonicMs>,
     /// Longest wait for the head of the answer.
     pub(crate) timeout_ms: DurationMs,
     /// Longest silence within the answer.
@@ -124,6 +126,18 @@
             .is_some_and(|answer| answer.status() == StatusCode::NO_CONTENT)
     }
 
+    async fn exchange_within(
+        &self,
+        timeout: DurationMs,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, ErrorKind> {
+        let give_up = async {
+            smol::Timer::after(timeout.as_std()).await;
+            Err(ErrorKind::AnswerTimeout)
+        };
+        future::or(self.exchange(request), give_up).await
+    }
+
     async fn exchange(
         &self,
         request: Request<RequestBody>,
@@ -245,6 +259,7 @@
         member,
         address,
         may_repeat: work.safety == celeryknot_policy::attempt::CallSafety::Idempotent,
+        deadline_at: work.deadline_at,
         timeout_ms: DurationMs(wait_ms + OWNER_MARGIN.0),
         silence_max: DurationMs(settings.idle_timeout_ms.0 + OWNER_MARGIN.0),
     };
@@ -285,6 +300,28 @@
     request: Request<RequestBody>,
     may_send: M,
 ) -> Result<Answered, Refusal>
+where
+    M: Fn() -> Result<(), ErrorKind>,
+{
+    let (link, answer) = send(context, handover, request, may_send).await?;
+    let (head, incoming) = answer.into_parts();
+    if let Some(refusal) = hop::read_refusal(&head.headers) {
+        return Err(refusal);
+    }
+    let body = PeerBody::new(incoming, link.heard.clone(), handover.silence_max);
+    Ok(Answered {
+        head,
+        body: DaemonBody::new(AnswerSource::Peer(Box::new(body))),
+    })
+}
+
+/// Sends a request on a live connection, and on a new one where it never left the first.
+async fn send<M>(
+    context: &Rc<ThreadContext>,
+    handover: Handover<'_>,
+    request: Request<RequestBody>,
+    may_send: M,
+) -> Result<(PeerLink, Response<Incoming>), Refusal>
 where
     M: Fn() -> Result<(), ErrorKind>,
 {
@@ -293,34 +330,34 @@
     } else {
         CALL_SILENCE_MAX
     };
-    let link = context
-        .peers
+    let peers = &context.peers;
+    let mut link = peers
         .get(context, handover.address, silence_max)
         .await
         .map_err(|kind| unreachable_peer(context, handover.member, kind))?;
     may_send().map_err(Refusal::new)?;
     context.shared.metrics.traffic.forwards_out.inc();
-    let answer = link.exchange(request);
-    let give_up = async {
-        smol::Timer::after(handover.timeout_ms.as_std()).await;
-        Err(ErrorKind::AnswerTimeout)
-    };
-    let answer = match future::or(answer, give_up).await {
-        Ok(answer) => answer,
+    let mut result = link
+        .exchange_within(handover.timeout_ms, request.clone())
+        .await;
+    if let Err(ErrorKind::ConnectFailed) = result {
+        peers.remove(handover.address);
+        link = peers
+            .get(context, handover.address, silence_max)
+            .await
+            .map_err(|kind| unreachable_peer(context, handover.member, kind))?;
+        context
+            .check_time(handover.deadline_at)
+            .map_err(Refusal::new)?;
+        result = link.exchange_within(handover.timeout_ms, request).await;
+    }
+    match result {
+        Ok(answer) => Ok((link, answer)),
         Err(kind) => {
-            context.peers.remove(handover.address);
-            return Err(unreachable_peer(context, handover.member, kind));
+            peers.remove(handover.address);
+            Err(unreachable_peer(context, handover.member, kind))
         }
-    };
-    let (head, incoming) = answer.into_parts();
-    if let Some(refusal) = hop::read_refusal(&head.headers) {
-        return Err(refusal);
     }
-    let body = PeerBody::new(incoming, link.heard.clone(), handover.silence_max);
-    Ok(Answered {
-        head,
-        body: DaemonBody::new(AnswerSource::Peer(Box::new(body))),
-    })
 }
 
 fn unreachable_peer(context: &Rc<ThreadContext>, member: &MemberName, kind: ErrorKind) -> Refusal {
--- a/crates/celeryknotd/src/traffic/places.rs
+++ b/crates/celeryknotd/src/traffic/places.rs
@@ -11,7 +11,7 @@
     Candidates, ChatAnswer, ContextAware, EndpointHash, Placement, PlacementEndpoint,
     PlacementRequest,
 };
-use celeryknot_policy::retry::RetryBudget;
+use celeryknot_policy::retry::{HedgeTimer, RetryBudget};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
@@ -21,6 +21,12 @@
 /// Chats of one service that a thread remembers.
 const CHATS_MAX: usize = 32_768;
 
+/// Shortest time after which a second attempt is made.
+const HEDGE_MIN: DurationMs = DurationMs(300);
+
+/// Time after which a second attempt is made while too few answers were seen.
+const HEDGE_DEFAULT: DurationMs = DurationMs(1_500);
+
 /// One service as this thread places its requests.
 #[derive(Debug)]
 pub(crate) struct Place {
@@ -30,6 +36,7 @@
     pub(crate) budget: RetryBudget,
     pub(crate) estimator: CostEstimator,
     pub(crate) metrics: ServiceMetrics,
+    hedge: HedgeTimer,
 }
 
 /// All services that this thread has placed requests of.
@@ -58,6 +65,7 @@
             placement: ContextAware::new(CHATS_MAX, service.settings.prefill_tokens_per_s),
             budget: RetryBudget::new(service.settings.retry_percent_max),
             estimator: CostEstimator::default(),
+            hedge: HedgeTimer::new(HEDGE_MIN),
             metrics: shared.metrics.traffic.service(&service.name),
         })
     }
@@ -114,6 +122,16 @@
         self.of(shared, service).metrics.waited(wait);
     }
 
+    /// Returns the time after which a second attempt is worth its cost.
+    pub(crate) fn hedge_after_ms(
+        &mut self,
+        shared: &Shared,
+        service: &ServiceSnapshot,
+    ) -> DurationMs {
+        let place = self.of(shared, service);
+        place.hedge.hedge_after_ms().unwrap_or(HEDGE_DEFAULT)
+    }
+
     /// Takes a retry from the service's budget, if one is left.
     pub(crate) fn take_retry(&mut self, shared: &Shared, service: &ServiceSnapshot) -> bool {
         let now: MonotonicMs = shared.clock.now();
@@ -122,6 +140,12 @@
 }
 
 impl Place {
+    /// Notes the time from a request to the head of its answer.
+    pub(crate) fn observe_head(&mut self, after_ms: DurationMs) {
+        self.metrics.first_byte(after_ms);
+        self.hedge.observe(after_ms);
+    }
+
     fn follow(&mut self, snapshot: &Snapshot, service: &ServiceSnapshot) {
         if self.version == snapshot.version && self.endpoints.len() == service.endpoints.len() {
             return;
--- a/crates/celeryknotd/src/traffic/stream.rs
+++ b/crates/celeryknotd/src/traffic/stream.rs
@@ -74,7 +74,7 @@
                 SourceEnd::CallerGone => return,
                 SourceEnd::Broken(kind) => kind,
             };
-            if let Err(refusal) = self.dispatch.note_broken(attempt, endpoint, kind) {
+            if let Err(refusal) = self.dispatch.note_broken(attempt, &endpoint, kind) {
                 return self.abort(refusal).await;
             }
             placed = match self.resume(kind).await {
--- a/crates/celeryknotd/src/traffic/ticketed.rs
+++ b/crates/celeryknotd/src/traffic/ticketed.rs
@@ -186,6 +186,7 @@
         member: &member.name,
         address: member.forwards_address,
         may_repeat: false,
+        deadline_at: work.deadline_at,
         timeout_ms: DurationMs(wait_ms + ISSUER_MARGIN.0),
         silence_max: DurationMs(settings.idle_timeout_ms.0 + ISSUER_MARGIN.0),
     };
@@ -270,7 +271,7 @@
     ticket: Ticket,
     work: Work,
 ) -> Result<StoredAnswer, Refusal> {
-    let mut dispatch = Dispatch::new(Rc::clone(context), Rc::new(work));
+    let dispatch = Dispatch::new(Rc::clone(context), Rc::new(work));
     let result = match dispatch.next_answer(None).await {
         Ok(placed) => store(placed.answered).await,
         Err(refusal) => Err(refusal),
--- /dev/null
+++ b/crates/celeryknotd/tests/silence.rs
@@ -0,0 +1,177 @@
+//! Open connections go silent for good while new ones work.
+
+#![allow(clippy::unwrap_used, reason = "a test may panic")]
+
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use celeryknot_core::DurationMs;
+use celeryknot_settings::ServiceSettings;
+use celeryknot_standins::{
+    Caller, CallerOptions, Engine, EngineOptions, Fault, FaultProxy, LOOPBACK, Outcome, Service,
+    ServiceOptions,
+};
+use fleet::{
+    MODEL_SERVICE, PLAIN_SERVICE, TestEndpoint, TestFleet, TestOptions, booking, chat_request,
+    model_settings, plain_settings,
+};
+
+/// Callers at the same time.
+const CALLERS: usize = 4;
+
+/// Requests of one caller before and after the connections go silent.
+const ROUNDS: usize = 12;
+
+/// Longest time that a caller waits for an answer.
+const CALLER_TIMEOUT: DurationMs = DurationMs(8_000);
+
+struct Setup {
+    fleet: TestFleet,
+    proxies: Vec<FaultProxy>,
+    engines: Vec<Engine>,
+    services: Vec<Service>,
+}
+
+impl Setup {
+    /// Two daemons; the second owns the endpoints; a proxy before each of them and before it.
+    fn start() -> Self {
+        let engines: Vec<Engine> = (0..2)
+            .map(|_| Engine::start(EngineOptions::default(), LOOPBACK).unwrap())
+            .collect();
+        let services: Vec<Service> = (0..2)
+            .map(|_| Service::start(ServiceOptions::default(), LOOPBACK).unwrap())
+            .collect();
+        let mut proxies: Vec<FaultProxy> = engines
+            .iter()
+            .map(Engine::address)
+            .chain(services.iter().map(Service::address))
+            .map(|address| FaultProxy::start_before(address).unwrap())
+            .collect();
+        let names = ["engine-1", "engine-2", "service-1", "service-2"];
+        let endpoints: Vec<TestEndpoint> = names
+            .into_iter()
+            .enumerate()
+            .map(|(index, name)| TestEndpoint {
+                service: if index < 2 {
+                    MODEL_SERVICE
+                } else {
+                    PLAIN_SERVICE
+                },
+                name,
+                address: proxies[index].address(),
+                owner: 1,
+            })
+            .collect();
+        let options = TestOptions {
+            daemons: 2,
+            model: ServiceSettings {
+                retry_percent_max: 100,
+                ..model_settings()
+            },
+            plain: ServiceSettings {
+                retry_percent_max: 100,
+                ..plain_settings()
+            },
+            ..TestOptions::default()
+        };
+        let mut fleet = TestFleet::start(options, &endpoints);
+        let forwards = fleet.daemon(1).settings().forwards_address;
+        let proxy = FaultProxy::start_before(forwards).unwrap();
+        fleet.change_members(|members| {
+            for member in members.values_mut() {
+                if member.name.as_str() == "daemon-1" {
+                    member.forwards_address = proxy.address();
+                }
+            }
+        });
+        proxies.push(proxy);
+        Self {
+            fleet,
+            proxies,
+            engines,
+            services,
+        }
+    }
+
+    fn silence_all(&self) {
+        for proxy in &self.proxies {
+            proxy.apply(Fault::SilentDrop);
+        }
+    }
+
+    /// Asks for reads and streams; returns what did not end whole.
+    async fn ask(&self, caller: &Caller, index: usize, round: usize) -> Vec<String> {
+        let mut failures = Vec::new();
+        let plain = self.fleet.target(0, PLAIN_SERVICE);
+        let outcome = caller.read_record(&plain, "r1").await;
+        if !matches!(outcome, Outcome::Completed(_)) {
+            failures.push(format!("read {index}-{round}: {outcome:?}"));
+        }
+        let model = self.fleet.target(0, MODEL_SERVICE);
+        let chat = format!("chat-{index}");
+        let request = chat_request(&format!("file {index}"), true);
+        let outcome = caller.chat(&model, &chat, None, &request).await;
+        if !matches!(outcome, Outcome::Completed(_)) {
+            failures.push(format!("chat {index}-{round}: {outcome:?}"));
+        }
+        failures
+    }
+}
+
+#[test]
+fn reads_and_streams_move_to_new_connections_in_time() {
+    let setup = Setup::start();
+    let failures: Vec<String> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..CALLERS)
+            .map(|index| {
+                let setup = &setup;
+                scope.spawn(move || {
+                    let options = CallerOptions::default().timeout_ms(CALLER_TIMEOUT);
+                    let caller = Caller::new(options);
+                    let mut failures = Vec::new();
+                    for round in 0..ROUNDS {
+                        failures.extend(smol::block_on(setup.ask(&caller, index, round)));
+                    }
+                    failures
+                })
+            })
+            .collect();
+        for _ in 0..3 {
+            std::thread::sleep(Duration::from_millis(1_200));
+            setup.silence_all();
+        }
+        threads
+            .into_iter()
+            .flat_map(|thread| thread.join().unwrap())
+            .collect()
+    });
+    assert!(failures.is_empty(), "{failures:#?}");
+    assert!(setup.engines.iter().any(|engine| engine.seen().taken > 0));
+}
+
+#[test]
+fn a_booking_after_the_silence_goes_out_on_a_live_connection() {
+    let setup = Setup::start();
+    let caller = Caller::new(CallerOptions::default().timeout_ms(CALLER_TIMEOUT));
+    let plain = setup.fleet.target(0, PLAIN_SERVICE);
+    for round in 0..4 {
+        let slot = format!("slot-{round}");
+        let started = Instant::now();
+        let outcome = smol::block_on(caller.book_once(&plain, None, &booking(&slot)));
+        assert!(
+            matches!(outcome, Outcome::Completed(_)),
+            "round {round} after {:?}: {outcome:?}",
+            started.elapsed()
+        );
+        setup.silence_all();
+        // Longer than a connection may be silent before it is proved alive.
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let bookings: usize = setup
+        .services
+        .iter()
+        .map(|service| service.seen().bookings.len())
+        .sum();
+    assert_eq!(bookings, 4);
+}
