--- a/crates/celeryknotd/src/control/actor.rs
+++ b/crates/celeryknotd/src/control/actor.rs
@@ -343,11 +343,15 @@
         let view = self.fleet.view(now);
         let sources = self.sources.update(self.fleet.values());
         let snapshot = self.outlets.snapshot.load();
-        let status = status::build_status(&self.fleet, now, &view, &sources, &snapshot, &self.role);
-        let status = ControlStatus {
-            rollouts: status::rollout_statuses(&self.orders),
-            ..status
-        };
+        let status = status::build_status(
+            &self.fleet,
+            now,
+            &view,
+            &sources,
+            &snapshot,
+            &self.role,
+            &self.orders,
+        );
         self.outlets.status.store(Arc::new(status));
     }
 }
--- a/crates/celeryknotd/src/control/orders.rs
+++ b/crates/celeryknotd/src/control/orders.rs
@@ -1,5 +1,6 @@
 //! Orders to engines: probes the engines of rollouts that this daemon holds, and sends orders.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,6 +14,7 @@
     ControlKind, EngineReport, FencingNumber, Fleet, FleetView, Order, Orders, OrdersConfig,
     Rollout, RolloutState,
 };
+use celeryknot_operators::OrderCounts;
 use smol::LocalExecutor;
 
 use super::sources::Sources;
@@ -47,6 +49,7 @@
     next_look_at: MonotonicMs,
     next_probe_at: BTreeMap<EndpointName, MonotonicMs>,
     rollouts: Vec<Rollout>,
+    counts: Rc<Cell<OrderCounts>>,
 }
 
 impl OrdersDesk {
@@ -62,9 +65,15 @@
             next_look_at: MonotonicMs(0),
             next_probe_at: BTreeMap::new(),
             rollouts: Vec::new(),
+            counts: Rc::default(),
         }
     }
 
+    /// Returns the orders so far, by outcome.
+    pub(super) fn counts(&self) -> OrderCounts {
+        self.counts.get()
+    }
+
     /// Gives up all leases after a pause.
     pub(super) fn observe_pause(&mut self) {
         self.orders.observe_pause();
@@ -144,7 +153,8 @@
             fencing = order.fencing.0,
             "an engine is ordered to load a version"
         );
-        let task = give(order, self.started_at, self.sender.clone());
+        let counts = Rc::clone(&self.counts);
+        let task = give(order, self.started_at, self.sender.clone(), counts);
         self.executor.spawn(task).detach();
     }
 }
@@ -161,7 +171,12 @@
     let _ = events.try_send(EngineEvent::Reported(name, report));
 }
 
-async fn give(order: Order, started_at: Instant, events: Sender<EngineEvent>) {
+async fn give(
+    order: Order,
+    started_at: Instant,
+    events: Sender<EngineEvent>,
+    counts: Rc<Cell<OrderCounts>>,
+) {
     let fenced = wire::FencedOrder {
         fencing: order.fencing.0,
         order: wire::Order::LoadModel {
@@ -178,7 +193,17 @@
             Err(ErrorKind::Paused)
         }
     };
-    match wire::give_order(order.address, &fenced, TIMEOUT, has_lease).await {
+    let outcome = wire::give_order(order.address, &fenced, TIMEOUT, has_lease).await;
+    let mut counted = counts.get();
+    match &outcome {
+        Ok(wire::OrderOutcome::Accepted) => counted.accepted += 1,
+        Ok(wire::OrderOutcome::Outdated { .. } | wire::OrderOutcome::Refused) => {
+            counted.refused += 1;
+        }
+        Err(_) => counted.failed += 1,
+    }
+    counts.set(counted);
+    match outcome {
         Ok(wire::OrderOutcome::Outdated { fencing }) => {
             let refused = EngineEvent::Refused(order.endpoint, FencingNumber(fencing));
             // A full or closed channel loses no more than one refusal; the next order is
--- a/crates/celeryknotd/src/control/status.rs
+++ b/crates/celeryknotd/src/control/status.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use celeryknot_core::{MonotonicMs, Revision, ZoneName};
+use celeryknot_core::{MonotonicMs, Revision, SizeBytes, ZoneName};
 use celeryknot_fleet::{EndpointView, Fleet, FleetView, MemberState, MemberView, SettingsStore};
 use celeryknot_operators::{
     ControlCounters, ControlStatus, EndpointStatus, MemberStatus, SettingStatus, ZoneStatus,
 };
 
-use celeryknot_operators::status::{RefusedSetting, RolloutStatus};
+use celeryknot_operators::status::{ControlTrafficStatus, RefusedSetting, RolloutStatus};
 
 use super::orders::OrdersDesk;
 use super::platform::Role;
@@ -23,6 +23,7 @@
     sources: &Sources,
     snapshot: &Snapshot,
     role: &Role,
+    orders: &OrdersDesk,
 ) -> ControlStatus {
     let in_force = view.settings.values().map(|value| value.revision);
     ControlStatus {
@@ -38,17 +39,17 @@
             .collect(),
         zones: zone_statuses(view, sources),
         settings: setting_statuses(fleet.values()),
-        rollouts: Vec::new(),
-        counters: counters(fleet, role),
+        traffic: traffic_statuses(fleet),
+        rollouts: rollout_statuses(orders),
+        counters: counters(role, orders),
     }
 }
 
-fn counters(fleet: &Fleet, role: &Role) -> ControlCounters {
+fn counters(role: &Role, orders: &OrdersDesk) -> ControlCounters {
     ControlCounters {
-        traffic: fleet.budget().counts().collect(),
         platform_calls: role.calls.get(),
+        orders: orders.counts(),
         pauses: role.read_again_count.get(),
-        ..ControlCounters::default()
     }
 }
 
@@ -65,6 +66,19 @@
         .collect()
 }
 
+fn traffic_statuses(fleet: &Fleet) -> Vec<ControlTrafficStatus> {
+    fleet
+        .budget()
+        .counts()
+        .map(|(kind, count)| ControlTrafficStatus {
+            kind: kind.to_string(),
+            sent: count.sent,
+            sent_bytes: SizeBytes(count.sent_bytes),
+            dropped: count.dropped,
+        })
+        .collect()
+}
+
 fn member_status(member: &MemberView) -> MemberStatus {
     MemberStatus {
         name: member.name.clone(),
