--- /dev/null
+++ b/crates/celeryknot_measure/tests/cluster.rs
@@ -0,0 +1,39 @@
+//! Tests of a whole cluster: the demo's figures and what operators do.
+
+use celeryknot_measure::cluster::{Cluster, ClusterOptions};
+use celeryknot_measure::{Deployment, MeasureOptions, demo};
+use celeryknot_standins::load::{BookingEnd, EndKind};
+use celeryknot_standins::wire::BookingRequest;
+
+#[test]
+fn demo_loses_and_doubles_nothing() {
+    let options = MeasureOptions {
+        seconds: 4,
+        load: 0.5,
+        ..MeasureOptions::default()
+    };
+    let demo = demo::run(&options).expect("the demo runs");
+    assert!(demo.figures.requests > 0);
+    assert!(demo.figures.is_clean(), "{}", demo.json());
+    assert!(demo.text().contains("hkd-a out"), "{}", demo.text());
+}
+
+#[test]
+fn answers_to_bookings_are_held_against_what_was_run() {
+    smol::block_on(async {
+        let mut options = ClusterOptions::new(Deployment::Quayline, 1);
+        options.daemons = 0;
+        let cluster = Cluster::start(options).await.expect("it starts");
+        let end = |end| BookingEnd {
+            request: BookingRequest {
+                slot: "berth-1".to_owned(),
+                party: "gang-desk".to_owned(),
+            },
+            end,
+            execution: None,
+        };
+        let ends = [end(EndKind::Completed), end(EndKind::Refused)];
+        assert_eq!(cluster.false_bookings(&ends), 1, "confirmed, yet not run");
+        cluster.stop().await;
+    });
+}
