Check the daemons' files of one folder against each other

Two daemons with one name, or with keys of which neither accepts the other's, pass every check alone and fail only in the fleet. Files of one folder are taken for one fleet; during a change of keys a file may name the old and the new one. The example instance lists are held to their daemons' files.

--- a/crates/celeryknot/src/command/check.rs
+++ b/crates/celeryknot/src/command/check.rs
@@ -1,9 +1,12 @@
 //! `check`: checks settings offline.
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::Path;
 
-use celeryknot_settings::{DaemonSettings, Diagnostic, ValueText, check_tree};
+use celeryknot_settings::{
+    DaemonFile, DaemonSettings, Diagnostic, ValueText, check_fleet, check_tree,
+};
 use serde::Serialize;
 
 use super::write_json;
@@ -72,24 +75,33 @@
     Ok(Sources::one_value(file.clone(), path.as_str()))
 }
 
+/// Checks each file, and those of one folder against each other.
 fn check_daemons(sources: &Sources) -> Result<Vec<Diagnostic>, Failure> {
     let mut findings = Vec::new();
+    let mut fleets: BTreeMap<&Path, Vec<DaemonFile>> = BTreeMap::new();
     for file in &sources.daemons {
         let source = file.display().to_string();
-        match read_text(file)? {
-            Ok(text) => findings.extend(
-                DaemonSettings::parse(&text)
-                    .err()
-                    .unwrap_or_default()
-                    .into_iter()
-                    .map(|finding| finding.in_source(&source)),
-            ),
-            Err(finding) => findings.push(finding.in_source(source)),
+        match read_daemon(file)? {
+            Ok(settings) => {
+                let folder = file.parent().unwrap_or(Path::new(""));
+                let read = DaemonFile { source, settings };
+                fleets.entry(folder).or_default().push(read);
+            }
+            Err(found) => {
+                findings.extend(found.into_iter().map(|finding| finding.in_source(&source)));
+            }
         }
     }
+    findings.extend(fleets.values().flat_map(|files| check_fleet(files)));
     Ok(findings)
 }
 
+fn read_daemon(file: &Path) -> Result<Result<DaemonSettings, Vec<Diagnostic>>, Failure> {
+    Ok(read_text(file)?
+        .map_err(|finding| vec![finding])
+        .and_then(|text| DaemonSettings::parse(&text)))
+}
+
 /// Checks each tree by itself, since two folders may hold two fleets.
 fn check_values(sources: &Sources) -> Result<Vec<Diagnostic>, Failure> {
     let mut findings = Vec::new();
--- a/crates/celeryknot/tests/program.rs
+++ b/crates/celeryknot/tests/program.rs
@@ -196,6 +196,29 @@
     assert_eq!((outcome.out.as_str(), outcome.status), (expected, 1));
 }
 
+const DAEMON: &str = include_str!("../../../examples/quayline/daemons/entry-likoni-1.ini");
+
+#[test]
+fn check_compares_the_daemons_of_one_folder() {
+    let other_key = DAEMON
+        .replace("change-this-quayline-peer-key", "another-key-for-the-peers")
+        .replace("entry-likoni-1", "entry-likoni-2");
+    let files: [(&str, &[u8]); 4] = [
+        ("fleet-1/a.ini", DAEMON.as_bytes()),
+        ("fleet-1/b.ini", DAEMON.as_bytes()),
+        ("fleet-1/c.ini", other_key.as_bytes()),
+        ("fleet-2/a.ini", other_key.as_bytes()),
+    ];
+    let scratch = Scratch::new("daemons-of-one-folder", &files);
+    let outcome = run_in(&scratch.0, &["check", "."]);
+    let expected = "\
+./fleet-1/b.ini: duplicate-name: ./fleet-1/a.ini has the name `entry-likoni-1` too
+./fleet-1/c.ini: conflict: [keys] peers differs from ./fleet-1/a.ini
+checked 4 daemon files: 2 findings
+";
+    assert_eq!((outcome.out.as_str(), outcome.status), (expected, 1));
+}
+
 #[test]
 fn check_writes_json() {
     let scratch = Scratch::new("faulty-json", &FAULTY_TREE[..1]);
--- a/crates/celeryknot/tests/stand_ins.rs
+++ b/crates/celeryknot/tests/stand_ins.rs
@@ -11,6 +11,8 @@
 use std::process::{Child, ChildStdout, Command, Stdio};
 
 use celeryknot_operators::client::fetch;
+use celeryknot_platform::{DaemonInstance, Instance, InstanceState};
+use celeryknot_settings::DaemonSettings;
 
 /// A process that is ended with its test.
 struct Process {
@@ -106,6 +108,33 @@
     }
 }
 
+#[test]
+fn instance_lists_of_the_examples_name_their_daemons() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    for example in EXAMPLES {
+        let folder = examples.join(example.name);
+        let list = std::fs::read_to_string(folder.join("instances.json")).unwrap();
+        let list: Vec<Instance> = serde_json::from_str(&list).unwrap();
+        for entry in std::fs::read_dir(folder.join("daemons")).unwrap() {
+            let text = std::fs::read_to_string(entry.unwrap().path()).unwrap();
+            let settings = DaemonSettings::parse(&text).unwrap();
+            let instance = Instance::Daemon(DaemonInstance {
+                name: settings.name.clone(),
+                zone: settings.zone,
+                address: settings.peers_address,
+                forwards_address: settings.forwards_address,
+                state: InstanceState::Live,
+            });
+            assert!(
+                list.contains(&instance),
+                "{}: {}",
+                example.name,
+                settings.name
+            );
+        }
+    }
+}
+
 #[test]
 fn engines_and_services_run_at_each_address() {
     for kind in ["engine", "service"] {
--- a/crates/celeryknot_core/src/keyed_hash.rs
+++ b/crates/celeryknot_core/src/keyed_hash.rs
@@ -36,6 +36,28 @@
         }
     }
 
+    /// Tells whether each ring accepts what the other one signs.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::keyed_hash::KeyRing;
+    ///
+    /// let before = KeyRing::new("the key before the change", None);
+    /// let during = KeyRing::new("the key after the change", Some("the key before the change"));
+    /// let after = KeyRing::new("the key after the change", None);
+    /// assert!(during.shares_key_with(&during.clone()));
+    /// assert!(!before.shares_key_with(&after));
+    /// assert!(!before.shares_key_with(&during), "what the second signs is refused by the first");
+    /// ```
+    pub fn shares_key_with(&self, other: &Self) -> bool {
+        self.accepts(&other.current) && other.accepts(&self.current)
+    }
+
+    fn accepts(&self, key: &[u8]) -> bool {
+        self.current == key || self.previous.as_deref() == Some(key)
+    }
+
     /// Signs the parts under the current key.
     ///
     /// # Examples
--- a/crates/celeryknot_settings/src/diagnostic.rs
+++ b/crates/celeryknot_settings/src/diagnostic.rs
@@ -36,7 +36,7 @@
     UnknownModel,
     /// A team names a zone that the fleet does not have.
     UnknownZone,
-    /// Two teams use a name that must be one team's.
+    /// Two teams or daemons use a name that must be one's.
     DuplicateName,
 }
 
--- a/crates/celeryknot_settings/src/lib.rs
+++ b/crates/celeryknot_settings/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod daemon;
 pub mod diagnostic;
 mod fields;
+pub mod fleet;
 pub mod ini;
 pub mod key;
 pub mod key_table;
@@ -20,6 +21,7 @@
 pub use customer::CustomerSettings;
 pub use daemon::{DaemonSettings, DaemonSettingsBuilder, LogFormat};
 pub use diagnostic::{Diagnostic, DiagnosticCode};
+pub use fleet::{DaemonFile, check_fleet};
 pub use rollout::{RolloutSettings, RolloutSettingsBuilder};
 pub use service::{
     RouteRule, RouteRuleError, ServiceKind, ServiceSettings, ServiceSettingsBuilder,
