--- a/crates/celeryknot_operators/src/metrics/spec.rs
+++ b/crates/celeryknot_operators/src/metrics/spec.rs
@@ -78,6 +78,7 @@
     counter("celeryknot_refusals_total", &["code"], "Requests of callers that were refused or failed, by code."),
     counter("celeryknot_retries_total", &["reason"], "Further attempts at a request, by the code of the attempt before."),
     counter("celeryknot_retries_denied_total", &["reason"], "Further attempts that the retry budget did not allow, by the code of the attempt before."),
+    counter("celeryknot_hedges_total", &[], "Second attempts sent beside a slow first one."),
     counter("celeryknot_resumes_total", &[], "Streams that were resumed on another connection or engine."),
     counter("celeryknot_forwards_total", &["direction"], "Requests handed over between daemons, out to or in from a peer."),
     counter("celeryknot_admissions_refused_total", &["code"], "Requests that this daemon refused as the owner of an endpoint, by code."),
--- a/crates/celeryknot_operators/src/metrics/traffic.rs
+++ b/crates/celeryknot_operators/src/metrics/traffic.rs
@@ -61,6 +61,8 @@
     queue_wait_ms: HistogramVec,
     endpoint_in_flight: IntGaugeVec,
     endpoint_queued: IntGaugeVec,
+    /// Second attempts sent beside a slow first one.
+    pub hedges: IntCounter,
     /// Streams that were resumed.
     pub resumes: IntCounter,
     /// Requests handed over to a peer.
@@ -100,6 +102,7 @@
             queue_wait_ms: register_histograms(registry, "celeryknot_queue_wait_ms"),
             endpoint_in_flight: register_gauges(registry, "celeryknot_endpoint_in_flight"),
             endpoint_queued: register_gauges(registry, "celeryknot_endpoint_queued"),
+            hedges: register_counter(registry, "celeryknot_hedges_total"),
             resumes: register_counter(registry, "celeryknot_resumes_total"),
             forwards_out: forwards.with_label_values(&["out"]),
             forwards_in: forwards.with_label_values(&["in"]),
