--- a/crates/celeryknot_measure/src/scrape.rs
+++ b/crates/celeryknot_measure/src/scrape.rs
@@ -18,8 +18,8 @@
     let mut bytes = Vec::with_capacity(addresses.len());
     for address in addresses {
         let sent = status(*address).await.map(|status| {
-            let kinds = status.control.traffic.iter();
-            kinds.map(|kind| kind.sent_bytes.0 as f64).sum()
+            let counts = status.control.counters.traffic.values();
+            counts.map(|count| count.sent_bytes as f64).sum()
         });
         bytes.push(sent);
     }
