Say nothing of earlier submissions where the issuer's book was not asked

Cause: a booking ran, its answer was lost, and the same ticket sent again through a daemon that was not ready was refused as not-ready with execution not-run. Ruled out: a doubled or lost execution.

A refusal of a call with a ticket by anyone but the issuer's book (not ready, paused, shutting down, deadline past, body late) is now issuer-unreachable, unknown, with the same time to come back.

--- a/crates/celeryknotd/src/traffic/entry.rs
+++ b/crates/celeryknotd/src/traffic/entry.rs
@@ -65,8 +65,14 @@
 ) -> Result<Response<DaemonBody>, Refusal> {
     let snapshot = context.snapshot();
     let request = CallerRequest::parse(&head).map_err(Refusal::new)?;
+    let key = request.idempotency_key.as_deref();
+    let has_ticket = key.is_some_and(|key| ticketed::is_ticket(context, key));
+    let refuse = |kind| match has_ticket {
+        true => ticketed::without_book(Refusal::new(kind)),
+        false => Refusal::new(kind),
+    };
     if !snapshot.is_ready {
-        return Err(Refusal::new(ErrorKind::NotReady));
+        return Err(refuse(ErrorKind::NotReady));
     }
     let customer = find_customer(&snapshot, &request, &head).map_err(Refusal::new)?;
     match &request.target {
@@ -82,7 +88,7 @@
             let path = path_and_query.clone();
             let work = read_work(context, id, &request, head, body, service, &customer, path)
                 .await
-                .map_err(Refusal::new)?;
+                .map_err(refuse)?;
             run_work(context, &request, work).await
         }
     }
--- a/crates/celeryknotd/src/traffic/ticketed.rs
+++ b/crates/celeryknotd/src/traffic/ticketed.rs
@@ -26,6 +26,9 @@
 use super::ticket_desk::{StoredAnswer, TicketEnd, TicketMessage};
 use super::work::{Work, text_value};
 
+#[cfg(test)]
+mod tests;
+
 /// Largest answer that is stored for a ticket.
 const STORED_SIZE_MAX: SizeBytes = SizeBytes(1 << 20);
 
@@ -123,6 +126,33 @@
     Ok(ticket)
 }
 
+/// Corrects a refusal of a call with a ticket that was given without asking the issuer's book.
+///
+/// Such a refusal knows nothing of an earlier submission, so that it must not say `not-run`.
+pub(crate) fn without_book(refusal: Refusal) -> Refusal {
+    let is_of_this_submission = matches!(
+        refusal.kind,
+        ErrorKind::NotReady
+            | ErrorKind::Paused
+            | ErrorKind::Draining
+            | ErrorKind::DeadlinePast
+            | ErrorKind::RequestTimeout
+    );
+    if !is_of_this_submission {
+        return refusal;
+    }
+    let unknown = Refusal::new(ErrorKind::IssuerUnreachable);
+    Refusal {
+        retry_after_ms: refusal.retry_after_ms.or(unknown.retry_after_ms),
+        ..unknown
+    }
+}
+
+/// Tells whether a key is a ticket of this fleet.
+pub(crate) fn is_ticket(context: &Rc<ThreadContext>, key: &str) -> bool {
+    Ticket::parse(key, &context.shared.settings.caller_keys).is_ok()
+}
+
 fn check_holder(ticket: &Ticket, work: &Work) -> Result<(), ErrorKind> {
     if ticket.customer == work.customer && ticket.service == work.service.name {
         return Ok(());
@@ -208,7 +238,7 @@
         | Failure::TimedOut
         | Failure::Incomplete
         | Failure::Mismatched
-        | Failure::TooLarge => refusal,
+        | Failure::TooLarge => without_book(refusal),
     })
 }
 
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/ticketed/tests.rs
@@ -0,0 +1,49 @@
+//! What is said of a call with a ticket where the issuer's book was not asked.
+
+use celeryknot_core::{DurationMs, ErrorKind, Execution, Refusal};
+
+use super::without_book;
+
+struct Case {
+    name: &'static str,
+    refusal: Refusal,
+    expected: Execution,
+    retry_after_ms: Option<u64>,
+}
+
+#[test]
+fn refusal_without_the_book_says_nothing_of_earlier_submissions() {
+    let after = |kind, ms| Refusal::after(kind, DurationMs(ms));
+    let cases = [
+        Case {
+            name: "the entry daemon is not ready",
+            refusal: after(ErrorKind::NotReady, 300),
+            expected: Execution::Unknown,
+            retry_after_ms: Some(300),
+        },
+        Case {
+            name: "the entry daemon was paused",
+            refusal: Refusal::new(ErrorKind::Paused),
+            expected: Execution::Unknown,
+            retry_after_ms: Some(1_000),
+        },
+        Case {
+            name: "the deadline of this submission passed",
+            refusal: Refusal::new(ErrorKind::DeadlinePast),
+            expected: Execution::Unknown,
+            retry_after_ms: Some(1_000),
+        },
+        Case {
+            name: "the issuer queued the call in vain",
+            refusal: after(ErrorKind::QueueFull, 70),
+            expected: Execution::NotRun,
+            retry_after_ms: Some(70),
+        },
+    ];
+    for case in cases {
+        let said = without_book(case.refusal);
+        assert_eq!(said.kind.answer().execution, case.expected, "{}", case.name);
+        let retry_after_ms = said.retry_after_ms.map(|after| after.0);
+        assert_eq!(retry_after_ms, case.retry_after_ms, "{}", case.name);
+    }
+}
