Pass the source of a chat's KV cache on to the engine

Placement names the endpoint that holds the context, also one that leaves, where an import is worth it; the daemon now sends its address with the request, and placement reckons with it.

Placement had two forms of the wait that a cached context is worth; the later one is removed.

--- a/crates/celeryknot_policy/src/placement.rs
+++ b/crates/celeryknot_policy/src/placement.rs
@@ -218,36 +218,6 @@
     pub cached_tokens: Option<u32>,
 }
 
-/// Returns the longest wait at a candidate that is better than going to the next one.
-///
-/// That is the next one's cost less what the candidate costs besides its wait, so that a
-/// cached context is worth a wait as long as it would take to read it elsewhere. `None` where
-/// there is no next candidate.
-///
-/// # Examples
-///
-/// ```
-/// use celeryknot_core::DurationMs;
-/// use celeryknot_policy::placement::{Candidate, CandidateReason, Candidates, alternative_wait_ms};
-///
-/// let candidate = |index, wait_ms, cost_ms| Candidate {
-///     index,
-///     wait_ms: DurationMs(wait_ms),
-///     uncached_tokens: 0,
-///     cost_ms,
-///     kv_source: None,
-///     reason: CandidateReason::Order,
-/// };
-/// // The first has the context, the second would read it in 800 ms.
-/// let candidates = Candidates::from_slice(&[candidate(0, 100, 150.0), candidate(1, 0, 800.0)]);
-/// assert_eq!(alternative_wait_ms(&candidates), Some(DurationMs(750)));
-/// ```
-pub fn alternative_wait_ms(candidates: &Candidates) -> Option<DurationMs> {
-    let (first, next) = (candidates.first()?, candidates.get(1)?);
-    let besides_ms = first.cost_ms - first.wait_ms.0 as f64;
-    Some(DurationMs((next.cost_ms - besides_ms).max(0.0) as u64))
-}
-
 /// Tells whether the endpoint may get the request at all.
 pub(crate) fn is_eligible(endpoint: &PlacementEndpoint, request: &PlacementRequest) -> bool {
     endpoint.takes_new_work && !request.excluded.contains(&endpoint.name)
--- a/crates/celeryknot_policy/tests/fleet_fake/mod.rs
+++ b/crates/celeryknot_policy/tests/fleet_fake/mod.rs
@@ -15,7 +15,7 @@
 use celeryknot_policy::bound::ServiceLoad;
 use celeryknot_policy::placement::{
     Candidate, CandidateReason, Candidates, ChatAnswer, Placement, PlacementEndpoint,
-    PlacementRequest, alternative_wait_ms,
+    PlacementRequest,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -341,7 +341,8 @@
             let Some(first) = candidates.first() else {
                 break;
             };
-            let alternative = alternative_wait_ms(&candidates).filter(|_| tried + 1 < TRIES_MAX);
+            let next = candidates.get(1).filter(|_| tried + 1 < TRIES_MAX);
+            let alternative = next.map(|next| first.wait_worth_ms(next));
             if self.offer(now, &request, first, alternative) {
                 return;
             }
--- a/crates/celeryknotd/src/traffic/dispatch.rs
+++ b/crates/celeryknotd/src/traffic/dispatch.rs
@@ -38,6 +38,7 @@
     endpoint: EndpointSnapshot,
     uncached_tokens: u32,
     alternative_wait_ms: Option<DurationMs>,
+    kv_source: Option<SocketAddr>,
 }
 
 /// The attempts of one request.
@@ -128,11 +129,13 @@
         let first = candidates.first()?;
         let is_last_round = self.log.borrow().is_last_round();
         let second = candidates.get(1).filter(|_| !is_last_round);
+        let source = first.kv_source.and_then(|at| service.endpoints.get(at));
         Some(Choice {
             service: Arc::clone(service),
             endpoint: service.endpoints.get(first.index)?.clone(),
             uncached_tokens: first.uncached_tokens,
             alternative_wait_ms: second.map(|second| first.wait_worth_ms(second)),
+            kv_source: source.map(|source| source.address),
         })
     }
 
@@ -243,6 +246,7 @@
             endpoint: &choice.endpoint,
             uncached_tokens: choice.uncached_tokens,
             alternative_wait_ms: choice.alternative_wait_ms,
+            kv_source: choice.kv_source,
             resume_from,
         };
         let work = self.work.attempt(target, self.context.now());
--- a/crates/celeryknotd/src/traffic/places.rs
+++ b/crates/celeryknotd/src/traffic/places.rs
@@ -62,7 +62,8 @@
         self.places.entry(key).or_insert_with(|| Place {
             version: 0,
             endpoints: Vec::new(),
-            placement: ContextAware::new(CHATS_MAX, service.settings.prefill_tokens_per_s),
+            placement: ContextAware::new(CHATS_MAX, service.settings.prefill_tokens_per_s)
+                .with_kv_import(true),
             budget: RetryBudget::new(service.settings.retry_percent_max),
             estimator: CostEstimator::default(),
             hedge: HedgeTimer::new(HEDGE_MIN),
--- a/crates/celeryknotd/src/traffic/work.rs
+++ b/crates/celeryknotd/src/traffic/work.rs
@@ -1,5 +1,6 @@
 //! A request on its way: as the entry daemon checked it, and as an owner runs it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -70,6 +71,8 @@
     pub(crate) endpoint: &'a EndpointSnapshot,
     pub(crate) uncached_tokens: u32,
     pub(crate) alternative_wait_ms: Option<DurationMs>,
+    /// Where the endpoint may import the chat's KV cache from.
+    pub(crate) kv_source: Option<SocketAddr>,
     pub(crate) resume_from: Option<u64>,
 }
 
@@ -122,6 +125,9 @@
     if let Some(chat) = &work.chat {
         headers.insert(header::CHAT, text_value(&chat.key));
     }
+    if let Some(source) = target.kv_source {
+        headers.insert(header::KV_SOURCE, text_value(&source));
+    }
     if let Some(index) = target.resume_from {
         headers.insert(header::RESUME_FROM, text_value(&index));
     }
