Share the platform's replicas out among a zone's readers

With two of three replicas stale a change took up to 4,019 ms in the settings measurement, since each reader moved to the next replica on its own, so that at times all of them watched stale ones. Readers of a zone now divide the replicas by rank; with as many readers as replicas each is watched all the time.

--- a/crates/celeryknot_fleet/src/drive.rs
+++ b/crates/celeryknot_fleet/src/drive.rs
@@ -346,10 +346,10 @@
         }
         daemon.last_tick_ms = self.now_ms;
         let side = daemon.side;
-        let rank = daemon.fleet.reader_rank(now);
+        let place = daemon.fleet.reader_place(now);
         daemon
             .reader
-            .read(&mut self.platform, &mut daemon.fleet, now, rank, side);
+            .read(&mut self.platform, &mut daemon.fleet, now, place, side);
         daemon.fleet.tick(now);
         self.send_all(index);
     }
--- a/crates/celeryknot_fleet/src/drive/platform.rs
+++ b/crates/celeryknot_fleet/src/drive/platform.rs
@@ -4,6 +4,7 @@
 
 use celeryknot_core::{MonotonicMs, Revision, SettingPath};
 
+use crate::duties::ReaderPlace;
 use crate::fleet::Fleet;
 use crate::instance_list::ListedInstance;
 use crate::settings_store::ValueRecord;
@@ -85,7 +86,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct DrivenReader {
     replica: usize,
-    rank: Option<usize>,
+    place: Option<ReaderPlace>,
+    turns: usize,
     has_read: bool,
     next_read_ms: u64,
     wait_ends_ms: u64,
@@ -97,7 +99,8 @@
     pub(super) fn new(now_ms: u64, replica: usize) -> Self {
         Self {
             replica,
-            rank: None,
+            place: None,
+            turns: 0,
             has_read: false,
             next_read_ms: now_ms + READ_MS,
             wait_ends_ms: now_ms + WATCH_WAIT_MS,
@@ -116,16 +119,19 @@
         platform: &mut DrivenPlatform,
         fleet: &mut Fleet,
         now: MonotonicMs,
-        rank: Option<usize>,
+        place: Option<ReaderPlace>,
         side: u8,
     ) {
-        let is_due = now.0 >= self.next_read_ms && (!self.has_read || rank.is_some());
+        let is_due = now.0 >= self.next_read_ms && (!self.has_read || place.is_some());
         if !is_due || platform.is_down || !platform.sides.contains(&side) {
             return;
         }
-        if rank != self.rank {
-            self.rank = rank;
-            self.replica = rank.unwrap_or(self.replica);
+        if place != self.place {
+            self.place = place;
+            self.turns = 0;
+        }
+        if let Some(place) = place {
+            self.replica = place.replica(self.turns, platform.stale_at.len());
         }
         let (values, lists) = platform.shown(self.replica);
         let is_news = values > self.values_seen || lists > self.lists_seen || !self.has_read;
@@ -143,7 +149,7 @@
         } else if now.0 >= self.wait_ends_ms {
             platform.calls += 2;
             fleet.apply_platform_values(now, &[]);
-            self.replica += 1;
+            self.turns += 1;
             self.wait_ends_ms = now.0 + WATCH_WAIT_MS;
         }
     }
--- a/crates/celeryknot_fleet/src/duties.rs
+++ b/crates/celeryknot_fleet/src/duties.rs
@@ -54,13 +54,48 @@
         .or_else(|| best(OWNER_SALT, endpoint.as_str(), holders.iter().copied()))
 }
 
-/// Returns the rank of a member among the readers of its zone, if it is one of them.
-pub fn reader_rank(
+/// A reader's place among the readers of its zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReaderPlace {
+    /// The reader's rank, from 0.
+    pub rank: usize,
+    /// How many readers the zone has.
+    pub of: usize,
+}
+
+impl ReaderPlace {
+    /// Returns the replica of the platform to watch after `turns` watches that ended empty.
+    ///
+    /// The readers of a zone share the replicas out, so that each replica is watched all the
+    /// time where there are as many readers, since a stale replica looks like a quiet one.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_fleet::duties::ReaderPlace;
+    ///
+    /// let last_of_three = ReaderPlace { rank: 2, of: 3 };
+    /// assert_eq!([0, 1, 2].map(|turn| last_of_three.replica(turn, 3)), [2, 2, 2]);
+    /// let first_of_two = ReaderPlace { rank: 0, of: 2 };
+    /// assert_eq!([0, 1, 2].map(|turn| first_of_two.replica(turn, 3)), [0, 2, 0]);
+    /// ```
+    pub fn replica(self, turns: usize, replicas: usize) -> usize {
+        let replicas = replicas.max(1);
+        let of = self.of.max(1);
+        let first = self.rank % replicas;
+        // Where there are more readers than replicas, several share one.
+        let shares = (replicas - first).div_ceil(of.min(replicas));
+        first + (turns % shares) * of
+    }
+}
+
+/// Returns the place of a member among the readers of its zone, if it is one of them.
+pub fn reader_place(
     own: &MemberName,
     zone: &ZoneName,
     holders: &[&MemberInfo],
     readers_per_zone: u32,
-) -> Option<usize> {
+) -> Option<ReaderPlace> {
     let key = rendezvous_score(READER_SALT, zone.as_str());
     let mut ranked: Vec<(u64, &MemberName)> = holders
         .iter()
@@ -70,7 +105,8 @@
     ranked.sort_by(|a, b| b.cmp(a));
     let rank = ranked.iter().position(|(_, name)| *name == own)?;
     let limit = usize::try_from(readers_per_zone).unwrap_or(usize::MAX);
-    (rank < limit).then_some(rank)
+    let of = ranked.len().min(limit);
+    (rank < of).then_some(ReaderPlace { rank, of })
 }
 
 /// Returns the member that gives orders to the engines of a service.
--- a/crates/celeryknot_fleet/src/fleet.rs
+++ b/crates/celeryknot_fleet/src/fleet.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::byte_budget::{ByteBudget, ControlKind};
-use crate::duties;
+use crate::duties::{self, ReaderPlace};
 use crate::instance_list::{InstanceList, ListedInstance};
 use crate::membership::{MemberInfo, MemberRecord, Membership};
 use crate::message::{Message, ValuePage};
@@ -288,11 +288,11 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Returns this daemon's rank among the readers of its zone, if it is one.
-    pub fn reader_rank(&self, now: MonotonicMs) -> Option<usize> {
+    /// Returns this daemon's place among the readers of its zone, if it is one.
+    pub fn reader_place(&self, now: MonotonicMs) -> Option<ReaderPlace> {
         let own = &self.config.own;
         let holders = self.members.duty_holders(now);
-        duties::reader_rank(&own.name, &own.zone, &holders, self.config.readers_per_zone)
+        duties::reader_place(&own.name, &own.zone, &holders, self.config.readers_per_zone)
     }
 
     /// Tells whether this daemon gives the orders to the engines of a service.
--- a/crates/celeryknot_fleet/tests/duties.rs
+++ b/crates/celeryknot_fleet/tests/duties.rs
@@ -1,12 +1,15 @@
 //! Duties are agreed on, move little, and bear two holders.
 
+use std::collections::BTreeSet;
+
 use celeryknot_core::{
     DurationMs, EndpointCondition, EndpointName, EndpointSummary, Incarnation, MemberName,
     MonotonicMs, Revision, ServiceName, ZoneName,
 };
+use celeryknot_fleet::MemberInfo;
+use celeryknot_fleet::duties::{self, ReaderPlace};
 use celeryknot_fleet::settings_store::{Offered, SettingsStore, ValueRecord};
 use celeryknot_fleet::summaries::{EndpointHash, Origin, Summaries, SummaryEntry, Telling, Told};
-use celeryknot_fleet::{MemberInfo, duties};
 
 fn members(count: usize) -> Vec<MemberInfo> {
     (0..count)
@@ -59,13 +62,36 @@
     for count in [9, 64, 320] {
         let all = members(count);
         let holders: Vec<&MemberInfo> = all.iter().collect();
-        let rank = |info: &MemberInfo| duties::reader_rank(&info.name, &info.zone, &holders, 3);
-        let mut ranks: Vec<usize> = all.iter().filter_map(rank).collect();
+        let place = |info: &MemberInfo| duties::reader_place(&info.name, &info.zone, &holders, 3);
+        let places: Vec<ReaderPlace> = all.iter().filter_map(place).collect();
+        assert!(places.iter().all(|place| place.of == 3), "{count} members");
+        let mut ranks: Vec<usize> = places.iter().map(|place| place.rank).collect();
         ranks.sort_unstable();
         assert_eq!(ranks, [0, 0, 0, 1, 1, 1, 2, 2, 2], "{count} members");
     }
 }
 
+#[test]
+fn readers_share_all_replicas_out() {
+    for of in 1..5 {
+        for replicas in 1..8 {
+            let mut watched = BTreeSet::new();
+            for rank in 0..of {
+                let place = ReaderPlace { rank, of };
+                let replica_at = |turn| place.replica(turn, replicas);
+                let turns: BTreeSet<usize> = (0..replicas).map(replica_at).collect();
+                assert!(
+                    turns.len() <= replicas.div_ceil(of.min(replicas)),
+                    "{of} of {replicas}"
+                );
+                watched.extend(turns);
+            }
+            let all: BTreeSet<usize> = (0..replicas).collect();
+            assert_eq!(watched, all, "{of} readers, {replicas} replicas");
+        }
+    }
+}
+
 #[test]
 fn two_readers_are_harmless() {
     let value = |revision, text: &str| ValueRecord {
--- a/crates/celeryknotd/src/control/actor.rs
+++ b/crates/celeryknotd/src/control/actor.rs
@@ -28,6 +28,8 @@
 const PAUSE_MIN: DurationMs = DurationMs(1_000);
 /// Shortest time between two snapshots.
 const PUBLISH_GAP: DurationMs = DurationMs(20);
+/// Shortest time between two updates of the status.
+const STATUS_GAP: DurationMs = DurationMs(100);
 /// Longest time between two updates of the status.
 const STATUS_PERIOD: DurationMs = DurationMs(1_000);
 /// Events of one source that wait for the loop.
@@ -95,6 +97,7 @@
     published_version: Option<u64>,
     published_at: MonotonicMs,
     status_at: MonotonicMs,
+    is_status_old: bool,
     is_stopped: bool,
 }
 
@@ -145,6 +148,7 @@
             published_version: None,
             published_at: now,
             status_at: now,
+            is_status_old: true,
             is_stopped: false,
         })
     }
@@ -248,7 +252,7 @@
         self.last_tick_at = now;
         self.next_tick_at = Instant::now() + TICK_PERIOD;
         self.fleet.tick(now);
-        self.role.reader_rank.set(self.fleet.reader_rank(now));
+        self.role.reader_place.set(self.fleet.reader_place(now));
         let sources = self.sources.update(self.fleet.values());
         self.orders.tick(now, &mut self.fleet, &sources);
     }
@@ -321,7 +325,13 @@
         let has_changed = self.published_version != Some(self.fleet.version());
         if has_changed && now - self.published_at >= PUBLISH_GAP {
             self.publish_now(now);
-        } else if now - self.status_at >= STATUS_PERIOD {
+        }
+        let period = if self.is_status_old {
+            STATUS_GAP
+        } else {
+            STATUS_PERIOD
+        };
+        if now - self.status_at >= period {
             self.publish_status(now);
         }
     }
@@ -338,13 +348,12 @@
         }
         self.outlets.snapshot.store(Arc::new(snapshot));
         self.outlets.subscribers.notify();
-        if now - self.status_at >= PUBLISH_GAP {
-            self.publish_status(now);
-        }
+        self.is_status_old = true;
     }
 
     fn publish_status(&mut self, now: MonotonicMs) {
         self.status_at = now;
+        self.is_status_old = false;
         let view = self.fleet.view(now);
         let sources = self.sources.update(self.fleet.values());
         let snapshot = self.outlets.snapshot.load();
--- a/crates/celeryknotd/src/control/platform.rs
+++ b/crates/celeryknotd/src/control/platform.rs
@@ -10,12 +10,13 @@
 use async_channel::{Receiver, Sender};
 use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{Backoff, DurationMs, Revision};
+use celeryknot_fleet::duties::ReaderPlace;
 use celeryknot_operators::PlatformCallCounts;
 use celeryknot_platform::{ByteMeter, InstanceList, PlatformClient, PlatformError, ValueList};
 use celeryknot_settings::DaemonSettings;
 use smol::{LocalExecutor, Timer};
 
-/// Time for which a watch waits; then it moves on, since a stale replica looks like a quiet one.
+/// Time for which a watch waits before it goes on, at another replica if readers are few.
 const WATCH_WAIT: DurationMs = DurationMs(2_000);
 /// Time between two looks at whether this daemon is a reader.
 const ROLE_PERIOD: Duration = Duration::from_millis(100);
@@ -29,8 +30,8 @@
 /// What the control loop tells the tasks.
 #[derive(Debug, Default)]
 pub(super) struct Role {
-    /// This daemon's rank among its zone's readers, if it is one.
-    pub(super) reader_rank: Cell<Option<usize>>,
+    /// This daemon's place among its zone's readers, if it is one.
+    pub(super) reader_place: Cell<Option<ReaderPlace>>,
     /// Raised when both lists must be read again, after a pause.
     pub(super) read_again_count: Cell<u64>,
     /// The tasks' calls so far.
@@ -111,8 +112,12 @@
     role: Rc<Role>,
     events: Sender<PlatformEvent>,
     cursor: Option<Revision>,
-    rank_seen: Option<usize>,
+    place_seen: Option<ReaderPlace>,
+    /// Watches in a row that ended empty.
+    turns: usize,
+    replicas: usize,
     read_count_seen: Option<u64>,
+    has_failed: bool,
 }
 
 impl PlatformTask {
@@ -125,6 +130,7 @@
         events: Sender<PlatformEvent>,
     ) -> Self {
         let meter = Arc::new(ByteMeter::default());
+        let replicas = addresses.len();
         Self {
             subject,
             client: PlatformClient::new(addresses, first, Arc::clone(&meter)),
@@ -132,8 +138,11 @@
             role,
             events,
             cursor: None,
-            rank_seen: None,
+            place_seen: None,
+            turns: 0,
+            replicas,
             read_count_seen: None,
+            has_failed: false,
         }
     }
 
@@ -145,7 +154,10 @@
                 Timer::after(ROLE_PERIOD).await;
                 continue;
             };
-            let pause = match self.call(wait).await {
+            let result = self.call(wait).await;
+            // The client has moved on by itself after a failure; it comes back once one is over.
+            self.has_failed = result.is_err();
+            let pause = match result {
                 Ok(()) => {
                     backoff.reset();
                     CALL_GAP
@@ -164,14 +176,15 @@
         if self.read_count_seen != Some(self.role.read_again_count.get()) {
             return Some(DurationMs(0));
         }
-        let rank = self.role.reader_rank.get();
-        if rank != self.rank_seen {
-            self.rank_seen = rank;
-            if let Some(rank) = rank {
-                self.client.select(rank);
-            }
+        let place = self.role.reader_place.get()?;
+        if self.place_seen != Some(place) {
+            self.place_seen = Some(place);
+            self.turns = 0;
         }
-        rank.map(|_| WATCH_WAIT)
+        if !self.has_failed {
+            self.client.select(place.replica(self.turns, self.replicas));
+        }
+        Some(WATCH_WAIT)
     }
 
     async fn call(&mut self, wait: DurationMs) -> Result<(), PlatformError> {
@@ -196,18 +209,14 @@
 
     async fn read_values(&mut self, wait: DurationMs) -> Result<PlatformEvent, PlatformError> {
         let list = self.client.values(self.cursor, wait).await?;
-        if list.values.is_empty() {
-            self.client.rotate();
-        }
+        self.turns += usize::from(list.values.is_empty());
         self.cursor = self.cursor.max(Some(list.revision));
         Ok(PlatformEvent::Values(list))
     }
 
     async fn read_instances(&mut self, wait: DurationMs) -> Result<PlatformEvent, PlatformError> {
         let list = self.client.instances(self.cursor, wait).await?;
-        if Some(list.revision) <= self.cursor {
-            self.client.rotate();
-        }
+        self.turns += usize::from(Some(list.revision) <= self.cursor);
         self.cursor = self.cursor.max(Some(list.revision));
         Ok(PlatformEvent::Instances(list))
     }
--- a/crates/celeryknotd/src/control/status.rs
+++ b/crates/celeryknotd/src/control/status.rs
@@ -28,7 +28,7 @@
     let in_force = view.settings.values().map(|value| value.revision);
     ControlStatus {
         snapshot_version: snapshot.version,
-        is_reader: fleet.reader_rank(now).is_some(),
+        is_reader: fleet.reader_place(now).is_some(),
         settings_revision: in_force.max().unwrap_or(Revision(0)),
         settings_age_ms: fleet.settings_age(now),
         members: view.members.iter().map(member_status).collect(),
