Keep timeouts in memory and moved on by the thread

Each timer of the runtime tells its reactor by a call into the system; a call of a plain service made about seven of them. Timeouts of callers, endpoints and peers now wait in a list of the thread that is moved on each 10 ms. The head of a caller's request is timed by the scanner of its bytes.

More idle connections are kept to one endpoint, and the endpoint's load goes to its owner's desk with the end of the request.

--- a/crates/celeryknot_callers/src/body.rs
+++ b/crates/celeryknot_callers/src/body.rs
@@ -1,7 +1,7 @@
 //! Reads request bodies within a size and a time.
 
 use bytes::{Bytes, BytesMut};
-use celeryknot_core::{DurationMs, ErrorKind, SizeBytes};
+use celeryknot_core::{DurationMs, ErrorKind, SizeBytes, Timers};
 use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -21,17 +21,18 @@
 ///
 /// ```
 /// use celeryknot_callers::body::read_body;
-/// use celeryknot_core::{DurationMs, ErrorKind, SizeBytes};
+/// use celeryknot_core::{DurationMs, ErrorKind, SizeBytes, Timers};
 /// use http_body_util::Full;
 ///
 /// let body = Full::new(bytes::Bytes::from("12345"));
-/// let read = smol::block_on(read_body(body, SizeBytes(4), DurationMs(100)));
+/// let read = smol::block_on(read_body(body, SizeBytes(4), DurationMs(100), &Timers::default()));
 /// assert_eq!(read, Err(ErrorKind::RequestTooLarge));
 /// ```
 pub async fn read_body<B>(
     mut body: B,
     size_max: SizeBytes,
     silence_max: DurationMs,
+    timers: &Timers,
 ) -> Result<Bytes, ErrorKind>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -42,7 +43,7 @@
     }
     let start_bytes = announced_bytes.min(BUFFER_START_MAX_BYTES) as usize;
     let mut whole = BytesMut::with_capacity(start_bytes);
-    while let Some(frame) = next_frame(&mut body, silence_max).await? {
+    while let Some(frame) = next_frame(&mut body, silence_max, timers).await? {
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -57,6 +58,7 @@
 async fn next_frame<B>(
     body: &mut B,
     silence_max: DurationMs,
+    timers: &Timers,
 ) -> Result<Option<hyper::body::Frame<Bytes>>, ErrorKind>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -68,7 +70,7 @@
             .map_err(|_| ErrorKind::MalformedRequest)
     };
     let is_late = async {
-        smol::Timer::after(silence_max.as_std()).await;
+        timers.after(silence_max).await;
         Err(ErrorKind::RequestTimeout)
     };
     future::or(arrives, is_late).await
--- a/crates/celeryknot_callers/src/head_scanner.rs
+++ b/crates/celeryknot_callers/src/head_scanner.rs
@@ -4,13 +4,16 @@
 //! The HTTP library resolves such a request by the rules of RFC 9112 and drops the evidence, so
 //! that a check of its parsed headers comes too late.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use celeryknot_core::timers::Sleep;
+use celeryknot_core::{DurationMs, Timers};
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
@@ -89,6 +92,11 @@
         }
     }
 
+    /// Tells whether the caller owes the rest of a head, or the next one.
+    fn is_in_head(&self) -> bool {
+        self.part == Part::Head
+    }
+
     /// Tells of the next request, in their order, whether its framing is ambiguous.
     pub fn take_is_ambiguous(&mut self) -> bool {
         self.are_ambiguous.pop_front().unwrap_or(false)
@@ -185,11 +193,51 @@
 pub(crate) struct ScannedStream {
     stream: TcpStream,
     scanner: Rc<RefCell<HeadScanner>>,
+    head_timeout: HeadTimeout,
+}
+
+/// Ends a connection whose head does not come in time.
+#[derive(Debug)]
+pub(crate) struct HeadTimeout {
+    timers: Timers,
+    timeout_ms: DurationMs,
+    sleep: Option<Sleep>,
+    /// Requests that are being answered; meanwhile the caller owes nothing.
+    answering: Rc<Cell<u32>>,
+}
+
+impl HeadTimeout {
+    pub(crate) fn new(timers: Timers, timeout_ms: DurationMs, answering: Rc<Cell<u32>>) -> Self {
+        Self {
+            timers,
+            timeout_ms,
+            sleep: None,
+            answering,
+        }
+    }
+
+    fn poll(&mut self, context: &mut Context<'_>, is_in_head: bool) -> Poll<()> {
+        if !is_in_head || self.answering.get() > 0 {
+            self.sleep = None;
+            return Poll::Pending;
+        }
+        let (timers, timeout_ms) = (&self.timers, self.timeout_ms);
+        let sleep = self.sleep.get_or_insert_with(|| timers.after(timeout_ms));
+        Pin::new(sleep).poll(context)
+    }
 }
 
 impl ScannedStream {
-    pub(crate) fn new(stream: TcpStream, scanner: Rc<RefCell<HeadScanner>>) -> Self {
-        Self { stream, scanner }
+    pub(crate) fn new(
+        stream: TcpStream,
+        scanner: Rc<RefCell<HeadScanner>>,
+        head_timeout: HeadTimeout,
+    ) -> Self {
+        Self {
+            stream,
+            scanner,
+            head_timeout,
+        }
     }
 }
 
@@ -199,9 +247,20 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let this = &mut *self;
+        let poll = Pin::new(&mut this.stream).poll_read(context, buffer);
         if let Poll::Ready(Ok(len)) = &poll {
-            self.scanner.borrow_mut().scan(&buffer[..*len]);
+            let mut scanner = this.scanner.borrow_mut();
+            let was_in_head = scanner.is_in_head();
+            scanner.scan(&buffer[..*len]);
+            if !(was_in_head && scanner.is_in_head()) {
+                this.head_timeout.sleep = None;
+            }
+            return poll;
+        }
+        let is_in_head = this.scanner.borrow().is_in_head();
+        if poll.is_pending() && this.head_timeout.poll(context, is_in_head).is_ready() {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         poll
     }
--- a/crates/celeryknot_callers/src/server.rs
+++ b/crates/celeryknot_callers/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::io;
 use std::pin::{Pin, pin};
@@ -9,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use celeryknot_core::{DurationMs, ErrorKind, Refusal, RequestId};
+use celeryknot_core::{DurationMs, ErrorKind, Refusal, RequestId, Timers};
 use futures_lite::{AsyncWriteExt, future};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
@@ -21,7 +22,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::executor::ThreadExecutor;
-use crate::head_scanner::{AmbiguousFraming, HeadScanner, ScannedStream};
+use crate::head_scanner::{AmbiguousFraming, HeadScanner, HeadTimeout, ScannedStream};
 use crate::limits::CallerLimits;
 use crate::problem::problem_answer;
 
@@ -45,6 +46,8 @@
 pub struct ConnectionContext {
     /// Runs the connection's streams.
     pub executor: ThreadExecutor,
+    /// The timeouts of the thread.
+    pub timers: Timers,
     /// What the caller may cost.
     pub limits: CallerLimits,
     /// Closes when the connection is to end after the requests in flight.
@@ -121,7 +124,13 @@
     let has_served = Rc::new(Cell::new(false));
     let noted = Rc::clone(&has_served);
     let scanner = Rc::new(RefCell::new(HeadScanner::default()));
-    let scanned = ScannedStream::new(stream.clone(), Rc::clone(&scanner));
+    let answering = Rc::new(Cell::new(0));
+    let head_timeout = HeadTimeout::new(
+        context.timers.clone(),
+        context.limits.header_timeout_ms,
+        Rc::clone(&answering),
+    );
+    let scanned = ScannedStream::new(stream.clone(), Rc::clone(&scanner), head_timeout);
     let service = service_fn(move |mut request: Request<Incoming>| {
         noted.set(true);
         let is_ambiguous = scanner.borrow_mut().take_is_ambiguous();
@@ -129,8 +138,10 @@
             request.extensions_mut().insert(AmbiguousFraming);
         }
         let answer = handler(request);
+        let answering = Answering::new(&answering);
         async move {
             let mut answer = answer.await?;
+            drop(answering);
             if is_ambiguous {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
@@ -139,13 +150,11 @@
         }
     });
     let connection = http1::Builder::new()
-        .timer(SmolTimer::new())
-        .header_read_timeout(context.limits.header_timeout_ms.as_std())
         .max_buf_size(context.limits.header_size_bytes())
         .serve_connection(FuturesIo::new(scanned), service);
     let result = drive(connection, |it| it.graceful_shutdown(), &context.shutdown).await;
     if let Err(error) = &result
-        && error.is_timeout()
+        && is_timeout(error)
         && !has_served.get()
     {
         // An idle connection ends without a word: an answer would be taken for the next one's.
@@ -154,6 +163,30 @@
     Ok(result?)
 }
 
+/// Counts a request that is being answered, until it is dropped.
+struct Answering(Rc<Cell<u32>>);
+
+impl Answering {
+    fn new(count: &Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Tells whether the head of a request did not come in time.
+fn is_timeout(error: &hyper::Error) -> bool {
+    error
+        .source()
+        .and_then(|source| source.downcast_ref::<io::Error>())
+        .is_some_and(|source| source.kind() == io::ErrorKind::TimedOut)
+}
+
 async fn serve_http2<H, F, B>(
     stream: TcpStream,
     context: &ConnectionContext,
--- a/crates/celeryknot_core/src/lib.rs
+++ b/crates/celeryknot_core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod keyed_hash;
 pub mod quantity;
 pub mod time;
+pub mod timers;
 
 pub use backoff::Backoff;
 pub use endpoint::{EndpointCondition, EndpointSummary};
@@ -21,3 +22,4 @@
 };
 pub use quantity::{QuantityError, RatePerS, SizeBytes, TokenCount};
 pub use time::{DurationMs, MonotonicMs};
+pub use timers::Timers;
--- a/crates/celeryknot_endpoints/src/answer.rs
+++ b/crates/celeryknot_endpoints/src/answer.rs
@@ -1,15 +1,15 @@
 //! The body of an endpoint's answer, checked for size, silence and completeness.
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use celeryknot_core::{DurationMs, ErrorKind, SizeBytes};
+use celeryknot_core::{ErrorKind, SizeBytes};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::connection::{Connections, Link};
+use crate::silence::Silence;
 
 /// Why an answer broke after its head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,8 +38,7 @@
     link: Option<Link>,
     return_to: Option<ReturnTo>,
     left_bytes: u64,
-    silence_max: DurationMs,
-    silence: Option<smol::Timer>,
+    silence: Silence,
     has_ended: bool,
 }
 
@@ -49,15 +48,14 @@
         link: Link,
         return_to: Option<ReturnTo>,
         size_max: SizeBytes,
-        silence_max: DurationMs,
+        silence: Silence,
     ) -> Self {
         Self {
             incoming,
             link: Some(link),
             return_to,
             left_bytes: size_max.0,
-            silence_max,
-            silence: None,
+            silence,
             has_ended: false,
         }
     }
@@ -88,16 +86,6 @@
         }
     }
 
-    fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<AnswerError> {
-        let silence_max = self.silence_max.as_std();
-        let silence = self
-            .silence
-            .get_or_insert_with(|| smol::Timer::after(silence_max));
-        Pin::new(silence)
-            .poll(context)
-            .map(|_| AnswerError(ErrorKind::AnswerTimeout))
-    }
-
     fn end(&mut self, context: &mut Context<'_>) {
         self.has_ended = true;
         let (Some(mut link), Some(return_to)) = (self.link.take(), self.return_to.take()) else {
@@ -129,9 +117,9 @@
         }
         let this = &mut *self;
         let result = match this.poll_incoming(context) {
-            Poll::Pending => match this.poll_silence(context) {
+            Poll::Pending => match this.silence.poll(context) {
                 Poll::Pending => return Poll::Pending,
-                Poll::Ready(error) => Err(error),
+                Poll::Ready(()) => Err(AnswerError(ErrorKind::AnswerTimeout)),
             },
             Poll::Ready(None) => {
                 this.end(context);
@@ -140,7 +128,11 @@
             Poll::Ready(Some(Err(_))) => Err(AnswerError(ErrorKind::AnswerIncomplete)),
             Poll::Ready(Some(Ok(frame))) => this.count(&frame).map(|()| frame),
         };
-        this.silence = None;
+        this.silence.end();
+        if result.is_ok() && this.incoming.is_end_stream() {
+            // A body of known length is not polled again after its last byte.
+            this.end(context);
+        }
         Poll::Ready(Some(result.map_err(|error| this.fail(error))))
     }
 
--- a/crates/celeryknot_endpoints/src/call.rs
+++ b/crates/celeryknot_endpoints/src/call.rs
@@ -14,6 +14,7 @@
 use crate::exchange::exchange;
 use crate::load::{LoadReport, load_of};
 use crate::request_body::RequestBody;
+use crate::silence::Silence;
 
 /// Time without the head of an answer after which a used connection is held to be silent.
 const SILENT_AFTER: DurationMs = DurationMs(300);
@@ -134,7 +135,7 @@
         };
         let sent = self.send_untimed(connections, address, &may_send);
         let give_up = async {
-            smol::Timer::after(first_byte_ms.as_std()).await;
+            connections.timers().after(first_byte_ms).await;
             if is_handed.get() {
                 return Err(ErrorKind::AnswerTimeout.into());
             }
@@ -158,13 +159,13 @@
             Reuse::Hedged(idle_max) => (connections.take(address, idle_max).await, true),
         };
         let Some(link) = used else {
-            let (link, answer) = self.try_new(address, may_send).await?;
+            let (link, answer) = self.try_new(connections, address, may_send).await?;
             return self.check(connections, address, link, answer);
         };
         let result = if is_hedged {
             let hedge = async {
-                smol::Timer::after(SILENT_AFTER.as_std()).await;
-                self.try_new(address, may_send).await
+                connections.timers().after(SILENT_AFTER).await;
+                self.try_new(connections, address, may_send).await
             };
             future::or(self.try_on(link, may_send), hedge).await
         } else {
@@ -173,20 +174,21 @@
         let (link, answer) = match result {
             Ok(answered) => answered,
             // The endpoint closed the idle connection; the call is idempotent.
-            Err(_) => self.try_new(address, may_send).await?,
+            Err(_) => self.try_new(connections, address, may_send).await?,
         };
         self.check(connections, address, link, answer)
     }
 
     async fn try_new<M>(
         &self,
+        connections: &Connections,
         address: SocketAddr,
         may_send: &M,
     ) -> Result<(Link, Response<Incoming>), ErrorKind>
     where
         M: Fn() -> Result<(), ErrorKind>,
     {
-        let link = Link::open(address, self.timeouts.connect_ms).await?;
+        let link = Link::open(address, self.timeouts.connect_ms, connections.timers()).await?;
         self.try_on(link, may_send).await
     }
 
@@ -237,7 +239,7 @@
             link,
             return_to,
             self.answer_size_max,
-            self.timeouts.idle_ms,
+            Silence::new(connections.timers().clone(), self.timeouts.idle_ms),
         );
         Ok(EndpointAnswer { head, load, body })
     }
--- a/crates/celeryknot_endpoints/src/connection.rs
+++ b/crates/celeryknot_endpoints/src/connection.rs
@@ -9,7 +9,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use celeryknot_core::{DurationMs, ErrorKind};
+use celeryknot_core::{DurationMs, ErrorKind, Timers};
 use futures_lite::future;
 use hyper::client::conn::http1;
 use smallvec::SmallVec;
@@ -19,7 +19,7 @@
 use crate::request_body::RequestBody;
 
 /// Most idle connections to one endpoint that a thread keeps.
-const IDLE_MAX: usize = 16;
+const IDLE_MAX: usize = 128;
 
 /// Longest time that an idle connection is kept.
 const IDLE_LIFE: Duration = Duration::from_secs(1);
@@ -41,7 +41,11 @@
     /// # Errors
     ///
     /// `ConnectFailed`: no byte of any request was sent.
-    pub(crate) async fn open(address: SocketAddr, timeout: DurationMs) -> Result<Self, ErrorKind> {
+    pub(crate) async fn open(
+        address: SocketAddr,
+        timeout: DurationMs,
+        timers: &Timers,
+    ) -> Result<Self, ErrorKind> {
         let connect = async {
             let stream = TcpStream::connect(address)
                 .await
@@ -56,7 +60,7 @@
                 .map_err(|_| ErrorKind::ConnectFailed)
         };
         let give_up = async {
-            smol::Timer::after(timeout.as_std()).await;
+            timers.after(timeout).await;
             Err(ErrorKind::ConnectFailed)
         };
         let (sender, connection) = future::or(connect, give_up).await?;
@@ -99,13 +103,22 @@
 /// The idle connections of one thread.
 #[derive(Debug, Clone, Default)]
 pub struct Connections {
+    timers: Timers,
     idle: Rc<RefCell<HashMap<SocketAddr, SmallVec<[Link; 4]>>>>,
 }
 
 impl Connections {
-    /// Builds an empty set.
-    pub fn new() -> Self {
-        Self::default()
+    /// Builds an empty set whose timeouts are the thread's.
+    pub fn new(timers: Timers) -> Self {
+        Self {
+            timers,
+            idle: Rc::default(),
+        }
+    }
+
+    /// Returns the thread's timeouts.
+    pub(crate) fn timers(&self) -> &Timers {
+        &self.timers
     }
 
     /// Takes the connection that was used last, if it was idle for less than the given time.
--- a/crates/celeryknot_endpoints/src/lib.rs
+++ b/crates/celeryknot_endpoints/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod orders;
 pub mod request_body;
+pub mod silence;
 pub mod sse;
 
 pub use answer::{AnswerBody, AnswerError};
@@ -18,4 +19,5 @@
 pub use connection::Connections;
 pub use load::LoadReport;
 pub use request_body::RequestBody;
+pub use silence::Silence;
 pub use sse::{SseEvent, SseParser, TokenEvent};
--- a/crates/celeryknot_endpoints/src/load.rs
+++ b/crates/celeryknot_endpoints/src/load.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind, SizeBytes, header};
+use futures_lite::future;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::BodyExt;
 use serde::{Deserialize, Serialize};
@@ -115,10 +116,16 @@
     address: SocketAddr,
     timeout: DurationMs,
 ) -> Result<EngineState, ErrorKind> {
-    let body = fetch(&Connections::new(), address, "/v1/load", timeout).await?;
+    let body = fetch(&Connections::default(), address, "/v1/load", timeout).await?;
     serde_json::from_slice(&body).map_err(|_| ErrorKind::AnswerIncomplete)
 }
 
+/// Fails after the time, also on a thread that does not move its timeouts on.
+pub(crate) async fn time_out<T>(timeout: DurationMs) -> Result<T, ErrorKind> {
+    smol::Timer::after(timeout.as_std()).await;
+    Err(ErrorKind::AnswerTimeout)
+}
+
 /// Reads one small JSON document of an endpoint on a connection of its own.
 pub(crate) async fn fetch(
     connections: &Connections,
@@ -138,13 +145,16 @@
         answer_size_max: REPORT_SIZE_MAX,
         timeouts: CallTimeouts::all(timeout),
     };
-    let answer = call
-        .send(connections, address, || Ok(()))
-        .await
-        .map_err(|failure| failure.kind)?;
-    if answer.head.status != StatusCode::OK {
-        return Err(ErrorKind::EndpointRefused);
-    }
-    let body = answer.body.collect().await.map_err(|error| error.0)?;
-    Ok(body.to_bytes())
+    let read = async {
+        let answer = call
+            .send(connections, address, || Ok(()))
+            .await
+            .map_err(|failure| failure.kind)?;
+        if answer.head.status != StatusCode::OK {
+            return Err(ErrorKind::EndpointRefused);
+        }
+        let body = answer.body.collect().await.map_err(|error| error.0)?;
+        Ok(body.to_bytes())
+    };
+    future::or(read, time_out(timeout)).await
 }
--- a/crates/celeryknot_endpoints/src/orders.rs
+++ b/crates/celeryknot_endpoints/src/orders.rs
@@ -4,12 +4,14 @@
 
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind, ModelName, SizeBytes};
+use futures_lite::future;
 use http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use serde::{Deserialize, Serialize};
 
 use crate::call::{Call, CallTimeouts, Reuse};
 use crate::connection::Connections;
+use crate::load::time_out;
 use crate::request_body::RequestBody;
 
 /// Largest answer to an order.
@@ -92,8 +94,16 @@
         answer_size_max: ANSWER_SIZE_MAX,
         timeouts: CallTimeouts::all(timeout),
     };
+    future::or(send(call, address, may_send), time_out(timeout)).await
+}
+
+async fn send(
+    call: Call,
+    address: SocketAddr,
+    may_send: impl Fn() -> Result<(), ErrorKind>,
+) -> Result<OrderOutcome, ErrorKind> {
     let answer = call
-        .send(&Connections::new(), address, may_send)
+        .send(&Connections::default(), address, may_send)
         .await
         .map_err(|failure| failure.kind)?;
     if answer.head.status == StatusCode::ACCEPTED {
--- a/crates/celeryknotd/src/traffic/admission.rs
+++ b/crates/celeryknotd/src/traffic/admission.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
+use celeryknot_core::timers::RESOLUTION;
 use celeryknot_core::{DurationMs, EndpointName, EndpointSummary, MonotonicMs, Refusal};
 use celeryknot_policy::admission::{AdmissionLimits, AdmissionRequest, Decision};
 use celeryknot_policy::bound::ServiceLoad;
-use futures_lite::future;
+use futures_lite::{StreamExt, future};
 
 use super::admitted::{Admitted, answer};
 use super::context::{TICK, ThreadContext};
@@ -40,37 +41,34 @@
 
     /// Works through messages and ticks until the daemon ends.
     pub(crate) async fn run(mut self, messages: Receiver<AdmissionMessage>) {
-        let mut next_tick = self.context.now();
+        let mut beats = smol::Timer::interval(RESOLUTION.as_std());
+        let mut next_beat = self.context.now();
+        let mut next_tick = next_beat;
         loop {
-            let now = self.context.now();
-            if now >= next_tick {
-                next_tick = now + TICK;
-                self.tick(now);
-            }
-            let wake_at = self
-                .next_wakeup(now)
-                .map_or(next_tick, |at| at.min(next_tick));
             let message = async { Some(messages.recv().await) };
-            let wake = async {
-                smol::Timer::after((wake_at - now).as_std()).await;
+            let beat = async {
+                beats.next().await;
                 None
             };
-            match future::or(message, wake).await {
+            match future::or(message, beat).await {
                 Some(Ok(message)) => self.take(message),
                 Some(Err(_)) => return,
-                None => self.settle_all(),
+                None => {}
+            }
+            let now = self.context.now();
+            if now < next_beat {
+                continue;
             }
+            next_beat = now + RESOLUTION;
+            self.context.timers.advance(now);
+            if now >= next_tick {
+                next_tick = now + TICK;
+                self.tick(now);
+            }
+            self.settle_all();
         }
     }
 
-    fn next_wakeup(&self, now: MonotonicMs) -> Option<MonotonicMs> {
-        self.endpoints
-            .values()
-            .filter(|admitted| !admitted.waiting.is_empty())
-            .filter_map(|admitted| admitted.admission.next_wakeup(now))
-            .min()
-    }
-
     fn take(&mut self, message: AdmissionMessage) {
         let now = self.context.now();
         match message {
@@ -91,8 +89,12 @@
                 endpoint,
                 id,
                 outcome,
+                load,
             } => {
                 if let Some(admitted) = self.endpoints.get_mut(&endpoint) {
+                    if let Some(load) = load {
+                        admitted.admission.observe_load(now, load);
+                    }
                     admitted.finish(now, id, outcome);
                     admitted.settle(now, &self.context.shared);
                 }
--- a/crates/celeryknotd/src/traffic/body.rs
+++ b/crates/celeryknotd/src/traffic/body.rs
@@ -1,7 +1,6 @@
 //! The body of an answer on its way to a caller or to another daemon.
 
 use std::cell::Cell;
-use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -9,7 +8,7 @@
 use async_channel::Receiver;
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, SizeBytes};
-use celeryknot_endpoints::{AnswerBody, AnswerError};
+use celeryknot_endpoints::{AnswerBody, AnswerError, Silence};
 use celeryknot_policy::admission::{FinishOutcome, FinishStatus};
 use futures_lite::Stream;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -202,31 +201,19 @@
 pub(crate) struct PeerBody {
     incoming: Incoming,
     heard: Heard,
-    silence_max: DurationMs,
-    silence: Option<smol::Timer>,
+    silence: Silence,
     has_failed: bool,
 }
 
 impl PeerBody {
-    pub(crate) fn new(incoming: Incoming, heard: Heard, silence_max: DurationMs) -> Self {
+    pub(crate) fn new(incoming: Incoming, heard: Heard, silence: Silence) -> Self {
         Self {
             incoming,
             heard,
-            silence_max,
-            silence: None,
+            silence,
             has_failed: false,
         }
     }
-
-    fn poll_silence(&mut self, context: &mut Context<'_>) -> Poll<AnswerError> {
-        let silence_max = self.silence_max.as_std();
-        let silence = self
-            .silence
-            .get_or_insert_with(|| smol::Timer::after(silence_max));
-        Pin::new(silence)
-            .poll(context)
-            .map(|_| AnswerError(ErrorKind::AnswerTimeout))
-    }
 }
 
 impl Body for PeerBody {
@@ -242,9 +229,9 @@
         }
         let this = &mut *self;
         let result = match Pin::new(&mut this.incoming).poll_frame(context) {
-            Poll::Pending => match this.poll_silence(context) {
+            Poll::Pending => match this.silence.poll(context) {
                 Poll::Pending => return Poll::Pending,
-                Poll::Ready(error) => Err(error),
+                Poll::Ready(()) => Err(AnswerError(ErrorKind::AnswerTimeout)),
             },
             Poll::Ready(None) => return Poll::Ready(None),
             Poll::Ready(Some(Err(_))) => Err(AnswerError(ErrorKind::AnswerIncomplete)),
@@ -253,7 +240,7 @@
                 Ok(frame)
             }
         };
-        this.silence = None;
+        this.silence.end();
         if result.is_err() {
             this.has_failed = true;
             this.heard.distrust();
--- a/crates/celeryknotd/src/traffic/context.rs
+++ b/crates/celeryknotd/src/traffic/context.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use celeryknot_callers::{CallerLimits, ThreadExecutor};
-use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs};
+use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, Timers};
 use celeryknot_endpoints::Connections;
 use celeryknot_policy::pause::PauseDetector;
 
@@ -30,6 +30,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) executor: ThreadExecutor,
     pub(crate) limits: CallerLimits,
+    pub(crate) timers: Timers,
     pub(crate) connections: Connections,
     pub(crate) peers: PeerLinks,
     pub(crate) places: RefCell<Places>,
@@ -46,11 +47,14 @@
             .body_timeout_ms(settings.body_timeout_ms)
             .build();
         let now = shared.clock.now();
+        let timers = Timers::default();
+        timers.advance(now);
         Rc::new(Self {
             index,
             executor,
             limits,
-            connections: Connections::new(),
+            connections: Connections::new(timers.clone()),
+            timers,
             peers: PeerLinks::default(),
             places: RefCell::new(Places::default()),
             pause: RefCell::new(PauseDetector::new(TICK, PAUSE_THRESHOLD, now)),
--- a/crates/celeryknotd/src/traffic/dispatch.rs
+++ b/crates/celeryknotd/src/traffic/dispatch.rs
@@ -168,7 +168,7 @@
             .hedge_after_ms(shared, &self.work.service);
         let second_attempt = Cell::new(None);
         let second = async {
-            smol::Timer::after(after_ms.as_std()).await;
+            self.context.timers.after(after_ms).await;
             let choice = self.choose_hedge(&choice.endpoint.name)?;
             let started = self.log.borrow_mut().start_attempt()?;
             second_attempt.set(Some(started));
@@ -315,6 +315,11 @@
         false
     }
 
+    /// Tells whether the request is a chat completion.
+    pub(crate) fn is_chat(&self) -> bool {
+        self.work.chat.is_some()
+    }
+
     /// Remembers where the chat was answered.
     pub(crate) fn remember(&self, endpoint: &EndpointName, usage: Usage) {
         let Some(chat) = &self.work.chat else {
--- a/crates/celeryknotd/src/traffic/entry.rs
+++ b/crates/celeryknotd/src/traffic/entry.rs
@@ -133,7 +133,13 @@
     check_path(&service.settings, request, &path_and_query)?;
     let now = context.now();
     let size_max = service.settings.request_size_max_bytes;
-    let body = read_body(body, size_max, context.limits.body_timeout()).await?;
+    let body = read_body(
+        body,
+        size_max,
+        context.limits.body_timeout(),
+        &context.timers,
+    )
+    .await?;
     let chat = match service.settings.kind {
         ServiceKind::Model => Some(chat::read_chat(context, request, &service, &body)?),
         ServiceKind::Plain => None,
@@ -264,7 +270,9 @@
         Ok(collected) => {
             let bytes = collected.to_bytes();
             dispatch.note_whole(placed.attempt);
-            if let Some(usage) = chat::read_usage(&bytes) {
+            if dispatch.is_chat()
+                && let Some(usage) = chat::read_usage(&bytes)
+            {
                 dispatch.remember(&placed.endpoint, usage);
             }
             Ok(Some(Answered {
--- a/crates/celeryknotd/src/traffic/owner.rs
+++ b/crates/celeryknotd/src/traffic/owner.rs
@@ -79,7 +79,7 @@
                 Failure::from(failure.kind).finish_status(),
             ));
             if let Some(load) = failure.load {
-                permit.report(reported(load));
+                permit.set_load(reported(load));
             }
             Err(refusal_of(failure))
         }
@@ -159,11 +159,11 @@
 fn answered(
     context: &Rc<ThreadContext>,
     answer: EndpointAnswer,
-    permit: Permit,
+    mut permit: Permit,
     sent_at: celeryknot_core::MonotonicMs,
 ) -> Answered {
     if let Some(load) = answer.load {
-        permit.report(reported(load));
+        permit.set_load(reported(load));
     }
     let clock = context.shared.clock;
     let body = EndpointBody::new(answer.body, permit, clock, sent_at);
--- a/crates/celeryknotd/src/traffic/peer_link.rs
+++ b/crates/celeryknotd/src/traffic/peer_link.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use celeryknot_core::{DurationMs, ErrorKind, MemberName, MonotonicMs, Refusal, RequestId};
-use celeryknot_endpoints::RequestBody;
+use celeryknot_endpoints::{RequestBody, Silence};
 use futures_lite::future;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -118,7 +118,7 @@
         };
         let answer = async { self.exchange(request).await.ok() };
         let give_up = async {
-            smol::Timer::after(PROBE_TIMEOUT.as_std()).await;
+            context.timers.after(PROBE_TIMEOUT).await;
             None
         };
         future::or(answer, give_up)
@@ -128,11 +128,12 @@
 
     async fn exchange_within(
         &self,
+        context: &ThreadContext,
         timeout: DurationMs,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, ErrorKind> {
         let give_up = async {
-            smol::Timer::after(timeout.as_std()).await;
+            context.timers.after(timeout).await;
             Err(ErrorKind::AnswerTimeout)
         };
         future::or(self.exchange(request), give_up).await
@@ -177,7 +178,7 @@
             .map_err(|_| ErrorKind::ConnectFailed)
     };
     let give_up = async {
-        smol::Timer::after(CONNECT_TIMEOUT.as_std()).await;
+        context.timers.after(CONNECT_TIMEOUT).await;
         Err(ErrorKind::ConnectFailed)
     };
     let (sender, connection) = future::or(connect, give_up).await?;
@@ -308,7 +309,8 @@
     if let Some(refusal) = hop::read_refusal(&head.headers) {
         return Err(refusal);
     }
-    let body = PeerBody::new(incoming, link.heard.clone(), handover.silence_max);
+    let silence = Silence::new(context.timers.clone(), handover.silence_max);
+    let body = PeerBody::new(incoming, link.heard.clone(), silence);
     Ok(Answered {
         head,
         body: DaemonBody::new(AnswerSource::Peer(Box::new(body))),
@@ -338,7 +340,7 @@
     may_send().map_err(Refusal::new)?;
     context.shared.metrics.traffic.forwards_out.inc();
     let mut result = link
-        .exchange_within(handover.timeout_ms, request.clone())
+        .exchange_within(context, handover.timeout_ms, request.clone())
         .await;
     if let Err(ErrorKind::ConnectFailed) = result {
         peers.remove(handover.address);
@@ -349,7 +351,9 @@
         context
             .check_time(handover.deadline_at)
             .map_err(Refusal::new)?;
-        result = link.exchange_within(handover.timeout_ms, request).await;
+        result = link
+            .exchange_within(context, handover.timeout_ms, request)
+            .await;
     }
     match result {
         Ok(answer) => Ok((link, answer)),
--- a/crates/celeryknotd/src/traffic/peer_server.rs
+++ b/crates/celeryknotd/src/traffic/peer_server.rs
@@ -56,9 +56,14 @@
     }
     let service = hop::read_service(&head.headers, &snapshot).map_err(Refusal::new)?;
     let size_max = service.settings.request_size_max_bytes;
-    let body = read_body(body, size_max, context.limits.body_timeout())
-        .await
-        .map_err(Refusal::new)?;
+    let body = read_body(
+        body,
+        size_max,
+        context.limits.body_timeout(),
+        &context.timers,
+    )
+    .await
+    .map_err(Refusal::new)?;
     let work = hop::read_attempt(&head, service, body, context.now()).map_err(Refusal::new)?;
     let answered = owner::run(context, &work, || Ok(())).await?;
     read_if_small(answered).await
@@ -85,9 +90,14 @@
     let snapshot = context.snapshot();
     let service = hop::read_service(&head.headers, &snapshot).map_err(Refusal::new)?;
     let size_max = service.settings.request_size_max_bytes;
-    let body = read_body(body, size_max, context.limits.body_timeout())
-        .await
-        .map_err(Refusal::new)?;
+    let body = read_body(
+        body,
+        size_max,
+        context.limits.body_timeout(),
+        &context.timers,
+    )
+    .await
+    .map_err(Refusal::new)?;
     let (work, text) =
         hop::read_ticketed(&head, service, body, context.now()).map_err(Refusal::new)?;
     let ticket = ticketed::read_ticket(context, &work, &text).map_err(Refusal::new)?;
--- a/crates/celeryknotd/src/traffic/permit.rs
+++ b/crates/celeryknotd/src/traffic/permit.rs
@@ -29,6 +29,8 @@
         endpoint: EndpointName,
         id: RequestId,
         outcome: FinishOutcome,
+        /// The load that the endpoint reported with its answer.
+        load: Option<ReportedLoad>,
     },
     /// The endpoint reported its load.
     Load {
@@ -44,6 +46,7 @@
     endpoint: EndpointName,
     id: RequestId,
     outcome: Option<FinishOutcome>,
+    load: Option<ReportedLoad>,
 }
 
 impl Permit {
@@ -64,6 +67,7 @@
             endpoint: endpoint.clone(),
             id: request.id,
             outcome: None,
+            load: None,
         };
         permit.send(AdmissionMessage::Offer {
             endpoint: endpoint.clone(),
@@ -88,12 +92,9 @@
         self.outcome = Some(outcome);
     }
 
-    /// Passes on the load that the endpoint reported.
-    pub(crate) fn report(&self, load: ReportedLoad) {
-        self.send(AdmissionMessage::Load {
-            endpoint: self.endpoint.clone(),
-            load,
-        });
+    /// Notes the load that the endpoint reported; it is passed on with the end of the request.
+    pub(crate) fn set_load(&mut self, load: ReportedLoad) {
+        self.load = Some(load);
     }
 
     fn send(&self, message: AdmissionMessage) {
@@ -111,6 +112,7 @@
                 endpoint,
                 id,
                 outcome,
+                load: self.load,
             },
             None => AdmissionMessage::Cancel { endpoint, id },
         });
--- a/crates/celeryknotd/src/traffic/thread.rs
+++ b/crates/celeryknotd/src/traffic/thread.rs
@@ -114,6 +114,7 @@
 ) -> ConnectionContext {
     ConnectionContext {
         executor: context.executor.clone(),
+        timers: context.timers.clone(),
         limits: context.limits.clone(),
         shutdown: shutdown.clone(),
     }
