--- a/crates/celeryknot_endpoints/src/answer.rs
+++ b/crates/celeryknot_endpoints/src/answer.rs
@@ -91,7 +91,9 @@
         let (Some(mut link), Some(return_to)) = (self.link.take(), self.return_to.take()) else {
             return;
         };
-        link.poll_io(context);
+        if !link.sender().is_ready() {
+            link.poll_io(context);
+        }
         if link.is_open() && link.sender().is_ready() {
             return_to.connections.keep(return_to.address, link);
         }
--- a/crates/celeryknot_endpoints/src/call.rs
+++ b/crates/celeryknot_endpoints/src/call.rs
@@ -188,7 +188,8 @@
     where
         M: Fn() -> Result<(), ErrorKind>,
     {
-        let link = Link::open(address, self.timeouts.connect_ms, connections.timers()).await?;
+        let open = Link::open(address, self.timeouts.connect_ms, connections.timers());
+        let link = Box::pin(open).await?;
         self.try_on(link, may_send).await
     }
 
--- a/crates/celeryknot_endpoints/src/connection.rs
+++ b/crates/celeryknot_endpoints/src/connection.rs
@@ -24,6 +24,9 @@
 /// Longest time that an idle connection is kept.
 const IDLE_LIFE: Duration = Duration::from_secs(1);
 
+/// Idle time up to which a connection is used again without a look at its socket.
+const JUST_USED: Duration = Duration::from_millis(5);
+
 /// Longest header block of an answer.
 const HEADER_SIZE_MAX_BYTES: usize = 64 << 10;
 
@@ -31,7 +34,8 @@
 #[derive(Debug)]
 pub(crate) struct Link {
     sender: http1::SendRequest<RequestBody>,
-    connection: Option<http1::Connection<FuturesIo<TcpStream>, RequestBody>>,
+    /// On the heap, since a connection is large and changes hands with each call.
+    connection: Option<Box<http1::Connection<FuturesIo<TcpStream>, RequestBody>>>,
     idle_since: Instant,
 }
 
@@ -66,7 +70,7 @@
         let (sender, connection) = future::or(connect, give_up).await?;
         Ok(Self {
             sender,
-            connection: Some(connection),
+            connection: Some(Box::new(connection)),
             idle_since: Instant::now(),
         })
     }
@@ -80,7 +84,7 @@
         let Some(connection) = &mut self.connection else {
             return;
         };
-        if Pin::new(connection).poll(context).is_ready() {
+        if Pin::new(connection.as_mut()).poll(context).is_ready() {
             self.connection = None;
         }
     }
@@ -125,7 +129,11 @@
     pub(crate) async fn take(&self, address: SocketAddr, idle_max: DurationMs) -> Option<Link> {
         loop {
             let mut link = self.idle.borrow_mut().get_mut(&address)?.pop()?;
-            if link.idle_since.elapsed() < idle_max.as_std() && link.is_usable().await {
+            let idle = link.idle_since.elapsed();
+            if idle < JUST_USED {
+                return Some(link);
+            }
+            if idle < idle_max.as_std() && link.is_usable().await {
                 return Some(link);
             }
         }
--- a/crates/celeryknot_endpoints/src/exchange.rs
+++ b/crates/celeryknot_endpoints/src/exchange.rs
@@ -38,13 +38,7 @@
     let mut answer = pin!(answer);
     let result = future::poll_fn(|context| {
         link.poll_io(context);
-        let poll = answer.as_mut().poll(context);
-        if poll.is_pending() && link.is_open() {
-            // The request's own wake-up can come between the two polls above.
-            link.poll_io(context);
-            return answer.as_mut().poll(context);
-        }
-        poll
+        answer.as_mut().poll(context)
     })
     .await;
     result.map_err(|mut error| match error.take_message() {
--- a/crates/celeryknotd/src/traffic/dispatch.rs
+++ b/crates/celeryknotd/src/traffic/dispatch.rs
@@ -75,7 +75,8 @@
             let Some(attempt) = started else {
                 return Err(self.log.borrow().refusal());
             };
-            if let Some(placed) = self.run_hedged(&choice, attempt, resume_from).await {
+            let attempt = Box::pin(self.run_hedged(&choice, attempt, resume_from));
+            if let Some(placed) = attempt.await {
                 return Ok(placed);
             }
             if !self.may_go_on() {
@@ -172,7 +173,8 @@
             let choice = self.choose_hedge(&choice.endpoint.name)?;
             let started = self.log.borrow_mut().start_attempt()?;
             second_attempt.set(Some(started));
-            self.run_noted(&choice, started, resume_from).await
+            // Few requests come here, and all would carry the state of a second attempt.
+            Box::pin(self.run_noted(&choice, started, resume_from)).await
         };
         let placed = race(first, second, || second_attempt.get().is_some()).await;
         let loser = match &placed {
@@ -247,7 +249,9 @@
         let work = self.work.attempt(target, self.context.now());
         let may_send = || self.may_send(attempt);
         match self.owner_of(&choice.endpoint) {
-            Some((member, address)) => self.hand_over(&member, address, &work, may_send).await,
+            Some((member, address)) => {
+                Box::pin(self.hand_over(&member, address, &work, may_send)).await
+            }
             None => owner::run(&self.context, &work, may_send).await,
         }
     }
--- a/crates/celeryknotd/src/traffic/entry.rs
+++ b/crates/celeryknotd/src/traffic/entry.rs
@@ -72,7 +72,7 @@
     match &request.target {
         Target::Tickets { service, count } => {
             find_service(&snapshot, &customer, service).map_err(Refusal::new)?;
-            ticketed::issue(context, &request, service, *count).await
+            Box::pin(ticketed::issue(context, &request, service, *count)).await
         }
         Target::Service {
             service,
@@ -215,7 +215,7 @@
     if work.safety == CallSafety::NonIdempotent {
         let key = request.idempotency_key.as_deref();
         if key.is_some() || work.service.settings.requires_ticket {
-            let answered = ticketed::run_with_key(context, work, key).await?;
+            let answered = Box::pin(ticketed::run_with_key(context, work, key)).await?;
             return Ok(to_caller(answered));
         }
     }
