--- a/crates/celeryknot/src/command/status.rs
+++ b/crates/celeryknot/src/command/status.rs
@@ -33,6 +33,7 @@
         format!("Members\n{}", members(control)),
         format!("Zones\n{}", zones(control)),
         format!("Endpoints\n{}", endpoints(control)),
+        format!("Rollouts\n{}", rollouts(control)),
         format!("Settings\n{}", settings(control)),
     ];
     sections.join("\n")
@@ -139,6 +140,19 @@
     }
 }
 
+fn rollouts(control: &ControlStatus) -> Table {
+    let mut table = Table::new(&["service", "version", "revision", "state here"]);
+    for rollout in &control.rollouts {
+        table.add([
+            rollout.service.to_string(),
+            rollout.version.clone(),
+            rollout.revision.to_string(),
+            rollout.state.to_string(),
+        ]);
+    }
+    table
+}
+
 fn settings(control: &ControlStatus) -> String {
     let mut table = Table::new(&["path", "revision in force", "refused"]);
     let mut findings = String::new();
--- a/crates/celeryknot_operators/src/metrics/traffic.rs
+++ b/crates/celeryknot_operators/src/metrics/traffic.rs
@@ -69,8 +69,6 @@
     pub forwards_out: IntCounter,
     /// Requests taken over from a peer.
     pub forwards_in: IntCounter,
-    /// Requests whose caller left.
-    pub cancels: IntCounter,
     /// Tickets that were issued.
     pub tickets_issued: IntCounter,
     /// Requests answered with a stored answer.
@@ -108,7 +106,6 @@
             resumes: register_counter(registry, "celeryknot_resumes_total"),
             forwards_out: forwards.with_label_values(&["out"]),
             forwards_in: forwards.with_label_values(&["in"]),
-            cancels: register_counter(registry, "celeryknot_cancels_total"),
             tickets_issued: register_counter(registry, "celeryknot_tickets_issued_total"),
             tickets_replayed: register_counter(registry, "celeryknot_tickets_replayed_total"),
             tickets_held: register_gauge(registry, "celeryknot_tickets_held"),
@@ -180,7 +177,7 @@
     requests: Arc<[IntCounter]>,
     first_byte_ms: Histogram,
     queue_wait_ms: Histogram,
-    /// Requests that got a whole answer.
+    /// Requests without a ticket that an endpoint began to answer.
     pub answers: IntCounter,
     /// Prompt tokens that engines reported.
     pub prompt_tokens: IntCounter,
--- a/crates/celeryknot_policy/src/placement.rs
+++ b/crates/celeryknot_policy/src/placement.rs
@@ -159,6 +159,35 @@
     pub reason: CandidateReason,
 }
 
+impl Candidate {
+    /// Returns the wait here up to which the request is no worse off than at another candidate.
+    ///
+    /// What the other one would spend on reading the prompt again counts in favour of a wait.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::DurationMs;
+    /// use celeryknot_policy::placement::{Candidate, CandidateReason};
+    ///
+    /// let candidate = |wait_ms, cost_ms| Candidate {
+    ///     index: 0,
+    ///     wait_ms: DurationMs(wait_ms),
+    ///     uncached_tokens: 0,
+    ///     cost_ms,
+    ///     kv_source: None,
+    ///     reason: CandidateReason::Order,
+    /// };
+    /// let has_context = candidate(50, 60.0);
+    /// let has_none = candidate(0, 400.0);
+    /// assert_eq!(has_context.wait_worth_ms(&has_none), DurationMs(390));
+    /// ```
+    pub fn wait_worth_ms(&self, other: &Candidate) -> DurationMs {
+        let own_work_ms = self.cost_ms - self.wait_ms.0 as f64;
+        DurationMs((other.cost_ms - own_work_ms).max(0.0) as u64)
+    }
+}
+
 /// Ranks the endpoints of a service for a request.
 pub trait Placement {
     /// Returns up to four endpoints that may get the request, the best first.
@@ -189,36 +218,6 @@
     pub cached_tokens: Option<u32>,
 }
 
-/// Returns the longest wait at a candidate that is better than going to the next one.
-///
-/// That is the next one's cost less what the candidate costs besides its wait, so that a
-/// cached context is worth a wait as long as it would take to read it elsewhere. `None` where
-/// there is no next candidate.
-///
-/// # Examples
-///
-/// ```
-/// use celeryknot_core::DurationMs;
-/// use celeryknot_policy::placement::{Candidate, CandidateReason, Candidates, alternative_wait_ms};
-///
-/// let candidate = |index, wait_ms, cost_ms| Candidate {
-///     index,
-///     wait_ms: DurationMs(wait_ms),
-///     uncached_tokens: 0,
-///     cost_ms,
-///     kv_source: None,
-///     reason: CandidateReason::Order,
-/// };
-/// // The first has the context, the second would read it in 800 ms.
-/// let candidates = Candidates::from_slice(&[candidate(0, 100, 150.0), candidate(1, 0, 800.0)]);
-/// assert_eq!(alternative_wait_ms(&candidates), Some(DurationMs(750)));
-/// ```
-pub fn alternative_wait_ms(candidates: &Candidates) -> Option<DurationMs> {
-    let (first, next) = (candidates.first()?, candidates.get(1)?);
-    let besides_ms = first.cost_ms - first.wait_ms.0 as f64;
-    Some(DurationMs((next.cost_ms - besides_ms).max(0.0) as u64))
-}
-
 /// Tells whether the endpoint may get the request at all.
 pub(crate) fn is_eligible(endpoint: &PlacementEndpoint, request: &PlacementRequest) -> bool {
     endpoint.takes_new_work && !request.excluded.contains(&endpoint.name)
--- a/crates/celeryknot_settings/src/rollout.rs
+++ b/crates/celeryknot_settings/src/rollout.rs
@@ -18,8 +18,6 @@
     pub adapter: Option<String>,
     /// Most engines that may load at the same time.
     pub parallel_max: u32,
-    /// Most errors of an updated engine, in a hundred answers, before the rollout stops.
-    pub error_percent_max: u32,
 }
 
 impl RolloutSettings {
@@ -41,7 +39,6 @@
                 version: version.into(),
                 adapter: None,
                 parallel_max: 1,
-                error_percent_max: 5,
             },
         }
     }
@@ -69,7 +66,6 @@
             version: fields.get(S, "version"),
             adapter: fields.optional(S, "adapter"),
             parallel_max: fields.get(S, "parallel_max"),
-            error_percent_max: fields.get(S, "error_percent_max"),
         })
     }
 }
@@ -84,7 +80,6 @@
     setters!(RolloutSettings {
         adapter: Option<String>,
         parallel_max: u32,
-        error_percent_max: u32,
     });
 
     /// Returns the settings.
