List the daemon's exit statuses, and say what its latency metric times

docs/COMMANDS.md covers celeryknotd too, held to its enum of exit statuses. The histogram of first bytes is taken when the head of an answer comes; its help and row claimed the first token.

--- a/crates/celeryknot/tests/pages.rs
+++ b/crates/celeryknot/tests/pages.rs
@@ -77,6 +77,16 @@
     assert_eq!(on_page, expected);
 }
 
+#[test]
+fn commands_page_lists_every_exit_status_of_the_daemon() {
+    let rows = table(COMMANDS, "| exit status |");
+    let on_page: Vec<(String, &str)> = rows.iter().map(|row| (row[0].to_owned(), row[1])).collect();
+    let expected: Vec<(String, &str)> = celeryknotd::run::ExitStatus::iter()
+        .map(|status| ((status as u8).to_string(), <&str>::from(status)))
+        .collect();
+    assert_eq!(on_page, expected);
+}
+
 #[test]
 fn every_command_has_help_with_an_example() {
     for command in Command::COMMANDS {
--- a/crates/celeryknot_operators/src/metrics/spec.rs
+++ b/crates/celeryknot_operators/src/metrics/spec.rs
@@ -93,7 +93,7 @@
     gauge("celeryknot_endpoint_queued", &["endpoint"], "Requests that wait for an endpoint that this daemon owns."),
     gauge("celeryknot_tickets_held", &[], "Tickets whose state this daemon holds."),
     gauge("celeryknot_shutdown_leftover", &[], "Requests still in flight when the grace time of the shutdown was over."),
-    histogram("celeryknot_first_byte_ms", &["service"], "Time from a request to the first byte of its answer's body; the first token of a stream."),
+    histogram("celeryknot_first_byte_ms", &["service"], "Time from a request without a ticket to the head of its answer."),
     histogram("celeryknot_queue_wait_ms", &["service"], "Time that a request waited at the owner of an endpoint."),
     counter("celeryknot_control_bytes_total", &["kind"], "Bytes of control traffic sent, by kind of message."),
     counter("celeryknot_control_messages_total", &["kind", "outcome"], "Control messages, sent or dropped for the byte budget, by kind."),
--- a/crates/celeryknot_operators/src/metrics/traffic.rs
+++ b/crates/celeryknot_operators/src/metrics/traffic.rs
@@ -191,7 +191,7 @@
         self.requests[kind as usize].inc();
     }
 
-    /// Records the time to the first byte of an answer's body.
+    /// Records the time to the head of an answer.
     pub fn first_byte(&self, after_ms: DurationMs) {
         observe_ms(&self.first_byte_ms, after_ms);
     }
