Tell the load and the request id with an engine's refusals too

An engine that failed a request sent neither header, against docs/INTERFACES.md: a router could not learn from the failure that the engine is cold.

--- a/crates/celeryknot_standins/src/engine/http_api.rs
+++ b/crates/celeryknot_standins/src/engine/http_api.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use celeryknot_core::{ChatKey, RequestId, header};
 use futures_lite::future;
 use http::request::Parts;
@@ -108,18 +108,13 @@
         self.import_kv(&head.headers).await;
         let (parts, part_receiver) = Job::channel();
         let is_stream = chat_request.stream;
-        let answer_headers = {
-            let mut state = self.shared.state();
-            if let Some(refusal) = refuse(&mut state, &chat_request) {
-                return Ok(refusal);
-            }
-            let Some(job) = new_job(&mut state, &head.headers, chat_request, parts) else {
-                return Ok(empty(StatusCode::BAD_REQUEST));
-            };
-            let request_id = job.request_id;
-            state.push(job);
-            answer_headers(&state, request_id)
-        };
+        let (request_id, refusal) = self.take(&head.headers, chat_request, parts);
+        let answer_headers = answer_headers(&self.shared.state(), request_id);
+        if let Some(status) = refusal {
+            let mut answer = empty(status);
+            answer.headers_mut().extend(answer_headers);
+            return Ok(answer);
+        }
         self.shared.wake();
         let mut answer = if is_stream {
             stream_answer(part_receiver)
@@ -131,6 +126,26 @@
         Ok(answer)
     }
 
+    /// Takes a request, or tells why not, and returns the request id for the answer.
+    fn take(
+        &self,
+        headers: &HeaderMap,
+        request: ChatRequest,
+        parts: Sender<Part>,
+    ) -> (RequestId, Option<StatusCode>) {
+        let mut state = self.shared.state();
+        let request_id = header_value(headers, header::REQUEST_ID).unwrap_or_default();
+        if let Some(status) = refuse(&mut state, &request) {
+            return (request_id, Some(status));
+        }
+        let Some(job) = new_job(&mut state, headers, request, parts) else {
+            return (request_id, Some(StatusCode::BAD_REQUEST));
+        };
+        let request_id = job.request_id;
+        state.push(job);
+        (request_id, None)
+    }
+
     /// Imports the chat's KV cache from where the router says, if that works in time.
     async fn import_kv(&self, headers: &HeaderMap) {
         let (Some(source), Some(chat)) = (
@@ -168,13 +183,13 @@
 }
 
 /// Refuses a request that the engine can't run.
-fn refuse(state: &mut EngineState, request: &ChatRequest) -> Option<Answer> {
+fn refuse(state: &mut EngineState, request: &ChatRequest) -> Option<StatusCode> {
     if request.model != state.options.model {
-        return Some(empty(StatusCode::NOT_FOUND));
+        return Some(StatusCode::NOT_FOUND);
     }
     let fail_percent = state.mode().fail_percent;
     if state.collapses() || state.draws(fail_percent) {
-        return Some(empty(StatusCode::INTERNAL_SERVER_ERROR));
+        return Some(StatusCode::INTERNAL_SERVER_ERROR);
     }
     None
 }
@@ -183,7 +198,7 @@
     state: &mut EngineState,
     headers: &HeaderMap,
     request: ChatRequest,
-    parts: async_channel::Sender<Part>,
+    parts: Sender<Part>,
 ) -> Option<Job> {
     let mode = state.mode();
     let is_crossed = state.draws(mode.cross_percent);
--- a/crates/celeryknot_standins/tests/engine.rs
+++ b/crates/celeryknot_standins/tests/engine.rs
@@ -294,8 +294,13 @@
             ));
         }
         wait_until(|| engine.in_flight() == 4).await;
-        let refused = exchange.chat("5", &chat_request(5, 0)).await;
-        assert!(matches!(refused, Outcome::Refused(_)), "{refused:?}");
+        // Refusals too tell the load and echo the request id, which `raw_chat` checks.
+        let refused = raw_chat(engine.address(), &chat_request(5, 0), RequestId(9), None).await;
+        assert_eq!(refused.answer.status(), StatusCode::INTERNAL_SERVER_ERROR);
+        let load = &refused.answer.headers()[celeryknot_core::header::LOAD];
+        let load = load.to_str().unwrap();
+        assert!(load.starts_with("in_flight=4;"), "{load}");
+        assert!(load.ends_with(";cold=1;bound=2"), "{load}");
         let seen: Seen = fetch_json(engine.address(), "/stand-in/seen", TIMEOUT)
             .await
             .unwrap();
