--- a/crates/celeryknot/tests/live.rs
+++ b/crates/celeryknot/tests/live.rs
@@ -50,6 +50,9 @@
             {"path": "teams/kinrin/services/wakai-llm", "revision_in_force": 7, "refused": {"revision": 39,
              "findings": ["teams/kinrin/services/wakai-llm:3: unknown-key: no key `ramp` in [service] (did you mean `ramp_ms`?)"]}},
         ])),
+        rollouts: from_json(json!([
+            {"service": "wakai-llm", "revision": 31, "version": "v2+ja", "state": "runs"},
+        ])),
         ..ControlStatus::default()
     }
 }
@@ -74,6 +77,10 @@
 engine-1  wakai-llm  hkd-a  entry-1  yes          warm       3/48       1       250ms
 engine-2  wakai-llm  hkd-b  -        no, leaving  -          -          -       -
 
+Rollouts
+service    version  revision  state here
+wakai-llm  v2+ja    31        runs
+
 Settings
 path                             revision in force  refused
 fleet/zones/hkd-b                40                 -
--- a/crates/celeryknot_operators/src/metrics/spec.rs
+++ b/crates/celeryknot_operators/src/metrics/spec.rs
@@ -74,7 +74,7 @@
 #[rustfmt::skip]
 pub const METRICS: &[MetricSpec] = &[
     counter("celeryknot_requests_total", &["service", "kind"], "Requests of callers that entered at this daemon."),
-    counter("celeryknot_answers_total", &["service"], "Requests of callers that got a whole answer of an endpoint."),
+    counter("celeryknot_answers_total", &["service"], "Requests of callers, without a ticket, that an endpoint began to answer."),
     counter("celeryknot_refusals_total", &["code"], "Requests of callers that were refused or failed, by code."),
     counter("celeryknot_retries_total", &["reason"], "Further attempts at a request, by the code of the attempt before."),
     counter("celeryknot_retries_denied_total", &["reason"], "Further attempts that the retry budget did not allow, by the code of the attempt before."),
@@ -82,7 +82,6 @@
     counter("celeryknot_resumes_total", &[], "Streams that were resumed on another connection or engine."),
     counter("celeryknot_forwards_total", &["direction"], "Requests handed over between daemons, out to or in from a peer."),
     counter("celeryknot_admissions_refused_total", &["code"], "Requests that this daemon refused as the owner of an endpoint, by code."),
-    counter("celeryknot_cancels_total", &[], "Requests whose caller left before the answer was whole."),
     counter("celeryknot_prompt_tokens_total", &["service"], "Prompt tokens that engines reported."),
     counter("celeryknot_cached_tokens_total", &["service"], "Prompt tokens that engines reported as found in their cache."),
     counter("celeryknot_tickets_issued_total", &[], "Tickets that were issued."),
