--- a/crates/celeryknot_peers/src/peers.rs
+++ b/crates/celeryknot_peers/src/peers.rs
@@ -110,6 +110,7 @@
             .get(to)
             .is_some_and(|link| link.address == address && !link.messages.is_closed());
         if !is_usable {
+            self.links.retain(|_, link| !link.messages.is_closed());
             let link = self.open(to, address);
             self.links.insert(to.clone(), link);
         }
--- a/crates/celeryknotd/src/control/orders.rs
+++ b/crates/celeryknotd/src/control/orders.rs
@@ -25,6 +25,8 @@
 const PROBE_PERIOD: DurationMs = DurationMs(2_000);
 /// Time between two probes of an engine whose rollout is done.
 const PROBE_PERIOD_DONE: DurationMs = DurationMs(10_000);
+/// Time after which an engine that is no longer probed is forgotten.
+const PROBE_MEMORY: DurationMs = DurationMs(60_000);
 /// Longest wait for an engine's answer.
 const TIMEOUT: DurationMs = DurationMs(2_000);
 /// Bytes that are counted for a probe and for an order.
@@ -104,6 +106,7 @@
             return;
         }
         let view = fleet.view(now);
+        self.next_probe_at.retain(|_, at| now - *at < PROBE_MEMORY);
         self.probe(now, fleet, &view);
         let list_revision = fleet.list().revision();
         let is_holder = |service: &ServiceName| fleet.holds_orders(now, service);
--- a/crates/celeryknotd/src/control/platform.rs
+++ b/crates/celeryknotd/src/control/platform.rs
@@ -14,10 +14,13 @@
 use celeryknot_operators::PlatformCallCounts;
 use celeryknot_platform::{ByteMeter, InstanceList, PlatformClient, PlatformError, ValueList};
 use celeryknot_settings::DaemonSettings;
+use futures_lite::future;
 use smol::{LocalExecutor, Timer};
 
-/// Time for which a watch waits before it goes on, at another replica if readers are few.
-const WATCH_WAIT: DurationMs = DurationMs(2_000);
+/// Time for which a watch of values waits before it goes on, at another replica if readers are few.
+const VALUES_WAIT: DurationMs = DurationMs(2_000);
+/// The same for the instance list, which comes whole also when nothing has changed.
+const INSTANCES_WAIT: DurationMs = DurationMs(20_000);
 /// Time between two looks at whether this daemon is a reader.
 const ROLE_PERIOD: Duration = Duration::from_millis(100);
 /// Shortest time between two calls of one watch.
@@ -104,6 +107,15 @@
     Instances,
 }
 
+impl Subject {
+    fn watch_wait(self) -> DurationMs {
+        match self {
+            Self::Values => VALUES_WAIT,
+            Self::Instances => INSTANCES_WAIT,
+        }
+    }
+}
+
 /// A task that reads or watches one list.
 struct PlatformTask {
     subject: Subject,
@@ -154,7 +166,11 @@
                 Timer::after(ROLE_PERIOD).await;
                 continue;
             };
-            let result = self.call(wait).await;
+            let pause_noted = await_pause(Rc::clone(&self.role));
+            let call = async { Some(self.call(wait).await) };
+            let Some(result) = future::or(call, pause_noted).await else {
+                continue;
+            };
             // The client has moved on by itself after a failure; it comes back once one is over.
             self.has_failed = result.is_err();
             let pause = match result {
@@ -184,7 +200,7 @@
         if !self.has_failed {
             self.client.select(place.replica(self.turns, self.replicas));
         }
-        Some(WATCH_WAIT)
+        Some(self.subject.watch_wait())
     }
 
     async fn call(&mut self, wait: DurationMs) -> Result<(), PlatformError> {
@@ -226,6 +242,15 @@
     }
 }
 
+/// Ends a watch that began before a pause of the process.
+async fn await_pause<T>(role: Rc<Role>) -> Option<T> {
+    let count = role.read_again_count.get();
+    while role.read_again_count.get() == count {
+        Timer::after(ROLE_PERIOD).await;
+    }
+    None
+}
+
 /// Compares an answer with the revision that was known before.
 fn outcome_of(
     result: &Result<PlatformEvent, PlatformError>,
--- a/crates/celeryknotd/src/traffic/admission.rs
+++ b/crates/celeryknotd/src/traffic/admission.rs
@@ -98,6 +98,7 @@
                 }
             }
             AdmissionMessage::Load { endpoint, load } => {
+                self.context.note_report(&endpoint);
                 if let Some(admitted) = self.endpoints.get_mut(&endpoint) {
                     admitted.admission.observe_load(now, load);
                     admitted.settle(now, &self.context.shared);
