--- a/crates/celeryknot_fleet/src/membership.rs
+++ b/crates/celeryknot_fleet/src/membership.rs
@@ -4,102 +4,19 @@
 //! daemon that has heard the same records holds the same state, in whichever order they came.
 //! Only the member itself raises its sequence.
 
+mod entry;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 use celeryknot_core::id::rendezvous_score;
-use celeryknot_core::{DurationMs, Incarnation, MemberName, MonotonicMs, ZoneName};
+use celeryknot_core::{Incarnation, MemberName, MonotonicMs};
 
 use crate::instance_list::ListedDaemon;
 use crate::timing::FleetTiming;
 use crate::view::{MemberState, MemberView};
 
-/// Where a daemon runs and is reached.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MemberInfo {
-    /// The daemon's name.
-    pub name: MemberName,
-    /// The daemon's availability zone.
-    pub zone: ZoneName,
-    /// Where the daemon takes messages of its peers.
-    pub peers_address: SocketAddr,
-    /// Where the daemon takes requests handed over by its peers.
-    pub forwards_address: SocketAddr,
-}
-
-/// One statement about a member, as daemons pass it on.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MemberRecord {
-    /// The member that the record is about.
-    pub info: MemberInfo,
-    /// The life of the member that the record is about.
-    pub incarnation: Incarnation,
-    /// Raised by the member itself when its state changes or it refutes a suspicion.
-    pub sequence: u64,
-    /// What is stated.
-    pub state: MemberState,
-}
-
-fn rank(state: MemberState) -> u8 {
-    match state {
-        MemberState::Alive => 0,
-        MemberState::Suspect => 1,
-        MemberState::Leaving => 2,
-        MemberState::Dead => 3,
-    }
-}
-
-impl MemberRecord {
-    fn order(&self) -> (u64, u8, Incarnation) {
-        (self.sequence, rank(self.state), self.incarnation)
-    }
-}
-
-#[derive(Debug, Clone)]
-struct Entry {
-    info: MemberInfo,
-    /// Whether the platform lists the member, and as leaving.
-    listed_as_leaving: Option<bool>,
-    record: Option<MemberRecord>,
-    last_heard: MonotonicMs,
-    state_since: MonotonicMs,
-    flaps: u32,
-    last_flap: MonotonicMs,
-    held_until: MonotonicMs,
-}
-
-impl Entry {
-    fn new(info: MemberInfo, now: MonotonicMs) -> Self {
-        Self {
-            info,
-            listed_as_leaving: None,
-            record: None,
-            last_heard: now,
-            state_since: now,
-            flaps: 0,
-            last_flap: now,
-            held_until: now,
-        }
-    }
-
-    fn state(&self) -> MemberState {
-        let stated = self.record.as_ref().map(|record| record.state);
-        match stated {
-            None => MemberState::Suspect,
-            Some(MemberState::Alive | MemberState::Suspect)
-                if self.listed_as_leaving == Some(true) =>
-            {
-                MemberState::Leaving
-            }
-            Some(state) => state,
-        }
-    }
-
-    fn has_duties(&self, now: MonotonicMs) -> bool {
-        let is_up = matches!(self.state(), MemberState::Alive | MemberState::Suspect);
-        self.record.is_some() && is_up && now >= self.held_until
-    }
-}
+use entry::{Entry, rank};
+pub use entry::{MemberInfo, MemberRecord};
 
 /// What came of a direct sign of life.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -212,7 +129,7 @@
         {
             return None;
         }
-        note_flap(entry, record, now, &self.timing);
+        entry.note_flap(record, now, &self.timing);
         let is_same_state = entry
             .record
             .as_ref()
@@ -440,23 +357,3 @@
         state,
     }
 }
-
-/// Keeps a member that returns again and again without duties for a growing time.
-fn note_flap(entry: &mut Entry, record: &MemberRecord, now: MonotonicMs, timing: &FleetTiming) {
-    let Some(known) = &entry.record else {
-        return;
-    };
-    let returns = known.state == MemberState::Dead && record.state == MemberState::Alive;
-    if !returns {
-        return;
-    }
-    if now - entry.last_flap > timing.flap_memory {
-        entry.flaps = 0;
-    }
-    entry.flaps += 1;
-    entry.last_flap = now;
-    if entry.flaps > 1 {
-        let hold_ms = 1_000_u64 << entry.flaps.min(16);
-        entry.held_until = now + DurationMs(hold_ms.min(timing.flap_hold_max.0));
-    }
-}
--- a/crates/celeryknot_fleet/src/orders.rs
+++ b/crates/celeryknot_fleet/src/orders.rs
@@ -208,6 +208,12 @@
             view.is_ready && is_holder(service) && rollouts.iter().any(|r| r.service == *service)
         };
         self.duties.retain(|service, _| is_held(service));
+        self.engines.retain(|name, _| {
+            let found = view
+                .endpoints
+                .binary_search_by(|known| known.name.cmp(name));
+            found.is_ok()
+        });
         let load_gap = self.load_gap(rollouts.len());
         let mut orders = Vec::new();
         for rollout in rollouts.iter().filter(|rollout| is_held(&rollout.service)) {
--- a/crates/celeryknot_fleet/src/summaries.rs
+++ b/crates/celeryknot_fleet/src/summaries.rs
@@ -3,81 +3,21 @@
 //! Owners number their summaries; a later number of the same life of the same owner wins, and
 //! another owner's summary wins over one that has gone stale or whose owner has changed.
 
+mod queue;
+mod record;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::ops::Bound;
 
-use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{
     DurationMs, EndpointName, EndpointSummary, Incarnation, MemberName, MonotonicMs,
 };
 
 use crate::neighbours::Neighbours;
 
-/// The short hash that stands for an endpoint's name in messages.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct EndpointHash(pub u32);
-
-impl EndpointHash {
-    /// Hashes a name.
-    pub fn new(name: &EndpointName) -> Self {
-        let low = rendezvous_score(ENDPOINT_SALT, name.as_str()) & u64::from(u32::MAX);
-        Self(u32::try_from(low).unwrap_or(u32::MAX))
-    }
-}
-
-const ENDPOINT_SALT: u64 = 0x656e_6470;
-
-/// The owner that made a summary.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Origin {
-    /// The owner's name.
-    pub name: MemberName,
-    /// The owner's life.
-    pub incarnation: Incarnation,
-}
-
-/// Summaries of one owner as they pass between daemons.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SummaryBatch {
-    /// The owner that made the summaries, unless it is the sender itself.
-    pub origin: Option<Origin>,
-    /// The summaries.
-    pub entries: Vec<SummaryEntry>,
-}
-
-/// One endpoint's summary.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SummaryEntry {
-    /// The endpoint.
-    pub endpoint: EndpointHash,
-    /// Rises with every summary of the owner.
-    pub sequence: u64,
-    /// The endpoint's state.
-    pub summary: EndpointSummary,
-}
-
-impl SummaryBatch {
-    /// Returns about how many bytes the batch takes in a message.
-    pub fn size_bytes(&self) -> usize {
-        let entries: usize = self.entries.iter().map(SummaryEntry::size_bytes).sum();
-        let origin = self.origin.as_ref();
-        4 + origin.map_or(0, |origin| origin.name.as_str().len() + 13) + entries
-    }
-}
-
-impl SummaryEntry {
-    fn size_bytes(&self) -> usize {
-        let varint = |value: u64| (64 - value.leading_zeros() as usize).div_ceil(7);
-        let optional = |value: u64| if value == 0 { 0 } else { 1 + varint(value) };
-        let summary = &self.summary;
-        7 + optional(self.sequence)
-            + optional(u64::from(summary.in_flight))
-            + optional(u64::from(summary.queued))
-            + optional(u64::from(summary.in_flight_max))
-            + optional(summary.wait_ms.0)
-            + 2
-    }
-}
+use queue::Queues;
+pub use queue::Telling;
+pub use record::{EndpointHash, Origin, SummaryBatch, SummaryEntry};
+use record::{differs_in_kind, differs_much};
 
 #[derive(Debug, Clone)]
 struct Slot {
@@ -97,35 +37,6 @@
 /// Age beyond which another owner's summary is taken over a known one.
 const TAKEOVER_AGE_MS: DurationMs = DurationMs(3_000);
 
-/// Endpoints whose summaries a neighbour has yet to be told, told in turn.
-#[derive(Debug, Clone, Default)]
-struct Queue {
-    endpoints: BTreeSet<EndpointHash>,
-    last_told: Option<EndpointHash>,
-}
-
-impl Queue {
-    /// Returns the endpoints, starting after the one that was told last.
-    fn in_turn(&self) -> impl Iterator<Item = EndpointHash> + '_ {
-        let after = self.last_told.map_or(Bound::Unbounded, Bound::Excluded);
-        let until = self
-            .last_told
-            .map_or(Bound::Excluded(EndpointHash(0)), Bound::Included);
-        let rest = self.endpoints.range((after, Bound::Unbounded));
-        let first = self.endpoints.range((Bound::Unbounded, until));
-        rest.chain(first).copied()
-    }
-}
-
-/// Whether a summary is told because it has changed or again as it is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Telling {
-    /// The summary has changed.
-    Change,
-    /// The summary is sent again.
-    Refresh,
-}
-
 /// How often the owner of an endpoint tells its state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pace {
@@ -148,34 +59,6 @@
     pub telling: Telling,
 }
 
-/// What is queued for one neighbour.
-#[derive(Debug, Clone, Default)]
-struct Queues {
-    changes: Queue,
-    refreshes: Queue,
-}
-
-impl Queues {
-    fn queue(&self, telling: Telling) -> &Queue {
-        match telling {
-            Telling::Change => &self.changes,
-            Telling::Refresh => &self.refreshes,
-        }
-    }
-
-    fn queue_mut(&mut self, telling: Telling) -> &mut Queue {
-        match telling {
-            Telling::Change => &mut self.changes,
-            Telling::Refresh => &mut self.refreshes,
-        }
-    }
-
-    fn remove(&mut self, endpoint: EndpointHash) {
-        self.changes.endpoints.remove(&endpoint);
-        self.refreshes.endpoints.remove(&endpoint);
-    }
-}
-
 /// Largest message with summaries in bytes.
 const MESSAGE_SIZE_MAX_BYTES: usize = 1_024;
 
@@ -419,19 +302,3 @@
         self.slots.retain(|endpoint, _| listed.contains(endpoint));
     }
 }
-
-/// Smallest change of the expected wait that is told at once.
-const WAIT_STEP_MS: u64 = 20;
-
-/// Tells whether a change is one that placement must know at once.
-fn differs_in_kind(told: &EndpointSummary, now: &EndpointSummary) -> bool {
-    told.condition != now.condition || told.in_flight_max != now.in_flight_max
-}
-
-fn differs_much(told: &EndpointSummary, now: &EndpointSummary) -> bool {
-    let count_differs = |a: u32, b: u32| a.abs_diff(b) > a.max(b) / 8;
-    let wait_ms = told.wait_ms.0.max(now.wait_ms.0);
-    count_differs(told.in_flight, now.in_flight)
-        || count_differs(told.queued, now.queued)
-        || told.wait_ms.0.abs_diff(now.wait_ms.0) > WAIT_STEP_MS.max(wait_ms / 4)
-}
--- a/crates/celeryknotd/src/traffic/admission.rs
+++ b/crates/celeryknotd/src/traffic/admission.rs
@@ -93,6 +93,7 @@
             } => {
                 if let Some(admitted) = self.endpoints.get_mut(&endpoint) {
                     if let Some(load) = load {
+                        self.context.note_report(&endpoint);
                         admitted.admission.observe_load(now, load);
                     }
                     admitted.finish(now, id, outcome);
@@ -100,6 +101,7 @@
                 }
             }
             AdmissionMessage::Load { endpoint, load } => {
+                self.context.note_report(&endpoint);
                 if let Some(admitted) = self.endpoints.get_mut(&endpoint) {
                     admitted.admission.observe_load(now, load);
                     admitted.settle(now, &self.context.shared);
