--- /dev/null
+++ b/crates/celeryknot_fleet/examples/settings.rs
@@ -0,0 +1,144 @@
+//! Prints the time from a value's publication until it is in force everywhere, as JSON.
+//!
+//! `cargo run --release -p celeryknot_fleet --example settings`
+
+use std::collections::BTreeMap;
+
+use celeryknot_core::{Revision, SettingPath};
+use celeryknot_fleet::drive::{Drive, DriveConfig, SeededRandom};
+
+const CHANGES: u64 = 60;
+const PAUSE_MS: u64 = 400;
+const LIMIT_MS: u64 = 60_000;
+
+/// What happens while values are published.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Calm,
+    StaleReplicas,
+    DaemonsReplaced,
+    SplitThatHeals,
+}
+
+const PHASES: [Phase; 4] = [
+    Phase::Calm,
+    Phase::StaleReplicas,
+    Phase::DaemonsReplaced,
+    Phase::SplitThatHeals,
+];
+
+#[derive(Default)]
+struct Figures {
+    times_ms: Vec<u64>,
+    reverts: u64,
+    never_in_force: u64,
+}
+
+fn main() {
+    let mut rows = Vec::new();
+    for members in [9, 64] {
+        for phase in PHASES {
+            rows.push(measure(members, phase));
+        }
+    }
+    println!("[\n{}\n]", rows.join(",\n"));
+}
+
+fn measure(members: usize, phase: Phase) -> String {
+    let mut drive = Drive::new(DriveConfig {
+        members,
+        ..DriveConfig::default()
+    });
+    drive.advance(10_000);
+    let mut random = SeededRandom::new(9);
+    let mut figures = Figures::default();
+    let mut highest: BTreeMap<u64, Revision> = BTreeMap::new();
+    let path: SettingPath = "fleet/zones/zone-0".parse().expect("a valid path");
+    drive
+        .platform
+        .set_stale(if phase == Phase::StaleReplicas { 2 } else { 0 });
+    let (calls, start) = (drive.platform.calls(), drive.now());
+    for change in 0..CHANGES {
+        disturb(&mut drive, members, phase, change, &mut random);
+        let revision = drive.platform.publish(&path, Some(&format!("{change}")));
+        // What is published during a split is in force everywhere once it has healed.
+        if phase == Phase::SplitThatHeals {
+            drive.advance(PAUSE_MS);
+            drive.split(&[]);
+        }
+        let took = drive.advance_until(LIMIT_MS, |drive| {
+            count_reverts(drive, &path, &mut highest, &mut figures.reverts);
+            drive.daemons().all(|daemon| {
+                let value = daemon.fleet.values().get(&path);
+                value.map(|value| value.revision) == Some(revision)
+            })
+        });
+        match took {
+            Some(took) => figures.times_ms.push(took.0),
+            None => figures.never_in_force += 1,
+        }
+        drive.advance(PAUSE_MS);
+    }
+    let seconds = (drive.now() - start).0 as f64 / 1_000.0;
+    let calls_per_s = (drive.platform.calls() - calls) as f64 / seconds;
+    row(members, phase, figures, calls_per_s)
+}
+
+fn disturb(
+    drive: &mut Drive,
+    members: usize,
+    phase: Phase,
+    change: u64,
+    random: &mut SeededRandom,
+) {
+    match phase {
+        Phase::Calm | Phase::StaleReplicas => {}
+        Phase::DaemonsReplaced => {
+            if change.is_multiple_of(4) {
+                let index = usize::try_from(random.below(members as u64)).unwrap_or(0);
+                drive.kill(index);
+                drive.restart(index);
+            }
+        }
+        Phase::SplitThatHeals => {
+            let side: Vec<usize> = (0..members / 3).collect();
+            drive.split(&side);
+            drive.set_platform_sides(&[0]);
+            drive.advance(8_000);
+        }
+    }
+}
+
+fn count_reverts(
+    drive: &Drive,
+    path: &SettingPath,
+    highest: &mut BTreeMap<u64, Revision>,
+    reverts: &mut u64,
+) {
+    for daemon in drive.daemons() {
+        let Some(value) = daemon.fleet.values().get(path) else {
+            continue;
+        };
+        let before = highest.insert(daemon.incarnation.0, value.revision);
+        *reverts += u64::from(before > Some(value.revision));
+    }
+}
+
+fn row(members: usize, phase: Phase, mut figures: Figures, calls_per_s: f64) -> String {
+    figures.times_ms.sort_unstable();
+    let quantile = |share: f64| {
+        let place = (figures.times_ms.len() as f64 * share).ceil() as usize;
+        let time = figures.times_ms.get(place.saturating_sub(1));
+        time.copied().unwrap_or(0)
+    };
+    format!(
+        "  {{\"members\": {members}, \"phase\": \"{phase:?}\", \"p50_ms\": {}, \"p99_ms\": {}, \
+         \"worst_ms\": {}, \"reverts\": {}, \"never_in_force\": {}, \
+         \"service_calls_per_s\": {calls_per_s:.1}}}",
+        quantile(0.5),
+        quantile(0.99),
+        quantile(1.0),
+        figures.reverts,
+        figures.never_in_force,
+    )
+}
--- /dev/null
+++ b/crates/celeryknot_fleet/src/summaries/record.rs
@@ -0,0 +1,86 @@
+//! Summaries as they pass between daemons, and when a change is worth telling.
+
+use celeryknot_core::id::rendezvous_score;
+use celeryknot_core::{EndpointName, EndpointSummary, Incarnation, MemberName};
+
+/// The short hash that stands for an endpoint's name in messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointHash(pub u32);
+
+impl EndpointHash {
+    /// Hashes a name.
+    pub fn new(name: &EndpointName) -> Self {
+        let low = rendezvous_score(ENDPOINT_SALT, name.as_str()) & u64::from(u32::MAX);
+        Self(u32::try_from(low).unwrap_or(u32::MAX))
+    }
+}
+
+const ENDPOINT_SALT: u64 = 0x656e_6470;
+
+/// The owner that made a summary.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Origin {
+    /// The owner's name.
+    pub name: MemberName,
+    /// The owner's life.
+    pub incarnation: Incarnation,
+}
+
+/// Summaries of one owner as they pass between daemons.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SummaryBatch {
+    /// The owner that made the summaries, unless it is the sender itself.
+    pub origin: Option<Origin>,
+    /// The summaries.
+    pub entries: Vec<SummaryEntry>,
+}
+
+/// One endpoint's summary.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SummaryEntry {
+    /// The endpoint.
+    pub endpoint: EndpointHash,
+    /// Rises with every summary of the owner.
+    pub sequence: u64,
+    /// The endpoint's state.
+    pub summary: EndpointSummary,
+}
+
+impl SummaryBatch {
+    /// Returns about how many bytes the batch takes in a message.
+    pub fn size_bytes(&self) -> usize {
+        let entries: usize = self.entries.iter().map(SummaryEntry::size_bytes).sum();
+        let origin = self.origin.as_ref();
+        4 + origin.map_or(0, |origin| origin.name.as_str().len() + 13) + entries
+    }
+}
+
+impl SummaryEntry {
+    pub(super) fn size_bytes(&self) -> usize {
+        let varint = |value: u64| (64 - value.leading_zeros() as usize).div_ceil(7);
+        let optional = |value: u64| if value == 0 { 0 } else { 1 + varint(value) };
+        let summary = &self.summary;
+        7 + optional(self.sequence)
+            + optional(u64::from(summary.in_flight))
+            + optional(u64::from(summary.queued))
+            + optional(u64::from(summary.in_flight_max))
+            + optional(summary.wait_ms.0)
+            + 2
+    }
+}
+
+/// Smallest change of the expected wait that is told at once.
+const WAIT_STEP_MS: u64 = 20;
+
+/// Tells whether a change is one that placement must know at once.
+pub(super) fn differs_in_kind(told: &EndpointSummary, now: &EndpointSummary) -> bool {
+    told.condition != now.condition || told.in_flight_max != now.in_flight_max
+}
+
+pub(super) fn differs_much(told: &EndpointSummary, now: &EndpointSummary) -> bool {
+    let count_differs = |a: u32, b: u32| a.abs_diff(b) > a.max(b) / 8;
+    let wait_ms = told.wait_ms.0.max(now.wait_ms.0);
+    count_differs(told.in_flight, now.in_flight)
+        || count_differs(told.queued, now.queued)
+        || told.wait_ms.0.abs_diff(now.wait_ms.0) > WAIT_STEP_MS.max(wait_ms / 4)
+}
--- a/crates/celeryknot_fleet/src/timing.rs
+++ b/crates/celeryknot_fleet/src/timing.rs
@@ -53,7 +53,7 @@
             flap_hold_max: DurationMs(60_000),
             flap_memory: DurationMs(300_000),
             summary_gap: DurationMs(100),
-            summary_refresh: DurationMs(1_000),
+            summary_refresh: DurationMs(2_000),
             summary_age_max: DurationMs(10_000),
             pull_timeout: DurationMs(1_000),
             readiness_wait: DurationMs(1_500),
--- a/crates/celeryknot_measure/src/measurements/control_traffic.rs
+++ b/crates/celeryknot_measure/src/measurements/control_traffic.rs
@@ -14,7 +14,7 @@
 use crate::cluster::{Cluster, ClusterOptions};
 use crate::options::MeasureOptions;
 use crate::report::Report;
-use crate::scrape::{control_bytes, largest_rate_per_s};
+use crate::scrape::{control_bytes, control_bytes_by_kind, largest_rate_per_s};
 
 const NAME: &str = "control-traffic";
 
@@ -22,6 +22,8 @@
 struct Figures {
     calm_bytes_per_s_max: f64,
     churn_bytes_per_s_max: f64,
+    /// Means over the daemons.
+    calm_bytes_per_s_by_kind: BTreeMap<String, f64>,
     daemons: usize,
     completed: u64,
     refused: u64,
@@ -37,15 +39,21 @@
     let caller = Caller::new(options.caller_options());
     let load = run_load(Arc::new(plan), caller, Arc::clone(&cluster.balancer));
     let rates = async {
+        let addresses = cluster.operators_addresses();
+        let (before, start) = (control_bytes_by_kind(&addresses).await, Instant::now());
         let calm = rate_during(&mut cluster, options, false).await?;
+        let after = control_bytes_by_kind(&addresses).await;
+        let daemon_seconds = addresses.len() as f64 * start.elapsed().as_secs_f64();
+        let by_kind = rates_by_kind(&before, &after, daemon_seconds);
         let churn = rate_during(&mut cluster, options, true).await?;
-        Ok::<_, eyre::Report>((calm, churn))
+        Ok::<_, eyre::Report>((calm, churn, by_kind))
     };
     let (load, rates) = future::zip(load, rates).await;
-    let (calm, churn) = rates?;
+    let (calm, churn, by_kind) = rates?;
     let figures = Figures {
         calm_bytes_per_s_max: calm,
         churn_bytes_per_s_max: churn,
+        calm_bytes_per_s_by_kind: by_kind,
         daemons: cluster.daemon_count(),
         completed: load.completed,
         refused: load.refused,
@@ -62,6 +70,19 @@
         ))
 }
 
+fn rates_by_kind(
+    before: &BTreeMap<String, u64>,
+    after: &BTreeMap<String, u64>,
+    daemon_seconds: f64,
+) -> BTreeMap<String, f64> {
+    let rate = |(kind, bytes): (&String, &u64)| {
+        let before = before.get(kind).copied().unwrap_or(0);
+        let rate = bytes.saturating_sub(before) as f64 / daemon_seconds;
+        (kind.clone(), rate)
+    };
+    after.iter().map(rate).collect()
+}
+
 async fn rate_during(
     cluster: &mut Cluster,
     options: &MeasureOptions,
--- a/crates/celeryknot_peers/src/inbound.rs
+++ b/crates/celeryknot_peers/src/inbound.rs
@@ -28,6 +28,8 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(40_000);
 /// Streams that wait to be served.
 const ACCEPTED_LEN_MAX: usize = 256;
+/// Most open connections of peers.
+const CONNECTIONS_MAX: usize = 1_024;
 /// Wait after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -56,12 +58,19 @@
     };
     let accept = async move {
         let service = ExchangeService { accepted };
+        // Each connection's task holds one clone.
+        let open = Rc::new(());
         loop {
             match listener.accept().await {
+                Ok(_) if Rc::strong_count(&open) > CONNECTIONS_MAX => {}
                 Ok((socket, _)) => {
+                    let held = Rc::clone(&open);
                     let connection =
                         serve_connection(spawner.clone(), socket, service.clone(), meter.clone());
-                    spawner.spawn(connection);
+                    spawner.spawn(async move {
+                        connection.await;
+                        drop(held);
+                    });
                 }
                 Err(error) => {
                     tracing::warn!(%error, "accepting a peer failed");
--- a/crates/celeryknotd/src/traffic/context.rs
+++ b/crates/celeryknotd/src/traffic/context.rs
@@ -1,11 +1,12 @@
 //! What the tasks of one traffic thread share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use celeryknot_callers::{CallerLimits, ThreadExecutor};
-use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs};
+use celeryknot_core::{DurationMs, EndpointName, ErrorKind, MonotonicMs, Timers};
 use celeryknot_endpoints::Connections;
 use celeryknot_policy::pause::PauseDetector;
 
@@ -30,9 +31,12 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) executor: ThreadExecutor,
     pub(crate) limits: CallerLimits,
+    pub(crate) timers: Timers,
     pub(crate) connections: Connections,
     pub(crate) peers: PeerLinks,
     pub(crate) places: RefCell<Places>,
+    /// When the endpoints that are at home here last told their load.
+    reported_at: RefCell<HashMap<EndpointName, MonotonicMs>>,
     pause: RefCell<PauseDetector>,
     hold_until: Cell<MonotonicMs>,
 }
@@ -46,13 +50,17 @@
             .body_timeout_ms(settings.body_timeout_ms)
             .build();
         let now = shared.clock.now();
+        let timers = Timers::default();
+        timers.advance(now);
         Rc::new(Self {
             index,
             executor,
             limits,
-            connections: Connections::new(),
+            connections: Connections::new(timers.clone()),
+            timers,
             peers: PeerLinks::default(),
             places: RefCell::new(Places::default()),
+            reported_at: RefCell::default(),
             pause: RefCell::new(PauseDetector::new(TICK, PAUSE_THRESHOLD, now)),
             hold_until: Cell::new(MonotonicMs(0)),
             shared,
@@ -63,6 +71,32 @@
         self.shared.clock.now()
     }
 
+    /// Notes that an endpoint has told its load, with an answer or to a poll.
+    pub(crate) fn note_report(&self, endpoint: &EndpointName) {
+        let mut reported_at = self.reported_at.borrow_mut();
+        match reported_at.get_mut(endpoint) {
+            Some(at) => *at = self.now(),
+            None => {
+                reported_at.insert(endpoint.clone(), self.now());
+            }
+        }
+    }
+
+    /// Tells whether an endpoint has told its load within a time.
+    pub(crate) fn has_reported_within(&self, endpoint: &EndpointName, age: DurationMs) -> bool {
+        let reported_at = self.reported_at.borrow();
+        let at = reported_at.get(endpoint);
+        at.is_some_and(|at| self.now() - *at < age)
+    }
+
+    /// Forgets the reports of endpoints that have been silent for long.
+    pub(crate) fn forget_reports(&self, age: DurationMs) {
+        let now = self.now();
+        self.reported_at
+            .borrow_mut()
+            .retain(|_, at| now - *at < age);
+    }
+
     pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
         self.shared.feed.snapshot.load_full()
     }
--- a/crates/celeryknotd/src/traffic/dispatch.rs
+++ b/crates/celeryknotd/src/traffic/dispatch.rs
@@ -77,7 +77,8 @@
             let Some(attempt) = started else {
                 return Err(self.log.borrow().refusal());
             };
-            if let Some(placed) = self.run_hedged(&choice, attempt, resume_from).await {
+            let attempt = Box::pin(self.run_hedged(&choice, attempt, resume_from));
+            if let Some(placed) = attempt.await {
                 return Ok(placed);
             }
             if !self.may_go_on() {
@@ -172,11 +173,12 @@
             .hedge_after_ms(shared, &self.work.service);
         let second_attempt = Cell::new(None);
         let second = async {
-            smol::Timer::after(after_ms.as_std()).await;
+            self.context.timers.after(after_ms).await;
             let choice = self.choose_hedge(&choice.endpoint.name)?;
             let started = self.log.borrow_mut().start_attempt()?;
             second_attempt.set(Some(started));
-            self.run_noted(&choice, started, resume_from).await
+            // Few requests come here, and all would carry the state of a second attempt.
+            Box::pin(self.run_noted(&choice, started, resume_from)).await
         };
         let placed = race(first, second, || second_attempt.get().is_some()).await;
         let loser = match &placed {
@@ -252,7 +254,9 @@
         let work = self.work.attempt(target, self.context.now());
         let may_send = || self.may_send(attempt);
         match self.owner_of(&choice.endpoint) {
-            Some((member, address)) => self.hand_over(&member, address, &work, may_send).await,
+            Some((member, address)) => {
+                Box::pin(self.hand_over(&member, address, &work, may_send)).await
+            }
             None => owner::run(&self.context, &work, may_send).await,
         }
     }
@@ -320,6 +324,11 @@
         false
     }
 
+    /// Tells whether the request is a chat completion.
+    pub(crate) fn is_chat(&self) -> bool {
+        self.work.chat.is_some()
+    }
+
     /// Remembers where the chat was answered.
     pub(crate) fn remember(&self, endpoint: &EndpointName, usage: Usage) {
         let Some(chat) = &self.work.chat else {
