Take the owner's word on an endpoint's load, not that of a former owner

Cause: a daemon that owned an endpoint for a moment, as all do while they start and know no others, kept its admission of it for 10 s and took its own count, 0, for the endpoint's load. Ruled out: late or lost summaries (all nine daemons showed the same ones and no message was dropped), the engine's own bound, a refusal's hold.

--- a/crates/celeryknotd/src/traffic/admission.rs
+++ b/crates/celeryknotd/src/traffic/admission.rs
@@ -6,7 +6,9 @@
 
 use async_channel::{Receiver, Sender};
 use celeryknot_core::timers::RESOLUTION;
-use celeryknot_core::{DurationMs, EndpointName, EndpointSummary, MonotonicMs, Refusal};
+use celeryknot_core::{
+    DurationMs, EndpointName, EndpointSummary, MemberName, MonotonicMs, Refusal,
+};
 use celeryknot_policy::admission::{AdmissionLimits, AdmissionRequest, Decision};
 use celeryknot_policy::bound::ServiceLoad;
 use futures_lite::{StreamExt, future};
@@ -169,13 +171,18 @@
         if is_fresh {
             return;
         }
+        let own_name = &self.context.shared.settings.name;
         let summaries: Vec<EndpointSummary> = service
             .endpoints
             .iter()
             .filter(|other| other.takes_new_work)
-            .filter_map(|other| match self.endpoints.get(&other.name) {
-                Some(admitted) => Some(admitted.admission.summary(now)),
-                None => other.summary,
+            .filter_map(|other| {
+                let held = self.endpoints.get(&other.name);
+                known_summary(
+                    other,
+                    own_name,
+                    held.map(|held| held.admission.summary(now)),
+                )
             })
             .collect();
         let load = ServiceLoad::from_summaries(&summaries);
@@ -274,3 +281,19 @@
         });
     }
 }
+
+/// Returns what is known of an endpoint: its owner's own state, or what the owner has told.
+///
+/// A daemon that is no longer the owner, or stood in for it, holds what its own requests do
+/// there, which says little of the endpoint's load.
+fn known_summary(
+    endpoint: &EndpointSnapshot,
+    own_name: &MemberName,
+    held: Option<EndpointSummary>,
+) -> Option<EndpointSummary> {
+    let is_own = endpoint.owner.as_ref() == Some(own_name);
+    held.filter(|_| is_own).or(endpoint.summary)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/celeryknotd/src/traffic/admission/tests.rs
@@ -0,0 +1,73 @@
+//! Whose word on the load of an endpoint counts.
+
+use celeryknot_core::{EndpointSummary, MemberName};
+
+use super::known_summary;
+use crate::snapshot::EndpointSnapshot;
+
+struct Case {
+    name: &'static str,
+    owner: Option<&'static str>,
+    told: Option<u32>,
+    held: Option<u32>,
+    expected: Option<u32>,
+}
+
+fn summary(in_flight: u32) -> EndpointSummary {
+    EndpointSummary {
+        in_flight,
+        ..EndpointSummary::default()
+    }
+}
+
+#[test]
+fn only_the_owner_trusts_its_own_count() {
+    let own_name: MemberName = "daemon-1".parse().unwrap();
+    let cases = [
+        Case {
+            name: "the owner itself",
+            owner: Some("daemon-1"),
+            told: Some(7),
+            held: Some(9),
+            expected: Some(9),
+        },
+        Case {
+            name: "the owner that holds nothing yet",
+            owner: Some("daemon-1"),
+            told: Some(7),
+            held: None,
+            expected: Some(7),
+        },
+        Case {
+            name: "a former owner",
+            owner: Some("daemon-2"),
+            told: Some(7),
+            held: Some(0),
+            expected: Some(7),
+        },
+        Case {
+            name: "a former owner whose successor has told nothing",
+            owner: Some("daemon-2"),
+            told: None,
+            held: Some(0),
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let endpoint = EndpointSnapshot {
+            name: "engine-1".parse().unwrap(),
+            zone: "hkd-a".parse().unwrap(),
+            address: ([127, 0, 0, 1], 1).into(),
+            owner: case.owner.map(|owner| owner.parse().unwrap()),
+            takes_new_work: true,
+            summary: case.told.map(summary),
+        };
+        let known = known_summary(&endpoint, &own_name, case.held.map(summary));
+        assert_eq!(
+            known.map(|summary| summary.in_flight),
+            case.expected,
+            "{}",
+            case.name
+        );
+    }
+}
