--- a/crates/celeryknot_policy/src/bound.rs
+++ b/crates/celeryknot_policy/src/bound.rs
@@ -25,9 +25,8 @@
 impl ServiceLoad {
     /// Averages over the endpoints that take new work.
     ///
-    /// The mean leaves out cold and sick endpoints, unless all are; what these miss is given
-    /// apart. Ramping ones count: were they left out, the first endpoint that is warm would be
-    /// measured by its own load alone.
+    /// The mean is that of the warm endpoints, if there are any; what endpoints that are held
+    /// down by their own condition miss is given apart.
     ///
     /// # Examples
     ///
@@ -102,7 +101,8 @@
 /// The summaries that the mean is made from are old, so that the mean may have fallen by the
 /// time the bound is used. What that can add is taken off in advance: the fall that goes on as
 /// it did in the last second, and a few standard deviations of the arrivals and ends of
-/// requests within the age of the summaries.
+/// requests within the age of the summaries. What is known to come counts, too: an endpoint
+/// with a queue will have started one of its requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadBound {
     multiple: f64,
@@ -156,7 +156,8 @@
         }
         let age_s = load.age_ms.0 as f64 / 1_000.0;
         let expected = (load.mean_in_flight - load.fall_per_s * age_s).max(0.0);
-        let low = (expected - DEVIATIONS * self.deviation(load)).max(0.0);
+        let started = load.mean_waiting * waiting_share(load.age_ms);
+        let low = (expected + started - DEVIATIONS * self.deviation(load)).max(0.0);
         // Where many are held down, the others must still carry the load.
         let multiple = (self.multiple * (1.0 - load.held_down_share)).max(1.0);
         let bound = (multiple * low + 1.0).max(expected + 1.0);
@@ -165,16 +166,27 @@
 
     /// The standard deviation of the mean's change within the age of the summaries.
     ///
-    /// Arrivals and ends are each taken as a Poisson process. An endpoint with a queue starts a
-    /// request for each one that ends, so that only those without one add to it.
+    /// Arrivals and ends are each taken as a Poisson process.
     fn deviation(&self, load: &ServiceLoad) -> f64 {
-        let without_queue = (1.0 - load.mean_waiting).clamp(0.0, 1.0);
-        let turned_over =
-            without_queue * load.mean_in_flight * load.age_ms.0 as f64 / self.service_ms;
+        let turned_over = load.mean_in_flight * load.age_ms.0 as f64 / self.service_ms;
         (2.0 * turned_over / f64::from(load.endpoint_count)).sqrt()
     }
 }
 
+/// The share of waiting requests that count as started.
+///
+/// An owner with a queue starts a request as soon as its bound allows, as this one does; the
+/// older the summary, the less sure is it that the queue is still there.
+fn waiting_share(age_ms: DurationMs) -> f64 {
+    let late_ms = (age_ms.0 as f64 - WAITING_FULL_AGE_MS).max(0.0);
+    (1.0 - late_ms / WAITING_FADE_MS).max(0.0)
+}
+
+/// Age of summaries up to which waiting requests count in full.
+const WAITING_FULL_AGE_MS: f64 = 500.0;
+/// Time after that over which they come to count for nothing.
+const WAITING_FADE_MS: f64 = 1_000.0;
+
 /// Least time between two means that are held.
 const TREND_STEP_MS: u64 = 100;
 /// Time over which a fall of the mean is measured.
