Bound the memory of request bodies over all callers

Each body was bounded by its service's limit, but thousands of callers could fill the memory together. A body now takes its announced size from 128 MiB for the daemon, and is refused as `queue-full` where that is used up.

--- a/crates/celeryknotd/src/daemon.rs
+++ b/crates/celeryknotd/src/daemon.rs
@@ -139,6 +139,7 @@
             in_flight: Arc::new(AtomicU64::new(0)),
             connections: Arc::new(AtomicU64::new(0)),
             peer_connections: Arc::new(AtomicU64::new(0)),
+            body_bytes: Arc::new(AtomicU64::new(0)),
         });
         let mut daemon = Self {
             shared,
--- a/crates/celeryknotd/src/traffic.rs
+++ b/crates/celeryknotd/src/traffic.rs
@@ -4,6 +4,7 @@
 pub(crate) mod admitted;
 pub(crate) mod attempt_log;
 pub(crate) mod body;
+pub(crate) mod body_read;
 pub(crate) mod chat;
 pub(crate) mod context;
 pub(crate) mod dispatch;
--- a/crates/celeryknotd/src/traffic/entry.rs
+++ b/crates/celeryknotd/src/traffic/entry.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use celeryknot_callers::CallerRequest;
-use celeryknot_callers::body::read_body;
 use celeryknot_callers::problem::problem_answer;
 use celeryknot_callers::request::{CHAT_COMPLETIONS_PATH, Target, keep_end_to_end};
 use celeryknot_callers::token::has_token;
@@ -21,6 +20,7 @@
 use hyper::body::Incoming;
 
 use super::body::DaemonBody;
+use super::body_read::read_bounded;
 use super::chat;
 use super::context::ThreadContext;
 use super::dispatch::{Dispatch, Placed};
@@ -139,13 +139,7 @@
     check_path(&service.settings, request, &path_and_query)?;
     let now = context.now();
     let size_max = service.settings.request_size_max_bytes;
-    let body = read_body(
-        body,
-        size_max,
-        context.limits.body_timeout(),
-        &context.timers,
-    )
-    .await?;
+    let (body, body_room) = read_bounded(context, body, size_max).await?;
     let chat = match service.settings.kind {
         ServiceKind::Model => Some(chat::read_chat(context, request, &service, &body)?),
         ServiceKind::Plain => None,
@@ -163,6 +157,7 @@
         path_and_query,
         headers,
         body,
+        _body_room: body_room,
         chat,
         service,
     })
--- a/crates/celeryknotd/src/traffic/hop.rs
+++ b/crates/celeryknotd/src/traffic/hop.rs
@@ -13,6 +13,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use strum::{Display, EnumString, IntoStaticStr};
 
+use super::shared::BodyRoom;
 use super::work::{EndpointWork, Work, text_value};
 use crate::snapshot::{ServiceSnapshot, Snapshot};
 
@@ -219,6 +220,7 @@
     head: &http::request::Parts,
     service: Arc<ServiceSnapshot>,
     body: Bytes,
+    body_room: BodyRoom,
     now: MonotonicMs,
 ) -> Result<(Work, String), ErrorKind> {
     let headers = &head.headers;
@@ -237,6 +239,7 @@
             path_and_query: head.uri.path_and_query()?.to_string(),
             headers: end_to_end,
             body,
+            _body_room: body_room,
             chat: None,
             service,
         };
--- a/crates/celeryknotd/src/traffic/peer_server.rs
+++ b/crates/celeryknotd/src/traffic/peer_server.rs
@@ -3,13 +3,13 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
-use celeryknot_callers::body::read_body;
 use celeryknot_core::{ErrorKind, Refusal};
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::body::DaemonBody;
+use super::body_read::read_bounded;
 use super::context::ThreadContext;
 use super::hop::{self, Hop};
 use super::owner::{self, Answered};
@@ -56,14 +56,9 @@
     }
     let service = hop::read_service(&head.headers, &snapshot).map_err(Refusal::new)?;
     let size_max = service.settings.request_size_max_bytes;
-    let body = read_body(
-        body,
-        size_max,
-        context.limits.body_timeout(),
-        &context.timers,
-    )
-    .await
-    .map_err(Refusal::new)?;
+    let (body, _room) = read_bounded(context, body, size_max)
+        .await
+        .map_err(Refusal::new)?;
     let work = hop::read_attempt(&head, service, body, context.now()).map_err(Refusal::new)?;
     let answered = owner::run(context, &work, || Ok(())).await?;
     read_if_small(answered).await
@@ -90,16 +85,11 @@
     let snapshot = context.snapshot();
     let service = hop::read_service(&head.headers, &snapshot).map_err(Refusal::new)?;
     let size_max = service.settings.request_size_max_bytes;
-    let body = read_body(
-        body,
-        size_max,
-        context.limits.body_timeout(),
-        &context.timers,
-    )
-    .await
-    .map_err(Refusal::new)?;
+    let (body, room) = read_bounded(context, body, size_max)
+        .await
+        .map_err(Refusal::new)?;
     let (work, text) =
-        hop::read_ticketed(&head, service, body, context.now()).map_err(Refusal::new)?;
+        hop::read_ticketed(&head, service, body, room, context.now()).map_err(Refusal::new)?;
     let ticket = ticketed::read_ticket(context, &work, &text).map_err(Refusal::new)?;
     ticketed::run_as_issuer(context, ticket, work).await
 }
--- a/crates/celeryknotd/src/traffic/shared.rs
+++ b/crates/celeryknotd/src/traffic/shared.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use async_channel::{Receiver, Sender};
-use celeryknot_core::{EndpointName, Incarnation, RequestId};
+use celeryknot_core::{EndpointName, Incarnation, RequestId, SizeBytes};
 use celeryknot_operators::Metrics;
 use celeryknot_settings::DaemonSettings;
 
@@ -46,6 +46,8 @@
     pub(crate) in_flight: Arc<AtomicU64>,
     pub(crate) connections: Arc<AtomicU64>,
     pub(crate) peer_connections: Arc<AtomicU64>,
+    /// Bytes of request bodies in memory.
+    pub(crate) body_bytes: Arc<AtomicU64>,
 }
 
 impl Shared {
@@ -89,6 +91,40 @@
     }
 }
 
+/// Most bytes of request bodies in memory at the same time.
+const BODIES_SIZE_MAX: SizeBytes = SizeBytes(128 << 20);
+
+/// Room for one request body, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct BodyRoom {
+    used: Arc<AtomicU64>,
+    size_bytes: u64,
+}
+
+impl BodyRoom {
+    /// Takes room for a body of the size, if there is enough.
+    pub(crate) fn take(used: &Arc<AtomicU64>, size: SizeBytes) -> Option<Self> {
+        let used = Arc::clone(used);
+        let used_bytes = used.fetch_add(size.0, Ordering::AcqRel) + size.0;
+        let size_bytes = size.0;
+        let room = Self { used, size_bytes };
+        (used_bytes <= BODIES_SIZE_MAX.0).then_some(room)
+    }
+
+    /// Gives back what the body did not need.
+    pub(crate) fn shrink_to(&mut self, size: SizeBytes) {
+        let rest_bytes = self.size_bytes.saturating_sub(size.0);
+        self.used.fetch_sub(rest_bytes, Ordering::AcqRel);
+        self.size_bytes -= rest_bytes;
+    }
+}
+
+impl Drop for BodyRoom {
+    fn drop(&mut self) {
+        self.used.fetch_sub(self.size_bytes, Ordering::AcqRel);
+    }
+}
+
 /// Draws an id at random.
 pub(crate) fn draw_request_id() -> RequestId {
     RequestId(rand::random())
--- a/crates/celeryknotd/src/traffic/work.rs
+++ b/crates/celeryknotd/src/traffic/work.rs
@@ -14,6 +14,7 @@
 use celeryknot_policy::chat_cost::ChatCost;
 use http::{HeaderMap, HeaderValue, Method, Request};
 
+use super::shared::BodyRoom;
 use crate::snapshot::{EndpointSnapshot, ServiceSnapshot};
 
 /// What is known of a chat completion.
@@ -26,7 +27,7 @@
 }
 
 /// A checked request that may be placed.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Work {
     pub(crate) id: RequestId,
     pub(crate) service: Arc<ServiceSnapshot>,
@@ -39,6 +40,8 @@
     pub(crate) path_and_query: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Keeps the room of the body taken.
+    pub(crate) _body_room: BodyRoom,
     pub(crate) chat: Option<ChatWork>,
 }
 
