--- a/crates/celeryknot_core/src/timers.rs
+++ b/crates/celeryknot_core/src/timers.rs
@@ -83,16 +83,18 @@
         if list.now >= this.at {
             return Poll::Ready(());
         }
-        let number = match this.number {
-            Some(number) => number,
+        let number = this.number.unwrap_or(list.next_number);
+        if this.number.is_none() {
+            list.next_number += 1;
+            this.number = Some(number);
+        }
+        match list.wakers.get_mut(&(this.at, number)) {
+            Some(waker) => waker.clone_from(context.waker()),
             None => {
-                list.next_number += 1;
-                list.next_number
+                let waker = context.waker().clone();
+                list.wakers.insert((this.at, number), waker);
             }
-        };
-        this.number = Some(number);
-        list.wakers
-            .insert((this.at, number), context.waker().clone());
+        }
         Poll::Pending
     }
 }
