Pace small changes of an endpoint's bound like other numbers

The bound follows the mean load and so changes all the time; as it was told at once, it went round the pace. Only a change of condition, or of the bound by more than half, goes at once now. Messages leave out the life of the sender, which the greeting has bound to the stream.

--- a/crates/celeryknot_fleet/src/fleet/publish.rs
+++ b/crates/celeryknot_fleet/src/fleet/publish.rs
@@ -23,7 +23,7 @@
 /// Bytes of one summary among others that are passed on.
 const PASSED_ENTRY_BYTES: u64 = 30;
 /// Part of the budget for summaries where all daemons talk to each other, in a hundred.
-const MESH_PERCENT: u64 = 20;
+const MESH_PERCENT: u64 = 15;
 /// Part of the budget for summaries where they are passed on, in a hundred.
 const SPARSE_PERCENT: u64 = 60;
 const MS_PER_S: u64 = 1_000;
--- a/crates/celeryknot_fleet/src/summaries/record.rs
+++ b/crates/celeryknot_fleet/src/summaries/record.rs
@@ -74,13 +74,16 @@
 
 /// Tells whether a change is one that placement must know at once.
 pub(super) fn differs_in_kind(told: &EndpointSummary, now: &EndpointSummary) -> bool {
-    told.condition != now.condition || told.in_flight_max != now.in_flight_max
+    let bound = told.in_flight_max.max(now.in_flight_max);
+    let bound_change = told.in_flight_max.abs_diff(now.in_flight_max);
+    told.condition != now.condition || bound_change > bound / 2
 }
 
 pub(super) fn differs_much(told: &EndpointSummary, now: &EndpointSummary) -> bool {
     let count_differs = |a: u32, b: u32| a.abs_diff(b) > a.max(b) / 8;
     let wait_ms = told.wait_ms.0.max(now.wait_ms.0);
     count_differs(told.in_flight, now.in_flight)
+        || count_differs(told.in_flight_max, now.in_flight_max)
         || count_differs(told.queued, now.queued)
         || told.wait_ms.0.abs_diff(now.wait_ms.0) > WAIT_STEP_MS.max(wait_ms / 4)
 }
--- a/crates/celeryknot_peers/src/inbound.rs
+++ b/crates/celeryknot_peers/src/inbound.rs
@@ -197,8 +197,8 @@
             let Some(envelope) = future::or(message, silence).await else {
                 return;
             };
-            let is_in_order =
-                envelope.incarnation == incarnation.0 && envelope.sequence == sequence + 1;
+            let is_same_life = [0, incarnation.0].contains(&envelope.incarnation);
+            let is_in_order = is_same_life && envelope.sequence == sequence + 1;
             if !is_in_order {
                 return;
             }
--- a/crates/celeryknot_peers/src/outbound.rs
+++ b/crates/celeryknot_peers/src/outbound.rs
@@ -148,7 +148,12 @@
     ) -> eyre::Result<Option<Instant>> {
         let is_heartbeat = matches!(message, Message::Heartbeat(_));
         stream.sequence += 1;
-        let envelope = self.envelope(stream.sequence, (&message).into());
+        // The greeting has bound the stream to this life, so that it need not be said again.
+        let envelope = Envelope {
+            incarnation: 0,
+            sequence: stream.sequence,
+            body: Some((&message).into()),
+        };
         let send = async { Ok(stream.outgoing.send(envelope).await?) };
         future::or(send, expire(ACK_TIMEOUT)).await?;
         Ok(is_heartbeat.then(Instant::now))
--- a/crates/celeryknot_peers/src/wire.rs
+++ b/crates/celeryknot_peers/src/wire.rs
@@ -11,7 +11,7 @@
 /// One message on a stream.
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
-    /// The life of the sender.
+    /// The life of the sender; 0 stands for the one that the stream was opened by.
     #[prost(fixed64, tag = "1")]
     pub incarnation: u64,
     /// Rises by one with each message of the stream.
