--- a/crates/celeryknot_fleet/src/fleet.rs
+++ b/crates/celeryknot_fleet/src/fleet.rs
@@ -2,17 +2,16 @@
 
 mod exchange;
 mod publish;
+mod read;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use celeryknot_core::{
-    DurationMs, EndpointName, EndpointSummary, Incarnation, MemberName, MonotonicMs, Revision,
-    ServiceName,
+    EndpointName, EndpointSummary, Incarnation, MemberName, MonotonicMs, Revision,
 };
 
 use crate::byte_budget::{ByteBudget, ControlKind};
-use crate::duties::{self, ReaderPlace};
 use crate::instance_list::{InstanceList, ListedInstance};
 use crate::membership::{MemberInfo, MemberRecord, Membership};
 use crate::message::{Message, ValuePage};
@@ -288,54 +287,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Returns this daemon's place among the readers of its zone, if it is one.
-    pub fn reader_place(&self, now: MonotonicMs) -> Option<ReaderPlace> {
-        let own = &self.config.own;
-        let holders = self.members.duty_holders(now);
-        duties::reader_place(&own.name, &own.zone, &holders, self.config.readers_per_zone)
-    }
-
-    /// Tells whether this daemon gives the orders to the engines of a service.
-    pub fn holds_orders(&self, now: MonotonicMs, service: &ServiceName) -> bool {
-        let holders = self.members.duty_holders(now);
-        duties::orders_holder(service, &holders) == Some(&self.config.own.name)
-    }
-
-    /// Returns the members, for tests and status.
-    pub fn members(&self) -> &Membership {
-        &self.members
-    }
-
-    /// Returns the settings, for tests and status.
-    pub fn values(&self) -> &SettingsStore {
-        &self.values
-    }
-
-    /// Returns the instance list, for tests and status.
-    pub fn list(&self) -> &InstanceList {
-        &self.list
-    }
-
-    /// Returns the budget with its counters.
-    pub fn budget(&self) -> &ByteBudget {
-        &self.budget
-    }
-
-    /// Returns the neighbours that messages are exchanged with.
-    pub fn neighbours(&self) -> &[MemberName] {
-        &self.neighbours
-    }
-
-    /// Returns the time since the platform last confirmed the settings, here or at a peer.
-    pub fn settings_age(&self, now: MonotonicMs) -> Option<DurationMs> {
-        self.settings_confirmed_at.map(|at| now - at)
-    }
-
-    /// Tells whether this daemon has caught up.
-    pub fn is_ready(&self) -> bool {
-        self.readiness.is_ready()
-    }
-
     fn refresh_neighbours(&mut self, now: MonotonicMs) {
         let mut names: Vec<MemberName> = self
             .members
--- a/crates/celeryknot_measure/src/scrape.rs
+++ b/crates/celeryknot_measure/src/scrape.rs
@@ -1,5 +1,6 @@
 //! Reads what only daemons know from their operators' pages.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,6 +27,20 @@
     bytes
 }
 
+/// Reads the bytes of control traffic of all daemons, by kind.
+pub(crate) async fn control_bytes_by_kind(addresses: &[SocketAddr]) -> BTreeMap<String, u64> {
+    let mut bytes = BTreeMap::new();
+    for address in addresses {
+        let Some(status) = status(*address).await else {
+            continue;
+        };
+        for (kind, count) in status.control.counters.traffic {
+            *bytes.entry(kind.to_string()).or_insert(0) += count.sent_bytes;
+        }
+    }
+    bytes
+}
+
 /// Returns the largest rate between two readings; a daemon that was replaced counts from 0.
 pub(crate) fn largest_rate_per_s(
     before: &[Option<f64>],
--- a/crates/celeryknotd/src/traffic/load_poll.rs
+++ b/crates/celeryknotd/src/traffic/load_poll.rs
@@ -13,7 +13,7 @@
 use crate::snapshot::ServiceSnapshot;
 
 /// Time between two polls of one endpoint.
-const PERIOD: DurationMs = DurationMs(250);
+const PERIOD: DurationMs = DurationMs(500);
 
 /// Bytes that a probe and its answer take.
 const PROBE_SIZE_BYTES: u32 = 300;
@@ -21,20 +21,29 @@
 /// Longest wait for a report.
 const TIMEOUT: DurationMs = DurationMs(1_000);
 
+/// Silence after which the time of an endpoint's last report is forgotten.
+const REPORT_MEMORY: DurationMs = DurationMs(60_000);
+
 /// Polls the endpoints that are at home in this thread, until the thread ends.
+///
+/// An endpoint whose answers carry its load is not polled: such reports cost no control traffic.
 pub(crate) async fn poll_loads(context: Rc<ThreadContext>) {
     loop {
         let snapshot = context.snapshot();
         for service in snapshot.services.values() {
             for endpoint in &service.endpoints {
                 let is_own = endpoint.owner.as_ref() == Some(&snapshot.own_name);
-                if is_own && context.shared.is_home(context.index, &endpoint.name) {
+                let is_due = is_own
+                    && context.shared.is_home(context.index, &endpoint.name)
+                    && !context.has_reported_within(&endpoint.name, PERIOD);
+                if is_due {
                     let poll =
                         poll_one(Rc::clone(&context), endpoint.name.clone(), endpoint.address);
                     context.executor.spawn(poll).detach();
                 }
             }
         }
+        context.forget_reports(REPORT_MEMORY);
         smol::Timer::after(PERIOD.as_std()).await;
     }
 }
