--- a/crates/celeryknot_endpoints/src/connection.rs
+++ b/crates/celeryknot_endpoints/src/connection.rs
@@ -9,7 +9,7 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
-use celeryknot_core::{DurationMs, ErrorKind};
+use celeryknot_core::{DurationMs, ErrorKind, Timers};
 use futures_lite::future;
 use hyper::client::conn::http1;
 use smallvec::SmallVec;
@@ -19,11 +19,14 @@
 use crate::request_body::RequestBody;
 
 /// Most idle connections to one endpoint that a thread keeps.
-const IDLE_MAX: usize = 16;
+const IDLE_MAX: usize = 128;
 
 /// Longest time that an idle connection is kept.
 const IDLE_LIFE: Duration = Duration::from_secs(1);
 
+/// Idle time up to which a connection is used again without a look at its socket.
+const JUST_USED: Duration = Duration::from_millis(5);
+
 /// Longest header block of an answer.
 const HEADER_SIZE_MAX_BYTES: usize = 64 << 10;
 
@@ -31,7 +34,8 @@
 #[derive(Debug)]
 pub(crate) struct Link {
     sender: http1::SendRequest<RequestBody>,
-    connection: Option<http1::Connection<FuturesIo<TcpStream>, RequestBody>>,
+    /// On the heap, since a connection is large and changes hands with each call.
+    connection: Option<Box<http1::Connection<FuturesIo<TcpStream>, RequestBody>>>,
     idle_since: Instant,
 }
 
@@ -41,7 +45,11 @@
     /// # Errors
     ///
     /// `ConnectFailed`: no byte of any request was sent.
-    pub(crate) async fn open(address: SocketAddr, timeout: DurationMs) -> Result<Self, ErrorKind> {
+    pub(crate) async fn open(
+        address: SocketAddr,
+        timeout: DurationMs,
+        timers: &Timers,
+    ) -> Result<Self, ErrorKind> {
         let connect = async {
             let stream = TcpStream::connect(address)
                 .await
@@ -56,13 +64,13 @@
                 .map_err(|_| ErrorKind::ConnectFailed)
         };
         let give_up = async {
-            smol::Timer::after(timeout.as_std()).await;
+            timers.after(timeout).await;
             Err(ErrorKind::ConnectFailed)
         };
         let (sender, connection) = future::or(connect, give_up).await?;
         Ok(Self {
             sender,
-            connection: Some(connection),
+            connection: Some(Box::new(connection)),
             idle_since: Instant::now(),
         })
     }
@@ -76,7 +84,7 @@
         let Some(connection) = &mut self.connection else {
             return;
         };
-        if Pin::new(connection).poll(context).is_ready() {
+        if Pin::new(connection.as_mut()).poll(context).is_ready() {
             self.connection = None;
         }
     }
@@ -99,20 +107,33 @@
 /// The idle connections of one thread.
 #[derive(Debug, Clone, Default)]
 pub struct Connections {
+    timers: Timers,
     idle: Rc<RefCell<HashMap<SocketAddr, SmallVec<[Link; 4]>>>>,
 }
 
 impl Connections {
-    /// Builds an empty set.
-    pub fn new() -> Self {
-        Self::default()
+    /// Builds an empty set whose timeouts are the thread's.
+    pub fn new(timers: Timers) -> Self {
+        Self {
+            timers,
+            idle: Rc::default(),
+        }
+    }
+
+    /// Returns the thread's timeouts.
+    pub(crate) fn timers(&self) -> &Timers {
+        &self.timers
     }
 
     /// Takes the connection that was used last, if it was idle for less than the given time.
     pub(crate) async fn take(&self, address: SocketAddr, idle_max: DurationMs) -> Option<Link> {
         loop {
             let mut link = self.idle.borrow_mut().get_mut(&address)?.pop()?;
-            if link.idle_since.elapsed() < idle_max.as_std() && link.is_usable().await {
+            let idle = link.idle_since.elapsed();
+            if idle < JUST_USED {
+                return Some(link);
+            }
+            if idle < idle_max.as_std() && link.is_usable().await {
                 return Some(link);
             }
         }
--- a/crates/celeryknotd/src/traffic/context.rs
+++ b/crates/celeryknotd/src/traffic/context.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use celeryknot_callers::{CallerLimits, ThreadExecutor};
-use celeryknot_core::{DurationMs, EndpointName, ErrorKind, MonotonicMs};
+use celeryknot_core::{DurationMs, EndpointName, ErrorKind, MonotonicMs, Timers};
 use celeryknot_endpoints::Connections;
 use celeryknot_policy::pause::PauseDetector;
 
@@ -31,6 +31,7 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) executor: ThreadExecutor,
     pub(crate) limits: CallerLimits,
+    pub(crate) timers: Timers,
     pub(crate) connections: Connections,
     pub(crate) peers: PeerLinks,
     pub(crate) places: RefCell<Places>,
@@ -49,11 +50,14 @@
             .body_timeout_ms(settings.body_timeout_ms)
             .build();
         let now = shared.clock.now();
+        let timers = Timers::default();
+        timers.advance(now);
         Rc::new(Self {
             index,
             executor,
             limits,
-            connections: Connections::new(),
+            connections: Connections::new(timers.clone()),
+            timers,
             peers: PeerLinks::default(),
             places: RefCell::new(Places::default()),
             reported_at: RefCell::default(),
--- a/crates/celeryknotd/src/traffic/entry.rs
+++ b/crates/celeryknotd/src/traffic/entry.rs
@@ -78,7 +78,7 @@
     match &request.target {
         Target::Tickets { service, count } => {
             find_service(&snapshot, &customer, service).map_err(Refusal::new)?;
-            ticketed::issue(context, &request, service, *count).await
+            Box::pin(ticketed::issue(context, &request, service, *count)).await
         }
         Target::Service {
             service,
@@ -139,7 +139,13 @@
     check_path(&service.settings, request, &path_and_query)?;
     let now = context.now();
     let size_max = service.settings.request_size_max_bytes;
-    let body = read_body(body, size_max, context.limits.body_timeout()).await?;
+    let body = read_body(
+        body,
+        size_max,
+        context.limits.body_timeout(),
+        &context.timers,
+    )
+    .await?;
     let chat = match service.settings.kind {
         ServiceKind::Model => Some(chat::read_chat(context, request, &service, &body)?),
         ServiceKind::Plain => None,
@@ -215,7 +221,7 @@
     if work.safety == CallSafety::NonIdempotent {
         let key = request.idempotency_key.as_deref();
         if key.is_some() || work.service.settings.requires_ticket {
-            let answered = ticketed::run_with_key(context, work, key).await?;
+            let answered = Box::pin(ticketed::run_with_key(context, work, key)).await?;
             return Ok(to_caller(answered));
         }
     }
@@ -270,7 +276,9 @@
         Ok(collected) => {
             let bytes = collected.to_bytes();
             dispatch.note_whole(placed.attempt);
-            if let Some(usage) = chat::read_usage(&bytes) {
+            if dispatch.is_chat()
+                && let Some(usage) = chat::read_usage(&bytes)
+            {
                 dispatch.remember(&placed.endpoint, usage);
             }
             Ok(Some(Answered {
