--- a/crates/celeryknot_measure/src/measurements/silent_connections.rs
+++ b/crates/celeryknot_measure/src/measurements/silent_connections.rs
@@ -70,7 +70,15 @@
             "at least 99 % of the calls of plain services on time",
             figures.reads_on_time_share >= 0.99,
         )
-        .with_verdict("0 doubled bookings", figures.doubled_bookings == 0))
+        .with_verdict("0 doubled bookings", figures.doubled_bookings == 0)
+        .with_verdict(
+            "0 bookings with an unknown outcome",
+            figures.bookings_unknown == 0,
+        )
+        .with_verdict(
+            "0 lost or truncated",
+            figures.lost == 0 && figures.truncated == 0,
+        ))
 }
 
 async fn run(options: &MeasureOptions, goes_silent: bool) -> eyre::Result<Run> {
