Wait longer for a long instance list

The list comes whole after each empty wait: 138 kB at 920 entries, worked out from 150 bytes an entry, so that each reader would take most of its budget for nothing. The wait grows with the last answer, up to a minute.

--- a/crates/celeryknotd/src/control/platform.rs
+++ b/crates/celeryknotd/src/control/platform.rs
@@ -21,6 +21,11 @@
 const VALUES_WAIT: DurationMs = DurationMs(2_000);
 /// The same for the instance list, which comes whole also when nothing has changed.
 const INSTANCES_WAIT: DurationMs = DurationMs(20_000);
+/// Longest wait for the instance list.
+const INSTANCES_WAIT_MAX: DurationMs = DurationMs(60_000);
+/// Bytes a second that unchanged instance lists may take.
+const UNCHANGED_BYTES_PER_S: u64 = 1_000;
+const MS_PER_S: u64 = 1_000;
 /// Time between two looks at whether this daemon is a reader.
 const ROLE_PERIOD: Duration = Duration::from_millis(100);
 /// Shortest time between two calls of one watch.
@@ -108,10 +113,14 @@
 }
 
 impl Subject {
-    fn watch_wait(self) -> DurationMs {
+    /// Returns how long a watch waits, given the size of the last answer.
+    fn watch_wait(self, size_bytes: u64) -> DurationMs {
         match self {
             Self::Values => VALUES_WAIT,
-            Self::Instances => INSTANCES_WAIT,
+            Self::Instances => {
+                let wait = DurationMs(size_bytes * MS_PER_S / UNCHANGED_BYTES_PER_S);
+                wait.clamp(INSTANCES_WAIT, INSTANCES_WAIT_MAX)
+            }
         }
     }
 }
@@ -130,6 +139,7 @@
     replicas: usize,
     read_count_seen: Option<u64>,
     has_failed: bool,
+    answer_size_bytes: u64,
 }
 
 impl PlatformTask {
@@ -155,6 +165,7 @@
             replicas,
             read_count_seen: None,
             has_failed: false,
+            answer_size_bytes: 0,
         }
     }
 
@@ -200,7 +211,7 @@
         if !self.has_failed {
             self.client.select(place.replica(self.turns, self.replicas));
         }
-        Some(self.subject.watch_wait())
+        Some(self.subject.watch_wait(self.answer_size_bytes))
     }
 
     async fn call(&mut self, wait: DurationMs) -> Result<(), PlatformError> {
@@ -211,8 +222,9 @@
             Subject::Values => self.read_values(wait).await,
             Subject::Instances => self.read_instances(wait).await,
         };
+        self.answer_size_bytes = self.size_bytes() - before;
         let called = PlatformEvent::Called {
-            size_bytes: self.size_bytes() - before,
+            size_bytes: self.answer_size_bytes,
         };
         // A closed channel ends the task's loop.
         drop(self.events.send(called).await);
