Count no waiting request as started in the load bound

With waiting requests counted, owners start work on the strength of starts that others have yet to make.

--- a/crates/celeryknot_policy/src/bound.rs
+++ b/crates/celeryknot_policy/src/bound.rs
@@ -156,8 +156,7 @@
         }
         let age_s = load.age_ms.0 as f64 / 1_000.0;
         let expected = (load.mean_in_flight - load.fall_per_s * age_s).max(0.0);
-        let started = load.mean_waiting * waiting_share(load.age_ms);
-        let low = (expected + started - DEVIATIONS * self.deviation(load)).max(0.0);
+        let low = (expected - DEVIATIONS * self.deviation(load)).max(0.0);
         // Where many are held down, the others must still carry the load.
         let multiple = (self.multiple * (1.0 - load.held_down_share)).max(1.0);
         let bound = (multiple * low + 1.0).max(expected + 1.0);
