--- a/crates/celeryknot_policy/src/bound.rs
+++ b/crates/celeryknot_policy/src/bound.rs
@@ -14,8 +14,6 @@
     /// By how much less, as a share, the mean over all endpoints is, since some are held down by
     /// their own condition.
     pub held_down_share: f64,
-    /// Mean of one for each such endpoint with requests that wait at its owner.
-    pub mean_waiting: f64,
     /// How fast the mean falls, in requests a second; 0 while it rises or where unknown.
     pub fall_per_s: f64,
     /// How old the summaries are.
@@ -73,14 +71,12 @@
 struct Sum {
     count: u32,
     in_flight: u64,
-    waiting: u64,
 }
 
 impl Sum {
     fn add(&mut self, summary: &EndpointSummary) {
         self.count += 1;
         self.in_flight += u64::from(summary.in_flight);
-        self.waiting += u64::from(summary.queued.min(1));
     }
 
     fn mean(self) -> ServiceLoad {
@@ -89,7 +85,6 @@
             endpoint_count: self.count,
             mean_in_flight: self.in_flight as f64 / count,
             held_down_share: 0.0,
-            mean_waiting: self.waiting as f64 / count,
             fall_per_s: 0.0,
             age_ms: SUMMARY_AGE_DEFAULT_MS,
         }
@@ -101,8 +96,7 @@
 /// The summaries that the mean is made from are old, so that the mean may have fallen by the
 /// time the bound is used. What that can add is taken off in advance: the fall that goes on as
 /// it did in the last second, and a few standard deviations of the arrivals and ends of
-/// requests within the age of the summaries. What is known to come counts, too: an endpoint
-/// with a queue will have started one of its requests.
+/// requests within the age of the summaries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadBound {
     multiple: f64,
@@ -172,20 +166,6 @@
     }
 }
 
-/// The share of waiting requests that count as started.
-///
-/// An owner with a queue starts a request as soon as its bound allows, as this one does; the
-/// older the summary, the less sure is it that the queue is still there.
-fn waiting_share(age_ms: DurationMs) -> f64 {
-    let late_ms = (age_ms.0 as f64 - WAITING_FULL_AGE_MS).max(0.0);
-    (1.0 - late_ms / WAITING_FADE_MS).max(0.0)
-}
-
-/// Age of summaries up to which waiting requests count in full.
-const WAITING_FULL_AGE_MS: f64 = 500.0;
-/// Time after that over which they come to count for nothing.
-const WAITING_FADE_MS: f64 = 1_000.0;
-
 /// Least time between two means that are held.
 const TREND_STEP_MS: u64 = 100;
 /// Time over which a fall of the mean is measured.
