Let no late report end a cold start

Cause: an endpoint that turns cold says so with its next answer, but the report polled after that may show it as it was up to a second before, warm; the owner then ramped it. A polled report now ends a cold start only 1.5 s after the last sign of it; the report that comes with an answer still does at once. The new test fails without the guard.

--- a/crates/celeryknot_policy/src/admission/capacity.rs
+++ b/crates/celeryknot_policy/src/admission/capacity.rs
@@ -11,6 +11,8 @@
 pub const FIRST_REPORT_GRACE_MS: DurationMs = DurationMs(300);
 /// How old the state may be that a report shows.
 const REPORT_AGE_MS: DurationMs = DurationMs(200);
+/// How old the state may be that a late report shows.
+const LATE_REPORT_AGE_MS: DurationMs = DurationMs(1_500);
 /// How long a request is in flight before any was seen to end.
 const SERVICE_DEFAULT_MS: DurationMs = DurationMs(1_000);
 /// How long an endpoint that refused work is held at what it has.
@@ -22,7 +24,9 @@
     Unreported {
         since: MonotonicMs,
     },
-    Cold,
+    Cold {
+        seen_at: MonotonicMs,
+    },
     /// A ramp starts with the next event.
     RampDue,
     Ramping {
@@ -113,11 +117,14 @@
         self.inherited = load.in_flight.saturating_sub(self.own_peak.peak());
         self.reported_bound = load.bound;
         if load.is_cold {
-            self.temperature = Temperature::Cold;
+            self.temperature = Temperature::Cold { seen_at: now };
             return;
         }
         match self.temperature {
-            Temperature::Cold => self.start_ramp(now, own),
+            // The report may be from before the endpoint turned cold.
+            Temperature::Cold { seen_at }
+                if load.may_be_late && now - seen_at < LATE_REPORT_AGE_MS => {}
+            Temperature::Cold { .. } => self.start_ramp(now, own),
             // An endpoint that carries more than a cold one can was warm before this owner came.
             Temperature::Unreported { .. } if load.in_flight > self.limits.cold_in_flight_max => {
                 self.temperature = Temperature::Warm;
@@ -149,7 +156,7 @@
             HealthState::Healthy => {}
         }
         match self.temperature {
-            Temperature::Unreported { .. } | Temperature::Cold => EndpointCondition::Cold,
+            Temperature::Unreported { .. } | Temperature::Cold { .. } => EndpointCondition::Cold,
             Temperature::RampDue | Temperature::Ramping { .. } => EndpointCondition::Ramping,
             Temperature::Warm => EndpointCondition::Warm,
         }
@@ -185,7 +192,7 @@
     pub(super) fn slots_expected(&self, now: MonotonicMs) -> u32 {
         match self.temperature {
             Temperature::Unreported { .. } => self.limits.cold_in_flight_max,
-            Temperature::Cold
+            Temperature::Cold { .. }
             | Temperature::RampDue
             | Temperature::Ramping { .. }
             | Temperature::Warm => self.in_flight_max(now),
@@ -201,7 +208,7 @@
                 Some(now + DurationMs((self.limits.ramp_ms.0 / u64::from(steps)).max(1)))
             }
             Temperature::RampDue => Some(now + DurationMs(1)),
-            Temperature::Cold | Temperature::Warm => None,
+            Temperature::Cold { .. } | Temperature::Warm => None,
         };
         let by_refusal = self.refusal_hold.map(|(_, until)| until);
         [by_temperature, by_refusal]
@@ -218,7 +225,9 @@
             .min(self.limits.in_flight_max);
         match self.temperature {
             Temperature::Unreported { since } if now - since < FIRST_REPORT_GRACE_MS => 0,
-            Temperature::Unreported { .. } | Temperature::Cold | Temperature::RampDue => cold_max,
+            Temperature::Unreported { .. } | Temperature::Cold { .. } | Temperature::RampDue => {
+                cold_max
+            }
             Temperature::Ramping { since, base } => {
                 let full = u64::from(self.limits.in_flight_max);
                 let base = u64::from(base).min(full);
--- a/crates/celeryknot_policy/src/admission/request.rs
+++ b/crates/celeryknot_policy/src/admission/request.rs
@@ -204,4 +204,7 @@
     pub is_cold: bool,
     /// The most work that the endpoint can bear now.
     pub bound: Option<u32>,
+    /// Whether the report may show an earlier state, as one that was polled may, but not one that
+    /// came with an answer.
+    pub may_be_late: bool,
 }
--- a/crates/celeryknot_policy/tests/admission_cases.rs
+++ b/crates/celeryknot_policy/tests/admission_cases.rs
@@ -219,6 +219,7 @@
             is_cold: true,
             bound: Some(1),
             queued: 0,
+            may_be_late: false,
         },
     );
     assert_eq!(
@@ -235,6 +236,58 @@
     }
 }
 
+#[test]
+fn late_report_does_not_end_a_cold_start() {
+    struct Case {
+        name: &'static str,
+        after_ms: u64,
+        may_be_late: bool,
+        in_flight_max: u32,
+    }
+    let cases = [
+        Case {
+            name: "a polled report from before",
+            after_ms: 900,
+            may_be_late: true,
+            in_flight_max: 2,
+        },
+        Case {
+            name: "the report of an answer",
+            after_ms: 900,
+            may_be_late: false,
+            in_flight_max: 10,
+        },
+        Case {
+            name: "a polled report that is too new to be from before",
+            after_ms: 1_600,
+            may_be_late: true,
+            in_flight_max: 10,
+        },
+    ];
+    for case in cases {
+        let mut endpoint = warm(limits().with_in_flight_max(10));
+        let cold = ReportedLoad {
+            is_cold: true,
+            ..ReportedLoad::default()
+        };
+        endpoint.observe_load(T0, cold);
+        let at = T0 + DurationMs(case.after_ms);
+        let report = ReportedLoad {
+            may_be_late: case.may_be_late,
+            ..warm_report(0)
+        };
+        endpoint.observe_load(at, report);
+        let later = at + DurationMs(5_000);
+        assert_eq!(endpoint.poll(later), None);
+        assert_eq!(
+            endpoint.summary(later).in_flight_max,
+            case.in_flight_max,
+            "{}",
+            case.name
+        );
+    }
+}
+
 #[test]
 fn warmed_up_endpoint_is_ramped() {
     let mut endpoint = EndpointAdmission::new(limits().with_in_flight_max(10), T0);
--- a/crates/celeryknot_policy/tests/admission_invariants.rs
+++ b/crates/celeryknot_policy/tests/admission_invariants.rs
@@ -56,6 +56,7 @@
             queued: 0,
             is_cold,
             bound,
+            may_be_late: false,
         },
     )
 }
--- a/crates/celeryknot_policy/tests/fleet_fake/engine.rs
+++ b/crates/celeryknot_policy/tests/fleet_fake/engine.rs
@@ -77,6 +77,7 @@
             queued: 0,
             is_cold,
             bound: is_cold.then_some(COLD_BOUND),
+            may_be_late: false,
         }
     }
 
--- a/crates/celeryknotd/src/traffic/load_poll.rs
+++ b/crates/celeryknotd/src/traffic/load_poll.rs
@@ -75,7 +75,10 @@
     let Ok(report) = report else {
         return;
     };
-    let load = reported(report);
+    let load = ReportedLoad {
+        may_be_late: true,
+        ..reported(report)
+    };
     let message = AdmissionMessage::Load {
         endpoint: endpoint.clone(),
         load,
@@ -91,5 +94,6 @@
         queued: report.queued,
         is_cold: report.cold,
         bound: report.bound,
+        may_be_late: false,
     }
 }
