--- a/crates/celeryknot_settings/src/daemon.rs
+++ b/crates/celeryknot_settings/src/daemon.rs
@@ -57,6 +57,8 @@
     pub header_timeout_ms: DurationMs,
     /// `[limits] body_timeout_ms`: longest silence within a request body.
     pub body_timeout_ms: DurationMs,
+    /// `[limits] shutdown_settle_ms`: time for the balancer to see that the daemon is leaving.
+    pub shutdown_settle_ms: DurationMs,
     /// `[limits] shutdown_grace_ms`: longest time for requests in flight to end.
     pub shutdown_grace_ms: DurationMs,
     /// `[limits] readers_per_zone`: daemons in each zone that watch the platform.
@@ -98,6 +100,7 @@
                 header_size_max_bytes: SizeBytes(16 << 10),
                 header_timeout_ms: DurationMs(5_000),
                 body_timeout_ms: DurationMs(10_000),
+                shutdown_settle_ms: DurationMs(1_000),
                 shutdown_grace_ms: DurationMs(30_000),
                 readers_per_zone: 2,
                 log_format: LogFormat::Human,
@@ -146,6 +149,7 @@
             header_size_max_bytes: fields.get("limits", "header_size_max_bytes"),
             header_timeout_ms: fields.get("limits", "header_timeout_ms"),
             body_timeout_ms: fields.get("limits", "body_timeout_ms"),
+            shutdown_settle_ms: fields.get("limits", "shutdown_settle_ms"),
             shutdown_grace_ms: fields.get("limits", "shutdown_grace_ms"),
             readers_per_zone: fields.get("limits", "readers_per_zone"),
             log_format: fields.get("log", "format"),
@@ -245,6 +249,7 @@
         header_size_max_bytes: SizeBytes,
         header_timeout_ms: DurationMs,
         body_timeout_ms: DurationMs,
+        shutdown_settle_ms: DurationMs,
         shutdown_grace_ms: DurationMs,
         readers_per_zone: u32,
         log_format: LogFormat,
--- a/crates/celeryknot_settings/src/key_table.rs
+++ b/crates/celeryknot_settings/src/key_table.rs
@@ -51,6 +51,7 @@
     key("limits", "header_size_max_bytes", T::Size(1024, MIB_BYTES), Default("16KiB"), "32KiB", "Largest header block of a caller."),
     key("limits", "header_timeout_ms", T::Duration(100, 10 * MINUTE_MS), Default("5s"), "10s", "Longest time for a header block to arrive."),
     key("limits", "body_timeout_ms", T::Duration(100, 10 * MINUTE_MS), Default("10s"), "30s", "Longest silence within a request body."),
+    key("limits", "shutdown_settle_ms", T::Duration(0, 10 * MINUTE_MS), Default("1s"), "5s", "Time at the start of a shutdown in which callers are still taken, for the balancer to see that the daemon is leaving; at most the grace time."),
     key("limits", "shutdown_grace_ms", T::Duration(0, 60 * MINUTE_MS), Default("30s"), "2min", "Longest time for requests in flight to end at a shutdown."),
     key("limits", "readers_per_zone", T::Count(1, 16), Default("2"), "3", "Daemons in each zone that watch the platform; the same in the whole fleet."),
     key("log", "format", T::Choice(LogFormat::VARIANTS), Default("human"), "json", "The form of log lines."),
--- a/crates/celeryknot_settings/tests/findings.rs
+++ b/crates/celeryknot_settings/tests/findings.rs
@@ -374,6 +374,7 @@
         .caller_keys(daemon.caller_keys.clone())
         .build();
     assert_eq!(daemon, expected);
+    assert_eq!(daemon.shutdown_settle_ms, DurationMs(1_000));
     assert_eq!(daemon.shutdown_grace_ms, DurationMs(30_000));
 }
 
--- a/crates/celeryknotd/src/daemon.rs
+++ b/crates/celeryknotd/src/daemon.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use celeryknot_core::{DurationMs, Incarnation};
+use celeryknot_core::Incarnation;
 use celeryknot_operators::Metrics;
 use celeryknot_settings::DaemonSettings;
 use eyre::WrapErr;
@@ -23,9 +23,6 @@
 use crate::traffic::shared::{Shared, ShutdownSignals};
 use crate::traffic::thread::{ThreadParts, run_thread};
 
-/// Time for the balancer and the peers to see that the daemon is leaving.
-const SETTLE_TIME: DurationMs = DurationMs(1_000);
-
 /// Time between two looks at what is still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
@@ -283,11 +280,11 @@
     peers: &Sender<Infallible>,
 ) -> ShutdownReport {
     let ends_at = Instant::now() + shared.settings.shutdown_grace_ms.as_std();
-    std::thread::sleep(
-        SETTLE_TIME
-            .as_std()
-            .min(shared.settings.shutdown_grace_ms.as_std()),
-    );
+    let settle_ms = shared
+        .settings
+        .shutdown_settle_ms
+        .min(shared.settings.shutdown_grace_ms);
+    std::thread::sleep(settle_ms.as_std());
     callers.close();
     await_zero(&shared.connections, ends_at);
     peers.close();
--- a/crates/celeryknotd/tests/live/mod.rs
+++ b/crates/celeryknotd/tests/live/mod.rs
@@ -19,6 +19,9 @@
 /// Generous limit for what must happen.
 pub(crate) const WAIT: Duration = Duration::from_secs(30);
 
+/// Far above the period of the tests' balancer, also on a busy machine.
+const SETTLE: celeryknot_core::DurationMs = celeryknot_core::DurationMs(3_000);
+
 const ZONES: [&str; 3] = ["hkd-a", "hkd-b", "hkd-c"];
 const VALUES: [(&str, &str); 3] = [
     (
@@ -82,6 +85,7 @@
         let zone = ZONES[index % ZONES.len()].parse().unwrap();
         let settings = DaemonSettings::builder(name, zone)
             .platform_addresses(self.platform.addresses())
+            .shutdown_settle_ms(SETTLE)
             .build();
         Daemon::start(settings).unwrap()
     }
