--- a/crates/celeryknot_fleet/tests/capacity_page.rs
+++ b/crates/celeryknot_fleet/tests/capacity_page.rs
@@ -1,5 +1,7 @@
 //! Holds docs/CAPACITY.md to the figures in docs/capacity.json.
 
+#![allow(clippy::unwrap_used)]
+
 use std::path::Path;
 
 use serde::Deserialize;
