Ask another engine where one failed, and count the failure against it

Cause: a 500 of an engine was a whole answer: it went to the caller although a chat completion may be run again, and the owner counted it as a success, so that an engine that failed everything fast looked like the best one. Now any 5xx of an engine, and 502 to 504 of a plain service's idempotent call, goes to another endpoint within the retry budget, and every 5xx is evidence for the endpoint's health.

--- a/crates/celeryknotd/src/traffic/body.rs
+++ b/crates/celeryknotd/src/traffic/body.rs
@@ -113,6 +113,7 @@
     permit: Permit,
     clock: Clock,
     sent_at: MonotonicMs,
+    whole_status: FinishStatus,
     first_byte_ms: Option<DurationMs>,
     frames: u32,
 }
@@ -123,27 +124,29 @@
         permit: Permit,
         clock: Clock,
         sent_at: MonotonicMs,
+        whole_status: FinishStatus,
     ) -> Self {
         let mut endpoint_body = Self {
             body,
             permit,
             clock,
             sent_at,
+            whole_status,
             first_byte_ms: None,
             frames: 0,
         };
         if endpoint_body.body.is_end_stream() {
-            endpoint_body.succeed();
+            endpoint_body.end_whole();
         }
         endpoint_body
     }
 
-    fn succeed(&mut self) {
+    fn end_whole(&mut self) {
         let first_byte_ms = self
             .first_byte_ms
             .unwrap_or_else(|| self.clock.now() - self.sent_at);
         self.permit.set_outcome(
-            FinishOutcome::new(FinishStatus::Succeeded).with_answer(first_byte_ms, self.frames),
+            FinishOutcome::new(self.whole_status).with_answer(first_byte_ms, self.frames),
         );
     }
 }
@@ -165,10 +168,10 @@
                     self.first_byte_ms = Some(self.clock.now() - self.sent_at);
                 }
                 if self.body.is_end_stream() {
-                    self.succeed();
+                    self.end_whole();
                 }
             }
-            Poll::Ready(None) => self.succeed(),
+            Poll::Ready(None) => self.end_whole(),
             Poll::Ready(Some(Err(error))) => {
                 let outcome = FinishOutcome::new(Failure::from(error.0).finish_status());
                 self.permit.set_outcome(outcome);
--- a/crates/celeryknotd/src/traffic/dispatch.rs
+++ b/crates/celeryknotd/src/traffic/dispatch.rs
@@ -12,7 +12,9 @@
 use celeryknot_endpoints::sse::Usage;
 use celeryknot_policy::attempt::{AttemptEvent, AttemptIndex, CallSafety};
 use celeryknot_policy::placement::{EndpointHash, PlacementRequest};
+use celeryknot_settings::ServiceKind;
 use futures_lite::future;
+use http::StatusCode;
 
 use super::attempt_log::AttemptLog;
 use super::context::ThreadContext;
@@ -79,6 +81,9 @@
             };
             let attempt = Box::pin(self.run_hedged(&choice, attempt, resume_from));
             if let Some(placed) = attempt.await {
+                if self.passes_over(&placed) {
+                    continue;
+                }
                 return Ok(placed);
             }
             if !self.may_go_on() {
@@ -87,6 +92,30 @@
         }
     }
 
+    /// Tells whether an endpoint's own failure is kept from the caller, since another may answer.
+    ///
+    /// The retry budget pays; without one, or with no other endpoint, the caller gets the failure.
+    fn passes_over(&self, placed: &Placed) -> bool {
+        let status = placed.answered.head.status;
+        let is_passing = match self.work.service.settings.kind {
+            ServiceKind::Model => status.is_server_error(),
+            ServiceKind::Plain => matches!(
+                status,
+                StatusCode::BAD_GATEWAY
+                    | StatusCode::SERVICE_UNAVAILABLE
+                    | StatusCode::GATEWAY_TIMEOUT
+            ),
+        };
+        if !is_passing || self.work.safety == CallSafety::NonIdempotent {
+            return false;
+        }
+        let failure = Refusal::new(ErrorKind::AnswerIncomplete);
+        self.log
+            .borrow_mut()
+            .note_failure(placed.attempt, &placed.endpoint, failure);
+        self.choose(None).is_some() && self.may_go_on()
+    }
+
     /// Notes that an answer whose head had come is not whole, so that a further one may be asked for.
     ///
     /// # Errors
--- a/crates/celeryknotd/src/traffic/owner.rs
+++ b/crates/celeryknotd/src/traffic/owner.rs
@@ -4,7 +4,7 @@
 
 use celeryknot_core::{DurationMs, ErrorKind, Execution, Refusal};
 use celeryknot_endpoints::{Call, CallFailure, CallTimeouts, EndpointAnswer, Reuse};
-use celeryknot_policy::admission::FinishOutcome;
+use celeryknot_policy::admission::{FinishOutcome, FinishStatus};
 use celeryknot_policy::attempt::CallSafety;
 use http::header::HOST;
 use http::response;
@@ -166,7 +166,13 @@
         permit.set_load(reported(load));
     }
     let clock = context.shared.clock;
-    let body = EndpointBody::new(answer.body, permit, clock, sent_at);
+    // A whole answer that says that the endpoint failed is evidence against it.
+    let whole_status = if answer.head.status.is_server_error() {
+        FinishStatus::Failed
+    } else {
+        FinishStatus::Succeeded
+    };
+    let body = EndpointBody::new(answer.body, permit, clock, sent_at, whole_status);
     Answered {
         head: answer.head,
         body: DaemonBody::new(AnswerSource::Endpoint(Box::new(body))),
--- a/crates/celeryknotd/tests/streams.rs
+++ b/crates/celeryknotd/tests/streams.rs
@@ -95,3 +95,35 @@
         assert!(!answer.ends_with("0\r\n\r\n"), "a clean end: {answer}");
     }
 }
+
+#[test]
+fn a_request_that_an_engine_failed_goes_to_another_engine() {
+    for (name, daemons, owner) in [("own engines", 1, 0), ("engines of another daemon", 2, 1)] {
+        let engines = [engine(0), engine(0)];
+        engines[0].set_mode(EndpointMode {
+            fail_percent: Some(100),
+            ..EndpointMode::default()
+        });
+        let names = ["engine-1", "engine-2"];
+        let endpoints: Vec<TestEndpoint> = (0..2)
+            .map(|index| TestEndpoint {
+                service: MODEL_SERVICE,
+                name: names[index],
+                address: engines[index].address(),
+                owner,
+            })
+            .collect();
+        let fleet = TestFleet::start(options(daemons), &endpoints);
+        let caller = Caller::new(CallerOptions::default());
+        let target = fleet.target(0, MODEL_SERVICE);
+        for chat in 0..8 {
+            let chat_name = format!("chat-{chat}");
+            let request = chat_request(&format!("file {chat}"), chat % 2 == 0);
+            let outcome = smol::block_on(caller.chat(&target, &chat_name, None, &request));
+            assert!(
+                matches!(outcome, Outcome::Completed(_)),
+                "{name}, {chat_name}: {outcome:?}"
+            );
+        }
+    }
+}
