--- a/crates/celeryknot/src/arguments/measure.rs
+++ b/crates/celeryknot/src/arguments/measure.rs
@@ -1,5 +1,6 @@
 //! The arguments of the demo and the measurements.
 
+use std::ops::Range;
 use std::path::PathBuf;
 
 use argh::FromArgs;
@@ -43,8 +44,8 @@
 )]
 pub struct MeasureArguments {
     /// what to measure
-    #[argh(positional, from_str_fn(parse_measurement))]
-    pub name: Measurement,
+    #[argh(positional, from_str_fn(parse_name))]
+    pub name: MeasureName,
     /// kinrin-wakai (default) or quayline
     #[argh(option, default = "Deployment::KinrinWakai")]
     pub deployment: Deployment,
@@ -57,6 +58,12 @@
     /// load as a multiple of the ordinary one (default 1)
     #[argh(option, default = "1.0")]
     pub load: f64,
+    /// for faults: the seeds to run, such as 1..100 (default 1..11); the last is left out
+    #[argh(option, arg_name = "a..b", default = "1..11", from_str_fn(parse_seeds))]
+    pub seeds: Range<u64>,
+    /// for faults: runs at a time, each with four daemon processes (default 2)
+    #[argh(option, default = "2")]
+    pub parallel_runs: u16,
     /// draw the measurement's plot as SVG
     #[argh(option, arg_name = "file")]
     pub plot: Option<PathBuf>,
@@ -65,9 +72,33 @@
     pub format: Format,
 }
 
-fn parse_measurement(name: &str) -> Result<Measurement, String> {
-    name.parse().map_err(|_| {
+/// What `measure` can run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MeasureName {
+    /// A measurement in this process.
+    Report(Measurement),
+    /// Runs of real daemons under seeded failures.
+    Faults,
+}
+
+/// The name of the runs under seeded failures.
+const FAULTS: &str = "faults";
+
+fn parse_name(name: &str) -> Result<MeasureName, String> {
+    if name == FAULTS {
+        return Ok(MeasureName::Faults);
+    }
+    name.parse().map(MeasureName::Report).map_err(|_| {
         let names = <Measurement as strum::VariantNames>::VARIANTS.join(", ");
-        format!("`{name}` is none of {names}")
+        format!("`{name}` is none of {names}, {FAULTS}")
     })
 }
+
+fn parse_seeds(text: &str) -> Result<Range<u64>, String> {
+    let seeds = text
+        .split_once("..")
+        .and_then(|(from, until)| Some(from.parse().ok()?..until.parse().ok()?));
+    seeds
+        .filter(|seeds| !seeds.is_empty())
+        .ok_or_else(|| format!("`{text}` is no range of seeds such as 1..100"))
+}
--- a/crates/celeryknot/src/arguments/mod.rs
+++ b/crates/celeryknot/src/arguments/mod.rs
@@ -12,7 +12,7 @@
 use strum::{Display, EnumString};
 
 pub use load::{CustomerWeight, LoadArguments};
-pub use measure::{DemoArguments, MeasureArguments};
+pub use measure::{DemoArguments, MeasureArguments, MeasureName};
 pub use stand_in::{
     EngineArguments, FaultProxyArguments, PlatformArguments, ServiceArguments, StandInArguments,
     StandInKind,
--- a/crates/celeryknot/src/command/measure.rs
+++ b/crates/celeryknot/src/command/measure.rs
@@ -2,10 +2,11 @@
 
 use std::io::Write;
 
+use celeryknot_faults::campaign::{CampaignReport, run_seeds};
 use celeryknot_measure::{MeasureOptions, run as run_measurement};
 
 use super::unavailable;
-use crate::arguments::{Format, MeasureArguments};
+use crate::arguments::{Format, MeasureArguments, MeasureName};
 use crate::exit_status::{ExitStatus, Failure};
 
 /// Runs the measurement and writes its report.
@@ -26,8 +27,11 @@
         seconds: arguments.seconds,
         load: arguments.load,
     };
-    let report =
-        run_measurement(arguments.name, &options).map_err(|report| unavailable(&report))?;
+    let measurement = match arguments.name {
+        MeasureName::Report(measurement) => measurement,
+        MeasureName::Faults => return run_faults(arguments, out),
+    };
+    let report = run_measurement(measurement, &options).map_err(|report| unavailable(&report))?;
     match arguments.format {
         Format::Json => writeln!(out, "{}", report.json())?,
         Format::Text => writeln!(out, "{}", report.text().trim_end())?,
@@ -42,3 +46,47 @@
     }
     Ok(ExitStatus::Findings)
 }
+
+/// Name of the daemon's binary, which is looked for beside this one.
+const DAEMON_BINARY: &str = "celeryknotd";
+
+fn run_faults(arguments: &MeasureArguments, out: &mut impl Write) -> Result<ExitStatus, Failure> {
+    let binary = std::env::current_exe()?.with_file_name(DAEMON_BINARY);
+    if !binary.is_file() {
+        let missing = format!("{} is missing beside this program", DAEMON_BINARY);
+        return Err(Failure::usage(missing));
+    }
+    let seeds = arguments.seeds.clone();
+    let report = run_seeds(&binary, seeds, arguments.parallel_runs, |_| {});
+    match arguments.format {
+        Format::Json => {
+            let json = serde_json::to_string_pretty(&report).expect("a report has a JSON form");
+            writeln!(out, "{json}")?;
+        }
+        Format::Text => write_faults(&report, out)?,
+    }
+    if report.failed.is_empty() {
+        return Ok(ExitStatus::Done);
+    }
+    Ok(ExitStatus::Findings)
+}
+
+fn write_faults(report: &CampaignReport, out: &mut impl Write) -> std::io::Result<()> {
+    writeln!(out, "runs            {}", report.runs)?;
+    writeln!(out, "failed          {}", report.failed.len())?;
+    writeln!(
+        out,
+        "bookings done   {} of {}",
+        report.bookings_done, report.bookings
+    )?;
+    writeln!(
+        out,
+        "whole answers   {} of {}",
+        report.asks_whole, report.asks
+    )?;
+    if let (Some(first), Some(command)) = (report.failed.first(), report.repeat_command()) {
+        writeln!(out, "first failure   {}", first.reason)?;
+        writeln!(out, "repeat          {command}")?;
+    }
+    Ok(())
+}
--- a/crates/celeryknot/tests/runs.rs
+++ b/crates/celeryknot/tests/runs.rs
@@ -91,6 +91,7 @@
         .skip(2)
         .map_while(|line| line.strip_prefix("| `")?.split('`').next())
         .collect();
-    let names: Vec<String> = Measurement::iter().map(|name| name.to_string()).collect();
+    let mut names: Vec<String> = Measurement::iter().map(|name| name.to_string()).collect();
+    names.push("faults".to_owned());
     assert_eq!(on_page, names);
 }
--- a/crates/celeryknotd/src/traffic/ticketed.rs
+++ b/crates/celeryknotd/src/traffic/ticketed.rs
@@ -207,8 +207,9 @@
     text: &str,
 ) -> Result<Answered, Refusal> {
     let snapshot = context.snapshot();
+    // An issuer that is not listed may be one that this daemon has yet to hear of.
     let Some(member) = snapshot.members.get(&ticket.issuer) else {
-        return Err(Refusal::new(ErrorKind::IssuerGone));
+        return Err(Refusal::new(ErrorKind::IssuerUnreachable));
     };
     let settings = &work.service.settings;
     let wait_ms = settings.queue_wait_max_ms.0 + settings.first_byte_timeout_ms.0;
--- a/crates/celeryknotd/tests/tickets.rs
+++ b/crates/celeryknotd/tests/tickets.rs
@@ -143,5 +143,11 @@
         let outcome = setup.book(0, ticket, "slot-1");
         assert_eq!(outcome, refused("issuer-gone", Execution::Unknown));
     }
+    // An issuer that is not listed may be a new one.
+    setup.fleet.change_members(|members| {
+        members.retain(|name, _| name.as_str() != "daemon-2");
+    });
+    let outcome = setup.book(0, &unused, "slot-1");
+    assert_eq!(outcome, refused("issuer-unreachable", Execution::Unknown));
     assert_eq!(setup.bookings(), 1);
 }
