Hit an endpoint's connections again and again

Cause: the runs that cut or silence an endpoint did so once, and a booking takes 5 ms there: with 'a lost connection was not sent' put into the client in place of 'maybe sent', both tests still passed. They now repeat it every 13 ms for as long as the failure lasts. With the same mutation holds_when_a_service_is_cut finds 10 doubled bookings; without it all four tests pass. Other mutations, each seen to fail: every claim of a ticket runs (books_everything_in_calm and others: doubled), endpoints that leave and zones that are out take new work (holds_when_an_endpoint_leaves, holds_when_a_zone_is_taken_out: work after withdrawal).

--- a/crates/celeryknot_faults/src/run.rs
+++ b/crates/celeryknot_faults/src/run.rs
@@ -22,6 +22,8 @@
 
 /// How long callers load the site.
 const LOAD_TIME: Duration = Duration::from_secs(5);
+/// Time between two disturbances of the connections to an endpoint.
+const DISTURB_PERIOD: Duration = Duration::from_millis(13);
 /// Largest delay of what overtakes each other between daemons.
 const PEER_DELAY_MS: u64 = 40;
 
@@ -148,11 +150,11 @@
             site.start_daemon(daemon)
         }
         FailureKind::CutEndpoint => {
-            site.disturb_endpoint(endpoint, Fault::Reset);
+            disturb_again_and_again(site, endpoint, Fault::Reset, until).await;
             Ok(())
         }
         FailureKind::SilenceEndpoint => {
-            site.disturb_endpoint(endpoint, Fault::SilentDrop);
+            disturb_again_and_again(site, endpoint, Fault::SilentDrop, until).await;
             Ok(())
         }
         FailureKind::SilencePeers => {
@@ -199,6 +201,14 @@
     }
 }
 
+/// Hits the connections to an endpoint often enough that some carry a call at that moment.
+async fn disturb_again_and_again(site: &Site, endpoint: usize, fault: Fault, until: Instant) {
+    while Instant::now() < until {
+        site.disturb_endpoint(endpoint, fault);
+        Timer::after(DISTURB_PERIOD).await;
+    }
+}
+
 fn set_platforms(
     site: &Site,
     sides: std::ops::Range<usize>,
