--- a/crates/celeryknotd/tests/streams.rs
+++ b/crates/celeryknotd/tests/streams.rs
@@ -33,6 +33,18 @@
     engine
 }
 
+fn endpoints(engines: &[Engine; 2], owner: usize) -> Vec<TestEndpoint> {
+    let named = ["engine-1", "engine-2"].into_iter().zip(engines);
+    named
+        .map(|(name, engine)| TestEndpoint {
+            service: MODEL_SERVICE,
+            name,
+            address: engine.address(),
+            owner,
+        })
+        .collect()
+}
+
 #[test]
 fn a_cut_stream_goes_on_at_another_engine() {
     for (name, stream, daemons, owner) in [
@@ -42,16 +54,7 @@
         ("whole, engines of another daemon", false, 2, 1),
     ] {
         let engines = [engine(CUT_PERCENT), engine(0)];
-        let names = ["engine-1", "engine-2"];
-        let endpoints: Vec<TestEndpoint> = (0..2)
-            .map(|index| TestEndpoint {
-                service: MODEL_SERVICE,
-                name: names[index],
-                address: engines[index].address(),
-                owner,
-            })
-            .collect();
-        let fleet = TestFleet::start(options(daemons), &endpoints);
+        let fleet = TestFleet::start(options(daemons), &endpoints(&engines, owner));
         let caller = Caller::new(CallerOptions::default());
         let target = fleet.target(0, MODEL_SERVICE);
         for chat in 0..8 {
@@ -104,16 +107,7 @@
             fail_percent: Some(100),
             ..EndpointMode::default()
         });
-        let names = ["engine-1", "engine-2"];
-        let endpoints: Vec<TestEndpoint> = (0..2)
-            .map(|index| TestEndpoint {
-                service: MODEL_SERVICE,
-                name: names[index],
-                address: engines[index].address(),
-                owner,
-            })
-            .collect();
-        let fleet = TestFleet::start(options(daemons), &endpoints);
+        let fleet = TestFleet::start(options(daemons), &endpoints(&engines, owner));
         let caller = Caller::new(CallerOptions::default());
         let target = fleet.target(0, MODEL_SERVICE);
         for chat in 0..8 {
