Reckon with the age that summaries have in a full mesh

Cause: the bound took summaries to be 0.5 s old everywhere, and took off the deviation of that time; in a full mesh an owner tells a change after at most 0.2 s.

--- a/crates/celeryknotd/src/traffic/admission.rs
+++ b/crates/celeryknotd/src/traffic/admission.rs
@@ -9,8 +9,9 @@
 use celeryknot_core::{
     DurationMs, EndpointName, EndpointSummary, MemberName, MonotonicMs, Refusal,
 };
+use celeryknot_fleet::neighbours::MESH_MEMBERS_MAX;
 use celeryknot_policy::admission::{AdmissionLimits, AdmissionRequest, Decision};
-use celeryknot_policy::bound::ServiceLoad;
+use celeryknot_policy::bound::{SUMMARY_AGE_DEFAULT_MS, ServiceLoad};
 use futures_lite::{StreamExt, future};
 
 use super::admitted::{Admitted, answer};
@@ -23,6 +24,9 @@
 /// Age at which the mean load of a service is computed anew.
 const MEAN_AGE_MAX: DurationMs = DurationMs(10);
 
+/// Age of the summaries in a full mesh.
+const MESH_SUMMARY_AGE: DurationMs = DurationMs(250);
+
 /// Time without work after which the admission of an endpoint with another owner is dropped.
 const FOREIGN_LIFE: DurationMs = DurationMs(10_000);
 
@@ -185,7 +189,8 @@
                 )
             })
             .collect();
-        let load = ServiceLoad::from_summaries(&summaries);
+        let members = self.context.snapshot().members.len();
+        let load = ServiceLoad::from_summaries(&summaries).with_age_ms(summary_age_ms(members));
         if let Some(admitted) = self.endpoints.get_mut(endpoint) {
             admitted.admission.observe_mean(now, load);
             admitted.mean_at = Some(now);
@@ -282,6 +287,16 @@
     }
 }
 
+/// Returns how old the summaries of other owners are, from the state to its use here.
+///
+/// In a full mesh an owner tells every change itself, at most once in a fifth of a second.
+fn summary_age_ms(members: usize) -> DurationMs {
+    if members <= MESH_MEMBERS_MAX {
+        return MESH_SUMMARY_AGE;
+    }
+    SUMMARY_AGE_DEFAULT_MS
+}
+
 /// Returns what is known of an endpoint: its owner's own state, or what the owner has told.
 ///
 /// A daemon that is no longer the owner, or stood in for it, holds what its own requests do
