Ask five endpoints whether they are less busy before one queues the request

Cause: at the bound, two busy endpoints were enough for a request to queue, while others had room: the bound leaves 4 to 5 places at a mean of 3, and summaries are a quarter of a second old.

--- a/crates/celeryknotd/src/traffic/attempt_log.rs
+++ b/crates/celeryknotd/src/traffic/attempt_log.rs
@@ -7,7 +7,7 @@
 use super::failure::{Failure, RetryCost};
 
 /// Endpoints that are asked whether they are less busy, before one is asked to queue the request.
-const BUSY_ENDPOINTS_MAX: usize = 2;
+const BUSY_ENDPOINTS_MAX: usize = 5;
 
 /// The attempts of one request, and why they failed.
 #[derive(Debug)]
