Be ready only with a list that has the daemon itself

Ruled out: endpoints that took no new work, and exclusions. The new test's second case was ready before.

--- a/crates/celeryknot_fleet/src/fleet/publish.rs
+++ b/crates/celeryknot_fleet/src/fleet/publish.rs
@@ -47,11 +47,20 @@
         self.send_summaries(now);
         let has_peers = self.members.peers_up().next().is_some();
         let was_ready = self.readiness.is_ready();
-        if self.readiness.update(now, has_peers) != was_ready {
+        let is_listed = was_ready || self.is_listed();
+        if self.readiness.update(now, has_peers, is_listed) != was_ready {
             self.version += 1;
         }
     }
 
+    fn is_listed(&self) -> bool {
+        let own_name = &self.config.own.name;
+        self.list
+            .daemons()
+            .iter()
+            .any(|daemon| daemon.info.name == *own_name)
+    }
+
     fn update_neighbours(&mut self, now: MonotonicMs) {
         let version = Some(self.members.version());
         if self.members_seen != version {
--- a/crates/celeryknot_fleet/src/readiness.rs
+++ b/crates/celeryknot_fleet/src/readiness.rs
@@ -40,8 +40,14 @@
     }
 
     /// Tells whether the daemon has caught up; once it has, it stays so until a pause.
-    pub fn update(&mut self, now: MonotonicMs, has_peers: bool) -> bool {
+    ///
+    /// A list that does not have the daemon itself is an old one, with old endpoints or none; it
+    /// does only after the wait.
+    pub fn update(&mut self, now: MonotonicMs, has_peers: bool, is_listed: bool) -> bool {
         let has_waited = now - self.asked_since >= self.wait;
+        if !is_listed && !has_waited {
+            return self.is_ready;
+        }
         let is_ready = match (self.heard_platform, self.heard_peer) {
             (true, true) => true,
             (true, false) => !has_peers || has_waited,
--- a/crates/celeryknot_fleet/tests/membership.rs
+++ b/crates/celeryknot_fleet/tests/membership.rs
@@ -2,6 +2,7 @@
 
 use celeryknot_core::{DurationMs, Incarnation, MemberName, MonotonicMs};
 use celeryknot_fleet::membership::Heard;
+use celeryknot_fleet::readiness::Readiness;
 use celeryknot_fleet::{FleetTiming, MemberInfo, MemberRecord, MemberState, Membership};
 use proptest::prelude::*;
 
@@ -161,3 +162,39 @@
     }
     assert_eq!(waits, [0, 0, 4_000, 8_000, 16_000]);
 }
+
+#[test]
+fn a_daemon_waits_a_while_for_a_list_that_has_it() {
+    struct Case {
+        name: &'static str,
+        after_ms: u64,
+        is_listed: bool,
+        is_ready: bool,
+    }
+    let cases = [
+        Case {
+            name: "listed",
+            after_ms: 10,
+            is_listed: true,
+            is_ready: true,
+        },
+        Case {
+            name: "an old list",
+            after_ms: 10,
+            is_listed: false,
+            is_ready: false,
+        },
+        Case {
+            name: "not listed for long",
+            after_ms: 1_500,
+            is_listed: false,
+            is_ready: true,
+        },
+    ];
+    for case in cases {
+        let mut readiness = Readiness::new(MonotonicMs(0), DurationMs(1_500));
+        readiness.note_platform();
+        let is_ready = readiness.update(MonotonicMs(case.after_ms), false, case.is_listed);
+        assert_eq!(is_ready, case.is_ready, "{}", case.name);
+    }
+}
