--- a/crates/celeryknot_callers/src/head_scanner.rs
+++ b/crates/celeryknot_callers/src/head_scanner.rs
@@ -97,6 +97,11 @@
         self.part == Part::Head
     }
 
+    /// Tells whether no byte of the next head has come.
+    fn is_between_requests(&self) -> bool {
+        self.part == Part::Head && !self.head.has_lines && self.line.is_empty()
+    }
+
     /// Tells of the next request, in their order, whether its framing is ambiguous.
     pub fn take_is_ambiguous(&mut self) -> bool {
         self.are_ambiguous.pop_front().unwrap_or(false)
@@ -201,27 +206,43 @@
 pub(crate) struct HeadTimeout {
     timers: Timers,
     timeout_ms: DurationMs,
+    idle_timeout_ms: DurationMs,
     sleep: Option<Sleep>,
     /// Requests that are being answered; meanwhile the caller owes nothing.
     answering: Rc<Cell<u32>>,
 }
 
 impl HeadTimeout {
-    pub(crate) fn new(timers: Timers, timeout_ms: DurationMs, answering: Rc<Cell<u32>>) -> Self {
+    pub(crate) fn new(
+        timers: Timers,
+        timeout_ms: DurationMs,
+        idle_timeout_ms: DurationMs,
+        answering: Rc<Cell<u32>>,
+    ) -> Self {
         Self {
             timers,
             timeout_ms,
+            idle_timeout_ms,
             sleep: None,
             answering,
         }
     }
 
-    fn poll(&mut self, context: &mut Context<'_>, is_in_head: bool) -> Poll<()> {
+    fn poll(
+        &mut self,
+        context: &mut Context<'_>,
+        is_in_head: bool,
+        is_between_requests: bool,
+    ) -> Poll<()> {
         if !is_in_head || self.answering.get() > 0 {
             self.sleep = None;
             return Poll::Pending;
         }
-        let (timers, timeout_ms) = (&self.timers, self.timeout_ms);
+        let timeout_ms = match is_between_requests {
+            true => self.idle_timeout_ms,
+            false => self.timeout_ms,
+        };
+        let timers = &self.timers;
         let sleep = self.sleep.get_or_insert_with(|| timers.after(timeout_ms));
         Pin::new(sleep).poll(context)
     }
@@ -251,15 +272,19 @@
         let poll = Pin::new(&mut this.stream).poll_read(context, buffer);
         if let Poll::Ready(Ok(len)) = &poll {
             let mut scanner = this.scanner.borrow_mut();
-            let was_in_head = scanner.is_in_head();
+            let was_in_head = scanner.is_in_head() && !scanner.is_between_requests();
             scanner.scan(&buffer[..*len]);
             if !(was_in_head && scanner.is_in_head()) {
                 this.head_timeout.sleep = None;
             }
             return poll;
         }
-        let is_in_head = this.scanner.borrow().is_in_head();
-        if poll.is_pending() && this.head_timeout.poll(context, is_in_head).is_ready() {
+        let (is_in_head, is_between) = {
+            let scanner = this.scanner.borrow();
+            (scanner.is_in_head(), scanner.is_between_requests())
+        };
+        let timeout = &mut this.head_timeout;
+        if poll.is_pending() && timeout.poll(context, is_in_head, is_between).is_ready() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
         poll
--- a/crates/celeryknot_callers/src/limits.rs
+++ b/crates/celeryknot_callers/src/limits.rs
@@ -10,6 +10,7 @@
 pub struct CallerLimits {
     pub(crate) header_size_max_bytes: SizeBytes,
     pub(crate) header_timeout_ms: DurationMs,
+    pub(crate) idle_timeout_ms: DurationMs,
     pub(crate) body_timeout_ms: DurationMs,
     pub(crate) streams_max: u32,
 }
@@ -19,6 +20,7 @@
         Self {
             header_size_max_bytes: SizeBytes(16 << 10),
             header_timeout_ms: DurationMs(5_000),
+            idle_timeout_ms: DurationMs(5_000),
             body_timeout_ms: DurationMs(5_000),
             streams_max: 256,
         }
@@ -76,6 +78,12 @@
         self
     }
 
+    /// Sets the longest time between an answer and the next request of a connection.
+    pub fn idle_timeout_ms(mut self, timeout: DurationMs) -> Self {
+        self.0.idle_timeout_ms = timeout;
+        self
+    }
+
     /// Sets the longest silence within a request body.
     pub fn body_timeout_ms(mut self, timeout: DurationMs) -> Self {
         self.0.body_timeout_ms = timeout;
--- a/crates/celeryknot_callers/src/server.rs
+++ b/crates/celeryknot_callers/src/server.rs
@@ -99,7 +99,10 @@
         }
     };
     let give_up = async {
-        smol::Timer::after(context.limits.header_timeout_ms.as_std()).await;
+        // A connection may be opened well before its first request.
+        let limits = &context.limits;
+        let longest_ms = limits.header_timeout_ms.max(limits.idle_timeout_ms);
+        smol::Timer::after(longest_ms.as_std()).await;
         write_refusal(stream, ErrorKind::RequestTimeout).await;
         Ok(None)
     };
@@ -128,6 +131,7 @@
     let head_timeout = HeadTimeout::new(
         context.timers.clone(),
         context.limits.header_timeout_ms,
+        context.limits.idle_timeout_ms,
         Rc::clone(&answering),
     );
     let scanned = ScannedStream::new(stream.clone(), Rc::clone(&scanner), head_timeout);
--- a/crates/celeryknot_core/src/error_kind.rs
+++ b/crates/celeryknot_core/src/error_kind.rs
@@ -88,6 +88,10 @@
     UnknownCustomer,
     /// The chat header is missing.
     MissingChat,
+    /// No route begins the path.
+    UnknownRoute,
+    /// No customer holds the key.
+    UnknownKey,
     /// No service has the name.
     UnknownService,
     /// The service does not offer the model.
@@ -219,6 +223,8 @@
             Self::MissingCustomer => answer(401, NotRun, Never, None, "The customer header is missing"),
             Self::UnknownCustomer => answer(403, NotRun, Never, None, "The customer is unknown or its token is wrong"),
             Self::MissingChat => answer(400, NotRun, Never, None, "The chat header is missing"),
+            Self::UnknownRoute => answer(404, NotRun, Never, None, "No route begins this path"),
+            Self::UnknownKey => answer(401, NotRun, Never, None, "No customer holds this key"),
             Self::UnknownService => answer(404, NotRun, Never, None, "No service has this name"),
             Self::UnknownModel => answer(404, NotRun, Never, None, "The service does not offer this model"),
             Self::RequestTooLarge => answer(413, NotRun, Never, None, "The body is too large"),
--- a/crates/celeryknot_endpoints/src/answer.rs
+++ b/crates/celeryknot_endpoints/src/answer.rs
@@ -25,9 +25,11 @@
 
 /// Where a connection goes after its answer has ended.
 #[derive(Debug)]
-pub(crate) struct ReturnTo {
-    pub(crate) connections: Connections,
-    pub(crate) address: SocketAddr,
+pub struct ReturnTo {
+    /// The idle connections of the thread.
+    pub connections: Connections,
+    /// The endpoint's address.
+    pub address: SocketAddr,
 }
 
 /// The body of an answer; dropping it before its end closes the connection,
@@ -43,7 +45,8 @@
 }
 
 impl AnswerBody {
-    pub(crate) fn new(
+    /// Builds the body of an answer that comes on a connection.
+    pub fn new(
         incoming: Incoming,
         link: Link,
         return_to: Option<ReturnTo>,
--- a/crates/celeryknot_endpoints/src/connection.rs
+++ b/crates/celeryknot_endpoints/src/connection.rs
@@ -21,8 +21,8 @@
 /// Most idle connections to one endpoint that a thread keeps.
 const IDLE_MAX: usize = 128;
 
-/// Longest time that an idle connection is kept.
-const IDLE_LIFE: Duration = Duration::from_secs(1);
+/// Longest time that an idle connection is kept whose endpoint did not say how long it keeps it.
+const IDLE_LIFE: DurationMs = DurationMs(1_000);
 
 /// Idle time up to which a connection is used again without a look at its socket.
 const JUST_USED: Duration = Duration::from_millis(5);
@@ -32,11 +32,12 @@
 
 /// One open connection, driven by whoever holds it.
 #[derive(Debug)]
-pub(crate) struct Link {
+pub struct Link {
     sender: http1::SendRequest<RequestBody>,
     /// On the heap, since a connection is large and changes hands with each call.
     connection: Option<Box<http1::Connection<FuturesIo<TcpStream>, RequestBody>>>,
     idle_since: Instant,
+    idle_max: DurationMs,
 }
 
 impl Link {
@@ -45,7 +46,7 @@
     /// # Errors
     ///
     /// `ConnectFailed`: no byte of any request was sent.
-    pub(crate) async fn open(
+    pub async fn open(
         address: SocketAddr,
         timeout: DurationMs,
         timers: &Timers,
@@ -72,9 +73,15 @@
             sender,
             connection: Some(Box::new(connection)),
             idle_since: Instant::now(),
+            idle_max: IDLE_LIFE,
         })
     }
 
+    /// Sets how long the connection may be idle and still be used again.
+    pub fn set_idle_max(&mut self, idle_max: DurationMs) {
+        self.idle_max = idle_max;
+    }
+
     pub(crate) fn sender(&mut self) -> &mut http1::SendRequest<RequestBody> {
         &mut self.sender
     }
@@ -121,18 +128,19 @@
     }
 
     /// Returns the thread's timeouts.
-    pub(crate) fn timers(&self) -> &Timers {
+    pub fn timers(&self) -> &Timers {
         &self.timers
     }
 
     /// Takes the connection that was used last, if it was idle for less than the given time.
-    pub(crate) async fn take(&self, address: SocketAddr, idle_max: DurationMs) -> Option<Link> {
+    pub async fn take(&self, address: SocketAddr, idle_max: DurationMs) -> Option<Link> {
         loop {
             let mut link = self.idle.borrow_mut().get_mut(&address)?.pop()?;
             let idle = link.idle_since.elapsed();
             if idle < JUST_USED {
                 return Some(link);
             }
+            let idle_max = idle_max.min(link.idle_max);
             if idle < idle_max.as_std() && link.is_usable().await {
                 return Some(link);
             }
@@ -140,7 +148,7 @@
     }
 
     /// Keeps a connection whose last answer has ended.
-    pub(crate) fn keep(&self, address: SocketAddr, mut link: Link) {
+    pub fn keep(&self, address: SocketAddr, mut link: Link) {
         link.idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(address).or_default();
@@ -153,11 +161,16 @@
     /// Closes connections that have been idle for long.
     pub fn close_idle(&self) {
         self.idle.borrow_mut().retain(|_, links| {
-            links.retain(|link| link.idle_since.elapsed() < IDLE_LIFE);
+            links.retain(|link| link.idle_since.elapsed() < link.idle_max.as_std());
             !links.is_empty()
         });
     }
 
+    /// Closes all idle connections to an address, because one of them proved dead.
+    pub fn close_idle_to(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Returns the number of idle connections.
     pub fn idle_count(&self) -> usize {
         self.idle.borrow().values().map(|links| links.len()).sum()
--- a/crates/celeryknot_endpoints/src/exchange.rs
+++ b/crates/celeryknot_endpoints/src/exchange.rs
@@ -13,7 +13,7 @@
 
 /// Why an exchange did not reach the head of an answer.
 #[derive(Debug)]
-pub(crate) enum ExchangeError {
+pub enum ExchangeError {
     /// The request never reached the connection's buffer.
     NotSent,
     /// Bytes of the request may have been sent.
@@ -21,7 +21,8 @@
 }
 
 impl ExchangeError {
-    pub(crate) fn kind(&self) -> ErrorKind {
+    /// Returns the kind that says what is known of the request.
+    pub fn kind(&self) -> ErrorKind {
         match self {
             Self::NotSent => ErrorKind::ConnectFailed,
             Self::MaybeSent => ErrorKind::OutcomeUnknown,
@@ -30,7 +31,11 @@
 }
 
 /// Sends a request and waits for the head of its answer, moving the connection's bytes meanwhile.
-pub(crate) async fn exchange(
+///
+/// # Errors
+///
+/// `NotSent` where the request never reached the connection's buffer; all else may have been run.
+pub async fn exchange(
     link: &mut Link,
     request: Request<RequestBody>,
 ) -> Result<Response<Incoming>, ExchangeError> {
--- a/crates/celeryknot_endpoints/src/lib.rs
+++ b/crates/celeryknot_endpoints/src/lib.rs
@@ -14,9 +14,10 @@
 pub mod silence;
 pub mod sse;
 
-pub use answer::{AnswerBody, AnswerError};
+pub use answer::{AnswerBody, AnswerError, ReturnTo};
 pub use call::{Call, CallFailure, CallTimeouts, EndpointAnswer, Reuse};
-pub use connection::Connections;
+pub use connection::{Connections, Link};
+pub use exchange::{ExchangeError, exchange};
 pub use load::LoadReport;
 pub use request_body::RequestBody;
 pub use silence::Silence;
--- /dev/null
+++ b/crates/celeryknot_gateway/src/control/probes.rs
@@ -0,0 +1,79 @@
+//! Answers the balancer's question whether this daemon takes callers, and operators' of metrics.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use celeryknot_callers::ThreadExecutor;
+use futures_lite::FutureExt;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::Async;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+use crate::shared::Shared;
+
+/// Longest life of a connection, so that one that stands still gives its place back.
+const CONNECTION_LIFE: Duration = Duration::from_secs(60);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves a listener for as long as the thread runs.
+pub(super) async fn serve(executor: ThreadExecutor, listener: TcpListener, shared: Arc<Shared>) {
+    let listener = match Async::new(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            tracing::error!(%error, "a listener can't be used");
+            return;
+        }
+    };
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = serve_connection(TcpStream::from(stream), Arc::clone(&shared));
+                executor.spawn(connection).detach();
+            }
+            Err(error) => {
+                tracing::debug!(%error, "a connection was not accepted");
+                smol::Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, shared: Arc<Shared>) {
+    let service = service_fn(move |request| {
+        let answer = answer(&shared, &request);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let connection = async {
+        let served = http1::Builder::new()
+            .serve_connection(FuturesIo::new(stream), service)
+            .await;
+        if let Err(error) = served {
+            tracing::debug!(%error, "a probe's connection ended early");
+        }
+    };
+    let expiry = async {
+        smol::Timer::after(CONNECTION_LIFE).await;
+    };
+    connection.or(expiry).await;
+}
+
+fn answer<T>(shared: &Shared, request: &Request<T>) -> Response<Full<Bytes>> {
+    let (status, text) = match request.uri().path() {
+        "/readyz" if shared.is_ready() => (StatusCode::OK, "ready\n"),
+        "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        "/livez" => (StatusCode::OK, "live\n"),
+        _ => (StatusCode::NOT_FOUND, "paths: /livez /readyz\n"),
+    };
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/celeryknot_gateway/src/listeners.rs
@@ -0,0 +1,49 @@
+//! The sockets that a gateway listens on.
+
+use std::net::{SocketAddr, TcpListener};
+
+use celeryknot_settings::GatewaySettings;
+use eyre::WrapErr;
+use socket2::{Domain, Protocol, Socket, Type};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// The bound sockets of one gateway.
+#[derive(Debug)]
+pub(crate) struct Listeners {
+    pub(crate) callers: TcpListener,
+    pub(crate) readiness: TcpListener,
+    pub(crate) operators: Option<TcpListener>,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings and writes the bound ones back.
+    pub(crate) fn bind(settings: &mut GatewaySettings) -> eyre::Result<Self> {
+        Ok(Self {
+            callers: bind(&mut settings.callers_address)?,
+            readiness: bind(&mut settings.readiness_address)?,
+            operators: match &mut settings.operators_address {
+                Some(address) => Some(bind(address)?),
+                None => None,
+            },
+        })
+    }
+}
+
+fn bind(address: &mut SocketAddr) -> eyre::Result<TcpListener> {
+    let listener = bind_socket(*address).wrap_err_with(|| format!("can't listen on {address}"))?;
+    *address = listener.local_addr()?;
+    Ok(listener)
+}
+
+fn bind_socket(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let domain = Domain::for_address(address);
+    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    // A restarted daemon takes its port back while old connections linger in TIME_WAIT.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
--- /dev/null
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -0,0 +1,68 @@
+//! What the threads of one gateway share.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use async_channel::Receiver;
+use celeryknot_core::MonotonicMs;
+use celeryknot_settings::GatewaySettings;
+
+use crate::view::View;
+
+/// A channel on which nothing is sent: closing it is the signal.
+pub(crate) type Signal = Receiver<Infallible>;
+
+/// Read-only but for the view, counters and flags.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) started_at: Instant,
+    pub(crate) view: ArcSwap<View>,
+    /// Set from the start of a shutdown.
+    pub(crate) is_leaving: AtomicBool,
+    /// Closed when connections of callers are to end after the requests in flight.
+    pub(crate) callers_end: Signal,
+    pub(crate) in_flight: Arc<AtomicU64>,
+    pub(crate) connections: Arc<AtomicU64>,
+}
+
+impl Shared {
+    pub(crate) fn now(&self) -> MonotonicMs {
+        let elapsed_ms = self.started_at.elapsed().as_millis();
+        MonotonicMs(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.view.load().is_usable()
+    }
+}
+
+/// Counts one thing that is open, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Counted(Arc<AtomicU64>);
+
+impl Counted {
+    pub(crate) fn new(counter: &Arc<AtomicU64>) -> Self {
+        counter.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(counter))
+    }
+
+    /// Counts unless that many are open already.
+    pub(crate) fn below(counter: &Arc<AtomicU64>, max: u64) -> Option<Self> {
+        let counted = Self::new(counter);
+        (counter.load(Ordering::Acquire) <= max).then_some(counted)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -0,0 +1,120 @@
+//! The traffic thread: from a caller's request to an endpoint's answer.
+
+mod body;
+mod call;
+mod context;
+mod forward;
+mod resume;
+mod send;
+mod serve;
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use celeryknot_callers::CallerLimits;
+use celeryknot_callers::executor::ThreadRuntime;
+use celeryknot_callers::server::{ConnectionContext, serve_connection};
+use celeryknot_core::DurationMs;
+use futures_lite::future;
+use smol::Async;
+use smol::net::TcpStream;
+
+use crate::boundary::Boundary;
+use crate::shared::{Counted, Shared, Signal};
+use context::Gateway;
+
+/// Pause after the system refused to accept a connection.
+const ACCEPT_PAUSE: DurationMs = DurationMs(20);
+
+/// Time between two moves of the thread's timeouts.
+const TIMER_TICK: DurationMs = DurationMs(10);
+
+/// Time between two looks at idle connections.
+const IDLE_CHECK: DurationMs = DurationMs(500);
+
+/// Runs the traffic thread until the signal is given.
+pub(crate) fn run_traffic<B: Boundary>(shared: Arc<Shared>, callers: TcpListener, stop: Signal) {
+    let runtime = ThreadRuntime::new();
+    let executor = runtime.executor();
+    let gateway = Gateway::new(shared, executor.clone());
+    smol::block_on(runtime.run(async {
+        executor.spawn(tick(Rc::clone(&gateway))).detach();
+        let accept = accept::<B>(Rc::clone(&gateway), callers);
+        executor.spawn(accept).detach();
+        while stop.recv().await.is_ok() {}
+    }));
+}
+
+async fn tick(gateway: Rc<Gateway>) {
+    let mut checked_at = gateway.now();
+    loop {
+        smol::Timer::after(TIMER_TICK.as_std()).await;
+        let now = gateway.now();
+        gateway.timers.advance(now);
+        if now - checked_at >= IDLE_CHECK {
+            checked_at = now;
+            gateway.connections.close_idle();
+        }
+    }
+}
+
+async fn accept<B: Boundary>(gateway: Rc<Gateway>, listener: TcpListener) {
+    let listener = match Async::new(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            tracing::error!(%error, "the callers' listener can't be used");
+            return;
+        }
+    };
+    let accept = async {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => serve_caller::<B>(&gateway, TcpStream::from(stream)),
+                // Accepting fails while descriptors are short; others may become free.
+                Err(error) => {
+                    tracing::warn!(%error, "a connection was not accepted");
+                    smol::Timer::after(ACCEPT_PAUSE.as_std()).await;
+                }
+            }
+        }
+    };
+    let end = async { while gateway.shared.callers_end.recv().await.is_ok() {} };
+    future::or(accept, end).await;
+}
+
+fn serve_caller<B: Boundary>(gateway: &Rc<Gateway>, stream: TcpStream) {
+    let connections_max = u64::from(gateway.shared.settings.connections_max);
+    let Some(counted) = Counted::below(&gateway.shared.connections, connections_max) else {
+        tracing::warn!("too many connections; a new one was closed");
+        return;
+    };
+    let gateway = Rc::clone(gateway);
+    let connection = ConnectionContext {
+        executor: gateway.executor.clone(),
+        timers: gateway.timers.clone(),
+        limits: limits_in_force(&gateway),
+        shutdown: gateway.shared.callers_end.clone(),
+    };
+    let executor = gateway.executor.clone();
+    let serve = async move {
+        let handler = move |request| serve::serve_request::<B>(Rc::clone(&gateway), request);
+        if let Err(error) = serve_connection(stream, &connection, handler).await {
+            tracing::debug!(%error, "a caller's connection ended early");
+        }
+        drop(counted);
+    };
+    executor.spawn(serve).detach();
+}
+
+fn limits_in_force(gateway: &Gateway) -> CallerLimits {
+    let view = gateway.shared.view.load();
+    let limits = view.table.as_ref().map(|table| *table.limits());
+    let limits = limits.unwrap_or_default();
+    CallerLimits::builder()
+        .header_size_max_bytes(limits.header_size_max_bytes)
+        .header_timeout_ms(limits.header_timeout_ms)
+        .idle_timeout_ms(limits.idle_timeout_ms)
+        .body_timeout_ms(limits.header_timeout_ms)
+        .build()
+}
--- /dev/null
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -0,0 +1,190 @@
+//! What the tasks of the traffic thread share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use arc_swap::Guard;
+use celeryknot_callers::ThreadExecutor;
+use celeryknot_core::{EndpointName, MonotonicMs, Refusal, ServiceName, Timers};
+use celeryknot_endpoints::Connections;
+use celeryknot_policy::direct::cold_share::ColdBound;
+use celeryknot_policy::direct::{
+    EndpointPool, Placement, PlacementRequest, PoolLimits, ReportedLoad, RetryShare, SendFailure,
+};
+use celeryknot_policy::routing::Service;
+
+use crate::shared::Shared;
+use crate::view::View;
+
+/// Fewest daemons that the fleet's bounds are divided by, while others may not be known yet.
+const MEMBERS_MIN: usize = 12;
+
+/// One service as this daemon sends to it.
+#[derive(Debug)]
+struct ServiceState {
+    pool: EndpointPool,
+    retries: RetryShare,
+}
+
+/// The state of the traffic thread.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) executor: ThreadExecutor,
+    pub(crate) timers: Timers,
+    pub(crate) connections: Connections,
+    services: RefCell<HashMap<ServiceName, ServiceState>>,
+    view_seen: Cell<u64>,
+}
+
+impl Gateway {
+    pub(crate) fn new(shared: Arc<Shared>, executor: ThreadExecutor) -> Rc<Self> {
+        let timers = Timers::default();
+        timers.advance(shared.now());
+        Rc::new(Self {
+            connections: Connections::new(timers.clone()),
+            executor,
+            timers,
+            services: RefCell::default(),
+            view_seen: Cell::new(0),
+            shared,
+        })
+    }
+
+    pub(crate) fn now(&self) -> MonotonicMs {
+        self.shared.now()
+    }
+
+    /// Returns the view in force, after the pools have taken it over.
+    pub(crate) fn view(&self) -> Guard<Arc<View>> {
+        let view = self.shared.view.load();
+        if view.version != self.view_seen.get() {
+            self.view_seen.set(view.version);
+            self.take_over(&view);
+        }
+        view
+    }
+
+    fn take_over(&self, view: &View) {
+        let mut services = self.services.borrow_mut();
+        let Some(table) = &view.table else {
+            return;
+        };
+        for service in table.services() {
+            let limits = self.pool_limits(view, service);
+            let state = services
+                .entry(service.name.clone())
+                .or_insert_with(|| self.new_service(limits.clone()));
+            state.pool.set_limits(limits);
+            state.retries.set_allowance(self.retry_allowance(view));
+            let listed = view.endpoints.get(&service.name);
+            state.pool.relist(listed.into_iter().flatten().cloned());
+        }
+    }
+
+    fn new_service(&self, limits: PoolLimits) -> ServiceState {
+        let bounds = &self.shared.settings.bounds;
+        ServiceState {
+            pool: EndpointPool::new(limits),
+            retries: RetryShare::new(bounds.retry_ratio, bounds.retry_window_ms, 0.0),
+        }
+    }
+
+    fn retry_allowance(&self, view: &View) -> f64 {
+        let members = view.members.len().max(MEMBERS_MIN);
+        self.shared.settings.bounds.retry_allowance / members as f64
+    }
+
+    fn pool_limits(&self, view: &View, service: &Service) -> PoolLimits {
+        let settings = &self.shared.settings;
+        let cold_bound = service.cold_rate.map(|rate| ColdBound {
+            rate,
+            max_per_s: rate.0 * settings.bounds.cold_factor + settings.bounds.cold_allowance,
+        });
+        PoolLimits {
+            own_name: settings.name.clone(),
+            own_zone: settings.zone.clone(),
+            members: view.members.clone(),
+            members_min: MEMBERS_MIN,
+            cold_bound,
+        }
+    }
+
+    /// Counts a request that is to be sent for the first time.
+    pub(crate) fn observe_fresh(&self, service: &ServiceName) {
+        if let Some(state) = self.services.borrow_mut().get_mut(service) {
+            state.retries.observe_fresh(self.now());
+        }
+    }
+
+    /// Takes one further send of the service from this daemon's share of the budget.
+    pub(crate) fn try_take_retry(&self, service: &ServiceName) -> bool {
+        let mut services = self.services.borrow_mut();
+        let state = services.get_mut(service);
+        state.is_some_and(|state| state.retries.try_take(self.now()))
+    }
+
+    /// Picks the endpoint that gets a request; it counts as there until the returned guard drops.
+    pub(crate) fn place(
+        self: &Rc<Self>,
+        service: &ServiceName,
+        request: &PlacementRequest<'_>,
+    ) -> Result<(Placement, Started), Refusal> {
+        let mut services = self.services.borrow_mut();
+        let no_endpoint = || Refusal::new(celeryknot_core::ErrorKind::NoEndpoint);
+        let state = services.get_mut(service).ok_or_else(no_endpoint)?;
+        let placement = state.pool.place(self.now(), request)?;
+        let started = Started {
+            gateway: Rc::clone(self),
+            service: service.clone(),
+            endpoint: placement.endpoint.clone(),
+        };
+        Ok((placement, started))
+    }
+
+    fn with_pool(&self, service: &ServiceName, change: impl FnOnce(&mut EndpointPool)) {
+        if let Some(state) = self.services.borrow_mut().get_mut(service) {
+            change(&mut state.pool);
+        }
+    }
+}
+
+/// A request at an endpoint, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Started {
+    gateway: Rc<Gateway>,
+    service: ServiceName,
+    endpoint: EndpointName,
+}
+
+impl Started {
+    pub(crate) fn observe_load(&self, load: ReportedLoad) {
+        let now = self.gateway.now();
+        self.gateway.with_pool(&self.service, |pool| {
+            pool.observe_load(now, &self.endpoint, load);
+        });
+    }
+
+    pub(crate) fn observe_success(&self) {
+        self.gateway.with_pool(&self.service, |pool| {
+            pool.observe_success(&self.endpoint);
+        });
+    }
+
+    pub(crate) fn observe_failure(&self, failure: SendFailure) {
+        let now = self.gateway.now();
+        self.gateway.with_pool(&self.service, |pool| {
+            pool.observe_failure(now, &self.endpoint, failure);
+        });
+    }
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        self.gateway.with_pool(&self.service, |pool| {
+            pool.finish(&self.endpoint);
+        });
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -0,0 +1,169 @@
+//! Answers callers: checks the request against the configuration, runs it, and words refusals.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use celeryknot_callers::body::read_body;
+use celeryknot_callers::framing::check_framing;
+use celeryknot_callers::head_scanner::AmbiguousFraming;
+use celeryknot_core::{ErrorKind, MonotonicMs, Refusal};
+use celeryknot_policy::routing::{Route, RoutingTable};
+use http::header::CONNECTION;
+use http::request::Parts;
+use http::{HeaderValue, Request, Response, Version};
+use hyper::body::Incoming;
+
+use super::body::GatewayBody;
+use super::call::{Call, keep_end_to_end};
+use super::context::Gateway;
+use super::forward;
+use crate::boundary::{Boundary, CallHead};
+use crate::shared::Counted;
+
+/// Writes the line of a request when it has ended, however it ends.
+#[derive(Debug)]
+pub(super) struct RequestEnd {
+    gateway: Rc<Gateway>,
+    request_id: String,
+    arrived_at: MonotonicMs,
+    status: u16,
+    outcome: &'static str,
+}
+
+impl RequestEnd {
+    pub(super) fn set_outcome(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for RequestEnd {
+    fn drop(&mut self) {
+        tracing::info!(
+            request_id = self.request_id,
+            status = self.status,
+            outcome = self.outcome,
+            took_ms = (self.gateway.now() - self.arrived_at).0,
+            "request ended"
+        );
+    }
+}
+
+/// Answers one request of a caller.
+pub(super) async fn serve_request<B: Boundary>(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<GatewayBody>, Infallible> {
+    let in_flight = Counted::new(&gateway.shared.in_flight);
+    let version = request.version();
+    let (parts, body) = request.into_parts();
+    let mut end = RequestEnd {
+        request_id: String::new(),
+        arrived_at: gateway.now(),
+        status: 0,
+        outcome: "caller-left",
+        gateway: Rc::clone(&gateway),
+    };
+    let result = match read_head::<B>(&parts) {
+        Ok(head) => {
+            end.request_id.clone_from(&head.request_id);
+            answer_call::<B>(&gateway, head, parts, body).await
+        }
+        Err(kind) => Err(Refusal::new(kind)),
+    };
+    let mut answer = match result {
+        Ok(answer) => answer,
+        Err(refusal) => {
+            end.set_outcome(refusal.kind.code());
+            B::write_refusal(refusal, &end.request_id).map(GatewayBody::whole)
+        }
+    };
+    end.status = answer.status().as_u16();
+    *answer.version_mut() = version;
+    if version != Version::HTTP_2 && gateway.shared.is_leaving() {
+        // The caller opens its next connection at another daemon.
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    let is_refused = end.outcome != "caller-left";
+    Ok(answer.map(|body| match is_refused {
+        // The line of a refusal is written now; its body can't say more.
+        true => body.until_sent(in_flight, end),
+        false => body.until(in_flight, end),
+    }))
+}
+
+fn read_head<B: Boundary>(parts: &Parts) -> Result<CallHead, ErrorKind> {
+    if parts.extensions.get::<AmbiguousFraming>().is_some() {
+        return Err(ErrorKind::MalformedRequest);
+    }
+    check_framing(&parts.headers)?;
+    B::read_call(parts)
+}
+
+async fn answer_call<B: Boundary>(
+    gateway: &Rc<Gateway>,
+    head: CallHead,
+    parts: Parts,
+    body: Incoming,
+) -> Result<Response<GatewayBody>, Refusal> {
+    let arrived_at = gateway.now();
+    let table = {
+        let view = gateway.view();
+        let table = view.table.clone();
+        table.ok_or(Refusal::new(ErrorKind::NotReady))?
+    };
+    let call = check_call(&table, head, parts, arrived_at).map_err(Refusal::new)?;
+    let limits = table.limits();
+    let body = read_body(
+        body,
+        limits.body_size_max_bytes,
+        limits.header_timeout_ms,
+        &gateway.timers,
+    )
+    .await
+    .map_err(Refusal::new)?;
+    forward::run::<B>(gateway, Call { body, ..call }).await
+}
+
+/// Finds the route, the customer and the service of a request.
+fn check_call(
+    table: &Arc<RoutingTable>,
+    head: CallHead,
+    parts: Parts,
+    arrived_at: MonotonicMs,
+) -> Result<Call, ErrorKind> {
+    let route = table.find_route(&head.host, parts.uri.path())?;
+    let customer = table.find_customer(route, head.key.as_deref())?;
+    let service = route.pick_service(service_draw(route, &head))?.clone();
+    let wait_ms = head.deadline_ms.map_or(route.timeout_ms, |deadline_ms| {
+        deadline_ms.min(route.timeout_ms)
+    });
+    let mut headers = parts.headers;
+    keep_end_to_end(&mut headers);
+    Ok(Call {
+        route: Arc::clone(route),
+        service,
+        customer: customer.map(|customer| customer.name.clone()),
+        priority: customer
+            .and_then(|customer| customer.priority)
+            .unwrap_or(route.priority),
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body: Bytes::new(),
+        ends_at: arrived_at + wait_ms,
+        configuration_version: table.version(),
+        head,
+    })
+}
+
+/// Prompts with the same shared parts stay with one service of a split.
+fn service_draw(route: &Route, head: &CallHead) -> u64 {
+    let shared_key = head.prompt.as_ref().and_then(|prompt| prompt.shared_key());
+    match shared_key {
+        Some(key) if route.has_prompt => key,
+        Some(_) | None => rand::random(),
+    }
+}
--- a/crates/celeryknot_platform/src/client.rs
+++ b/crates/celeryknot_platform/src/client.rs
@@ -157,20 +157,32 @@
             Some(revision) => format!("{path}?after={revision}&wait_ms={}", wait.0),
             None => path.to_owned(),
         };
-        let limit = wait.as_std() + ANSWER_MARGIN;
-        let result = future::or(self.exchange(&uri), expire(limit))
-            .await
-            .and_then(|body| {
-                serde_json::from_slice(&body)
-                    .map_err(|error| PlatformError::Body(error.to_string()))
-            });
+        let body = self.fetch(&uri, wait.as_std() + ANSWER_MARGIN).await?;
+        serde_json::from_slice(&body).map_err(|error| {
+            self.give_up_replica();
+            PlatformError::Body(error.to_string())
+        })
+    }
+
+    /// Reads one resource within a time; a failure closes the connection and moves on.
+    ///
+    /// # Errors
+    ///
+    /// Any status but 200 is an error, and so is silence.
+    pub async fn fetch(&mut self, uri: &str, limit: Duration) -> Result<Bytes, PlatformError> {
+        let result = future::or(self.exchange(uri), expire(limit)).await;
         if result.is_err() {
-            self.connection = None;
-            self.rotate();
+            self.give_up_replica();
         }
         result
     }
 
+    /// Closes the connection and moves on to the next replica.
+    fn give_up_replica(&mut self) {
+        self.connection = None;
+        self.rotate();
+    }
+
     async fn exchange(&mut self, uri: &str) -> Result<Bytes, PlatformError> {
         let address = self.address().ok_or(PlatformError::NoAddress)?;
         let mut connection = match self.idle_connection().await {
--- /dev/null
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -0,0 +1,138 @@
+//! What one daemon believes of one endpoint.
+
+use std::net::SocketAddr;
+
+use celeryknot_core::{DurationMs, EndpointName, MonotonicMs, ZoneName};
+
+use super::cold_share::ColdShare;
+
+/// Age after which an endpoint's own report of its load is no longer used.
+const REPORT_AGE_MAX: DurationMs = DurationMs(2_000);
+
+/// First time for which an endpoint that failed is passed over.
+const AVOID_FIRST: DurationMs = DurationMs(300);
+
+/// Longest time for which an endpoint that failed is passed over.
+const AVOID_MAX: DurationMs = DurationMs(2_400);
+
+/// Failures in a row, other than refused connections, that make an endpoint be passed over.
+const FAILURES_MAX: u32 = 2;
+
+/// An endpoint as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedEndpoint {
+    /// The endpoint's name.
+    pub name: EndpointName,
+    /// When the endpoint started, by its own clock; another value is another life of it.
+    pub born_ms: Option<u64>,
+    /// Where the endpoint takes requests.
+    pub address: SocketAddr,
+    /// The endpoint's availability zone.
+    pub zone: ZoneName,
+    /// Requests that it processes at once.
+    pub slots: u32,
+    /// Whether it may get new work: it is not leaving and its zone is in.
+    pub takes_new_work: bool,
+    /// Until when it is in cold start.
+    pub cold_until: Option<MonotonicMs>,
+}
+
+/// What an endpoint says of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that it processes.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it can process at once.
+    pub slots: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Report {
+    load: ReportedLoad,
+    at: MonotonicMs,
+    /// Requests of this daemon that were there at the time.
+    own_in_flight: u32,
+}
+
+/// The state of one endpoint in one daemon.
+#[derive(Debug, Clone)]
+pub struct EndpointState {
+    pub(crate) listed: ListedEndpoint,
+    pub(crate) in_flight: u32,
+    pub(crate) cold: ColdShare,
+    report: Option<Report>,
+    failures_in_row: u32,
+    avoid_until: MonotonicMs,
+}
+
+impl EndpointState {
+    pub(crate) fn new(listed: ListedEndpoint) -> Self {
+        Self {
+            listed,
+            in_flight: 0,
+            cold: ColdShare::default(),
+            report: None,
+            failures_in_row: 0,
+            avoid_until: MonotonicMs(0),
+        }
+    }
+
+    /// Takes over what the platform lists now; another life of the endpoint starts anew.
+    pub(crate) fn relist(&mut self, listed: ListedEndpoint) {
+        if listed.born_ms != self.listed.born_ms {
+            let in_flight = self.in_flight;
+            *self = Self::new(listed);
+            self.in_flight = in_flight;
+            return;
+        }
+        self.listed = listed;
+    }
+
+    pub(crate) fn observe_load(&mut self, now: MonotonicMs, load: ReportedLoad) {
+        self.report = Some(Report {
+            load,
+            at: now,
+            own_in_flight: self.in_flight,
+        });
+    }
+
+    pub(crate) fn note_success(&mut self) {
+        self.failures_in_row = 0;
+    }
+
+    /// Counts a failure; `is_unreachable` if not even a connection could be opened.
+    pub(crate) fn note_failure(&mut self, now: MonotonicMs, is_unreachable: bool) {
+        self.failures_in_row = self.failures_in_row.saturating_add(1);
+        if !is_unreachable && self.failures_in_row < FAILURES_MAX {
+            return;
+        }
+        let doublings = self.failures_in_row.saturating_sub(1).min(8);
+        let avoid_ms = AVOID_FIRST.0.saturating_mul(1 << doublings);
+        self.avoid_until = now + DurationMs(avoid_ms.min(AVOID_MAX.0));
+    }
+
+    /// Tells whether the endpoint is passed over for its failures.
+    pub(crate) fn is_avoided(&self, now: MonotonicMs) -> bool {
+        now < self.avoid_until
+    }
+
+    /// Tells whether the endpoint is in cold start.
+    pub(crate) fn is_cold(&self, now: MonotonicMs) -> bool {
+        self.listed.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns the requests that the endpoint holds, as far as is known, and the age of its report.
+    pub(crate) fn load(&self, now: MonotonicMs) -> (u32, Option<DurationMs>) {
+        let fresh = self
+            .report
+            .filter(|report| now - report.at <= REPORT_AGE_MAX);
+        let Some(report) = fresh else {
+            return (self.in_flight, None);
+        };
+        let then = report.load.running + report.load.waiting;
+        let now_there = (then + self.in_flight).saturating_sub(report.own_in_flight);
+        (now_there.max(self.in_flight), Some(now - report.at))
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -0,0 +1,276 @@
+//! The endpoints of one service, and which of them gets a request.
+//!
+//! A prompt goes to the endpoint that ranks first for its shared parts by rendezvous hashing, so
+//! that daemons which share nothing agree, and to the next in the same order while that one holds
+//! clearly more than the mean: the second choice is as stable as the first. Requests without a
+//! prompt go to the endpoint with the least load, near ones first.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use celeryknot_core::id::rendezvous_score;
+use celeryknot_core::{
+    DurationMs, EndpointName, ErrorKind, MemberName, MonotonicMs, Refusal, ZoneName,
+};
+use smallvec::SmallVec;
+use strum::{Display, EnumIter, IntoStaticStr};
+
+use super::cold_share::ColdBound;
+use super::endpoint::{EndpointState, ListedEndpoint, ReportedLoad};
+use super::resend::SendFailure;
+
+/// Load up to which the first choice is kept, as a multiple of the mean.
+///
+/// Half way between the mean and the users' bound on it, as reports are old by an answer.
+const LOAD_FACTOR_KEPT: f64 = 1.4;
+
+/// Requests above that multiple that are still kept, so that small numbers don't scatter prompts.
+const LOAD_SLACK_KEPT: f64 = 2.0;
+
+/// Time to come back where no endpoint takes new work now.
+const RETRY_NO_ENDPOINT: DurationMs = DurationMs(500);
+
+/// What bounds hold for the endpoints of a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolLimits {
+    /// This daemon's name.
+    pub own_name: MemberName,
+    /// This daemon's zone.
+    pub own_zone: ZoneName,
+    /// The daemons that may be running, this one included.
+    pub members: Vec<MemberName>,
+    /// Fewest daemons that a bound is divided by, as some may not be known yet.
+    pub members_min: usize,
+    /// What a cold endpoint may get; `None` if cold ones bear all.
+    pub cold_bound: Option<ColdBound>,
+}
+
+/// What is asked for.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementRequest<'a> {
+    /// What the prompt shares with others; `None` of requests without a prompt.
+    pub shared_key: Option<u64>,
+    /// Endpoints that failed this request already.
+    pub tried: &'a [EndpointName],
+}
+
+/// Why an endpoint was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum PlacementReason {
+    /// It ranks first for the prompt.
+    First,
+    /// Those that rank before it hold too much, are cold or are passed over.
+    Next,
+    /// All hold too much; it holds the least.
+    LeastLoaded,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Why it was chosen.
+    pub reason: PlacementReason,
+    /// Requests that it held, as far as was known.
+    pub load: u32,
+    /// Age of the endpoint's own report of its load, if one was fresh.
+    pub report_age_ms: Option<DurationMs>,
+    /// Whether it was in cold start.
+    pub is_cold: bool,
+}
+
+/// The endpoints of one service.
+#[derive(Debug, Clone)]
+pub struct EndpointPool {
+    limits: PoolLimits,
+    endpoints: BTreeMap<EndpointName, EndpointState>,
+}
+
+struct Candidate {
+    name: EndpointName,
+    load: u32,
+    is_near: bool,
+    score: u64,
+}
+
+impl EndpointPool {
+    /// Starts without endpoints.
+    pub fn new(limits: PoolLimits) -> Self {
+        Self {
+            limits,
+            endpoints: BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the limits.
+    pub fn set_limits(&mut self, limits: PoolLimits) {
+        self.limits = limits;
+    }
+
+    /// Takes over the whole list of the service's endpoints.
+    pub fn relist(&mut self, listed: impl IntoIterator<Item = ListedEndpoint>) {
+        let mut before = std::mem::take(&mut self.endpoints);
+        for endpoint in listed {
+            let name = endpoint.name.clone();
+            let state = match before.remove(&name) {
+                Some(mut state) => {
+                    state.relist(endpoint);
+                    state
+                }
+                None => EndpointState::new(endpoint),
+            };
+            self.endpoints.insert(name, state);
+        }
+    }
+
+    /// Picks the endpoint that gets a request now, and counts it as started there.
+    ///
+    /// # Errors
+    ///
+    /// `NoEndpoint` with the time to come back, where none may get it.
+    pub fn place(
+        &mut self,
+        now: MonotonicMs,
+        request: &PlacementRequest<'_>,
+    ) -> Result<Placement, Refusal> {
+        let (name, reason) = self
+            .choose(now, request, false)
+            .or_else(|| self.choose(now, request, true))
+            .ok_or(Refusal::after(ErrorKind::NoEndpoint, RETRY_NO_ENDPOINT))?;
+        let state = self
+            .endpoints
+            .get_mut(&name)
+            .expect("a chosen endpoint is listed");
+        let (load, report_age_ms) = state.load(now);
+        let is_cold = state.is_cold(now);
+        state.in_flight += 1;
+        Ok(Placement {
+            address: state.listed.address,
+            endpoint: name,
+            reason,
+            load,
+            report_age_ms,
+            is_cold,
+        })
+    }
+
+    /// Picks an endpoint; with `takes_avoided`, also one that is passed over for its failures.
+    fn choose(
+        &mut self,
+        now: MonotonicMs,
+        request: &PlacementRequest<'_>,
+        takes_avoided: bool,
+    ) -> Option<(EndpointName, PlacementReason)> {
+        let load_kept = self.mean_load(now) * LOAD_FACTOR_KEPT + LOAD_SLACK_KEPT;
+        let key = request.shared_key.unwrap_or(0);
+        let mut candidates: SmallVec<[Candidate; 16]> = self
+            .endpoints
+            .iter()
+            .filter(|(name, state)| {
+                state.listed.takes_new_work
+                    && !request.tried.contains(name)
+                    && (takes_avoided || !state.is_avoided(now))
+            })
+            .map(|(name, state)| Candidate {
+                name: name.clone(),
+                load: state.load(now).0,
+                is_near: state.listed.zone == self.limits.own_zone,
+                score: rendezvous_score(key, name.as_str()),
+            })
+            .collect();
+        match request.shared_key {
+            Some(_) => candidates.sort_by_key(|it| Reverse(it.score)),
+            None => candidates.sort_by_key(|it| (it.load, !it.is_near, Reverse(it.score))),
+        }
+        for (rank, candidate) in candidates.iter().enumerate() {
+            let has_room = f64::from(candidate.load) + 1.0 <= load_kept;
+            if has_room && self.may_take(now, &candidate.name) {
+                let reason = match rank {
+                    0 => PlacementReason::First,
+                    _ => PlacementReason::Next,
+                };
+                return Some((candidate.name.clone(), reason));
+            }
+        }
+        candidates.sort_by_key(|candidate| candidate.load);
+        let least = candidates
+            .iter()
+            .find(|candidate| self.may_take(now, &candidate.name))?;
+        Some((least.name.clone(), PlacementReason::LeastLoaded))
+    }
+
+    /// Tells whether an endpoint may get one request more; takes this daemon's share of a cold one.
+    fn may_take(&mut self, now: MonotonicMs, name: &EndpointName) -> bool {
+        let Some(state) = self.endpoints.get_mut(name) else {
+            return false;
+        };
+        let Some(bound) = self.limits.cold_bound.filter(|_| state.is_cold(now)) else {
+            return true;
+        };
+        let rate = bound.share_of(
+            &self.limits.own_name,
+            &self.limits.members,
+            self.limits.members_min,
+            name,
+        );
+        state.cold.try_take(now, rate)
+    }
+
+    fn mean_load(&self, now: MonotonicMs) -> f64 {
+        let total: u32 = self.endpoints.values().map(|it| it.load(now).0).sum();
+        f64::from(total) / self.endpoints.len().max(1) as f64
+    }
+
+    /// Notes that a request has left an endpoint, with an answer or without.
+    pub fn finish(&mut self, endpoint: &EndpointName) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes over what an endpoint says of its load.
+    pub fn observe_load(&mut self, now: MonotonicMs, endpoint: &EndpointName, load: ReportedLoad) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.observe_load(now, load);
+        }
+    }
+
+    /// Notes that an endpoint has given a good answer.
+    pub fn observe_success(&mut self, endpoint: &EndpointName) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.note_success();
+        }
+    }
+
+    /// Notes that a send to an endpoint has failed.
+    pub fn observe_failure(
+        &mut self,
+        now: MonotonicMs,
+        endpoint: &EndpointName,
+        failure: SendFailure,
+    ) {
+        let Some(state) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        match failure {
+            // A full endpoint is well; its load says so.
+            SendFailure::Refused => {}
+            SendFailure::NotSent | SendFailure::Misdirected => state.note_failure(now, true),
+            SendFailure::Unanswered
+            | SendFailure::Broken
+            | SendFailure::Mismatched
+            | SendFailure::EndpointError => state.note_failure(now, false),
+        }
+    }
+
+    /// Returns the number of listed endpoints that may get new work.
+    pub fn usable_count(&self) -> usize {
+        let takes = |state: &&EndpointState| state.listed.takes_new_work;
+        self.endpoints.values().filter(takes).count()
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_policy/src/direct/prompt.rs
@@ -0,0 +1,90 @@
+//! A prompt as a list of named parts, of which all but the last are shared with other requests.
+
+use std::fmt;
+use std::str::FromStr;
+
+use celeryknot_core::TokenCount;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Most parts of one prompt that are read; more are ignored for placement.
+const PARTS_MAX: usize = 64;
+
+/// One part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// The part's id; equal ids hold the same tokens.
+    pub id: u64,
+    /// The part's size.
+    pub tokens: TokenCount,
+}
+
+/// The parts of one prompt, in their order.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_policy::direct::Prompt;
+///
+/// let prompt: Prompt = "5c1e07a2:800,91bd3f06:410,e4402b7d:250".parse()?;
+/// assert_eq!(prompt.tokens().0, 1460);
+/// assert_eq!(prompt.shared().len(), 2);
+/// # Ok::<(), celeryknot_policy::direct::prompt::PromptError>(())
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Prompt(SmallVec<[PromptPart; 4]>);
+
+/// A list of prompt parts that can't be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptError;
+
+impl fmt::Display for PromptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("not a list of prompt parts such as `5c1e07a2:800,91bd3f06:410`")
+    }
+}
+
+impl std::error::Error for PromptError {}
+
+impl FromStr for Prompt {
+    type Err = PromptError;
+
+    fn from_str(text: &str) -> Result<Self, PromptError> {
+        let parts = text.split(',').take(PARTS_MAX).map(read_part);
+        Ok(Self(parts.collect::<Result<_, _>>()?))
+    }
+}
+
+fn read_part(text: &str) -> Result<PromptPart, PromptError> {
+    let (id, tokens) = text.trim().split_once(':').ok_or(PromptError)?;
+    Ok(PromptPart {
+        id: u64::from_str_radix(id, 16).map_err(|_| PromptError)?,
+        tokens: TokenCount(tokens.parse().map_err(|_| PromptError)?),
+    })
+}
+
+impl Prompt {
+    /// Returns all parts.
+    pub fn parts(&self) -> &[PromptPart] {
+        &self.0
+    }
+
+    /// Returns the parts that other requests may share: all but the last, or a single one.
+    pub fn shared(&self) -> &[PromptPart] {
+        let len = self.0.len();
+        &self.0[..len.saturating_sub(1).max(len.min(1))]
+    }
+
+    /// Returns the size of the whole prompt.
+    pub fn tokens(&self) -> TokenCount {
+        let tokens = self.0.iter().map(|part| part.tokens.0);
+        TokenCount(tokens.fold(0, u32::saturating_add))
+    }
+
+    /// Returns what requests with the same shared parts have in common; none of an empty prompt.
+    pub fn shared_key(&self) -> Option<u64> {
+        let key = |key, part: &PromptPart| xxh3_64_with_seed(&part.id.to_le_bytes(), key);
+        let shared = self.shared();
+        (!shared.is_empty()).then(|| shared.iter().fold(0, key))
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_policy/src/routing/table.rs
@@ -0,0 +1,143 @@
+//! Finds the route and the customer of a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use celeryknot_core::{ErrorKind, ServiceName};
+
+use super::{Configuration, Customer, RequestLimits, Route, Service};
+
+/// One version of the configuration, indexed for look-ups by request.
+///
+/// A look-up costs one hash a path segment, however many routes there are.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::ErrorKind;
+/// use celeryknot_policy::routing::{Configuration, RoutingTable};
+///
+/// let table = RoutingTable::new(Configuration { version: 7, ..Configuration::default() });
+/// assert_eq!(table.version(), 7);
+/// assert_eq!(table.find_route("desk.example", "/file/1"), Err(ErrorKind::UnknownRoute));
+/// ```
+#[derive(Debug, Default)]
+pub struct RoutingTable {
+    version: u64,
+    hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
+    services: HashMap<ServiceName, Arc<Service>>,
+    customers: HashMap<String, Arc<Customer>>,
+    has_customers: bool,
+    limits: RequestLimits,
+}
+
+impl RoutingTable {
+    /// Indexes a configuration.
+    pub fn new(configuration: Configuration) -> Self {
+        let mut table = Self {
+            version: configuration.version,
+            has_customers: !configuration.customers.is_empty(),
+            limits: configuration.limits,
+            ..Self::default()
+        };
+        for route in configuration.routes {
+            let prefixes = table.hosts.entry(Arc::clone(&route.host)).or_default();
+            prefixes.insert(Arc::clone(&route.path_prefix), Arc::new(route));
+        }
+        for service in configuration.services {
+            let name = service.name.clone();
+            table.services.insert(name, Arc::new(service));
+        }
+        for customer in configuration.customers {
+            let customer = Arc::new(customer);
+            for key in &customer.keys {
+                table.customers.insert(key.clone(), Arc::clone(&customer));
+            }
+        }
+        table
+    }
+
+    /// Returns the configuration's version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the limits on callers.
+    pub fn limits(&self) -> &RequestLimits {
+        &self.limits
+    }
+
+    /// Returns the number of routes.
+    pub fn route_count(&self) -> usize {
+        self.hosts.values().map(HashMap::len).sum()
+    }
+
+    /// Finds the route whose prefix is the longest that begins the path.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownRoute` where no route of the host has a matching prefix.
+    pub fn find_route(&self, host: &str, path: &str) -> Result<&Arc<Route>, ErrorKind> {
+        let prefixes = self.prefixes_of(host).ok_or(ErrorKind::UnknownRoute)?;
+        path.rmatch_indices('/')
+            .find_map(|(at, _)| prefixes.get(&path[..=at]))
+            .ok_or(ErrorKind::UnknownRoute)
+    }
+
+    fn prefixes_of(&self, host: &str) -> Option<&HashMap<Arc<str>, Arc<Route>>> {
+        let name = host.split(':').next().unwrap_or_default();
+        if let Some(prefixes) = self.hosts.get(name) {
+            return Some(prefixes);
+        }
+        self.hosts.get(name.to_ascii_lowercase().as_str())
+    }
+
+    /// Finds the customer that a request of the route is made for; none on an anonymous route.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownKey` where the route needs a key and none of the customers holds this one.
+    pub fn find_customer(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<&Arc<Customer>>, ErrorKind> {
+        let customer = key.and_then(|key| self.customers.get(key));
+        if customer.is_some() || route.is_anonymous || !self.has_customers {
+            return Ok(customer);
+        }
+        Err(ErrorKind::UnknownKey)
+    }
+
+    /// Returns a service by its name.
+    pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+}
+
+impl Route {
+    /// Picks a service by the weights; the same draw gives the same service.
+    ///
+    /// `draw` is uniform over all values.
+    ///
+    /// # Errors
+    ///
+    /// `NoEndpoint` where all weights are zero.
+    pub fn pick_service(&self, draw: u64) -> Result<&ServiceName, ErrorKind> {
+        let total: u64 = self.services.iter().map(|it| u64::from(it.weight)).sum();
+        let mut left = draw.checked_rem(total).ok_or(ErrorKind::NoEndpoint)?;
+        for candidate in &self.services {
+            let weight = u64::from(candidate.weight);
+            if left < weight {
+                return Ok(&candidate.service);
+            }
+            left -= weight;
+        }
+        Err(ErrorKind::NoEndpoint)
+    }
+}
--- /dev/null
+++ b/crates/celeryknot_settings/src/gateway.rs
@@ -0,0 +1,171 @@
+//! The settings file of a daemon that routes by the platform's configuration.
+
+use std::net::SocketAddr;
+
+use celeryknot_core::{DurationMs, MemberName, ZoneName};
+
+use crate::builder::setters;
+use crate::diagnostic::Diagnostic;
+use crate::fields::Fields;
+use crate::key_table::GATEWAY_KEYS;
+
+/// What the users require of the whole fleet.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetBounds {
+    /// `[bounds] retry_ratio`: further sends allowed for each request.
+    pub retry_ratio: f64,
+    /// `[bounds] retry_window_ms`: the window over which sends are counted.
+    pub retry_window_ms: DurationMs,
+    /// `[bounds] retry_allowance`: further sends allowed in a window besides the ratio.
+    pub retry_allowance: f64,
+    /// `[bounds] cold_factor`: multiple of a cold endpoint's rate that it may get.
+    pub cold_factor: f64,
+    /// `[bounds] cold_allowance`: requests that a cold endpoint may get in a second besides.
+    pub cold_allowance: f64,
+    /// `[bounds] load_factor`: most load of an endpoint, as a multiple of its service's mean.
+    pub load_factor: f64,
+    /// `[bounds] drain_ms`: time after which a leaving endpoint gets no request.
+    pub drain_ms: DurationMs,
+    /// `[bounds] shutdown_grace_ms`: time between the signal to stop and the end of the process.
+    pub shutdown_grace_ms: DurationMs,
+    /// `[bounds] cache_reuse_ms`: time for which a prompt part that was read counts as fresh.
+    pub cache_reuse_ms: DurationMs,
+}
+
+impl Default for FleetBounds {
+    fn default() -> Self {
+        Self {
+            retry_ratio: 0.2,
+            retry_window_ms: DurationMs(10_000),
+            retry_allowance: 50.0,
+            cold_factor: 1.5,
+            cold_allowance: 5.0,
+            load_factor: 2.0,
+            drain_ms: DurationMs(2_000),
+            shutdown_grace_ms: DurationMs(8_000),
+            cache_reuse_ms: DurationMs(10_000),
+        }
+    }
+}
+
+/// What a gateway must know before it can reach the platform.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// `[gateway] name`: the daemon's name.
+    pub name: MemberName,
+    /// `[gateway] zone`: the availability zone that the daemon runs in.
+    pub zone: ZoneName,
+    /// `[gateway] connections_max`: most open sockets.
+    pub connections_max: u32,
+    /// `[addresses] callers`: where callers connect.
+    pub callers_address: SocketAddr,
+    /// `[addresses] readiness`: where the balancer asks whether the daemon takes callers.
+    pub readiness_address: SocketAddr,
+    /// `[addresses] peers`: where other daemons connect.
+    pub peers_address: SocketAddr,
+    /// `[addresses] operators`: where metrics are served.
+    pub operators_address: Option<SocketAddr>,
+    /// `[store] addresses`: replicas of the platform's store, tried in turn.
+    pub store_addresses: Vec<SocketAddr>,
+    /// `[members] seeds`: daemons that are asked for the others; some may be gone.
+    pub seeds: Vec<SocketAddr>,
+    /// `[bounds]`: what the users require of the whole fleet.
+    pub bounds: FleetBounds,
+}
+
+impl GatewaySettings {
+    /// Starts a builder with the defaults, any free loopback ports and no store.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_settings::GatewaySettings;
+    ///
+    /// let settings = GatewaySettings::builder("edge-1".parse()?, "hkd-a".parse()?)
+    ///     .connections_max(500)
+    ///     .build();
+    /// assert_eq!(settings.connections_max, 500);
+    /// # Ok::<(), celeryknot_core::IdError>(())
+    /// ```
+    pub fn builder(name: MemberName, zone: ZoneName) -> GatewaySettingsBuilder {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        GatewaySettingsBuilder {
+            settings: Self {
+                name,
+                zone,
+                connections_max: 4096,
+                callers_address: any_port,
+                readiness_address: any_port,
+                peers_address: any_port,
+                operators_address: None,
+                store_addresses: Vec::new(),
+                seeds: Vec::new(),
+                bounds: FleetBounds::default(),
+            },
+        }
+    }
+
+    /// Parses and checks the text of a gateway's file.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings; the caller names the file by [`Diagnostic::in_source`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_settings::GatewaySettings;
+    ///
+    /// let findings = GatewaySettings::parse("[gateway]\nnmae = edge-1\n").unwrap_err();
+    /// assert!(findings.iter().any(|finding| finding.nearest.as_deref() == Some("name")));
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, Vec<Diagnostic>> {
+        let fields = Fields::read(GATEWAY_KEYS, text)?;
+        Ok(Self {
+            name: fields.get("gateway", "name"),
+            zone: fields.get("gateway", "zone"),
+            connections_max: fields.get("gateway", "connections_max"),
+            callers_address: fields.get("addresses", "callers"),
+            readiness_address: fields.get("addresses", "readiness"),
+            peers_address: fields.get("addresses", "peers"),
+            operators_address: fields.optional("addresses", "operators"),
+            store_addresses: fields.list("store", "addresses"),
+            seeds: fields.list("members", "seeds"),
+            bounds: FleetBounds {
+                retry_ratio: fields.get("bounds", "retry_ratio"),
+                retry_window_ms: fields.get("bounds", "retry_window_ms"),
+                retry_allowance: fields.get("bounds", "retry_allowance"),
+                cold_factor: fields.get("bounds", "cold_factor"),
+                cold_allowance: fields.get("bounds", "cold_allowance"),
+                load_factor: fields.get("bounds", "load_factor"),
+                drain_ms: fields.get("bounds", "drain_ms"),
+                shutdown_grace_ms: fields.get("bounds", "shutdown_grace_ms"),
+                cache_reuse_ms: fields.get("bounds", "cache_reuse_ms"),
+            },
+        })
+    }
+}
+
+/// Builds [`GatewaySettings`].
+#[derive(Debug, Clone)]
+pub struct GatewaySettingsBuilder {
+    settings: GatewaySettings,
+}
+
+impl GatewaySettingsBuilder {
+    setters!(GatewaySettings {
+        connections_max: u32,
+        callers_address: SocketAddr,
+        readiness_address: SocketAddr,
+        peers_address: SocketAddr,
+        operators_address: Option<SocketAddr>,
+        store_addresses: Vec<SocketAddr>,
+        seeds: Vec<SocketAddr>,
+        bounds: FleetBounds,
+    });
+
+    /// Returns the settings.
+    pub fn build(self) -> GatewaySettings {
+        self.settings
+    }
+}
--- a/crates/celeryknot_settings/src/key_table.rs
+++ b/crates/celeryknot_settings/src/key_table.rs
@@ -57,6 +57,29 @@
     key("log", "format", T::Choice(LogFormat::VARIANTS), Default("human"), "json", "The form of log lines."),
 ];
 
+/// The keys of the file of a daemon that routes by the platform's configuration.
+#[rustfmt::skip]
+pub const GATEWAY_KEYS: &[Key] = &[
+    key("gateway", "name", T::Name, Required, "edge-hkd-a-1", "The daemon's name, which no other daemon has."),
+    key("gateway", "zone", T::Name, Required, "hkd-a", "The availability zone that the daemon runs in."),
+    key("gateway", "connections_max", T::Count(16, 1_000_000), Default("4096"), "3900", "Most open sockets of callers and endpoints together."),
+    key("addresses", "callers", T::Address, Required, "10.1.0.40:8227", "Where callers connect."),
+    key("addresses", "readiness", T::Address, Required, "10.1.0.40:8220", "Where the balancer asks whether the daemon takes callers."),
+    key("addresses", "peers", T::Address, Required, "10.1.0.40:8229", "Where other daemons connect."),
+    key("addresses", "operators", T::Address, Optional, "10.1.0.40:7340", "Where metrics are served."),
+    key("store", "addresses", T::Addresses, Required, "10.200.1.7:8223", "Replicas of the platform's store, tried in turn."),
+    key("members", "seeds", T::Addresses, Optional, "10.1.0.40:8229, 10.2.0.29:8229", "Peers' addresses of daemons that know others; some may be gone."),
+    key("bounds", "retry_ratio", T::Number(0.0, 10.0), Default("0.2"), "0.1", "Further sends of a service that the whole fleet may make for each request."),
+    key("bounds", "retry_window_ms", T::Duration(1_000, 10 * MINUTE_MS), Default("10s"), "10s", "Window over which further sends are counted."),
+    key("bounds", "retry_allowance", T::Number(0.0, 1_000_000.0), Default("50"), "54", "Further sends of a service that the whole fleet may make in a window besides the ratio."),
+    key("bounds", "cold_factor", T::Number(0.0, 100.0), Default("1.5"), "1.5", "Multiple of its rate that a cold endpoint may get from the whole fleet."),
+    key("bounds", "cold_allowance", T::Number(0.0, 10_000.0), Default("5"), "5", "Requests that a cold endpoint may get in a second besides."),
+    key("bounds", "load_factor", T::Number(1.0, 100.0), Default("2"), "2", "Most requests at an endpoint, as a multiple of the mean of its service."),
+    key("bounds", "drain_ms", T::Duration(0, 10 * MINUTE_MS), Default("2s"), "2s", "Time after which a leaving endpoint gets no request."),
+    key("bounds", "shutdown_grace_ms", T::Duration(0, 60 * MINUTE_MS), Default("8s"), "8s", "Time between the signal to stop and the end of the process."),
+    key("bounds", "cache_reuse_ms", T::Duration(0, 60 * MINUTE_MS), Default("10s"), "10s", "Time for which a prompt part that an endpoint has read counts as still cached."),
+];
+
 /// The keys of `fleet/zones/<zone>` and `teams/<team>/zones/<zone>`.
 #[rustfmt::skip]
 pub const ZONE_KEYS: &[Key] = &[
--- a/crates/celeryknot_settings/src/lib.rs
+++ b/crates/celeryknot_settings/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod diagnostic;
 mod fields;
 pub mod fleet;
+pub mod gateway;
 pub mod ini;
 pub mod key;
 pub mod key_table;
@@ -22,6 +23,7 @@
 pub use daemon::{DaemonSettings, DaemonSettingsBuilder, LogFormat};
 pub use diagnostic::{Diagnostic, DiagnosticCode};
 pub use fleet::{DaemonFile, check_fleet};
+pub use gateway::{FleetBounds, GatewaySettings, GatewaySettingsBuilder};
 pub use rollout::{RolloutSettings, RolloutSettingsBuilder};
 pub use service::{
     RouteRule, RouteRuleError, ServiceKind, ServiceSettings, ServiceSettingsBuilder,
--- a/crates/celeryknot_settings/tests/page.rs
+++ b/crates/celeryknot_settings/tests/page.rs
@@ -7,7 +7,7 @@
 use strum::IntoEnumIterator;
 
 use celeryknot_settings::key_table::{
-    CUSTOMER_KEYS, DAEMON_KEYS, ROLLOUT_KEYS, SERVICE_KEYS, ZONE_KEYS,
+    CUSTOMER_KEYS, DAEMON_KEYS, GATEWAY_KEYS, ROLLOUT_KEYS, SERVICE_KEYS, ZONE_KEYS,
 };
 
 const PAGE: &str = include_str!("../../../docs/SETTINGS.md");
@@ -15,6 +15,7 @@
 fn all_keys() -> impl Iterator<Item = &'static Key> {
     [
         DAEMON_KEYS,
+        GATEWAY_KEYS,
         ZONE_KEYS,
         SERVICE_KEYS,
         CUSTOMER_KEYS,
--- a/crates/celeryknotd/src/run.rs
+++ b/crates/celeryknotd/src/run.rs
@@ -6,10 +6,11 @@
 
 use argh::FromArgs;
 use async_signal::{Signal, Signals};
+use celeryknot_kinrin::Kinrin;
 use celeryknot_settings::{DaemonSettings, LogFormat};
 use eyre::WrapErr;
 use futures_lite::StreamExt;
-use strum::{EnumIter, IntoStaticStr};
+use strum::{EnumIter, EnumString, IntoStaticStr};
 use tracing_subscriber::EnvFilter;
 
 use crate::daemon::Daemon;
@@ -56,6 +57,19 @@
     /// the daemon's settings file, in INI
     #[argh(option)]
     settings: PathBuf,
+    /// whom the daemon speaks to: `native` (the default), or `kinrin`
+    #[argh(option, default = "Speech::Native")]
+    boundary: Speech,
+}
+
+/// The form that the platform, callers and endpoints speak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum Speech {
+    /// The project's own interface.
+    Native,
+    /// The platform of Kinrin Wakai Systems.
+    Kinrin,
 }
 
 /// Runs the daemon until a signal ends it.
@@ -73,7 +87,25 @@
             return ExitStatus::Usage;
         }
     };
-    let settings = match read_settings(&arguments.settings) {
+    match arguments.boundary {
+        Speech::Native => run_native(&arguments.settings),
+        Speech::Kinrin => celeryknot_gateway::run::<Kinrin>(&arguments.settings).into(),
+    }
+}
+
+impl From<celeryknot_gateway::ExitStatus> for ExitStatus {
+    fn from(status: celeryknot_gateway::ExitStatus) -> Self {
+        match status {
+            celeryknot_gateway::ExitStatus::Done => Self::Done,
+            celeryknot_gateway::ExitStatus::Leftover => Self::Leftover,
+            celeryknot_gateway::ExitStatus::Usage => Self::Usage,
+            celeryknot_gateway::ExitStatus::Unavailable => Self::Unavailable,
+        }
+    }
+}
+
+fn run_native(settings_path: &PathBuf) -> ExitStatus {
+    let settings = match read_settings(settings_path) {
         Ok(settings) => settings,
         Err(report) => {
             eprintln!("{report:#}");
--- a/crates/celeryknotd/src/traffic/context.rs
+++ b/crates/celeryknotd/src/traffic/context.rs
@@ -47,6 +47,7 @@
         let limits = CallerLimits::builder()
             .header_size_max_bytes(settings.header_size_max_bytes)
             .header_timeout_ms(settings.header_timeout_ms)
+            .idle_timeout_ms(settings.header_timeout_ms)
             .body_timeout_ms(settings.body_timeout_ms)
             .build();
         let now = shared.clock.now();
--- a/crates/celeryknotd/src/traffic/failure.rs
+++ b/crates/celeryknotd/src/traffic/failure.rs
@@ -64,6 +64,8 @@
             | ErrorKind::MissingCustomer
             | ErrorKind::UnknownCustomer
             | ErrorKind::MissingChat
+            | ErrorKind::UnknownRoute
+            | ErrorKind::UnknownKey
             | ErrorKind::UnknownService
             | ErrorKind::UnknownModel
             | ErrorKind::RequestTooLarge
