Copy prompts from the engine that held them, and spill only above the users' multiple

Ruled out: placement by the first part only; roots were 100,000 of 501,000.

Change: the first choice is kept up to 0.8 of the users' multiple and 3; an engine that likely does not hold a prompt is told the address of one that does. Connections are used again as long as engines keep them.

--- a/crates/celeryknot_gateway/src/boundary.rs
+++ b/crates/celeryknot_gateway/src/boundary.rs
@@ -117,6 +117,8 @@
     pub customer: Option<&'a CustomerName>,
     /// Rank of the request; 0 goes first.
     pub priority: u8,
+    /// Another endpoint, from which this one may copy what it holds of the prompt.
+    pub fetch_from: Option<SocketAddr>,
     /// The last event that the caller has, where a stream is taken up again.
     pub last_event_id: Option<&'a str>,
 }
--- a/crates/celeryknot_gateway/src/traffic/call.rs
+++ b/crates/celeryknot_gateway/src/traffic/call.rs
@@ -54,6 +54,7 @@
             endpoint: &placement.endpoint,
             customer: self.customer.as_ref(),
             priority: self.priority,
+            fetch_from: placement.fetch_from,
             last_event_id,
         };
         B::write_send(&mut headers, &send);
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -108,6 +108,8 @@
             own_zone: settings.zone.clone(),
             members: view.members.clone(),
             members_min: MEMBERS_MIN,
+            load_factor: settings.bounds.load_factor,
+            cache_life_ms: settings.bounds.cache_reuse_ms,
             cold_bound,
         }
     }
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -139,6 +139,7 @@
             load = placement.load,
             report_age_ms = placement.report_age_ms.map(|age| age.0),
             is_cold = placement.is_cold,
+            fetch_from = placement.fetch_from.map(tracing::field::display),
             "request placed"
         );
         self.tried.push(placement.endpoint.clone());
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -23,7 +23,7 @@
 /// Longest idle time of a connection that is used again for a request that must not run twice.
 ///
 /// An endpoint that closes an idle connection at that moment leaves the outcome unknown.
-const IDLE_MAX_NON_IDEMPOTENT: DurationMs = DurationMs(700);
+const IDLE_MAX_NON_IDEMPOTENT: DurationMs = DurationMs(5_000);
 
 /// Longest idle time of a connection that is used again for other requests.
 const IDLE_MAX: DurationMs = DurationMs(10_000);
--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -6,6 +6,7 @@
 
 pub mod cold_share;
 pub mod endpoint;
+pub mod holders;
 pub mod pool;
 pub mod prompt;
 pub mod resend;
@@ -13,6 +14,7 @@
 
 pub use cold_share::ColdShare;
 pub use endpoint::{ListedEndpoint, ReportedLoad};
+pub use holders::HolderMemory;
 pub use pool::{EndpointPool, Placement, PlacementReason, PlacementRequest, PoolLimits};
 pub use prompt::{Prompt, PromptPart};
 pub use resend::{SendFailure, SendHistory};
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -18,15 +18,16 @@
 
 use super::cold_share::ColdBound;
 use super::endpoint::{EndpointState, ListedEndpoint, ReportedLoad};
+use super::holders::HolderMemory;
 use super::resend::SendFailure;
 
-/// Load up to which the first choice is kept, as a multiple of the mean.
+/// Share of the users' multiple of the mean load up to which the first choice is kept.
 ///
-/// Half way between the mean and the users' bound on it, as reports are old by an answer.
-const LOAD_FACTOR_KEPT: f64 = 1.4;
+/// Less than the whole, as reports of load are old by an answer.
+const LOAD_FACTOR_SHARE: f64 = 0.8;
 
 /// Requests above that multiple that are still kept, so that small numbers don't scatter prompts.
-const LOAD_SLACK_KEPT: f64 = 2.0;
+const LOAD_SLACK_KEPT: f64 = 3.0;
 
 /// Time to come back where no endpoint takes new work now.
 const RETRY_NO_ENDPOINT: DurationMs = DurationMs(500);
@@ -42,6 +43,10 @@
     pub members: Vec<MemberName>,
     /// Fewest daemons that a bound is divided by, as some may not be known yet.
     pub members_min: usize,
+    /// Most load of an endpoint, as a multiple of the mean.
+    pub load_factor: f64,
+    /// Time for which a prompt that an endpoint has read counts as still cached there.
+    pub cache_life_ms: DurationMs,
     /// What a cold endpoint may get; `None` if cold ones bear all.
     pub cold_bound: Option<ColdBound>,
 }
@@ -82,6 +87,8 @@
     pub report_age_ms: Option<DurationMs>,
     /// Whether it was in cold start.
     pub is_cold: bool,
+    /// Another endpoint, which more likely holds the prompt's shared parts in its cache.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// The endpoints of one service.
@@ -89,6 +96,7 @@
 pub struct EndpointPool {
     limits: PoolLimits,
     endpoints: BTreeMap<EndpointName, EndpointState>,
+    holders: HolderMemory,
 }
 
 struct Candidate {
@@ -104,6 +112,7 @@
         Self {
             limits,
             endpoints: BTreeMap::new(),
+            holders: HolderMemory::default(),
         }
     }
 
@@ -142,6 +151,12 @@
             .choose(now, request, false)
             .or_else(|| self.choose(now, request, true))
             .ok_or(Refusal::after(ErrorKind::NoEndpoint, RETRY_NO_ENDPOINT))?;
+        let fetch_from = request
+            .shared_key
+            .and_then(|key| self.fetch_source(now, key, &name));
+        if let Some(key) = request.shared_key {
+            self.holders.note(now, key, &name);
+        }
         let state = self
             .endpoints
             .get_mut(&name)
@@ -156,9 +171,44 @@
             load,
             report_age_ms,
             is_cold,
+            fetch_from,
         })
     }
 
+    /// Returns an endpoint that more likely holds a prompt's shared parts than the chosen one.
+    ///
+    /// That is the last other one that this daemon sent them to, or else the one that ranks
+    /// before the chosen one, or next to it: the daemons agree on the ranks, and the chosen one
+    /// ranks first only since an endpoint came or went.
+    fn fetch_source(
+        &self,
+        now: MonotonicMs,
+        shared_key: u64,
+        chosen: &EndpointName,
+    ) -> Option<SocketAddr> {
+        let cache_life_ms = self.limits.cache_life_ms;
+        if self.holders.has_sent(now, shared_key, chosen, cache_life_ms) {
+            return None;
+        }
+        let serves = |name: &&EndpointName| {
+            let state = self.endpoints.get(*name);
+            state.is_some_and(|state| !state.is_avoided(now))
+        };
+        let sent_to = self
+            .holders
+            .others(now, shared_key, chosen, cache_life_ms)
+            .find(serves);
+        let ranks_first = || {
+            self.endpoints
+                .keys()
+                .filter(|name| *name != chosen)
+                .filter(serves)
+                .max_by_key(|name| rendezvous_score(shared_key, name.as_str()))
+        };
+        let source = sent_to.or_else(ranks_first)?;
+        Some(self.endpoints.get(source)?.listed.address)
+    }
+
     /// Picks an endpoint; with `takes_avoided`, also one that is passed over for its failures.
     fn choose(
         &mut self,
@@ -166,7 +216,8 @@
         request: &PlacementRequest<'_>,
         takes_avoided: bool,
     ) -> Option<(EndpointName, PlacementReason)> {
-        let load_kept = self.mean_load(now) * LOAD_FACTOR_KEPT + LOAD_SLACK_KEPT;
+        let load_kept = self.mean_load(now) * self.limits.load_factor * LOAD_FACTOR_SHARE
+            + LOAD_SLACK_KEPT;
         let key = request.shared_key.unwrap_or(0);
         let mut candidates: SmallVec<[Candidate; 16]> = self
             .endpoints
