Pass news of the store between daemons, so that few of them read it

Cause: every daemon watched the store itself.

Weighed: pushing changes along a mesh (needs acknowledgements and repair by digests) against asking two peers with a bounded wait, as the store itself is asked. The second needs no state for each peer and no repair.

A daemon that hears nothing for 3 s reads the store itself, and then answers 503 instead of 401 or 404 to what it doesn't know.

--- a/crates/celeryknot_callers/src/executor.rs
+++ b/crates/celeryknot_callers/src/executor.rs
@@ -30,6 +30,11 @@
         ThreadExecutor(Rc::downgrade(&self.0))
     }
 
+    /// Returns the executor itself, for libraries that take it.
+    pub fn local_executor(&self) -> &Rc<LocalExecutor<'static>> {
+        &self.0
+    }
+
     /// Runs the tasks of the thread until the future is done.
     pub async fn run<T>(&self, future: impl Future<Output = T>) -> T {
         self.0.run(future).await
--- a/crates/celeryknot_gateway/src/boundary.rs
+++ b/crates/celeryknot_gateway/src/boundary.rs
@@ -11,6 +11,8 @@
 use celeryknot_policy::routing::Configuration;
 use http::{HeaderMap, Response, request, response};
 
+use crate::relay_log::RawItem;
+
 /// A revision of the platform's store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoreRevision(pub u64);
@@ -57,22 +59,11 @@
     Unrelated,
 }
 
-/// One item of the store, or its removal.
-#[derive(Debug, Clone, PartialEq)]
-pub struct StoreItem {
-    /// The item's key.
-    pub key: String,
-    /// The revision of its last change.
-    pub revision: StoreRevision,
-    /// What it holds; `None` if it was removed.
-    pub record: Option<StoreRecord>,
-}
-
 /// One page of a listing, or the changes of a watch.
 #[derive(Debug, Clone, PartialEq)]
 pub struct StorePage {
     /// The items.
-    pub items: Vec<StoreItem>,
+    pub items: Vec<RawItem>,
     /// Whether the listing goes on behind the last item.
     pub has_more: bool,
     /// The store's revision.
@@ -154,7 +145,7 @@
     ///
     /// # Errors
     ///
-    /// The message as a whole can't be read; single items that can't be are `Unusable`.
+    /// The message as a whole can't be read.
     fn read_list(body: &[u8]) -> Result<StorePage, DecodeError>;
 
     /// Reads the answer to a watch.
@@ -164,6 +155,9 @@
     /// As [`Self::read_list`].
     fn read_watch(body: &[u8]) -> Result<StorePage, DecodeError>;
 
+    /// Reads what an item holds; one that can't be read is `Unusable`.
+    fn read_item(key: &str, value: &[u8]) -> StoreRecord;
+
     /// Reads the head of a caller's request.
     ///
     /// # Errors
--- a/crates/celeryknot_gateway/src/control.rs
+++ b/crates/celeryknot_gateway/src/control.rs
@@ -1,7 +1,9 @@
-//! The control thread: watches the store, publishes the view, answers probes of readiness.
+//! The control thread: hears news of the store, publishes the view, answers probes and peers.
 
+mod news;
 mod probes;
 mod publisher;
+mod questions;
 mod watch;
 
 use std::net::TcpListener;
@@ -10,6 +12,7 @@
 use std::time::Duration;
 
 use celeryknot_callers::executor::ThreadRuntime;
+use celeryknot_peers::relay;
 
 use crate::boundary::Boundary;
 use crate::shared::{Shared, Signal};
@@ -17,24 +20,41 @@
 pub(crate) use publisher::Publisher;
 
 /// Time between two looks at what has become due without news.
-const TICK: Duration = Duration::from_millis(250);
+const TICK: Duration = Duration::from_millis(100);
+
+/// Peers that are asked for news at the same time, so that the loss of one delays nothing.
+const NEWS_SOURCES: usize = 2;
+
+/// The sockets that the control thread listens on.
+#[derive(Debug)]
+pub(crate) struct ControlSockets {
+    pub(crate) readiness: TcpListener,
+    pub(crate) peers: TcpListener,
+    pub(crate) operators: Option<TcpListener>,
+}
 
 /// Runs the control thread until the signal is given.
-pub(crate) fn run_control<B: Boundary>(
-    shared: Arc<Shared>,
-    readiness: TcpListener,
-    operators: Option<TcpListener>,
-    stop: Signal,
-) {
+pub(crate) fn run_control<B: Boundary>(shared: Arc<Shared>, sockets: ControlSockets, stop: Signal) {
     let runtime = ThreadRuntime::new();
     let executor = runtime.executor();
     let publisher = Rc::new(Publisher::new(Arc::clone(&shared)));
     smol::block_on(runtime.run(async {
         let watch = watch::watch_store::<B>(Arc::clone(&shared), Rc::clone(&publisher));
         executor.spawn(watch).detach();
-        let probes = probes::serve(executor.clone(), readiness, Arc::clone(&shared));
-        executor.spawn(probes).detach();
-        if let Some(listener) = operators {
+        match relay::listen(runtime.local_executor(), sockets.peers) {
+            Ok(calls) => {
+                let answers = questions::take_questions(calls, Rc::clone(&publisher));
+                executor.spawn(answers).detach();
+            }
+            Err(error) => tracing::error!(%error, "the peers' listener can't be used"),
+        }
+        for place in 0..NEWS_SOURCES {
+            let local = Rc::clone(runtime.local_executor());
+            let news = news::follow_peers::<B>(local, Rc::clone(&publisher), place);
+            executor.spawn(news).detach();
+        }
+        let probes = [Some(sockets.readiness), sockets.operators];
+        for listener in probes.into_iter().flatten() {
             let probes = probes::serve(executor.clone(), listener, Arc::clone(&shared));
             executor.spawn(probes).detach();
         }
--- /dev/null
+++ b/crates/celeryknot_gateway/src/control/news.rs
@@ -0,0 +1,90 @@
+//! Asks peers for news of the store.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use celeryknot_core::DurationMs;
+use celeryknot_core::id::rendezvous_score;
+use celeryknot_peers::relay::NewsClient;
+use smol::LocalExecutor;
+
+use super::Publisher;
+use crate::boundary::Boundary;
+
+/// How long a peer waits for news before it answers without.
+const NEWS_WAIT: DurationMs = DurationMs(500);
+
+/// Time for which the same peer is asked, unless it fails.
+const SOURCE_LIFE_MS: u64 = 10_000;
+
+/// Questions after which a seed is asked once, so that separate groups of daemons find together.
+const SEED_EVERY: u64 = 16;
+
+/// Pause where there is nobody to ask, or the one asked has failed.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Asks the peer at a place of the ranking, again and again.
+pub(super) async fn follow_peers<B: Boundary>(
+    executor: Rc<LocalExecutor<'static>>,
+    publisher: Rc<Publisher>,
+    place: usize,
+) {
+    let mut client: Option<NewsClient> = None;
+    let mut is_lost = false;
+    let mut count = 0u64;
+    loop {
+        count += 1;
+        let Some(address) = pick_source(&publisher, place, count) else {
+            smol::Timer::after(PAUSE).await;
+            continue;
+        };
+        let mut asked = match client.take() {
+            Some(open) if open.address() == address => open,
+            Some(_) | None => NewsClient::new(&executor, address),
+        };
+        let question = publisher.question(NEWS_WAIT);
+        match asked.ask(question).await {
+            Ok(reply) => {
+                if std::mem::take(&mut is_lost) {
+                    tracing::info!(peer = %address, "news of a peer again");
+                }
+                publisher.take_reply::<B>(reply);
+                client = Some(asked);
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut is_lost, true) {
+                    tracing::warn!(peer = %address, %error, "a peer gives no news");
+                }
+                publisher.note_silent(address);
+                smol::Timer::after(PAUSE).await;
+            }
+        }
+    }
+}
+
+fn pick_source(publisher: &Publisher, place: usize, count: u64) -> Option<SocketAddr> {
+    let settings = &publisher.shared.settings;
+    let epoch = publisher.now().0 / SOURCE_LIFE_MS;
+    let draw = rendezvous_score(epoch, settings.name.as_str());
+    let sources = publisher.sources(draw);
+    let is_seed_turn = place > 0 && count.is_multiple_of(SEED_EVERY);
+    if let Some(source) = sources.get(place)
+        && !is_seed_turn
+    {
+        return Some(source.address);
+    }
+    let seeds: Vec<SocketAddr> = settings
+        .seeds
+        .iter()
+        .copied()
+        .filter(|seed| *seed != settings.peers_address)
+        .collect();
+    let turn = usize::try_from(count).unwrap_or(0) + place;
+    let seed = seeds.get(turn.checked_rem(seeds.len())?).copied();
+    // A place without a peer of its own asks nobody twice.
+    match sources.is_empty() || is_seed_turn {
+        true => seed,
+        false => None,
+    }
+}
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -1,27 +1,62 @@
-//! Publishes what the store says as one view.
+//! Owns what this daemon believes of the platform and of its peers, and publishes it as a view.
 
 use std::cell::RefCell;
 use std::sync::Arc;
 
-use celeryknot_core::MonotonicMs;
+use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
+use celeryknot_peers::relay::{NewsReply, NewsRequest};
 
-use crate::boundary::{StoreItem, StoreRevision};
+use super::questions::Questions;
+use crate::boundary::{Boundary, StoreRevision};
+use crate::members::{Member, MemberTable};
+use crate::relay_log::{RawItem, RelayLog};
 use crate::shared::Shared;
 use crate::store_state::{StateChange, StoreState};
 use crate::view::View;
 
-/// Owns the state that the view is made of.
+/// Age of the last news beyond which a daemon that is no reader reads the store itself.
+///
+/// A reader's watch and the question to it last 2.5 s together where nothing happens.
+const NEWS_AGE_MAX: DurationMs = DurationMs(3_000);
+
+/// Age of the last news that counts as an outage of the store, in which entries may lapse.
+const OUTAGE_AGE: DurationMs = DurationMs(4_000);
+
+/// Where news came from, for the logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum NewsSource {
+    Store,
+    Peer,
+}
+
+/// The state of the control thread.
 #[derive(Debug)]
 pub(crate) struct Publisher {
-    shared: Arc<Shared>,
+    pub(crate) shared: Arc<Shared>,
     state: RefCell<StoreState>,
+    log: RefCell<RelayLog>,
+    members: RefCell<MemberTable>,
+    members_published: RefCell<u64>,
+    questions: RefCell<Questions>,
 }
 
 impl Publisher {
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        let settings = &shared.settings;
+        let members = MemberTable::new(Member {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peers_address,
+            incarnation: Incarnation(rand::random()),
+        });
         Self {
             shared,
             state: RefCell::default(),
+            log: RefCell::default(),
+            members: RefCell::new(members),
+            members_published: RefCell::new(0),
+            questions: RefCell::default(),
         }
     }
 
@@ -29,23 +64,69 @@
         self.shared.now()
     }
 
-    /// Takes over a whole listing of the store.
-    pub(crate) fn apply_listing(&self, at: StoreRevision, items: Vec<StoreItem>) {
-        let changes = self.state.borrow_mut().apply_listing(self.now(), items);
-        self.publish(at, &changes);
+    /// Returns the revision up to which the store is known.
+    pub(crate) fn position(&self) -> Option<StoreRevision> {
+        self.log.borrow().at()
+    }
+
+    /// Tells whether this daemon should read the store itself now.
+    pub(crate) fn must_read_store(&self) -> bool {
+        self.is_reader() || self.shared.store_age() > NEWS_AGE_MAX
     }
 
-    /// Takes over changes of a watch.
-    pub(crate) fn apply_changes(&self, at: StoreRevision, items: Vec<StoreItem>) {
+    pub(crate) fn is_reader(&self) -> bool {
+        self.members.borrow().is_reader(self.now())
+    }
+
+    pub(crate) fn sources(&self, draw: u64) -> Vec<Member> {
+        self.members.borrow().sources(self.now(), draw)
+    }
+
+    pub(crate) fn note_silent(&self, address: std::net::SocketAddr) {
         let now = self.now();
+        self.members.borrow_mut().note_silent(now, address);
+    }
+
+    /// Takes over a whole listing of the store, or changes since a revision that is known.
+    pub(crate) fn take_items<B: Boundary>(
+        &self,
+        source: NewsSource,
+        at: StoreRevision,
+        is_whole: bool,
+        items: Vec<RawItem>,
+    ) {
+        let news = {
+            let mut log = self.log.borrow_mut();
+            match is_whole {
+                true => log.replace(at, items),
+                false => log.apply(at, items),
+            }
+        };
+        if news.is_empty() {
+            return;
+        }
+        let now = self.now();
+        if self.shared.store_age() > OUTAGE_AGE {
+            self.state.borrow_mut().note_outage(now);
+        }
         let changes: Vec<StateChange> = {
             let mut state = self.state.borrow_mut();
-            items
-                .into_iter()
-                .filter_map(|item| state.apply(now, item))
+            news.iter()
+                .filter_map(|item| {
+                    let value = item.value.as_deref();
+                    let record = value.map(|value| B::read_item(&item.key, value));
+                    state.apply(now, &item.key, item.revision, record)
+                })
                 .collect()
         };
-        self.publish(at, &changes);
+        self.publish(source, at, &changes);
+        self.answer_questions();
+    }
+
+    /// Notes that the store was read some time ago, by whichever daemon.
+    pub(crate) fn note_store_heard(&self, age: DurationMs) {
+        let at = MonotonicMs(self.now().0.saturating_sub(age.0));
+        self.shared.note_store_heard(at);
     }
 
     pub(crate) fn note_outage(&self) {
@@ -54,16 +135,22 @@
 
     /// Does what has become due.
     pub(crate) fn advance(&self) {
-        let changes = self.state.borrow_mut().advance(self.now());
-        self.publish(StoreRevision::default(), &changes);
+        let now = self.now();
+        let changes = self.state.borrow_mut().advance(now);
+        self.publish(NewsSource::Store, StoreRevision::default(), &changes);
+        self.members.borrow_mut().advance(now);
+        self.publish_members();
+        self.questions
+            .borrow_mut()
+            .answer_overdue(now, |request| self.reply_to(request));
     }
 
-    fn publish(&self, at: StoreRevision, changes: &[StateChange]) {
+    fn publish(&self, source: NewsSource, at: StoreRevision, changes: &[StateChange]) {
         if changes.is_empty() {
             return;
         }
         for change in changes {
-            log_change(at, change);
+            log_change(source, at, change);
         }
         let state = self.state.borrow();
         let before = self.shared.view.load();
@@ -74,15 +161,110 @@
             members: before.members.clone(),
         }));
     }
+
+    fn publish_members(&self) {
+        let members = self.members.borrow();
+        if *self.members_published.borrow() == members.version() {
+            return;
+        }
+        *self.members_published.borrow_mut() = members.version();
+        let before = self.shared.view.load();
+        let names = members.names();
+        tracing::info!(
+            daemons = names.len(),
+            is_reader = members.is_reader(self.now()),
+            "daemons known"
+        );
+        self.shared.view.store(Arc::new(View {
+            version: before.version + 1,
+            members: names,
+            ..View::clone(&before)
+        }));
+    }
+
+    /// Builds the question that is put to a peer.
+    pub(crate) fn question(&self, wait: DurationMs) -> NewsRequest {
+        let now = self.now();
+        let members = self.members.borrow();
+        NewsRequest {
+            member: Some(super::questions::write_member(members.own(), DurationMs(0))),
+            after: self.position().map(|at| at.0),
+            wait_ms: u32::try_from(wait.0).unwrap_or(u32::MAX),
+            members_digest: members.digest(),
+            ages: members.ages(now),
+        }
+    }
+
+    /// Takes over what a peer has answered.
+    pub(crate) fn take_reply<B: Boundary>(&self, reply: NewsReply) {
+        let now = self.now();
+        {
+            let mut members = self.members.borrow_mut();
+            let told = reply.members.iter().chain(&reply.member);
+            for (member, age) in told.filter_map(super::questions::read_member) {
+                members.observe(now, member, age);
+            }
+            if reply.members_digest == members.digest() {
+                members.observe_ages(now, &reply.ages);
+            }
+        }
+        if let Some(at) = reply.at {
+            self.note_store_heard(DurationMs(u64::from(reply.store_age_ms)));
+            let items = reply.items.into_iter().map(|item| RawItem {
+                key: item.key,
+                revision: StoreRevision(item.revision),
+                value: item.value,
+            });
+            self.take_items::<B>(
+                NewsSource::Peer,
+                StoreRevision(at),
+                reply.is_whole,
+                items.collect(),
+            );
+        }
+        self.publish_members();
+    }
+
+    /// Takes up a question of a peer; it is answered at once if there is news.
+    pub(crate) fn take_question(&self, call: celeryknot_peers::relay::NewsCall) {
+        let now = self.now();
+        {
+            let mut members = self.members.borrow_mut();
+            let asker = call.request.member.as_ref();
+            if let Some((member, age)) = asker.and_then(super::questions::read_member) {
+                members.observe(now, member, age);
+            }
+            if call.request.members_digest == members.digest() {
+                members.observe_ages(now, &call.request.ages);
+            }
+        }
+        self.questions.borrow_mut().add(now, call);
+        self.answer_questions();
+    }
+
+    fn answer_questions(&self) {
+        let position = self.position();
+        let mut questions = self.questions.borrow_mut();
+        questions.answer_news(position, |request| self.reply_to(request));
+    }
+
+    fn reply_to(&self, request: &NewsRequest) -> NewsReply {
+        let now = self.now();
+        let members = self.members.borrow();
+        let log = self.log.borrow();
+        let news = log.after(request.after.map(StoreRevision));
+        super::questions::build_reply(now, &members, &log, news, request, self.shared.store_age())
+    }
 }
 
-fn log_change(at: StoreRevision, change: &StateChange) {
+fn log_change(source: NewsSource, at: StoreRevision, change: &StateChange) {
     let revision = at.0;
     match change {
         StateChange::Configuration { version } => {
-            tracing::info!(revision, version, "configuration in force");
+            tracing::info!(%source, revision, version, "configuration in force");
         }
         StateChange::Endpoint(record) => tracing::info!(
+            %source,
             revision,
             endpoint = %record.name,
             service = %record.service,
@@ -93,12 +275,12 @@
             "endpoint listed"
         ),
         StateChange::EndpointGone(record) => {
-            tracing::info!(revision, endpoint = %record.name, "endpoint no longer listed");
+            tracing::info!(%source, revision, endpoint = %record.name, "endpoint no longer listed");
         }
-        StateChange::ZoneOut(zone) => tracing::info!(revision, %zone, "zone taken out"),
-        StateChange::ZoneBack(zone) => tracing::info!(revision, %zone, "zone taken back"),
+        StateChange::ZoneOut(zone) => tracing::info!(%source, revision, %zone, "zone taken out"),
+        StateChange::ZoneBack(zone) => tracing::info!(%source, revision, %zone, "zone taken back"),
         StateChange::Unusable { key, reason } => {
-            tracing::warn!(revision, key, reason, "an item of the store can't be used");
+            tracing::warn!(%source, revision, key, reason, "an item of the store can't be used");
         }
     }
 }
--- /dev/null
+++ b/crates/celeryknot_gateway/src/control/questions.rs
@@ -0,0 +1,147 @@
+//! Questions of peers for news, and their answers.
+
+use std::rc::Rc;
+
+use async_channel::Receiver;
+use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
+use celeryknot_peers::relay::{NewsCall, NewsReply, NewsRequest, RelayItem, RelayMember};
+
+use super::Publisher;
+use crate::boundary::StoreRevision;
+use crate::members::{Member, MemberTable};
+use crate::relay_log::{News, RelayLog};
+
+/// Longest wait that a peer may ask for.
+const WAIT_MAX: DurationMs = DurationMs(2_000);
+
+/// Questions that wait for news, each until its time.
+#[derive(Debug, Default)]
+pub(super) struct Questions(Vec<(MonotonicMs, NewsCall)>);
+
+impl Questions {
+    pub(super) fn add(&mut self, now: MonotonicMs, call: NewsCall) {
+        let wait_ms = DurationMs(u64::from(call.request.wait_ms)).min(WAIT_MAX);
+        self.0.push((now + wait_ms, call));
+    }
+
+    /// Answers the questions of peers that know less than this daemon.
+    pub(super) fn answer_news(
+        &mut self,
+        position: Option<StoreRevision>,
+        reply: impl Fn(&NewsRequest) -> NewsReply,
+    ) {
+        let is_news = |request: &NewsRequest| request.after.map(StoreRevision) < position;
+        self.answer_if(
+            |_, request| is_news(request),
+            reply,
+            |reply| !reply.items.is_empty(),
+        );
+    }
+
+    /// Answers the questions whose time is over.
+    pub(super) fn answer_overdue(
+        &mut self,
+        now: MonotonicMs,
+        reply: impl Fn(&NewsRequest) -> NewsReply,
+    ) {
+        self.answer_if(|until, _| now >= until, reply, |_| true);
+    }
+
+    fn answer_if(
+        &mut self,
+        is_due: impl Fn(MonotonicMs, &NewsRequest) -> bool,
+        reply: impl Fn(&NewsRequest) -> NewsReply,
+        is_worth: impl Fn(&NewsReply) -> bool,
+    ) {
+        for (until, call) in std::mem::take(&mut self.0) {
+            if call.is_given_up() {
+                continue;
+            }
+            if is_due(until, &call.request) {
+                let answer = reply(&call.request);
+                if is_worth(&answer) {
+                    call.answer(answer);
+                    continue;
+                }
+            }
+            self.0.push((until, call));
+        }
+    }
+}
+
+/// Takes up peers' questions for as long as the thread runs.
+pub(super) async fn take_questions(calls: Receiver<NewsCall>, publisher: Rc<Publisher>) {
+    while let Ok(call) = calls.recv().await {
+        publisher.take_question(call);
+    }
+}
+
+pub(super) fn build_reply(
+    now: MonotonicMs,
+    members: &MemberTable,
+    log: &RelayLog,
+    news: News,
+    request: &NewsRequest,
+    store_age: DurationMs,
+) -> NewsReply {
+    let is_list_known = request.members_digest == members.digest();
+    let others = members.others(now);
+    NewsReply {
+        member: Some(write_member(members.own(), DurationMs(0))),
+        at: log.at().map(|at| at.0),
+        store_age_ms: age_ms(store_age),
+        is_whole: news.is_whole,
+        items: news
+            .items
+            .into_iter()
+            .map(|item| RelayItem {
+                key: item.key,
+                revision: item.revision.0,
+                value: item.value,
+            })
+            .collect(),
+        members_digest: members.digest(),
+        ages: members.ages(now),
+        members: match is_list_known {
+            true => Vec::new(),
+            false => others
+                .map(|(member, age)| write_member(member, age))
+                .collect(),
+        },
+    }
+}
+
+pub(super) fn write_member(member: &Member, age: DurationMs) -> RelayMember {
+    RelayMember {
+        name: member.name.to_string(),
+        zone: member.zone.to_string(),
+        address: member.address.to_string(),
+        incarnation: member.incarnation.0,
+        age_ms: age_ms(age),
+    }
+}
+
+/// Reads what a peer says of a daemon; what can't be read is passed over with a line.
+pub(super) fn read_member(text: &RelayMember) -> Option<(Member, DurationMs)> {
+    let read = || {
+        Some(Member {
+            name: text.name.parse().ok()?,
+            zone: text.zone.parse().ok()?,
+            address: text.address.parse().ok()?,
+            incarnation: Incarnation(text.incarnation),
+        })
+    };
+    let member = read();
+    if member.is_none() {
+        tracing::warn!(
+            name = text.name,
+            address = text.address,
+            "a peer names a daemon that can't be read"
+        );
+    }
+    Some((member?, DurationMs(u64::from(text.age_ms))))
+}
+
+fn age_ms(age: DurationMs) -> u32 {
+    u32::try_from(age.0).unwrap_or(u32::MAX)
+}
--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -1,4 +1,4 @@
-//! Reads the store once, and then watches what changes.
+//! Reads the store once, and then watches what changes, for as long as this daemon is a reader.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,7 +9,9 @@
 use http::StatusCode;
 
 use super::Publisher;
+use super::publisher::NewsSource;
 use crate::boundary::{Boundary, StoreRevision};
+use crate::relay_log::RawItem;
 use crate::shared::Shared;
 
 /// Longest wait of one watch.
@@ -24,41 +26,60 @@
 /// Longest time for one page of a listing.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Pause between two watches, in which changes that come together are gathered.
+const GATHER: Duration = Duration::from_millis(60);
+
+/// Time between two looks at whether this daemon is a reader.
+const ROLE_PERIOD: Duration = Duration::from_millis(100);
+
 const BACKOFF_FIRST_MS: DurationMs = DurationMs(50);
 const BACKOFF_LONGEST_MS: DurationMs = DurationMs(400);
 
+/// Longest pause after a failure, of a daemon that is no reader.
+const BACKOFF_OTHERS_MS: DurationMs = DurationMs(2_000);
+
 /// Watches the store for as long as the thread runs.
 pub(super) async fn watch_store<B: Boundary>(shared: Arc<Shared>, publisher: Rc<Publisher>) {
     let addresses = shared.settings.store_addresses.clone();
     let mut client = PlatformClient::new(addresses, 0, Arc::new(ByteMeter::default()));
     let mut backoff = Backoff::new(BACKOFF_FIRST_MS, BACKOFF_LONGEST_MS);
-    let mut position = None;
+    let mut must_list = true;
     let mut is_lost = false;
     loop {
-        let result = match position {
+        if !publisher.must_read_store() {
+            smol::Timer::after(ROLE_PERIOD).await;
+            continue;
+        }
+        let result = match publisher.position().filter(|_| !must_list) {
             None => read_all::<B>(&mut client, &publisher).await,
             Some(after) => read_changes::<B>(&mut client, &publisher, after).await,
         };
         match result {
             Ok(at) => {
-                position = Some(at);
+                must_list = false;
                 backoff.reset();
+                publisher.note_store_heard(DurationMs(0));
                 if std::mem::take(&mut is_lost) {
                     tracing::info!(revision = at.0, "the store is back");
                 }
+                smol::Timer::after(GATHER).await;
+            }
+            Err(PlatformError::Status(StatusCode::GONE)) => {
+                tracing::info!("the store has dropped its history; reading it anew");
+                must_list = true;
             }
             Err(error) => {
-                if matches!(error, PlatformError::Status(StatusCode::GONE)) {
-                    tracing::info!(%error, "the store has dropped its history; reading it anew");
-                    position = None;
-                    continue;
-                }
                 publisher.note_outage();
                 if !std::mem::replace(&mut is_lost, true) {
                     tracing::warn!(%error, "the store can't be read");
                 }
                 let pause = backoff.next_wait(rand::random());
                 smol::Timer::after(pause.as_std()).await;
+                if !publisher.is_reader() {
+                    // The readers look for the store; all daemons together must not press it.
+                    let pause_ms = rand::random_range(0..BACKOFF_OTHERS_MS.0);
+                    smol::Timer::after(DurationMs(pause_ms).as_std()).await;
+                }
             }
         }
     }
@@ -68,19 +89,17 @@
     client: &mut PlatformClient,
     publisher: &Publisher,
 ) -> Result<StoreRevision, PlatformError> {
-    let mut items = Vec::new();
+    let mut items: Vec<RawItem> = Vec::new();
     let mut first_at = None;
     loop {
-        let after = items
-            .last()
-            .map(|item: &crate::boundary::StoreItem| item.key.as_str());
+        let after = items.last().map(|item| item.key.as_str());
         let body = client.fetch(&B::list_uri(after), LIST_TIMEOUT).await?;
         let page = B::read_list(&body).map_err(|error| PlatformError::Body(error.to_string()))?;
         // Pages are no snapshot: what changed between them comes by the watch once more.
         let at = *first_at.get_or_insert(page.at);
         items.extend(page.items);
         if !page.has_more {
-            publisher.apply_listing(at, items);
+            publisher.take_items::<B>(NewsSource::Store, at, true, items);
             return Ok(at);
         }
     }
@@ -92,10 +111,9 @@
     after: StoreRevision,
 ) -> Result<StoreRevision, PlatformError> {
     let uri = B::watch_uri(after, WATCH_WAIT);
-    let body = client
-        .fetch(&uri, WATCH_WAIT.as_std() + ANSWER_MARGIN)
-        .await?;
+    let limit = WATCH_WAIT.as_std() + ANSWER_MARGIN;
+    let body = client.fetch(&uri, limit).await?;
     let page = B::read_watch(&body).map_err(|error| PlatformError::Body(error.to_string()))?;
-    publisher.apply_changes(page.at, page.items);
+    publisher.take_items::<B>(NewsSource::Store, page.at, false, page.items);
     Ok(page.at.max(after))
 }
--- a/crates/celeryknot_gateway/src/lib.rs
+++ b/crates/celeryknot_gateway/src/lib.rs
@@ -8,6 +8,8 @@
 mod control;
 mod listeners;
 mod logs;
+pub mod members;
+pub mod relay_log;
 pub mod run;
 mod shared;
 pub mod store_state;
--- a/crates/celeryknot_gateway/src/listeners.rs
+++ b/crates/celeryknot_gateway/src/listeners.rs
@@ -14,6 +14,7 @@
 pub(crate) struct Listeners {
     pub(crate) callers: TcpListener,
     pub(crate) readiness: TcpListener,
+    pub(crate) peers: TcpListener,
     pub(crate) operators: Option<TcpListener>,
 }
 
@@ -23,6 +24,7 @@
         Ok(Self {
             callers: bind(&mut settings.callers_address)?,
             readiness: bind(&mut settings.readiness_address)?,
+            peers: bind(&mut settings.peers_address)?,
             operators: match &mut settings.operators_address {
                 Some(address) => Some(bind(address)?),
                 None => None,
--- a/crates/celeryknot_gateway/src/run.rs
+++ b/crates/celeryknot_gateway/src/run.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,7 @@
 use strum::{EnumIter, IntoStaticStr};
 
 use crate::boundary::Boundary;
-use crate::control::run_control;
+use crate::control::{ControlSockets, run_control};
 use crate::listeners::Listeners;
 use crate::logs;
 use crate::shared::Shared;
@@ -105,6 +105,7 @@
             members,
             ..View::default()
         }),
+        store_heard_at_ms: AtomicU64::new(0),
         is_leaving: AtomicBool::new(false),
         callers_end: callers_end_signal,
         in_flight: Arc::default(),
@@ -112,10 +113,12 @@
     });
     let control = {
         let (shared, stop) = (Arc::clone(&shared), stop_signal.clone());
-        let (readiness, operators) = (listeners.readiness, listeners.operators);
-        spawn("control", move || {
-            run_control::<B>(shared, readiness, operators, stop)
-        })?
+        let sockets = ControlSockets {
+            readiness: listeners.readiness,
+            peers: listeners.peers,
+            operators: listeners.operators,
+        };
+        spawn("control", move || run_control::<B>(shared, sockets, stop))?
     };
     let traffic = {
         let (shared, callers) = (Arc::clone(&shared), listeners.callers);
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
-use celeryknot_core::MonotonicMs;
+use celeryknot_core::{DurationMs, MonotonicMs};
 use celeryknot_settings::GatewaySettings;
 
 use crate::view::View;
@@ -21,6 +21,8 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) started_at: Instant,
     pub(crate) view: ArcSwap<View>,
+    /// When the store was last read, by whichever daemon, on this daemon's clock.
+    pub(crate) store_heard_at_ms: AtomicU64,
     /// Set from the start of a shutdown.
     pub(crate) is_leaving: AtomicBool,
     /// Closed when connections of callers are to end after the requests in flight.
@@ -35,6 +37,16 @@
         MonotonicMs(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
     }
 
+    /// Notes when the store was read; an earlier time changes nothing.
+    pub(crate) fn note_store_heard(&self, at: MonotonicMs) {
+        self.store_heard_at_ms.fetch_max(at.0, Ordering::AcqRel);
+    }
+
+    /// Returns the time since the store was last read, by whichever daemon.
+    pub(crate) fn store_age(&self) -> DurationMs {
+        self.now() - MonotonicMs(self.store_heard_at_ms.load(Ordering::Acquire))
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Acquire)
     }
--- a/crates/celeryknot_gateway/src/store_state.rs
+++ b/crates/celeryknot_gateway/src/store_state.rs
@@ -2,14 +2,14 @@
 //!
 //! No I/O and no clock: items and the time come as arguments.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use celeryknot_core::{DurationMs, MonotonicMs, ServiceName, ZoneName};
 use celeryknot_policy::direct::ListedEndpoint;
 use celeryknot_policy::routing::{ConfigurationRegister, RoutingTable};
 
-use crate::boundary::{EndpointRecord, StoreItem, StoreRecord, StoreRevision};
+use crate::boundary::{EndpointRecord, StoreRecord, StoreRevision};
 
 /// Time after an outage of the store within which removed entries may come back.
 ///
@@ -66,10 +66,16 @@
 }
 
 impl StoreState {
-    /// Takes over one item; returns what it changed.
-    pub fn apply(&mut self, now: MonotonicMs, item: StoreItem) -> Option<StateChange> {
-        let Some(record) = item.record else {
-            return self.remove(now, &item.key);
+    /// Takes over one item, or its removal; returns what it changed.
+    pub fn apply(
+        &mut self,
+        now: MonotonicMs,
+        key: &str,
+        revision: StoreRevision,
+        record: Option<StoreRecord>,
+    ) -> Option<StateChange> {
+        let Some(record) = record else {
+            return self.remove(now, key);
         };
         match record {
             StoreRecord::Configuration(configuration) => {
@@ -77,17 +83,15 @@
                 let is_news = self.register.offer(*configuration);
                 is_news.then_some(StateChange::Configuration { version })
             }
-            StoreRecord::Endpoint(record) => {
-                self.put_endpoint(now, item.key, item.revision, record)
-            }
+            StoreRecord::Endpoint(record) => self.put_endpoint(now, key, revision, record),
             StoreRecord::ZoneOut(zone) => {
-                let is_news = self.zones_out.insert(item.key, zone.clone()).is_none();
-                is_news.then_some(StateChange::ZoneOut(zone))
+                let is_news = self.zones_out.insert(key.to_owned(), zone.clone());
+                is_news.is_none().then_some(StateChange::ZoneOut(zone))
             }
             StoreRecord::Unusable(reason) => {
-                self.endpoints.remove(&item.key);
+                self.endpoints.remove(key);
                 Some(StateChange::Unusable {
-                    key: item.key,
+                    key: key.to_owned(),
                     reason,
                 })
             }
@@ -98,11 +102,11 @@
     fn put_endpoint(
         &mut self,
         now: MonotonicMs,
-        key: String,
+        key: &str,
         revision: StoreRevision,
         record: EndpointRecord,
     ) -> Option<StateChange> {
-        if let Some(entry) = self.endpoints.get_mut(&key)
+        if let Some(entry) = self.endpoints.get_mut(key)
             && entry.revision >= revision
         {
             entry.removed_at = None;
@@ -115,7 +119,7 @@
             cold_until,
             removed_at: None,
         };
-        self.endpoints.insert(key, entry);
+        self.endpoints.insert(key.to_owned(), entry);
         Some(StateChange::Endpoint(record))
     }
 
@@ -135,19 +139,6 @@
         Some(StateChange::EndpointGone(entry.record))
     }
 
-    /// Takes over a whole listing: what it does not name was removed.
-    pub fn apply_listing(&mut self, now: MonotonicMs, items: Vec<StoreItem>) -> Vec<StateChange> {
-        let listed: HashSet<String> = items.iter().map(|item| item.key.clone()).collect();
-        let mut changes: Vec<StateChange> = items
-            .into_iter()
-            .filter_map(|item| self.apply(now, item))
-            .collect();
-        let held = self.endpoints.keys().chain(self.zones_out.keys());
-        let unlisted: Vec<String> = held.filter(|key| !listed.contains(*key)).cloned().collect();
-        changes.extend(unlisted.iter().filter_map(|key| self.remove(now, key)));
-        changes
-    }
-
     /// Notes that the store could not be read.
     pub fn note_outage(&mut self, now: MonotonicMs) {
         self.outage_at = Some(now);
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -8,7 +8,7 @@
 use celeryknot_callers::body::read_body;
 use celeryknot_callers::framing::check_framing;
 use celeryknot_callers::head_scanner::AmbiguousFraming;
-use celeryknot_core::{ErrorKind, MonotonicMs, Refusal};
+use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, Refusal};
 use celeryknot_policy::routing::{Route, RoutingTable};
 use http::header::CONNECTION;
 use http::request::Parts;
@@ -22,6 +22,14 @@
 use crate::boundary::{Boundary, CallHead};
 use crate::shared::Counted;
 
+/// Age of the last news of the store beyond which the configuration may be an old one.
+///
+/// News comes at the latest after a reader's watch and a question to it, 2.5 s together.
+const NEWS_STALE_AFTER: DurationMs = DurationMs(3_000);
+
+/// Time to come back, to another daemon, after a refusal that concerns this one only.
+const RETRY_ELSEWHERE: DurationMs = DurationMs(100);
+
 /// Writes the line of a request when it has ended, however it ends.
 #[derive(Debug)]
 pub(super) struct RequestEnd {
@@ -114,7 +122,8 @@
         let table = view.table.clone();
         table.ok_or(Refusal::new(ErrorKind::NotReady))?
     };
-    let call = check_call(&table, head, parts, arrived_at).map_err(Refusal::new)?;
+    let call = check_call(&table, head, parts, arrived_at)
+        .map_err(|kind| refuse_unknown(kind, gateway.shared.store_age()))?;
     let limits = table.limits();
     let body = read_body(
         body,
@@ -127,6 +136,17 @@
     forward::run::<B>(gateway, Call { body, ..call }).await
 }
 
+/// Words the refusal of a request whose route or key is unknown.
+///
+/// A daemon that has had no news for a while can't tell that there is no such route or key.
+fn refuse_unknown(kind: ErrorKind, store_age: DurationMs) -> Refusal {
+    let is_unknown = matches!(kind, ErrorKind::UnknownRoute | ErrorKind::UnknownKey);
+    if is_unknown && store_age > NEWS_STALE_AFTER {
+        return Refusal::after(ErrorKind::NotReady, RETRY_ELSEWHERE);
+    }
+    Refusal::new(kind)
+}
+
 /// Finds the route, the customer and the service of a request.
 fn check_call(
     table: &Arc<RoutingTable>,
--- a/crates/celeryknot_peers/src/lib.rs
+++ b/crates/celeryknot_peers/src/lib.rs
@@ -8,6 +8,7 @@
 mod inbound;
 mod outbound;
 pub mod peers;
+pub mod relay;
 mod service;
 pub mod wire;
 
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -187,7 +187,10 @@
         chosen: &EndpointName,
     ) -> Option<SocketAddr> {
         let cache_life_ms = self.limits.cache_life_ms;
-        if self.holders.has_sent(now, shared_key, chosen, cache_life_ms) {
+        if self
+            .holders
+            .has_sent(now, shared_key, chosen, cache_life_ms)
+        {
             return None;
         }
         let serves = |name: &&EndpointName| {
@@ -216,8 +219,8 @@
         request: &PlacementRequest<'_>,
         takes_avoided: bool,
     ) -> Option<(EndpointName, PlacementReason)> {
-        let load_kept = self.mean_load(now) * self.limits.load_factor * LOAD_FACTOR_SHARE
-            + LOAD_SLACK_KEPT;
+        let load_kept =
+            self.mean_load(now) * self.limits.load_factor * LOAD_FACTOR_SHARE + LOAD_SLACK_KEPT;
         let key = request.shared_key.unwrap_or(0);
         let mut candidates: SmallVec<[Candidate; 16]> = self
             .endpoints
