Go on with a broken stream at another engine, behind its last event

Change: where a route allows it, whole events are passed on, and after a break or a silence the request goes to the next engine with the id of the last event. A send that was given up counts against its endpoint.

--- a/crates/celeryknot_endpoints/src/lib.rs
+++ b/crates/celeryknot_endpoints/src/lib.rs
@@ -21,4 +21,4 @@
 pub use load::LoadReport;
 pub use request_body::RequestBody;
 pub use silence::Silence;
-pub use sse::{SseEvent, SseParser, TokenEvent};
+pub use sse::{EventSplitter, SseEvent, SseParser, TokenEvent};
--- a/crates/celeryknot_endpoints/src/sse.rs
+++ b/crates/celeryknot_endpoints/src/sse.rs
@@ -59,27 +59,28 @@
     pub cached_tokens: u32,
 }
 
-/// Splits the bytes of a stream into events; holds at most one event.
+/// Splits the bytes of a stream into whole events; holds at most one unfinished event.
 ///
 /// # Examples
 ///
 /// ```
-/// use celeryknot_endpoints::{SseEvent, SseParser};
+/// use celeryknot_endpoints::EventSplitter;
 ///
-/// let mut parser = SseParser::default();
-/// parser.push(b"data: [DO")?;
-/// assert_eq!(parser.next_event(), None);
-/// parser.push(b"NE]\n\n")?;
-/// assert_eq!(parser.next_event(), Some(SseEvent::Done));
+/// let mut splitter = EventSplitter::default();
+/// splitter.push(b"id: 7\ndata: a\n\nid: 8\nda")?;
+/// let event = splitter.next_event().unwrap();
+/// assert_eq!(celeryknot_endpoints::sse::event_id(&event), Some("7"));
+/// assert_eq!(splitter.next_event(), None);
+/// assert!(splitter.has_rest());
 /// # Ok::<(), celeryknot_core::ErrorKind>(())
 /// ```
 #[derive(Debug, Default)]
-pub struct SseParser {
+pub struct EventSplitter {
     buffer: BytesMut,
     searched_bytes: usize,
 }
 
-impl SseParser {
+impl EventSplitter {
     /// Takes the next bytes of the stream; events are to be taken out after each call.
     ///
     /// # Errors
@@ -94,15 +95,14 @@
         Err(ErrorKind::AnswerTooLarge)
     }
 
-    /// Takes the next whole event out.
-    pub fn next_event(&mut self) -> Option<SseEvent> {
+    /// Takes the next whole event out, as it came, with its blank line.
+    pub fn next_event(&mut self) -> Option<Bytes> {
         let Some(len) = event_len(&self.buffer, self.searched_bytes) else {
             self.searched_bytes = self.buffer.len().saturating_sub(3);
             return None;
         };
         self.searched_bytes = 0;
-        let raw = self.buffer.split_to(len).freeze();
-        Some(read_event(raw))
+        Some(self.buffer.split_to(len).freeze())
     }
 
     /// Tells whether bytes of an unfinished event are held.
@@ -111,6 +111,52 @@
     }
 }
 
+/// Returns the id of an event, if it has one.
+pub fn event_id(event: &[u8]) -> Option<&str> {
+    let line = event
+        .split(|byte| *byte == b'\n')
+        .find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line.trim_ascii()).ok()
+}
+
+/// Splits the bytes of a stream into events that are read; holds at most one unfinished event.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_endpoints::{SseEvent, SseParser};
+///
+/// let mut parser = SseParser::default();
+/// parser.push(b"data: [DO")?;
+/// assert_eq!(parser.next_event(), None);
+/// parser.push(b"NE]\n\n")?;
+/// assert_eq!(parser.next_event(), Some(SseEvent::Done));
+/// # Ok::<(), celeryknot_core::ErrorKind>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct SseParser(EventSplitter);
+
+impl SseParser {
+    /// Takes the next bytes of the stream; events are to be taken out after each call.
+    ///
+    /// # Errors
+    ///
+    /// `AnswerTooLarge` when an event passes [`EVENT_SIZE_MAX_BYTES`].
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), ErrorKind> {
+        self.0.push(bytes)
+    }
+
+    /// Takes the next whole event out.
+    pub fn next_event(&mut self) -> Option<SseEvent> {
+        self.0.next_event().map(read_event)
+    }
+
+    /// Tells whether bytes of an unfinished event are held.
+    pub fn has_rest(&self) -> bool {
+        self.0.has_rest()
+    }
+}
+
 /// Returns the length of the first event, its blank line included.
 fn event_len(bytes: &[u8], from: usize) -> Option<usize> {
     (from..bytes.len()).find_map(|start| {
--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -5,6 +5,8 @@
 
 use async_channel::Receiver;
 use bytes::Bytes;
+use celeryknot_core::ErrorKind;
+use celeryknot_core::timers::Sleep;
 use celeryknot_endpoints::{AnswerBody, AnswerError};
 use futures_lite::Stream;
 use hyper::body::{Body, Frame, SizeHint};
@@ -21,6 +23,8 @@
     /// An endpoint.
     Endpoint {
         body: Box<AnswerBody>,
+        /// Done when the final answer is due.
+        overdue: Pin<Box<Sleep>>,
         /// Counts the request as there until the body is dropped.
         _started: Started,
     },
@@ -83,7 +87,14 @@
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         let poll = match &mut self.source {
             Source::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Source::Endpoint { body, .. } => Pin::new(body.as_mut()).poll_frame(context),
+            Source::Endpoint { body, overdue, .. } => {
+                match Pin::new(body.as_mut()).poll_frame(context) {
+                    Poll::Pending if overdue.as_mut().poll(context).is_ready() => {
+                        Poll::Ready(Some(Err(AnswerError(ErrorKind::AnswerTimeout))))
+                    }
+                    poll => poll,
+                }
+            }
             Source::Relay { pieces, .. } => pieces
                 .as_mut()
                 .poll_next(context)
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -4,14 +4,14 @@
 
 use celeryknot_callers::hop_by_hop;
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal};
-use celeryknot_policy::direct::{PlacementRequest, SendFailure, SendHistory};
+use celeryknot_policy::direct::{Placement, PlacementRequest, SendFailure, SendHistory};
 use futures_lite::future;
 use http::{HeaderName, Response, header};
 use smallvec::SmallVec;
 
 use super::body::{GatewayBody, Source};
 use super::call::Call;
-use super::context::Gateway;
+use super::context::{Gateway, Started};
 use super::resume;
 use super::send::{Answered, SendProgress, read_whole, send, within};
 use crate::boundary::Boundary;
@@ -29,12 +29,22 @@
 const SILENT_MIN: DurationMs = DurationMs(150);
 
 /// The sends of one request.
+#[derive(Debug)]
 pub(super) struct Forward {
-    gateway: Rc<Gateway>,
-    call: Rc<Call>,
+    pub(super) gateway: Rc<Gateway>,
+    pub(super) call: Rc<Call>,
     history: SendHistory,
     tried: SmallVec<[EndpointName; 4]>,
-    progress: SendProgress,
+    last_failure: Option<SendFailure>,
+    progress: Rc<SendProgress>,
+}
+
+/// The answer that ends a request.
+enum Answer {
+    /// Whole.
+    Whole(Response<GatewayBody>),
+    /// The head of a stream.
+    Stream(Box<Answered>),
 }
 
 /// Runs a request to its answer's head, or to its refusal at the time when it is due.
@@ -43,26 +53,34 @@
     call: Call,
 ) -> Result<Response<GatewayBody>, Refusal> {
     gateway.observe_fresh(&call.service);
-    let left_ms = call.ends_at - gateway.now();
+    let progress = Rc::new(SendProgress::default());
     let mut forward = Forward {
         history: SendHistory::new(call.route.kind, call.route.attempts_max),
         gateway: Rc::clone(gateway),
         call: Rc::new(call),
         tried: SmallVec::new(),
-        progress: SendProgress::default(),
+        last_failure: None,
+        progress: Rc::clone(&progress),
     };
+    let left_ms = forward.left_ms();
     let is_overdue = async {
         gateway.timers.after(left_ms).await;
         None
     };
     let answered = async { Some(forward.run_sends::<B>().await) };
     match future::or(answered, is_overdue).await {
-        Some(result) => result,
+        Some(Ok(Answer::Whole(response))) => Ok(response),
+        Some(Ok(Answer::Stream(answered))) => Ok(resume::stream_answer::<B>(forward, *answered)),
+        Some(Err(refusal)) => Err(refusal),
         None => Err(Refusal::new(forward.overdue_kind())),
     }
 }
 
 impl Forward {
+    pub(super) fn left_ms(&self) -> DurationMs {
+        self.call.ends_at - self.gateway.now()
+    }
+
     /// Returns what is known of a request that has not been answered in time.
     fn overdue_kind(&self) -> ErrorKind {
         if self.history.may_have_run() || self.progress.is_handed.get() {
@@ -71,37 +89,55 @@
         ErrorKind::DeadlineUnreachable
     }
 
-    async fn run_sends<B: Boundary>(&mut self) -> Result<Response<GatewayBody>, Refusal> {
-        let mut last_failure = None;
+    async fn run_sends<B: Boundary>(&mut self) -> Result<Answer, Refusal> {
+        loop {
+            let failure = match self.try_once::<B>().await? {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            self.note_failure(failure)?;
+        }
+    }
+
+    /// Takes a broken stream up at another endpoint, behind the last event that was passed on.
+    pub(super) async fn go_on<B: Boundary>(
+        &mut self,
+        failure: SendFailure,
+        last_event_id: Option<String>,
+    ) -> Result<Answered, Refusal> {
+        let mut failure = failure;
         loop {
-            let result = self.try_once::<B>().await;
-            let failure = match result {
-                Ok(response) => return Ok(response),
-                Err(Stop::Refused(refusal)) => {
-                    return Err(self.refuse(last_failure, refusal));
+            self.note_failure(failure)?;
+            let (placement, started) = self.place()?;
+            let last_event_id = last_event_id.as_deref();
+            let sent = self.send::<B>(&placement, started, last_event_id).await;
+            failure = match sent {
+                Ok(answered) if answered.head.status.is_success() => return Ok(answered),
+                Ok(answered) => {
+                    answered.started.observe_failure(SendFailure::EndpointError);
+                    SendFailure::EndpointError
                 }
-                Err(Stop::Failed(failure)) => failure,
+                Err(failure) => failure,
             };
-            self.history.note(failure);
-            self.progress.is_handed.set(false);
-            last_failure = Some(failure);
-            let left_ms = self.call.ends_at - self.gateway.now();
-            let may_go_on = left_ms > TIME_LEFT_MIN && self.history.may_send_again();
-            if !may_go_on || !self.gateway.try_take_retry(&self.call.service) {
-                let refusal = Refusal::after(ErrorKind::NoEndpoint, RETRY_SOON);
-                return Err(self.refuse(last_failure, refusal));
-            }
         }
     }
 
+    /// Counts a failed send; refuses the request where it must not be sent again.
+    fn note_failure(&mut self, failure: SendFailure) -> Result<(), Refusal> {
+        self.history.note(failure);
+        self.last_failure = Some(failure);
+        self.progress.is_handed.set(false);
+        let may_go_on = self.left_ms() > TIME_LEFT_MIN && self.history.may_send_again();
+        if may_go_on && self.gateway.try_take_retry(&self.call.service) {
+            return Ok(());
+        }
+        Err(self.refuse(failure))
+    }
+
     /// Words the final refusal: what may have been run is never called not run.
-    fn refuse(&self, last_failure: Option<SendFailure>, otherwise: Refusal) -> Refusal {
-        let Some(failure) = last_failure else {
-            return otherwise;
-        };
+    fn refuse(&self, failure: SendFailure) -> Refusal {
         if !self.history.may_have_run() {
-            let is_unsent = failure == SendFailure::NotSent;
-            let kind = match is_unsent {
+            let kind = match failure == SendFailure::NotSent {
                 true => ErrorKind::ConnectFailed,
                 false => ErrorKind::EndpointRefused,
             };
@@ -118,8 +154,9 @@
         })
     }
 
-    async fn try_once<B: Boundary>(&mut self) -> Result<Response<GatewayBody>, Stop> {
-        let call = Rc::clone(&self.call);
+    /// Picks the endpoint of the next send.
+    fn place(&mut self) -> Result<(Placement, Started), Refusal> {
+        let call = &self.call;
         // The endpoints may have changed since the request came.
         drop(self.gateway.view());
         let request = PlacementRequest {
@@ -127,7 +164,10 @@
             tried: &self.tried,
         };
         let placed = self.gateway.place(&call.service, &request);
-        let (placement, started) = placed.map_err(Stop::Refused)?;
+        let (placement, started) = placed.map_err(|refusal| match self.last_failure {
+            Some(failure) => self.refuse(failure),
+            None => refusal,
+        })?;
         tracing::info!(
             request_id = call.head.request_id,
             route = %call.route.name,
@@ -143,27 +183,68 @@
             "request placed"
         );
         self.tried.push(placement.endpoint.clone());
-        let gateway = Rc::clone(&self.gateway);
-        let sent = send::<B>(&gateway, &call, &placement, started, &self.progress, None);
-        let sent = within(&gateway, self.patience(), sent).await;
-        let result = match sent {
-            Ok(answered) => self.pass_on::<B>(answered).await,
-            Err(failure) => Err(failure),
+        Ok((placement, started))
+    }
+
+    async fn send<B: Boundary>(
+        &self,
+        placement: &Placement,
+        started: Started,
+        last_event_id: Option<&str>,
+    ) -> Result<Answered, SendFailure> {
+        let (gateway, call) = (&self.gateway, &self.call);
+        let sent = send::<B>(
+            gateway,
+            call,
+            placement,
+            &started,
+            &self.progress,
+            last_event_id,
+        );
+        match within(gateway, self.patience(), sent).await {
+            Ok((head, body)) => Ok(Answered {
+                head,
+                body,
+                started,
+            }),
+            Err(failure) => {
+                started.observe_failure(failure);
+                if failure == SendFailure::Unanswered {
+                    // What one connection lost, the others to the endpoint may have lost too.
+                    gateway.connections.close_idle_to(placement.address);
+                }
+                self.log_failure(placement, failure);
+                Err(failure)
+            }
+        }
+    }
+
+    fn log_failure(&self, placement: &Placement, failure: SendFailure) {
+        tracing::info!(
+            request_id = self.call.head.request_id,
+            endpoint = %placement.endpoint,
+            %failure,
+            "send failed"
+        );
+    }
+
+    /// Places and sends the request once; the outer error is final.
+    async fn try_once<B: Boundary>(&mut self) -> Result<Result<Answer, SendFailure>, Refusal> {
+        let (placement, started) = self.place()?;
+        let answered = match self.send::<B>(&placement, started, None).await {
+            Ok(answered) => answered,
+            Err(failure) => return Ok(Err(failure)),
         };
-        result.map_err(|failure| {
-            tracing::info!(
-                request_id = call.head.request_id,
-                endpoint = %placement.endpoint,
-                %failure,
-                "send failed"
-            );
-            Stop::Failed(failure)
-        })
+        let result = self.take_answer::<B>(answered).await;
+        if let Err(failure) = &result {
+            self.log_failure(&placement, *failure);
+        }
+        Ok(result)
     }
 
     /// Returns how long the head of an answer is waited for before another endpoint is asked.
     fn patience(&self) -> DurationMs {
-        let left_ms = self.call.ends_at - self.gateway.now();
+        let left_ms = self.left_ms();
         let route = &self.call.route;
         let is_last = self.history.sends() + 1 >= route.attempts_max;
         if !route.kind.is_repeatable() || is_last {
@@ -173,54 +254,44 @@
         DurationMs(objective_ms as u64).max(SILENT_MIN).min(left_ms)
     }
 
-    async fn pass_on<B: Boundary>(
+    async fn take_answer<B: Boundary>(
         &mut self,
         mut answered: Answered,
-    ) -> Result<Response<GatewayBody>, SendFailure> {
+    ) -> Result<Answer, SendFailure> {
         let status = answered.head.status;
-        let is_failure = status.is_server_error();
-        let may_ask_another = self.call.route.kind.is_repeatable()
-            && self.history.sends() + 1 < self.call.route.attempts_max;
-        if is_failure {
+        let route = &self.call.route;
+        if status.is_server_error() {
             answered.started.observe_failure(SendFailure::EndpointError);
-            if may_ask_another {
+            let is_last = self.history.sends() + 1 >= route.attempts_max;
+            if route.kind.is_repeatable() && !is_last {
                 return Err(SendFailure::EndpointError);
             }
         }
-        if self.call.route.kind.is_stream() && status.is_success() {
-            answered.started.observe_success();
-            return Ok(resume::stream_answer::<B>(
-                &self.gateway,
-                &self.call,
-                &self.history,
-                &self.tried,
-                answered,
-            ));
+        if route.kind.is_stream() && status.is_success() {
+            return Ok(Answer::Stream(Box::new(answered)));
         }
         let bytes = read_whole(&mut answered).await.inspect_err(|failure| {
             answered.started.observe_failure(*failure);
         })?;
-        if !is_failure {
+        if !status.is_server_error() {
             answered.started.observe_success();
         }
         let mut response = Response::from_parts(answered.head, GatewayBody::whole(bytes));
         keep_answer::<B>(&mut response);
-        Ok(response)
+        Ok(Answer::Whole(response))
     }
 }
 
-/// Why a send did not lead to an answer.
-enum Stop {
-    /// No endpoint could be chosen.
-    Refused(Refusal),
-    /// The send failed.
-    Failed(SendFailure),
-}
-
 /// Builds the answer of a stream whose bytes are passed on as they come.
-pub(super) fn pass_stream<B: Boundary>(answered: Answered) -> Response<GatewayBody> {
+pub(super) fn pass_stream<B: Boundary>(
+    forward: &Forward,
+    answered: Answered,
+) -> Response<GatewayBody> {
+    answered.started.observe_success();
+    let overdue = forward.gateway.timers.after(forward.left_ms());
     let source = Source::Endpoint {
         body: Box::new(answered.body),
+        overdue: Box::pin(overdue),
         _started: answered.started,
     };
     let mut response = Response::from_parts(answered.head, GatewayBody::new(source));
@@ -232,8 +303,7 @@
 pub(super) fn keep_answer<B: Boundary>(response: &mut Response<GatewayBody>) {
     let headers = response.headers_mut();
     hop_by_hop::strip(headers);
-    let keep_alive = HeaderName::from_static("keep-alive");
-    headers.remove(keep_alive);
+    headers.remove(HeaderName::from_static("keep-alive"));
     headers.remove(header::CONTENT_LENGTH);
     B::strip_answer(headers);
 }
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -41,7 +41,6 @@
 #[derive(Debug)]
 pub(super) struct Answered {
     pub(super) head: response::Parts,
-    pub(super) facts: AnswerHead,
     pub(super) body: AnswerBody,
     pub(super) started: Started,
 }
@@ -60,17 +59,11 @@
     gateway: &Gateway,
     call: &Call,
     placement: &Placement,
-    started: Started,
+    started: &Started,
     progress: &SendProgress,
     last_event_id: Option<&str>,
-) -> Result<Answered, SendFailure> {
-    let result = try_send::<B>(gateway, call, placement, progress, last_event_id).await;
-    let (link, answer) = result.inspect_err(|failure| {
-        started.observe_failure(*failure);
-        if *failure == SendFailure::Unanswered {
-            gateway.connections.close_idle_to(placement.address);
-        }
-    })?;
+) -> Result<(response::Parts, AnswerBody), SendFailure> {
+    let (link, answer) = try_send::<B>(gateway, call, placement, progress, last_event_id).await?;
     check::<B>(gateway, call, placement, started, link, answer)
 }
 
@@ -108,32 +101,23 @@
     gateway: &Gateway,
     call: &Call,
     placement: &Placement,
-    started: Started,
+    started: &Started,
     mut link: Link,
     answer: Response<Incoming>,
-) -> Result<Answered, SendFailure> {
+) -> Result<(response::Parts, AnswerBody), SendFailure> {
     let (head, incoming) = answer.into_parts();
     let facts = B::read_answer(&head);
     if let Some(load) = facts.load {
         started.observe_load(load);
     }
-    let failure = failure_of(call, &head, &facts);
-    if let Some(failure) = failure {
-        started.observe_failure(failure);
-    }
     let idle_max = facts
         .keep_alive_ms
         .map(|keep_alive_ms| DurationMs(keep_alive_ms.0.saturating_sub(KEEP_ALIVE_MARGIN.0)));
     if let Some(idle_max) = idle_max {
         link.set_idle_max(idle_max);
     }
-    match failure {
-        // The bytes that follow belong to no request of this daemon.
-        Some(SendFailure::Mismatched) => return Err(SendFailure::Mismatched),
-        Some(failure) => {
-            return Err(failure);
-        }
-        None => {}
+    if let Some(failure) = failure_of(call, &head, &facts) {
+        return Err(failure);
     }
     let return_to = Some(ReturnTo {
         connections: gateway.connections.clone(),
@@ -141,12 +125,8 @@
     });
     let silence_max = call.ends_at - gateway.now();
     let silence = Silence::new(gateway.timers.clone(), silence_max);
-    Ok(Answered {
-        body: AnswerBody::new(incoming, link, return_to, ANSWER_SIZE_MAX, silence),
-        head,
-        facts,
-        started,
-    })
+    let body = AnswerBody::new(incoming, link, return_to, ANSWER_SIZE_MAX, silence);
+    Ok((head, body))
 }
 
 /// Returns how an answer fails that can't be the final one.
