Tell each other what engines say of their load; give callers the error that an engine gave

Cause 2: when no further send was allowed, a read that an engine had answered 500 was answered 502 in its place.

Change: daemons pass on reports of load with the news; an engine that holds too much gets a share of the prompts that rank it first, cut at each report and grown afterwards, so that daemons which hear the same don't swing together. The budget is asked before an engine's error is thrown away.

--- a/crates/celeryknot_gateway/src/control.rs
+++ b/crates/celeryknot_gateway/src/control.rs
@@ -15,6 +15,7 @@
 use celeryknot_peers::relay;
 
 use crate::boundary::Boundary;
+use crate::members::READERS;
 use crate::shared::{Shared, Signal};
 
 pub(crate) use publisher::Publisher;
@@ -22,9 +23,6 @@
 /// Time between two looks at what has become due without news.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Peers that are asked for news at the same time, so that the loss of one delays nothing.
-const NEWS_SOURCES: usize = 2;
-
 /// The sockets that the control thread listens on.
 #[derive(Debug)]
 pub(crate) struct ControlSockets {
@@ -48,7 +46,7 @@
             }
             Err(error) => tracing::error!(%error, "the peers' listener can't be used"),
         }
-        for place in 0..NEWS_SOURCES {
+        for place in 0..READERS {
             let local = Rc::clone(runtime.local_executor());
             let news = news::follow_peers::<B>(local, Rc::clone(&publisher), place);
             executor.spawn(news).detach();
@@ -58,11 +56,19 @@
             let probes = probes::serve(executor.clone(), listener, Arc::clone(&shared));
             executor.spawn(probes).detach();
         }
+        executor.spawn(take_loads(Rc::clone(&publisher))).detach();
         executor.spawn(tick(publisher)).detach();
         while stop.recv().await.is_ok() {}
     }));
 }
 
+async fn take_loads(publisher: Rc<Publisher>) {
+    let heard = publisher.shared.loads_heard.1.clone();
+    while let Ok(news) = heard.recv().await {
+        publisher.take_load(news);
+    }
+}
+
 async fn tick(publisher: Rc<Publisher>) {
     loop {
         smol::Timer::after(TICK).await;
--- a/crates/celeryknot_gateway/src/control/news.rs
+++ b/crates/celeryknot_gateway/src/control/news.rs
@@ -10,10 +10,17 @@
 use smol::LocalExecutor;
 
 use super::Publisher;
+use super::publisher::LoadCursor;
 use crate::boundary::Boundary;
 
+/// Peers that a daemon asks at the same time, so that the loss of one delays nothing.
+const NEWS_SOURCES: usize = 2;
+
+/// Time between two looks at whether this daemon is a reader.
+const ROLE_PERIOD: Duration = Duration::from_millis(500);
+
 /// How long a peer waits for news before it answers without.
-const NEWS_WAIT: DurationMs = DurationMs(500);
+const NEWS_WAIT: DurationMs = DurationMs(300);
 
 /// Time for which the same peer is asked, unless it fails.
 const SOURCE_LIFE_MS: u64 = 10_000;
@@ -24,31 +31,45 @@
 /// Pause where there is nobody to ask, or the one asked has failed.
 const PAUSE: Duration = Duration::from_millis(200);
 
-/// Asks the peer at a place of the ranking, again and again.
+/// Asks the peer at a place of the ranking, again and again; beyond the first places only a reader
+/// does, so that the readers know what each of them was told.
 pub(super) async fn follow_peers<B: Boundary>(
     executor: Rc<LocalExecutor<'static>>,
     publisher: Rc<Publisher>,
     place: usize,
 ) {
     let mut client: Option<NewsClient> = None;
+    let mut cursor = LoadCursor::default();
     let mut is_lost = false;
     let mut count = 0u64;
     loop {
         count += 1;
+        if place >= NEWS_SOURCES && !publisher.is_reader() {
+            smol::Timer::after(ROLE_PERIOD).await;
+            continue;
+        }
         let Some(address) = pick_source(&publisher, place, count) else {
             smol::Timer::after(PAUSE).await;
             continue;
         };
         let mut asked = match client.take() {
             Some(open) if open.address() == address => open,
-            Some(_) | None => NewsClient::new(&executor, address),
+            Some(_) | None => {
+                cursor = LoadCursor::default();
+                NewsClient::new(&executor, address)
+            }
         };
-        let question = publisher.question(NEWS_WAIT);
+        let question = publisher.question(NEWS_WAIT, &cursor);
+        let told = publisher.loads_version();
         match asked.ask(question).await {
             Ok(reply) => {
                 if std::mem::take(&mut is_lost) {
                     tracing::info!(peer = %address, "news of a peer again");
                 }
+                cursor = LoadCursor {
+                    told,
+                    heard: reply.loads_at,
+                };
                 publisher.take_reply::<B>(reply);
                 client = Some(asked);
             }
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 
 use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
-use celeryknot_peers::relay::{NewsReply, NewsRequest};
+use celeryknot_peers::relay::{NewsCall, NewsReply, NewsRequest, RelayLoad};
 
-use super::questions::Questions;
+use super::questions::{
+    Known, Questions, build_reply, read_load, read_member, write_load, write_member,
+};
 use crate::boundary::{Boundary, StoreRevision};
+use crate::loads::{LoadNews, LoadTable};
 use crate::members::{Member, MemberTable};
 use crate::relay_log::{RawItem, RelayLog};
 use crate::shared::Shared;
@@ -30,6 +33,13 @@
     Peer,
 }
 
+/// Up to which load a peer was told, and up to which it has told.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LoadCursor {
+    pub(crate) told: u64,
+    pub(crate) heard: u64,
+}
+
 /// The state of the control thread.
 #[derive(Debug)]
 pub(crate) struct Publisher {
@@ -38,6 +48,7 @@
     log: RefCell<RelayLog>,
     members: RefCell<MemberTable>,
     members_published: RefCell<u64>,
+    loads: RefCell<LoadTable>,
     questions: RefCell<Questions>,
 }
 
@@ -56,6 +67,7 @@
             log: RefCell::default(),
             members: RefCell::new(members),
             members_published: RefCell::new(0),
+            loads: RefCell::default(),
             questions: RefCell::default(),
         }
     }
@@ -139,6 +151,7 @@
         let changes = self.state.borrow_mut().advance(now);
         self.publish(NewsSource::Store, StoreRevision::default(), &changes);
         self.members.borrow_mut().advance(now);
+        self.loads.borrow_mut().advance(now);
         self.publish_members();
         self.questions
             .borrow_mut()
@@ -183,25 +196,37 @@
     }
 
     /// Builds the question that is put to a peer.
-    pub(crate) fn question(&self, wait: DurationMs) -> NewsRequest {
+    pub(crate) fn question(&self, wait: DurationMs, cursor: &LoadCursor) -> NewsRequest {
         let now = self.now();
+        let loads = self.loads.borrow().after(now, cursor.told);
         let members = self.members.borrow();
         NewsRequest {
-            member: Some(super::questions::write_member(members.own(), DurationMs(0))),
+            member: Some(write_member(members.own(), DurationMs(0))),
             after: self.position().map(|at| at.0),
             wait_ms: u32::try_from(wait.0).unwrap_or(u32::MAX),
             members_digest: members.digest(),
             ages: members.ages(now),
+            loads: loads
+                .into_iter()
+                .map(|load| write_load(now, load))
+                .collect(),
+            loads_after: cursor.heard,
         }
     }
 
+    /// Returns the number of the last load that this daemon knows.
+    pub(crate) fn loads_version(&self) -> u64 {
+        self.loads.borrow().version()
+    }
+
     /// Takes over what a peer has answered.
     pub(crate) fn take_reply<B: Boundary>(&self, reply: NewsReply) {
         let now = self.now();
+        self.take_peer_loads(&reply.loads);
         {
             let mut members = self.members.borrow_mut();
             let told = reply.members.iter().chain(&reply.member);
-            for (member, age) in told.filter_map(super::questions::read_member) {
+            for (member, age) in told.filter_map(read_member) {
                 members.observe(now, member, age);
             }
             if reply.members_digest == members.digest() {
@@ -226,12 +251,13 @@
     }
 
     /// Takes up a question of a peer; it is answered at once if there is news.
-    pub(crate) fn take_question(&self, call: celeryknot_peers::relay::NewsCall) {
+    pub(crate) fn take_question(&self, call: NewsCall) {
         let now = self.now();
+        self.take_peer_loads(&call.request.loads);
         {
             let mut members = self.members.borrow_mut();
             let asker = call.request.member.as_ref();
-            if let Some((member, age)) = asker.and_then(super::questions::read_member) {
+            if let Some((member, age)) = asker.and_then(read_member) {
                 members.observe(now, member, age);
             }
             if call.request.members_digest == members.digest() {
@@ -249,11 +275,37 @@
     }
 
     fn reply_to(&self, request: &NewsRequest) -> NewsReply {
+        let known = Known {
+            now: self.now(),
+            members: &self.members.borrow(),
+            log: &self.log.borrow(),
+            loads: &self.loads.borrow(),
+            store_age: self.shared.store_age(),
+        };
+        build_reply(known, request)
+    }
+
+    /// Takes in what the traffic thread has heard of endpoints' loads.
+    pub(crate) fn take_load(&self, news: LoadNews) {
+        self.loads.borrow_mut().observe(news);
+    }
+
+    /// Takes in loads that a peer tells, and lets the traffic thread know.
+    fn take_peer_loads(&self, loads: &[RelayLoad]) {
+        if loads.is_empty() {
+            return;
+        }
         let now = self.now();
-        let members = self.members.borrow();
-        let log = self.log.borrow();
-        let news = log.after(request.after.map(StoreRevision));
-        super::questions::build_reply(now, &members, &log, news, request, self.shared.store_age())
+        let news: Vec<LoadNews> = {
+            let mut table = self.loads.borrow_mut();
+            let read = loads.iter().map(|load| read_load(now, load));
+            read.filter(|news| table.observe(*news)).collect()
+        };
+        for load in news {
+            if self.shared.loads_told.try_send(load).is_err() {
+                tracing::debug!("the traffic thread lags behind; it is told later loads soon");
+            }
+        }
     }
 }
 
--- a/crates/celeryknot_gateway/src/control/questions.rs
+++ b/crates/celeryknot_gateway/src/control/questions.rs
@@ -4,12 +4,15 @@
 
 use async_channel::Receiver;
 use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
-use celeryknot_peers::relay::{NewsCall, NewsReply, NewsRequest, RelayItem, RelayMember};
+use celeryknot_peers::relay::{
+    NewsCall, NewsReply, NewsRequest, RelayItem, RelayLoad, RelayMember,
+};
 
 use super::Publisher;
 use crate::boundary::StoreRevision;
+use crate::loads::{EndpointTag, LoadNews, LoadTable};
 use crate::members::{Member, MemberTable};
-use crate::relay_log::{News, RelayLog};
+use crate::relay_log::RelayLog;
 
 /// Longest wait that a peer may ask for.
 const WAIT_MAX: DurationMs = DurationMs(2_000);
@@ -76,17 +79,34 @@
     }
 }
 
-pub(super) fn build_reply(
-    now: MonotonicMs,
-    members: &MemberTable,
-    log: &RelayLog,
-    news: News,
-    request: &NewsRequest,
-    store_age: DurationMs,
-) -> NewsReply {
+/// What a reply is built from.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Known<'a> {
+    pub(super) now: MonotonicMs,
+    pub(super) members: &'a MemberTable,
+    pub(super) log: &'a RelayLog,
+    pub(super) loads: &'a LoadTable,
+    pub(super) store_age: DurationMs,
+}
+
+pub(super) fn build_reply(known: Known<'_>, request: &NewsRequest) -> NewsReply {
+    let Known {
+        now,
+        members,
+        log,
+        loads,
+        store_age,
+    } = known;
+    let news = log.after(request.after.map(StoreRevision));
     let is_list_known = request.members_digest == members.digest();
     let others = members.others(now);
     NewsReply {
+        loads: loads
+            .after(now, request.loads_after)
+            .into_iter()
+            .map(|load| write_load(now, load))
+            .collect(),
+        loads_at: loads.version(),
         member: Some(write_member(members.own(), DurationMs(0))),
         at: log.at().map(|at| at.0),
         store_age_ms: age_ms(store_age),
@@ -111,6 +131,22 @@
     }
 }
 
+pub(super) fn write_load(now: MonotonicMs, news: LoadNews) -> RelayLoad {
+    RelayLoad {
+        endpoint: news.endpoint.0,
+        held: news.held,
+        age_ms: age_ms(now - news.at),
+    }
+}
+
+pub(super) fn read_load(now: MonotonicMs, load: &RelayLoad) -> LoadNews {
+    LoadNews {
+        endpoint: EndpointTag(load.endpoint),
+        held: load.held,
+        at: MonotonicMs(now.0.saturating_sub(u64::from(load.age_ms))),
+    }
+}
+
 pub(super) fn write_member(member: &Member, age: DurationMs) -> RelayMember {
     RelayMember {
         name: member.name.to_string(),
--- a/crates/celeryknot_gateway/src/lib.rs
+++ b/crates/celeryknot_gateway/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod boundary;
 mod control;
+pub mod daemon;
 mod listeners;
+pub mod loads;
 mod logs;
 pub mod members;
 pub mod relay_log;
@@ -17,4 +19,5 @@
 pub mod view;
 
 pub use boundary::Boundary;
+pub use daemon::Gateway;
 pub use run::{ExitStatus, run};
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -6,21 +6,29 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use celeryknot_core::{DurationMs, MonotonicMs};
 use celeryknot_settings::GatewaySettings;
 
+use crate::loads::LoadNews;
 use crate::view::View;
 
 /// A channel on which nothing is sent: closing it is the signal.
 pub(crate) type Signal = Receiver<Infallible>;
 
+/// Loads that wait for the other thread; later ones are dropped while it lags behind.
+pub(crate) const LOADS_LEN_MAX: usize = 4_096;
+
 /// Read-only but for the view, counters and flags.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) settings: GatewaySettings,
     pub(crate) started_at: Instant,
     pub(crate) view: ArcSwap<View>,
+    /// Loads that the traffic thread has heard, for the control thread.
+    pub(crate) loads_heard: (Sender<LoadNews>, Receiver<LoadNews>),
+    /// Loads that peers have told, for the traffic thread.
+    pub(crate) loads_told: Sender<LoadNews>,
     /// When the store was last read, by whichever daemon, on this daemon's clock.
     pub(crate) store_heard_at_ms: AtomicU64,
     /// Set from the start of a shutdown.
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use async_channel::Receiver;
 use celeryknot_callers::CallerLimits;
 use celeryknot_callers::executor::ThreadRuntime;
 use celeryknot_callers::server::{ConnectionContext, serve_connection};
@@ -21,8 +22,9 @@
 use smol::net::TcpStream;
 
 use crate::boundary::Boundary;
+use crate::loads::LoadNews;
 use crate::shared::{Counted, Shared, Signal};
-use context::Gateway;
+use context::TrafficThread;
 
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: DurationMs = DurationMs(20);
@@ -34,10 +36,15 @@
 const IDLE_CHECK: DurationMs = DurationMs(500);
 
 /// Runs the traffic thread until the signal is given.
-pub(crate) fn run_traffic<B: Boundary>(shared: Arc<Shared>, callers: TcpListener, stop: Signal) {
+pub(crate) fn run_traffic<B: Boundary>(
+    shared: Arc<Shared>,
+    callers: TcpListener,
+    loads: Receiver<LoadNews>,
+    stop: Signal,
+) {
     let runtime = ThreadRuntime::new();
     let executor = runtime.executor();
-    let gateway = Gateway::new(shared, executor.clone());
+    let gateway = TrafficThread::new(shared, executor.clone(), loads);
     smol::block_on(runtime.run(async {
         executor.spawn(tick(Rc::clone(&gateway))).detach();
         let accept = accept::<B>(Rc::clone(&gateway), callers);
@@ -46,7 +53,7 @@
     }));
 }
 
-async fn tick(gateway: Rc<Gateway>) {
+async fn tick(gateway: Rc<TrafficThread>) {
     let mut checked_at = gateway.now();
     loop {
         smol::Timer::after(TIMER_TICK.as_std()).await;
@@ -59,7 +66,7 @@
     }
 }
 
-async fn accept<B: Boundary>(gateway: Rc<Gateway>, listener: TcpListener) {
+async fn accept<B: Boundary>(gateway: Rc<TrafficThread>, listener: TcpListener) {
     let listener = match Async::new(listener) {
         Ok(listener) => listener,
         Err(error) => {
@@ -83,7 +90,7 @@
     future::or(accept, end).await;
 }
 
-fn serve_caller<B: Boundary>(gateway: &Rc<Gateway>, stream: TcpStream) {
+fn serve_caller<B: Boundary>(gateway: &Rc<TrafficThread>, stream: TcpStream) {
     let connections_max = u64::from(gateway.shared.settings.connections_max);
     let Some(counted) = Counted::below(&gateway.shared.connections, connections_max) else {
         tracing::warn!("too many connections; a new one was closed");
@@ -107,7 +114,7 @@
     executor.spawn(serve).detach();
 }
 
-fn limits_in_force(gateway: &Gateway) -> CallerLimits {
+fn limits_in_force(gateway: &TrafficThread) -> CallerLimits {
     let view = gateway.shared.view.load();
     let limits = view.table.as_ref().map(|table| *table.limits());
     let limits = limits.unwrap_or_default();
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use arc_swap::Guard;
+use async_channel::Receiver;
 use celeryknot_callers::ThreadExecutor;
 use celeryknot_core::{EndpointName, MonotonicMs, Refusal, ServiceName, Timers};
 use celeryknot_endpoints::Connections;
@@ -15,6 +16,7 @@
 };
 use celeryknot_policy::routing::Service;
 
+use crate::loads::{EndpointTag, LoadNews};
 use crate::shared::Shared;
 use crate::view::View;
 
@@ -26,21 +28,28 @@
 struct ServiceState {
     pool: EndpointPool,
     retries: RetryShare,
+    tags: HashMap<EndpointTag, EndpointName>,
 }
 
 /// The state of the traffic thread.
 #[derive(Debug)]
-pub(crate) struct Gateway {
+pub(crate) struct TrafficThread {
     pub(crate) shared: Arc<Shared>,
     pub(crate) executor: ThreadExecutor,
     pub(crate) timers: Timers,
     pub(crate) connections: Connections,
     services: RefCell<HashMap<ServiceName, ServiceState>>,
     view_seen: Cell<u64>,
+    /// Loads that peers have told.
+    loads: Receiver<LoadNews>,
 }
 
-impl Gateway {
-    pub(crate) fn new(shared: Arc<Shared>, executor: ThreadExecutor) -> Rc<Self> {
+impl TrafficThread {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        executor: ThreadExecutor,
+        loads: Receiver<LoadNews>,
+    ) -> Rc<Self> {
         let timers = Timers::default();
         timers.advance(shared.now());
         Rc::new(Self {
@@ -49,6 +58,7 @@
             timers,
             services: RefCell::default(),
             view_seen: Cell::new(0),
+            loads,
             shared,
         })
     }
@@ -64,9 +74,21 @@
             self.view_seen.set(view.version);
             self.take_over(&view);
         }
+        self.take_loads();
         view
     }
 
+    fn take_loads(&self) {
+        let mut services = self.services.borrow_mut();
+        while let Ok(load) = self.loads.try_recv() {
+            for state in services.values_mut() {
+                if let Some(name) = state.tags.get(&load.endpoint) {
+                    state.pool.observe_told_load(load.at, name, load.held);
+                }
+            }
+        }
+    }
+
     fn take_over(&self, view: &View) {
         let mut services = self.services.borrow_mut();
         let Some(table) = &view.table else {
@@ -80,6 +102,8 @@
             state.pool.set_limits(limits);
             state.retries.set_allowance(self.retry_allowance(view));
             let listed = view.endpoints.get(&service.name);
+            let names = listed.into_iter().flatten().map(|it| it.name.clone());
+            state.tags = names.map(|name| (EndpointTag::new(&name), name)).collect();
             state.pool.relist(listed.into_iter().flatten().cloned());
         }
     }
@@ -89,6 +113,7 @@
         ServiceState {
             pool: EndpointPool::new(limits),
             retries: RetryShare::new(bounds.retry_ratio, bounds.retry_window_ms, 0.0),
+            tags: HashMap::new(),
         }
     }
 
@@ -156,7 +181,7 @@
 /// A request at an endpoint, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Started {
-    gateway: Rc<Gateway>,
+    gateway: Rc<TrafficThread>,
     service: ServiceName,
     endpoint: EndpointName,
 }
@@ -167,6 +192,14 @@
         self.gateway.with_pool(&self.service, |pool| {
             pool.observe_load(now, &self.endpoint, load);
         });
+        let news = LoadNews {
+            endpoint: EndpointTag::new(&self.endpoint),
+            held: load.running + load.waiting,
+            at: now,
+        };
+        if self.gateway.shared.loads_heard.0.try_send(news).is_err() {
+            tracing::debug!("the control thread lags behind; it hears later loads soon");
+        }
     }
 
     pub(crate) fn observe_success(&self) {
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -11,7 +11,7 @@
 
 use super::body::{GatewayBody, Source};
 use super::call::Call;
-use super::context::{Gateway, Started};
+use super::context::{Started, TrafficThread};
 use super::resume;
 use super::send::{Answered, SendProgress, read_whole, send, within};
 use crate::boundary::Boundary;
@@ -31,7 +31,7 @@
 /// The sends of one request.
 #[derive(Debug)]
 pub(super) struct Forward {
-    pub(super) gateway: Rc<Gateway>,
+    pub(super) gateway: Rc<TrafficThread>,
     pub(super) call: Rc<Call>,
     history: SendHistory,
     tried: SmallVec<[EndpointName; 4]>,
@@ -47,9 +47,17 @@
     Stream(Box<Answered>),
 }
 
+/// What one send has led to.
+enum Step {
+    Answered(Answer),
+    Failed(SendFailure),
+    /// The failure has been counted already.
+    SendAgain,
+}
+
 /// Runs a request to its answer's head, or to its refusal at the time when it is due.
 pub(super) async fn run<B: Boundary>(
-    gateway: &Rc<Gateway>,
+    gateway: &Rc<TrafficThread>,
     call: Call,
 ) -> Result<Response<GatewayBody>, Refusal> {
     gateway.observe_fresh(&call.service);
@@ -91,11 +99,11 @@
 
     async fn run_sends<B: Boundary>(&mut self) -> Result<Answer, Refusal> {
         loop {
-            let failure = match self.try_once::<B>().await? {
-                Ok(answer) => return Ok(answer),
-                Err(failure) => failure,
-            };
-            self.note_failure(failure)?;
+            match self.try_once::<B>().await? {
+                Step::Answered(answer) => return Ok(answer),
+                Step::Failed(failure) => self.note_failure(failure)?,
+                Step::SendAgain => {}
+            }
         }
     }
 
@@ -144,6 +152,7 @@
             return Refusal::after(kind, RETRY_SOON);
         }
         Refusal::new(match failure {
+            SendFailure::Unanswered if self.left_ms() <= TIME_LEFT_MIN => ErrorKind::AnswerTimeout,
             SendFailure::Broken => ErrorKind::AnswerIncomplete,
             SendFailure::Mismatched => ErrorKind::AnswerMismatched,
             SendFailure::NotSent
@@ -161,6 +170,7 @@
         drop(self.gateway.view());
         let request = PlacementRequest {
             shared_key: call.head.prompt.as_ref().and_then(|it| it.shared_key()),
+            draw: rand::random(),
             tried: &self.tried,
         };
         let placed = self.gateway.place(&call.service, &request);
@@ -228,18 +238,29 @@
         );
     }
 
-    /// Places and sends the request once; the outer error is final.
-    async fn try_once<B: Boundary>(&mut self) -> Result<Result<Answer, SendFailure>, Refusal> {
+    /// Places and sends the request once; an error is final.
+    async fn try_once<B: Boundary>(&mut self) -> Result<Step, Refusal> {
         let (placement, started) = self.place()?;
         let answered = match self.send::<B>(&placement, started, None).await {
             Ok(answered) => answered,
-            Err(failure) => return Ok(Err(failure)),
+            Err(failure) => return Ok(Step::Failed(failure)),
         };
-        let result = self.take_answer::<B>(answered).await;
-        if let Err(failure) = &result {
-            self.log_failure(&placement, *failure);
+        if answered.head.status.is_server_error() {
+            answered.started.observe_failure(SendFailure::EndpointError);
+            self.log_failure(&placement, SendFailure::EndpointError);
+            // Where no other endpoint may be asked, the caller gets the answer that there is.
+            let is_repeatable = self.call.route.kind.is_repeatable();
+            if is_repeatable && self.note_failure(SendFailure::EndpointError).is_ok() {
+                return Ok(Step::SendAgain);
+            }
+        }
+        match self.take_answer::<B>(answered).await {
+            Ok(answer) => Ok(Step::Answered(answer)),
+            Err(failure) => {
+                self.log_failure(&placement, failure);
+                Ok(Step::Failed(failure))
+            }
         }
-        Ok(result)
     }
 
     /// Returns how long the head of an answer is waited for before another endpoint is asked.
@@ -259,15 +280,7 @@
         mut answered: Answered,
     ) -> Result<Answer, SendFailure> {
         let status = answered.head.status;
-        let route = &self.call.route;
-        if status.is_server_error() {
-            answered.started.observe_failure(SendFailure::EndpointError);
-            let is_last = self.history.sends() + 1 >= route.attempts_max;
-            if route.kind.is_repeatable() && !is_last {
-                return Err(SendFailure::EndpointError);
-            }
-        }
-        if route.kind.is_stream() && status.is_success() {
+        if self.call.route.kind.is_stream() && status.is_success() {
             return Ok(Answer::Stream(Box::new(answered)));
         }
         let bytes = read_whole(&mut answered).await.inspect_err(|failure| {
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 
 use super::call::Call;
-use super::context::{Gateway, Started};
+use super::context::{Started, TrafficThread};
 use crate::boundary::{AnswerHead, Boundary};
 
 /// Longest time for a connection to an endpoint to open.
@@ -56,7 +56,7 @@
 ///
 /// Dropping the future closes the connection, which cancels the request at the endpoint.
 pub(super) async fn send<B: Boundary>(
-    gateway: &Gateway,
+    gateway: &TrafficThread,
     call: &Call,
     placement: &Placement,
     started: &Started,
@@ -68,7 +68,7 @@
 }
 
 async fn try_send<B: Boundary>(
-    gateway: &Gateway,
+    gateway: &TrafficThread,
     call: &Call,
     placement: &Placement,
     progress: &SendProgress,
@@ -98,7 +98,7 @@
 }
 
 fn check<B: Boundary>(
-    gateway: &Gateway,
+    gateway: &TrafficThread,
     call: &Call,
     placement: &Placement,
     started: &Started,
@@ -169,7 +169,7 @@
 
 /// Waits no longer than a time for a send's answer.
 pub(super) async fn within<T>(
-    gateway: &Gateway,
+    gateway: &TrafficThread,
     time: DurationMs,
     result: impl Future<Output = Result<T, SendFailure>>,
 ) -> Result<T, SendFailure> {
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -17,7 +17,7 @@
 
 use super::body::GatewayBody;
 use super::call::{Call, keep_end_to_end};
-use super::context::Gateway;
+use super::context::TrafficThread;
 use super::forward;
 use crate::boundary::{Boundary, CallHead};
 use crate::shared::Counted;
@@ -33,7 +33,7 @@
 /// Writes the line of a request when it has ended, however it ends.
 #[derive(Debug)]
 pub(super) struct RequestEnd {
-    gateway: Rc<Gateway>,
+    gateway: Rc<TrafficThread>,
     request_id: String,
     arrived_at: MonotonicMs,
     status: u16,
@@ -60,7 +60,7 @@
 
 /// Answers one request of a caller.
 pub(super) async fn serve_request<B: Boundary>(
-    gateway: Rc<Gateway>,
+    gateway: Rc<TrafficThread>,
     request: Request<Incoming>,
 ) -> Result<Response<GatewayBody>, Infallible> {
     let in_flight = Counted::new(&gateway.shared.in_flight);
@@ -111,7 +111,7 @@
 }
 
 async fn answer_call<B: Boundary>(
-    gateway: &Rc<Gateway>,
+    gateway: &Rc<TrafficThread>,
     head: CallHead,
     parts: Parts,
     body: Incoming,
--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -81,6 +81,20 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// What an endpoint said of its load.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayLoad {
+    /// The endpoint's name in four bytes.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// Requests that it held.
+    #[prost(uint32, tag = "2")]
+    pub held: u32,
+    /// Milliseconds since it said so.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
 /// A question for news.
 #[derive(Clone, PartialEq, Message)]
 pub struct NewsRequest {
@@ -99,6 +113,12 @@
     /// Age of each of them, in the order of their names, in half seconds.
     #[prost(bytes = "vec", tag = "5")]
     pub ages: Vec<u8>,
+    /// Loads that it has heard of since it asked this peer last.
+    #[prost(message, repeated, tag = "6")]
+    pub loads: Vec<RelayLoad>,
+    /// The number of the last load that this peer has told it.
+    #[prost(uint64, tag = "7")]
+    pub loads_after: u64,
 }
 
 /// The answer to a question for news.
@@ -128,6 +148,12 @@
     /// The daemons that it knows, where the sums differ.
     #[prost(message, repeated, tag = "8")]
     pub members: Vec<RelayMember>,
+    /// Loads that it has heard of since.
+    #[prost(message, repeated, tag = "9")]
+    pub loads: Vec<RelayLoad>,
+    /// The number of the last of them.
+    #[prost(uint64, tag = "10")]
+    pub loads_at: u64,
 }
 
 /// A question that a peer waits with.
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -9,6 +9,19 @@
 /// Age after which an endpoint's own report of its load is no longer used.
 const REPORT_AGE_MAX: DurationMs = DurationMs(2_000);
 
+/// Time between two changes of an endpoint's share; about as long as a change takes to show.
+const SHARE_PERIOD: DurationMs = DurationMs(300);
+
+/// What remains of the share at a report of too much load.
+const SHARE_CUT: f64 = 0.7;
+
+/// Factor and step by which the share grows at each other report.
+const SHARE_GROWTH: f64 = 1.1;
+const SHARE_STEP: f64 = 0.02;
+
+/// Least share.
+const SHARE_MIN: f64 = 0.1;
+
 /// First time for which an endpoint that failed is passed over.
 const AVOID_FIRST: DurationMs = DurationMs(300);
 
@@ -50,7 +63,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Report {
-    load: ReportedLoad,
+    /// Requests that the endpoint held.
+    held: u32,
     at: MonotonicMs,
     /// Requests of this daemon that were there at the time.
     own_in_flight: u32,
@@ -63,6 +77,8 @@
     pub(crate) in_flight: u32,
     pub(crate) cold: ColdShare,
     report: Option<Report>,
+    share: f64,
+    share_set_at: MonotonicMs,
     failures_in_row: u32,
     avoid_until: MonotonicMs,
 }
@@ -74,6 +90,8 @@
             in_flight: 0,
             cold: ColdShare::default(),
             report: None,
+            share: 1.0,
+            share_set_at: MonotonicMs(0),
             failures_in_row: 0,
             avoid_until: MonotonicMs(0),
         }
@@ -90,12 +108,33 @@
         self.listed = listed;
     }
 
-    pub(crate) fn observe_load(&mut self, now: MonotonicMs, load: ReportedLoad) {
+    /// Takes in what the endpoint said of its load, to this daemon or to another one.
+    ///
+    /// `kept` is the load up to which it is to get all that ranks it first. While it holds more,
+    /// it gets a share that shrinks with each report, and grows again afterwards: all daemons
+    /// hear the same reports, and would otherwise leave it and come back together.
+    pub(crate) fn observe_load(&mut self, at: MonotonicMs, held: u32, kept: f64) {
+        if self.report.is_some_and(|report| report.at >= at) {
+            return;
+        }
         self.report = Some(Report {
-            load,
-            at: now,
+            held,
+            at,
             own_in_flight: self.in_flight,
         });
+        if at - self.share_set_at < SHARE_PERIOD {
+            return;
+        }
+        self.share_set_at = at;
+        self.share = match f64::from(held) > kept {
+            true => (self.share * SHARE_CUT).max(SHARE_MIN),
+            false => (self.share * SHARE_GROWTH + SHARE_STEP).min(1.0),
+        };
+    }
+
+    /// Returns the share of the requests for which it ranks first that the endpoint gets.
+    pub(crate) fn share(&self) -> f64 {
+        self.share
     }
 
     pub(crate) fn note_success(&mut self) {
@@ -131,8 +170,7 @@
         let Some(report) = fresh else {
             return (self.in_flight, None);
         };
-        let then = report.load.running + report.load.waiting;
-        let now_there = (then + self.in_flight).saturating_sub(report.own_in_flight);
+        let now_there = (report.held + self.in_flight).saturating_sub(report.own_in_flight);
         (now_there.max(self.in_flight), Some(now - report.at))
     }
 }
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -24,10 +24,13 @@
 /// Share of the users' multiple of the mean load up to which the first choice is kept.
 ///
 /// Less than the whole, as reports of load are old by an answer.
-const LOAD_FACTOR_SHARE: f64 = 0.8;
+const LOAD_FACTOR_SHARE: f64 = 0.75;
 
 /// Requests above that multiple that are still kept, so that small numbers don't scatter prompts.
-const LOAD_SLACK_KEPT: f64 = 3.0;
+const LOAD_SLACK_KEPT: f64 = 2.0;
+
+/// Requests above the users' multiple that an endpoint may hold.
+const LOAD_SLACK_MAX: f64 = 3.0;
 
 /// Time to come back where no endpoint takes new work now.
 const RETRY_NO_ENDPOINT: DurationMs = DurationMs(500);
@@ -56,6 +59,8 @@
 pub struct PlacementRequest<'a> {
     /// What the prompt shares with others; `None` of requests without a prompt.
     pub shared_key: Option<u64>,
+    /// A number from 0 to 1, drawn for this request.
+    pub draw: f64,
     /// Endpoints that failed this request already.
     pub tried: &'a [EndpointName],
 }
@@ -102,6 +107,7 @@
 struct Candidate {
     name: EndpointName,
     load: u32,
+    share: f64,
     is_near: bool,
     score: u64,
 }
@@ -219,8 +225,7 @@
         request: &PlacementRequest<'_>,
         takes_avoided: bool,
     ) -> Option<(EndpointName, PlacementReason)> {
-        let load_kept =
-            self.mean_load(now) * self.limits.load_factor * LOAD_FACTOR_SHARE + LOAD_SLACK_KEPT;
+        let load_max = self.load_max(now);
         let key = request.shared_key.unwrap_or(0);
         let mut candidates: SmallVec<[Candidate; 16]> = self
             .endpoints
@@ -233,6 +238,7 @@
             .map(|(name, state)| Candidate {
                 name: name.clone(),
                 load: state.load(now).0,
+                share: state.share(),
                 is_near: state.listed.zone == self.limits.own_zone,
                 score: rendezvous_score(key, name.as_str()),
             })
@@ -242,8 +248,9 @@
             None => candidates.sort_by_key(|it| (it.load, !it.is_near, Reverse(it.score))),
         }
         for (rank, candidate) in candidates.iter().enumerate() {
-            let has_room = f64::from(candidate.load) + 1.0 <= load_kept;
-            if has_room && self.may_take(now, &candidate.name) {
+            let has_room = f64::from(candidate.load) + 1.0 <= load_max;
+            let is_in_share = request.shared_key.is_none() || request.draw <= candidate.share;
+            if has_room && is_in_share && self.may_take(now, &candidate.name) {
                 let reason = match rank {
                     0 => PlacementReason::First,
                     _ => PlacementReason::Next,
@@ -289,11 +296,27 @@
 
     /// Takes over what an endpoint says of its load.
     pub fn observe_load(&mut self, now: MonotonicMs, endpoint: &EndpointName, load: ReportedLoad) {
+        self.observe_told_load(now, endpoint, load.running + load.waiting);
+    }
+
+    /// Takes over what an endpoint said of its load, to another daemon, some time ago.
+    pub fn observe_told_load(&mut self, at: MonotonicMs, endpoint: &EndpointName, held: u32) {
+        let kept = self.load_kept(at);
         if let Some(state) = self.endpoints.get_mut(endpoint) {
-            state.observe_load(now, load);
+            state.observe_load(at, held, kept);
         }
     }
 
+    /// Returns the load up to which an endpoint gets all that ranks it first.
+    fn load_kept(&self, now: MonotonicMs) -> f64 {
+        self.mean_load(now) * self.limits.load_factor * LOAD_FACTOR_SHARE + LOAD_SLACK_KEPT
+    }
+
+    /// Returns the load from which an endpoint gets nothing while another one can take it.
+    fn load_max(&self, now: MonotonicMs) -> f64 {
+        self.mean_load(now) * self.limits.load_factor + LOAD_SLACK_MAX
+    }
+
     /// Notes that an endpoint has given a good answer.
     pub fn observe_success(&mut self, endpoint: &EndpointName) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
