Spread requests of plain services by chance, and light prompts among four engines

Cause 1: all daemons took the plain endpoint with the least reported load, which is the same one until the next report. Cause 2: engines that rank first for many prompts hold more than twice the mean while reports are on the way.

Change: a plain endpoint is drawn by how full it is; a light prompt goes to the first of four engines that holds no more than the mean; the share of an engine with too much shrinks in proportion; news is asked for each 100 ms.

--- a/crates/celeryknot_gateway/src/control.rs
+++ b/crates/celeryknot_gateway/src/control.rs
@@ -21,7 +21,7 @@
 pub(crate) use publisher::Publisher;
 
 /// Time between two looks at what has become due without news.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
 
 /// The sockets that the control thread listens on.
 #[derive(Debug)]
--- a/crates/celeryknot_gateway/src/control/news.rs
+++ b/crates/celeryknot_gateway/src/control/news.rs
@@ -20,7 +20,7 @@
 const ROLE_PERIOD: Duration = Duration::from_millis(500);
 
 /// How long a peer waits for news before it answers without.
-const NEWS_WAIT: DurationMs = DurationMs(300);
+const NEWS_WAIT: DurationMs = DurationMs(100);
 
 /// Time for which the same peer is asked, unless it fails.
 const SOURCE_LIFE_MS: u64 = 10_000;
--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -25,7 +25,7 @@
 const SETTLE: DurationMs = DurationMs(2_500);
 
 /// Time kept of the grace time for the process to end by itself.
-const GRACE_MARGIN: DurationMs = DurationMs(300);
+const GRACE_MARGIN: DurationMs = DurationMs(600);
 
 /// Time between two looks at what is still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -130,7 +130,6 @@
         });
         PoolLimits {
             own_name: settings.name.clone(),
-            own_zone: settings.zone.clone(),
             members: view.members.clone(),
             members_min: MEMBERS_MIN,
             load_factor: settings.bounds.load_factor,
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -169,7 +169,7 @@
         // The endpoints may have changed since the request came.
         drop(self.gateway.view());
         let request = PlacementRequest {
-            shared_key: call.head.prompt.as_ref().and_then(|it| it.shared_key()),
+            shared: call.head.prompt.as_ref().and_then(|it| it.shared_parts()),
             draw: rand::random(),
             tried: &self.tried,
         };
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -9,6 +9,7 @@
 use celeryknot_callers::framing::check_framing;
 use celeryknot_callers::head_scanner::AmbiguousFraming;
 use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, Refusal};
+use celeryknot_policy::direct::SharedParts;
 use celeryknot_policy::routing::{Route, RoutingTable};
 use http::header::CONNECTION;
 use http::request::Parts;
@@ -181,9 +182,9 @@
 
 /// Prompts with the same shared parts stay with one service of a split.
 fn service_draw(route: &Route, head: &CallHead) -> u64 {
-    let shared_key = head.prompt.as_ref().and_then(|prompt| prompt.shared_key());
-    match shared_key {
-        Some(key) if route.has_prompt => key,
+    let shared = head.prompt.as_ref().and_then(|it| it.shared_parts());
+    match shared {
+        Some(SharedParts { key, .. }) if route.has_prompt => key,
         Some(_) | None => rand::random(),
     }
 }
--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -16,6 +16,6 @@
 pub use endpoint::{ListedEndpoint, ReportedLoad};
 pub use holders::HolderMemory;
 pub use pool::{EndpointPool, Placement, PlacementReason, PlacementRequest, PoolLimits};
-pub use prompt::{Prompt, PromptPart};
+pub use prompt::{Prompt, PromptPart, SharedParts};
 pub use resend::{SendFailure, SendHistory};
 pub use retry_share::RetryShare;
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -12,9 +12,6 @@
 /// Time between two changes of an endpoint's share; about as long as a change takes to show.
 const SHARE_PERIOD: DurationMs = DurationMs(300);
 
-/// What remains of the share at a report of too much load.
-const SHARE_CUT: f64 = 0.7;
-
 /// Factor and step by which the share grows at each other report.
 const SHARE_GROWTH: f64 = 1.1;
 const SHARE_STEP: f64 = 0.02;
@@ -111,7 +108,7 @@
     /// Takes in what the endpoint said of its load, to this daemon or to another one.
     ///
     /// `kept` is the load up to which it is to get all that ranks it first. While it holds more,
-    /// it gets a share that shrinks with each report, and grows again afterwards: all daemons
+    /// it gets a share that shrinks in proportion, and grows again slowly afterwards: all daemons
     /// hear the same reports, and would otherwise leave it and come back together.
     pub(crate) fn observe_load(&mut self, at: MonotonicMs, held: u32, kept: f64) {
         if self.report.is_some_and(|report| report.at >= at) {
@@ -126,8 +123,9 @@
             return;
         }
         self.share_set_at = at;
-        self.share = match f64::from(held) > kept {
-            true => (self.share * SHARE_CUT).max(SHARE_MIN),
+        let fitting = kept / f64::from(held.max(1));
+        self.share = match fitting < 1.0 {
+            true => (self.share * fitting).max(SHARE_MIN),
             false => (self.share * SHARE_GROWTH + SHARE_STEP).min(1.0),
         };
     }
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -3,7 +3,7 @@
 //! A prompt goes to the endpoint that ranks first for its shared parts by rendezvous hashing, so
 //! that daemons which share nothing agree, and to the next in the same order while that one holds
 //! clearly more than the mean: the second choice is as stable as the first. Requests without a
-//! prompt go to the endpoint with the least load, near ones first.
+//! prompt are spread by how full the endpoints are.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -11,7 +11,7 @@
 
 use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{
-    DurationMs, EndpointName, ErrorKind, MemberName, MonotonicMs, Refusal, ZoneName,
+    DurationMs, EndpointName, ErrorKind, MemberName, MonotonicMs, Refusal, TokenCount,
 };
 use smallvec::SmallVec;
 use strum::{Display, EnumIter, IntoStaticStr};
@@ -19,12 +19,13 @@
 use super::cold_share::ColdBound;
 use super::endpoint::{EndpointState, ListedEndpoint, ReportedLoad};
 use super::holders::HolderMemory;
+use super::prompt::SharedParts;
 use super::resend::SendFailure;
 
 /// Share of the users' multiple of the mean load up to which the first choice is kept.
 ///
 /// Less than the whole, as reports of load are old by an answer.
-const LOAD_FACTOR_SHARE: f64 = 0.75;
+const LOAD_FACTOR_SHARE: f64 = 0.6;
 
 /// Requests above that multiple that are still kept, so that small numbers don't scatter prompts.
 const LOAD_SLACK_KEPT: f64 = 2.0;
@@ -32,6 +33,18 @@
 /// Requests above the users' multiple that an endpoint may hold.
 const LOAD_SLACK_MAX: f64 = 3.0;
 
+/// Most shared tokens of a prompt that is light: an engine reads them within a few steps.
+const LIGHT_TOKENS_MAX: TokenCount = TokenCount(1_024);
+
+/// Endpoints among which a light prompt is spread.
+const LIGHT_SPREAD: usize = 4;
+
+/// Requests above the mean up to which an endpoint gets all light prompts that rank it first.
+const LIGHT_SLACK: f64 = 1.0;
+
+/// Added to how full endpoints are before they are compared, so that small numbers weigh little.
+const FILL_EVEN: f64 = 0.5;
+
 /// Time to come back where no endpoint takes new work now.
 const RETRY_NO_ENDPOINT: DurationMs = DurationMs(500);
 
@@ -40,8 +53,6 @@
 pub struct PoolLimits {
     /// This daemon's name.
     pub own_name: MemberName,
-    /// This daemon's zone.
-    pub own_zone: ZoneName,
     /// The daemons that may be running, this one included.
     pub members: Vec<MemberName>,
     /// Fewest daemons that a bound is divided by, as some may not be known yet.
@@ -58,7 +69,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
     /// What the prompt shares with others; `None` of requests without a prompt.
-    pub shared_key: Option<u64>,
+    pub shared: Option<SharedParts>,
     /// A number from 0 to 1, drawn for this request.
     pub draw: f64,
     /// Endpoints that failed this request already.
@@ -108,10 +119,44 @@
     name: EndpointName,
     load: u32,
     share: f64,
-    is_near: bool,
+    slots: u32,
     score: u64,
 }
 
+/// Puts one of the endpoints that rank first for a light prompt to the front: the first that holds
+/// no more than the mean, or else one that is drawn by how little it holds.
+///
+/// A light prompt costs little to read again, and light prompts are the most requests: placed like
+/// this, they even out what the heavy ones leave uneven.
+fn put_light_first(candidates: &mut [Candidate], mean: f64, draw: f64) {
+    let below = |it: &Candidate| f64::from(it.load) <= mean + LIGHT_SLACK;
+    match candidates.iter().position(below) {
+        Some(place) => candidates[..=place].rotate_right(1),
+        None => put_drawn_first(candidates, draw),
+    }
+}
+
+/// Puts a candidate first that is drawn by how little it holds for its slots.
+///
+/// Reports are older than a request of a plain service lasts: daemons that all took the one with
+/// the least load would all take the same one until the next report.
+fn put_drawn_first(candidates: &mut [Candidate], draw: f64) {
+    let weight = |it: &Candidate| {
+        let fill = f64::from(it.load) / f64::from(it.slots.max(1));
+        (fill + FILL_EVEN).powi(-2)
+    };
+    let total: f64 = candidates.iter().map(weight).sum();
+    let mut left = draw * total;
+    let drawn = candidates.iter().position(|candidate| {
+        left -= weight(candidate);
+        left <= 0.0
+    });
+    if let Some(drawn) = drawn {
+        candidates.swap(0, drawn);
+        candidates[1..].sort_by_key(|it| it.load);
+    }
+}
+
 impl EndpointPool {
     /// Starts without endpoints.
     pub fn new(limits: PoolLimits) -> Self {
@@ -157,10 +202,9 @@
             .choose(now, request, false)
             .or_else(|| self.choose(now, request, true))
             .ok_or(Refusal::after(ErrorKind::NoEndpoint, RETRY_NO_ENDPOINT))?;
-        let fetch_from = request
-            .shared_key
-            .and_then(|key| self.fetch_source(now, key, &name));
-        if let Some(key) = request.shared_key {
+        let key = request.shared.map(|shared| shared.key);
+        let fetch_from = key.and_then(|key| self.fetch_source(now, key, &name));
+        if let Some(key) = key {
             self.holders.note(now, key, &name);
         }
         let state = self
@@ -226,7 +270,7 @@
         takes_avoided: bool,
     ) -> Option<(EndpointName, PlacementReason)> {
         let load_max = self.load_max(now);
-        let key = request.shared_key.unwrap_or(0);
+        let key = request.shared.map_or(0, |shared| shared.key);
         let mut candidates: SmallVec<[Candidate; 16]> = self
             .endpoints
             .iter()
@@ -239,17 +283,24 @@
                 name: name.clone(),
                 load: state.load(now).0,
                 share: state.share(),
-                is_near: state.listed.zone == self.limits.own_zone,
+                slots: state.listed.slots,
                 score: rendezvous_score(key, name.as_str()),
             })
             .collect();
-        match request.shared_key {
-            Some(_) => candidates.sort_by_key(|it| Reverse(it.score)),
-            None => candidates.sort_by_key(|it| (it.load, !it.is_near, Reverse(it.score))),
+        match request.shared {
+            Some(shared) => {
+                candidates.sort_by_key(|it| Reverse(it.score));
+                if shared.tokens <= LIGHT_TOKENS_MAX {
+                    let first_len = candidates.len().min(LIGHT_SPREAD);
+                    let mean = self.mean_load(now);
+                    put_light_first(&mut candidates[..first_len], mean, request.draw);
+                }
+            }
+            None => put_drawn_first(&mut candidates, request.draw),
         }
         for (rank, candidate) in candidates.iter().enumerate() {
             let has_room = f64::from(candidate.load) + 1.0 <= load_max;
-            let is_in_share = request.shared_key.is_none() || request.draw <= candidate.share;
+            let is_in_share = request.shared.is_none() || request.draw <= candidate.share;
             if has_room && is_in_share && self.may_take(now, &candidate.name) {
                 let reason = match rank {
                     0 => PlacementReason::First,
--- a/crates/celeryknot_policy/src/direct/prompt.rs
+++ b/crates/celeryknot_policy/src/direct/prompt.rs
@@ -82,9 +82,22 @@
     }
 
     /// Returns what requests with the same shared parts have in common; none of an empty prompt.
-    pub fn shared_key(&self) -> Option<u64> {
-        let key = |key, part: &PromptPart| xxh3_64_with_seed(&part.id.to_le_bytes(), key);
+    pub fn shared_parts(&self) -> Option<SharedParts> {
         let shared = self.shared();
-        (!shared.is_empty()).then(|| shared.iter().fold(0, key))
+        let key = |key, part: &PromptPart| xxh3_64_with_seed(&part.id.to_le_bytes(), key);
+        let tokens = shared.iter().map(|part| part.tokens.0);
+        (!shared.is_empty()).then(|| SharedParts {
+            key: shared.iter().fold(0, key),
+            tokens: TokenCount(tokens.fold(0, u32::saturating_add)),
+        })
     }
 }
+
+/// The parts that a prompt shares with others, as placement sees them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SharedParts {
+    /// Equal for equal parts.
+    pub key: u64,
+    /// Their size.
+    pub tokens: TokenCount,
+}
