Copy prompts from engines that have been there for a while, and ask for news less often in small fleets

Change: the source is the first in rank among those listed for as long as caches last. The wait for news falls with the number of daemons, from 400 to 100 ms.

--- a/crates/celeryknot_gateway/src/control/news.rs
+++ b/crates/celeryknot_gateway/src/control/news.rs
@@ -19,8 +19,14 @@
 /// Time between two looks at whether this daemon is a reader.
 const ROLE_PERIOD: Duration = Duration::from_millis(500);
 
-/// How long a peer waits for news before it answers without.
-const NEWS_WAIT: DurationMs = DurationMs(100);
+/// Shortest and longest time that a peer waits for news before it answers without.
+const NEWS_WAIT_MIN: DurationMs = DurationMs(100);
+const NEWS_WAIT_MAX: DurationMs = DurationMs(400);
+
+/// Wait for news times the number of daemons, between those two.
+///
+/// The more daemons there are, the less of the endpoints' load does one cause and know itself.
+const NEWS_WAIT_PER_DAEMON_MS: u64 = 4_000;
 
 /// Time for which the same peer is asked, unless it fails.
 const SOURCE_LIFE_MS: u64 = 10_000;
@@ -59,7 +65,8 @@
                 NewsClient::new(&executor, address)
             }
         };
-        let question = publisher.question(NEWS_WAIT, &cursor, place == 0);
+        let wait = news_wait(publisher.member_count());
+        let question = publisher.question(wait, &cursor, place == 0);
         let told = publisher.loads_version();
         match asked.ask(question).await {
             Ok(reply) => {
@@ -84,6 +91,11 @@
     }
 }
 
+fn news_wait(daemons: usize) -> DurationMs {
+    let daemons = u64::try_from(daemons).unwrap_or(u64::MAX).max(1);
+    DurationMs(NEWS_WAIT_PER_DAEMON_MS / daemons).clamp(NEWS_WAIT_MIN, NEWS_WAIT_MAX)
+}
+
 fn pick_source(publisher: &Publisher, place: usize, count: u64) -> Option<SocketAddr> {
     let settings = &publisher.shared.settings;
     let epoch = publisher.now().0 / SOURCE_LIFE_MS;
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -94,6 +94,10 @@
         self.members.borrow().is_reader(self.now())
     }
 
+    pub(crate) fn member_count(&self) -> usize {
+        self.members.borrow().names().len()
+    }
+
     pub(crate) fn sources(&self, draw: u64) -> Vec<Member> {
         self.members.borrow().sources(self.now(), draw)
     }
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -116,7 +116,8 @@
             let listed = view.endpoints.get(&service.name);
             let names = listed.into_iter().flatten().map(|it| it.name.clone());
             state.tags = names.map(|name| (EndpointTag::new(&name), name)).collect();
-            state.pool.relist(listed.into_iter().flatten().cloned());
+            let listed = listed.into_iter().flatten().cloned();
+            state.pool.relist(self.now(), listed);
         }
     }
 
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -168,8 +168,9 @@
         let call = &self.call;
         // The endpoints may have changed since the request came.
         drop(self.gateway.view());
+        let shared = call.head.prompt.as_ref().and_then(|it| it.shared_parts());
         let request = PlacementRequest {
-            shared: call.head.prompt.as_ref().and_then(|it| it.shared_parts()),
+            shared,
             draw: rand::random(),
             tried: &self.tried,
         };
@@ -186,8 +187,10 @@
             send = self.history.sends() + 1,
             endpoint = %placement.endpoint,
             reason = %placement.reason,
+            prompt = shared.map(|shared| format!("{:x}", shared.key)),
+            shared_tokens = shared.map(|shared| shared.tokens.0),
             load = placement.load,
-            report_age_ms = placement.report_age_ms.map(|age| age.0),
+            load_age_ms = placement.load_age_ms.map(|age| age.0),
             is_cold = placement.is_cold,
             fetch_from = placement.fetch_from.map(tracing::field::display),
             "request placed"
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -74,6 +74,8 @@
 #[derive(Debug, Clone)]
 pub struct EndpointState {
     pub(crate) listed: ListedEndpoint,
+    /// Since when this life of the endpoint is listed.
+    pub(crate) listed_since: MonotonicMs,
     pub(crate) in_flight: u32,
     pub(crate) cold: ColdShare,
     report: Option<Report>,
@@ -85,9 +87,10 @@
 }
 
 impl EndpointState {
-    pub(crate) fn new(listed: ListedEndpoint) -> Self {
+    pub(crate) fn new(now: MonotonicMs, listed: ListedEndpoint) -> Self {
         Self {
             listed,
+            listed_since: now,
             in_flight: 0,
             cold: ColdShare::default(),
             report: None,
@@ -100,10 +103,10 @@
     }
 
     /// Takes over what the platform lists now; another life of the endpoint starts anew.
-    pub(crate) fn relist(&mut self, listed: ListedEndpoint) {
+    pub(crate) fn relist(&mut self, now: MonotonicMs, listed: ListedEndpoint) {
         if listed.born_ms != self.listed.born_ms {
             let in_flight = self.in_flight;
-            *self = Self::new(listed);
+            *self = Self::new(now, listed);
             self.in_flight = in_flight;
             return;
         }
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -99,8 +99,8 @@
     pub reason: PlacementReason,
     /// Requests that it held, as far as was known.
     pub load: u32,
-    /// Age of the endpoint's own report of its load, if one was fresh.
-    pub report_age_ms: Option<DurationMs>,
+    /// Age of that knowledge; `None` where only this daemon's own requests were known.
+    pub load_age_ms: Option<DurationMs>,
     /// Whether it was in cold start.
     pub is_cold: bool,
     /// Another endpoint, which more likely holds the prompt's shared parts in its cache.
@@ -173,16 +173,16 @@
     }
 
     /// Takes over the whole list of the service's endpoints.
-    pub fn relist(&mut self, listed: impl IntoIterator<Item = ListedEndpoint>) {
+    pub fn relist(&mut self, now: MonotonicMs, listed: impl IntoIterator<Item = ListedEndpoint>) {
         let mut before = std::mem::take(&mut self.endpoints);
         for endpoint in listed {
             let name = endpoint.name.clone();
             let state = match before.remove(&name) {
                 Some(mut state) => {
-                    state.relist(endpoint);
+                    state.relist(now, endpoint);
                     state
                 }
-                None => EndpointState::new(endpoint),
+                None => EndpointState::new(now, endpoint),
             };
             self.endpoints.insert(name, state);
         }
@@ -211,7 +211,7 @@
             .endpoints
             .get_mut(&name)
             .expect("a chosen endpoint is listed");
-        let (load, report_age_ms) = state.load(now);
+        let (load, load_age_ms) = state.load(now);
         let is_cold = state.is_cold(now);
         state.in_flight += 1;
         Ok(Placement {
@@ -219,7 +219,7 @@
             endpoint: name,
             reason,
             load,
-            report_age_ms,
+            load_age_ms,
             is_cold,
             fetch_from,
         })
@@ -227,9 +227,9 @@
 
     /// Returns an endpoint that more likely holds a prompt's shared parts than the chosen one.
     ///
-    /// That is the last other one that this daemon sent them to, or else the one that ranks
-    /// before the chosen one, or next to it: the daemons agree on the ranks, and the chosen one
-    /// ranks first only since an endpoint came or went.
+    /// That is the last other one that this daemon sent them to, or else the one that ranks first
+    /// among those that have been there for a while: the daemons agree on the ranks, and the
+    /// chosen one ranks first only since an endpoint came or went.
     fn fetch_source(
         &self,
         now: MonotonicMs,
@@ -252,11 +252,15 @@
             .others(now, shared_key, chosen, cache_life_ms)
             .find(serves);
         let ranks_first = || {
+            let rank = |(name, state): &(&EndpointName, &EndpointState)| {
+                let is_settled = now - state.listed_since >= cache_life_ms;
+                (is_settled, rendezvous_score(shared_key, name.as_str()))
+            };
             self.endpoints
-                .keys()
-                .filter(|name| *name != chosen)
-                .filter(serves)
-                .max_by_key(|name| rendezvous_score(shared_key, name.as_str()))
+                .iter()
+                .filter(|(name, state)| *name != chosen && !state.is_avoided(now))
+                .max_by_key(rank)
+                .map(|(name, _)| name)
         };
         let source = sent_to.or_else(ranks_first)?;
         Some(self.endpoints.get(source)?.listed.address)
--- a/crates/celeryknot_policy/tests/direct.rs
+++ b/crates/celeryknot_policy/tests/direct.rs
@@ -52,7 +52,7 @@
 
 fn pool(own: usize, daemons: usize, engines: usize) -> EndpointPool {
     let mut pool = EndpointPool::new(limits(own, daemons));
-    pool.relist((0..engines).map(listed));
+    pool.relist(MonotonicMs(0), (0..engines).map(listed));
     pool
 }
 
@@ -203,12 +203,34 @@
         endpoint.takes_new_work = endpoint.name != first.endpoint;
         endpoint
     });
-    pool.relist(draining);
+    pool.relist(now, draining);
     let next = pool.place(now, &ask(prompt(7, HEAVY), 0.5)).unwrap();
     assert_ne!(next.endpoint, first.endpoint);
     assert_eq!(next.fetch_from, Some(first.address));
 }
 
+#[test]
+fn a_prompt_that_a_new_engine_ranks_first_for_is_copied_from_the_one_before() {
+    let place =
+        |pool: &mut EndpointPool, now, key| pool.place(now, &ask(prompt(key, HEAVY), 0.5)).unwrap();
+    // Two daemons: one has sent the prompts before, the other has not.
+    let (mut one, mut other) = (pool(0, 2, 6), pool(1, 2, 6));
+    let held: Vec<_> = (0..200)
+        .map(|key| place(&mut one, MonotonicMs(1_000), key).address)
+        .collect();
+    let later = MonotonicMs(20_000);
+    other.relist(later, (0..9).map(listed));
+    let mut moved = 0;
+    for (key, address) in held.iter().enumerate() {
+        let placement = place(&mut other, later, key as u64);
+        if placement.address != *address {
+            moved += 1;
+            assert_eq!(placement.fetch_from, Some(*address), "prompt {key}");
+        }
+    }
+    assert!(moved > 30, "three engines of nine are new");
+}
+
 struct BoundCase {
     name: &'static str,
     play: Play,
@@ -313,7 +335,7 @@
         let mut pools: Vec<EndpointPool> = (0..daemons)
             .map(|own| {
                 let mut pool = pool(own, daemons, 0);
-                pool.relist([cold()]);
+                pool.relist(MonotonicMs(0), [cold()]);
                 pool
             })
             .collect();
