--- a/crates/celeryknot_gateway/src/control/probes.rs
+++ b/crates/celeryknot_gateway/src/control/probes.rs
@@ -71,7 +71,8 @@
         "/readyz" if shared.is_ready() => (StatusCode::OK, "ready\n"),
         "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         "/livez" => (StatusCode::OK, "live\n"),
-        _ => (StatusCode::NOT_FOUND, "paths: /livez /readyz\n"),
+        "/metrics" => return Response::new(Full::new(shared.render_metrics().into())),
+        _ => (StatusCode::NOT_FOUND, "paths: /livez /readyz /metrics\n"),
     };
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -156,6 +156,7 @@
     /// Does what has become due.
     pub(crate) fn advance(&self) {
         let now = self.now();
+        self.shared.metrics.reader.set(i64::from(self.is_reader()));
         let changes = self.state.borrow_mut().advance(now);
         self.publish(NewsSource::Store, StoreRevision::default(), &changes);
         self.members.borrow_mut().advance(now);
--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -58,6 +58,12 @@
             None => read_all::<B>(&mut client, &publisher).await,
             Some(after) => read_changes::<B>(&mut client, &publisher, after).await,
         };
+        let outcome = match &result {
+            Ok(_) => "answered",
+            Err(PlatformError::Status(StatusCode::GONE)) => "history-dropped",
+            Err(_) => "failed",
+        };
+        shared.metrics.store_called(outcome);
         match result {
             Ok(at) => {
                 let is_first = std::mem::take(&mut must_list);
--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -9,6 +9,7 @@
 use arc_swap::ArcSwap;
 use async_channel::Sender;
 use celeryknot_core::DurationMs;
+use celeryknot_operators::GatewayMetrics;
 use celeryknot_settings::GatewaySettings;
 use eyre::WrapErr;
 
@@ -54,6 +55,7 @@
         let shared = Arc::new(Shared {
             settings,
             started_at: Instant::now(),
+            metrics: GatewayMetrics::new(),
             view: ArcSwap::from_pointee(View {
                 members,
                 ..View::default()
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -8,10 +8,12 @@
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use celeryknot_core::{DurationMs, MonotonicMs};
+use celeryknot_operators::GatewayMetrics;
 use celeryknot_settings::GatewaySettings;
 
 use crate::in_flight::Counts;
 use crate::loads::{EndpointTag, LoadNews};
+use crate::logs;
 use crate::view::View;
 
 /// A channel on which nothing is sent: closing it is the signal.
@@ -43,6 +45,7 @@
 pub(crate) struct Shared {
     pub(crate) settings: GatewaySettings,
     pub(crate) started_at: Instant,
+    pub(crate) metrics: GatewayMetrics,
     pub(crate) view: ArcSwap<View>,
     /// What the traffic thread has heard and has in flight, for the control thread.
     pub(crate) loads_heard: (Sender<HeardLoad>, Receiver<HeardLoad>),
@@ -78,6 +81,23 @@
         self.is_leaving.load(Ordering::Acquire)
     }
 
+    /// Writes all metrics, after those that are read off here are brought up to date.
+    pub(crate) fn render_metrics(&self) -> String {
+        let view = self.view.load();
+        let table = view.table.as_ref();
+        let metrics = &self.metrics;
+        let count = |counter: &AtomicU64| counter.load(Ordering::Acquire) as i64;
+        metrics.connections.set(count(&self.connections));
+        metrics.requests_in_flight.set(count(&self.in_flight));
+        metrics.ready.set(i64::from(self.is_ready()));
+        metrics.members.set(view.members.len() as i64);
+        metrics.store_age_ms.set(self.store_age().0 as i64);
+        let version = table.map_or(0, |table| table.version());
+        metrics.configuration_version.set(version as i64);
+        metrics.log_lines_dropped.set(logs::dropped_lines());
+        metrics.render()
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_leaving() && self.view.load().is_usable()
     }
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -136,8 +136,15 @@
         self.last_failure = Some(failure);
         self.progress.is_handed.set(false);
         let may_go_on = self.left_ms() > TIME_LEFT_MIN && self.history.may_send_again();
-        if may_go_on && self.gateway.try_take_retry(&self.call.service) {
-            return Ok(());
+        if may_go_on {
+            if self.gateway.try_take_retry(&self.call.service) {
+                return Ok(());
+            }
+            self.gateway.shared.metrics.sends_denied.inc();
+            tracing::info!(
+                request_id = self.call.head.request_id,
+                "the retry budget allows no further send"
+            );
         }
         Err(self.refuse(failure))
     }
@@ -195,6 +202,7 @@
             fetch_from = placement.fetch_from.map(tracing::field::display),
             "request placed"
         );
+        self.gateway.shared.metrics.placed(placement.reason.into());
         self.tried.push(placement.endpoint.clone());
         Ok((placement, started))
     }
@@ -233,6 +241,7 @@
     }
 
     fn log_failure(&self, placement: &Placement, failure: SendFailure) {
+        self.gateway.shared.metrics.send_failed(failure.into());
         tracing::info!(
             request_id = self.call.head.request_id,
             endpoint = %placement.endpoint,
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -107,7 +107,10 @@
             );
             let last_event_id = self.last_event_id.clone();
             match self.forward.go_on::<B>(failure, last_event_id).await {
-                Ok(next) => answered = next,
+                Ok(next) => {
+                    self.forward.gateway.shared.metrics.resumes.inc();
+                    answered = next;
+                }
                 Err(refusal) => return Some(refusal.kind),
             }
         }
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -49,11 +49,13 @@
 
 impl Drop for RequestEnd {
     fn drop(&mut self) {
+        let took_ms = self.gateway.now() - self.arrived_at;
+        self.gateway.shared.metrics.ended(took_ms);
         tracing::info!(
             request_id = self.request_id,
             status = self.status,
             outcome = self.outcome,
-            took_ms = (self.gateway.now() - self.arrived_at).0,
+            took_ms = took_ms.0,
             "request ended"
         );
     }
@@ -65,6 +67,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<GatewayBody>, Infallible> {
     let in_flight = Counted::new(&gateway.shared.in_flight);
+    gateway.shared.metrics.requests.inc();
     let version = request.version();
     let (parts, body) = request.into_parts();
     let mut end = RequestEnd {
@@ -84,11 +87,15 @@
     let mut answer = match result {
         Ok(answer) => answer,
         Err(refusal) => {
+            gateway.shared.metrics.refused(refusal.kind);
+            log_refusal(&gateway, &end.request_id, refusal);
             end.set_outcome(refusal.kind.code());
             B::write_refusal(refusal, &end.request_id).map(GatewayBody::whole)
         }
     };
     end.status = answer.status().as_u16();
+    let head_ms = gateway.now() - end.arrived_at;
+    gateway.shared.metrics.first_byte(head_ms);
     *answer.version_mut() = version;
     if version != Version::HTTP_2 && gateway.shared.is_leaving() {
         // The caller opens its next connection at another daemon.
@@ -103,6 +110,18 @@
     }))
 }
 
+fn log_refusal(gateway: &TrafficThread, request_id: &str, refusal: Refusal) {
+    let view = gateway.shared.view.load();
+    tracing::info!(
+        request_id,
+        code = refusal.kind.code(),
+        configuration = view.table.as_ref().map(|table| table.version()),
+        store_age_ms = gateway.shared.store_age().0,
+        retry_after_ms = refusal.retry_after_ms.map(|after| after.0),
+        "request refused"
+    );
+}
+
 fn read_head<B: Boundary>(parts: &Parts) -> Result<CallHead, ErrorKind> {
     if parts.extensions.get::<AmbiguousFraming>().is_some() {
         return Err(ErrorKind::MalformedRequest);
--- a/crates/celeryknot_gateway/tests/control.rs
+++ b/crates/celeryknot_gateway/tests/control.rs
@@ -1,5 +1,10 @@
 //! Members, news and the store's state, without network.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "tests may unwrap, in their helper functions too"
+)]
+
 use std::collections::BTreeSet;
 
 use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
--- a/crates/celeryknot_operators/src/lib.rs
+++ b/crates/celeryknot_operators/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use client::{ClientError, fetch_explanation, fetch_status};
 pub use explanation::{ExplainQuery, ExplainedEndpoint, Explanation};
-pub use metrics::Metrics;
+pub use metrics::{GatewayMetrics, Metrics};
 pub use server::{OperatorsState, answer, serve_operators};
 pub use status::{
     ControlCounters, ControlStatus, EndpointStatus, MemberStatus, OrderCounts, PlatformCallCounts,
--- /dev/null
+++ b/crates/celeryknot_operators/src/metrics/gateway.rs
@@ -0,0 +1,131 @@
+//! Metrics of a gateway.
+
+use celeryknot_core::{DurationMs, ErrorKind};
+use prometheus::{Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
+
+use super::spec::{
+    observe_ms, register_counter, register_counters, register_gauge, register_histogram,
+};
+
+/// The metrics of one gateway, in a registry of its own; clones share their values.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::ErrorKind;
+/// use celeryknot_operators::GatewayMetrics;
+///
+/// let metrics = GatewayMetrics::new();
+/// metrics.refused(ErrorKind::NoEndpoint);
+/// let line = "celeryknot_gateway_refusals_total{code=\"no-endpoint\"} 1";
+/// assert!(metrics.render().contains(line));
+/// ```
+#[derive(Debug, Clone)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    refusals: IntCounterVec,
+    placements: IntCounterVec,
+    send_failures: IntCounterVec,
+    first_byte_ms: Histogram,
+    request_ms: Histogram,
+    /// Requests of callers that were read.
+    pub requests: IntCounter,
+    /// Further sends that the budget did not allow.
+    pub sends_denied: IntCounter,
+    /// Streams that went on at another endpoint.
+    pub resumes: IntCounter,
+    /// Log lines that were dropped because their reader was too slow.
+    pub log_lines_dropped: IntGauge,
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    /// Requests that are not answered yet.
+    pub requests_in_flight: IntGauge,
+    /// Whether the daemon takes callers.
+    pub ready: IntGauge,
+    /// Whether the daemon reads the store for others.
+    pub reader: IntGauge,
+    /// Daemons that may be running.
+    pub members: IntGauge,
+    /// Time since the store was last read, by whichever daemon.
+    pub store_age_ms: IntGauge,
+    /// The version of the configuration in force.
+    pub configuration_version: IntGauge,
+    /// Calls of the platform's store, by outcome.
+    pub store_calls: IntCounterVec,
+}
+
+impl GatewayMetrics {
+    /// Registers all metrics in a new registry.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name| register_counter(&registry, name);
+        let counters = |name| register_counters(&registry, name);
+        let gauge = |name| register_gauge(&registry, name);
+        let histogram = |name| register_histogram(&registry, name);
+        Self {
+            refusals: counters("celeryknot_gateway_refusals_total"),
+            placements: counters("celeryknot_gateway_placements_total"),
+            send_failures: counters("celeryknot_gateway_send_failures_total"),
+            first_byte_ms: histogram("celeryknot_gateway_first_byte_ms"),
+            request_ms: histogram("celeryknot_gateway_request_ms"),
+            requests: counter("celeryknot_gateway_requests_total"),
+            sends_denied: counter("celeryknot_gateway_sends_denied_total"),
+            resumes: counter("celeryknot_gateway_resumes_total"),
+            log_lines_dropped: gauge("celeryknot_gateway_log_lines_dropped"),
+            connections: gauge("celeryknot_gateway_connections"),
+            requests_in_flight: gauge("celeryknot_gateway_requests_in_flight"),
+            ready: gauge("celeryknot_gateway_ready"),
+            reader: gauge("celeryknot_gateway_reader"),
+            members: gauge("celeryknot_gateway_members"),
+            store_age_ms: gauge("celeryknot_gateway_store_age_ms"),
+            configuration_version: gauge("celeryknot_gateway_configuration_version"),
+            store_calls: counters("celeryknot_gateway_store_calls_total"),
+            registry,
+        }
+    }
+
+    /// Counts a request that was refused or failed.
+    pub fn refused(&self, kind: ErrorKind) {
+        self.refusals.with_label_values(&[kind.code()]).inc();
+    }
+
+    /// Counts a request that was placed, for the reason given.
+    pub fn placed(&self, reason: &'static str) {
+        self.placements.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts a send that failed.
+    pub fn send_failed(&self, failure: &'static str) {
+        self.send_failures.with_label_values(&[failure]).inc();
+    }
+
+    /// Counts a call of the store.
+    pub fn store_called(&self, outcome: &'static str) {
+        self.store_calls.with_label_values(&[outcome]).inc();
+    }
+
+    /// Records the time from a request to the head of its answer.
+    pub fn first_byte(&self, time: DurationMs) {
+        observe_ms(&self.first_byte_ms, time);
+    }
+
+    /// Records the time from a request to its end.
+    pub fn ended(&self, time: DurationMs) {
+        observe_ms(&self.request_ms, time);
+    }
+
+    /// Writes all metrics in Prometheus text format.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .expect("writing to memory does not fail");
+        String::from_utf8(text).expect("the text format is UTF-8")
+    }
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/celeryknot_operators/src/metrics/mod.rs
+++ b/crates/celeryknot_operators/src/metrics/mod.rs
@@ -3,13 +3,15 @@
 //! Several daemons may run in one process, so there is no global registry.
 
 pub mod control;
+pub mod gateway;
 pub mod spec;
 pub mod traffic;
 
 use prometheus::{Encoder, Registry, TextEncoder};
 
 pub use control::ControlMetrics;
-pub use spec::{METRICS, MetricKind, MetricSpec};
+pub use gateway::GatewayMetrics;
+pub use spec::{GATEWAY_METRICS, METRICS, MetricKind, MetricSpec};
 pub use traffic::{RequestKind, ServiceMetrics, TrafficMetrics};
 
 /// The metrics of one daemon; clones share their values.
--- a/crates/celeryknot_operators/src/metrics/spec.rs
+++ b/crates/celeryknot_operators/src/metrics/spec.rs
@@ -18,7 +18,7 @@
     Histogram,
 }
 
-/// One metric; `docs/OPERATING.md` says what to do about it.
+/// One metric; `docs/OPERATIONS.md` says what to do about it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MetricSpec {
     /// The metric's name.
@@ -110,6 +110,28 @@
     gauge("celeryknot_endpoints", &["condition"], "Endpoints that this daemon owns, by condition."),
 ];
 
+/// All metrics of a gateway.
+#[rustfmt::skip]
+pub const GATEWAY_METRICS: &[MetricSpec] = &[
+    counter("celeryknot_gateway_requests_total", &[], "Requests of callers that were read."),
+    counter("celeryknot_gateway_refusals_total", &["code"], "Requests of callers that were refused or failed, by code."),
+    counter("celeryknot_gateway_placements_total", &["reason"], "Requests that were placed at an endpoint, by the reason for it."),
+    counter("celeryknot_gateway_send_failures_total", &["failure"], "Sends to endpoints that failed, by how."),
+    counter("celeryknot_gateway_sends_denied_total", &[], "Further sends that the budget of the fleet did not allow."),
+    counter("celeryknot_gateway_resumes_total", &[], "Streams that went on at another endpoint."),
+    counter("celeryknot_gateway_store_calls_total", &["outcome"], "Calls of the platform's store, by outcome."),
+    gauge("celeryknot_gateway_log_lines_dropped", &[], "Log lines that were dropped because their reader was too slow."),
+    gauge("celeryknot_gateway_connections", &[], "Open connections of callers."),
+    gauge("celeryknot_gateway_requests_in_flight", &[], "Requests that are not answered yet."),
+    gauge("celeryknot_gateway_ready", &[], "Whether the daemon takes callers."),
+    gauge("celeryknot_gateway_reader", &[], "Whether the daemon reads the store for others."),
+    gauge("celeryknot_gateway_members", &[], "Daemons that may be running, this one included."),
+    gauge("celeryknot_gateway_store_age_ms", &[], "Time since the store was last read, by whichever daemon."),
+    gauge("celeryknot_gateway_configuration_version", &[], "The version of the configuration in force; 0 where none is known."),
+    histogram("celeryknot_gateway_first_byte_ms", &[], "Time from a request to the head of its answer."),
+    histogram("celeryknot_gateway_request_ms", &[], "Time from a request to its end."),
+];
+
 /// Upper bounds of the histograms' buckets in milliseconds.
 const BUCKETS_MS: &[f64] = &[
     1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_500.0, 3_000.0, 6_000.0,
@@ -119,8 +141,9 @@
 fn find(name: &str, kind: MetricKind) -> &'static MetricSpec {
     METRICS
         .iter()
+        .chain(GATEWAY_METRICS)
         .find(|spec| spec.name == name && spec.kind == kind)
-        .expect("every metric is declared in METRICS")
+        .expect("every metric is declared in METRICS or GATEWAY_METRICS")
 }
 
 fn register<M: prometheus::core::Collector + Clone + 'static>(registry: &Registry, metric: &M) {
@@ -171,6 +194,14 @@
     metric
 }
 
+pub(crate) fn register_histogram(registry: &Registry, name: &str) -> Histogram {
+    let spec = find(name, MetricKind::Histogram);
+    let opts = HistogramOpts::new(spec.name, spec.help).buckets(BUCKETS_MS.to_vec());
+    let metric = Histogram::with_opts(opts).expect(VALID);
+    register(registry, &metric);
+    metric
+}
+
 /// Records a duration in milliseconds.
 pub(crate) fn observe_ms(histogram: &Histogram, duration_ms: celeryknot_core::DurationMs) {
     // Durations of requests are far below the integers that a float can't hold.
--- a/crates/celeryknot_operators/tests/metrics.rs
+++ b/crates/celeryknot_operators/tests/metrics.rs
@@ -7,11 +7,11 @@
 
 use celeryknot_core::{DurationMs, ErrorKind};
 use celeryknot_fleet::{ControlKind, KindCount};
-use celeryknot_operators::metrics::{METRICS, RequestKind};
-use celeryknot_operators::{ControlStatus, Metrics};
+use celeryknot_operators::metrics::{GATEWAY_METRICS, METRICS, RequestKind};
+use celeryknot_operators::{ControlStatus, GatewayMetrics, Metrics};
 use strum::IntoEnumIterator;
 
-const PAGE: &str = include_str!("../../../docs/OPERATING.md");
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
 /// Returns metrics in which every labelled metric has a value.
 fn filled() -> Metrics {
@@ -44,14 +44,31 @@
     assert_eq!(exposed, declared);
 }
 
+#[test]
+fn a_gateway_exposes_every_metric_of_its_table_and_no_other() {
+    let metrics = GatewayMetrics::new();
+    metrics.refused(ErrorKind::NoEndpoint);
+    metrics.placed("first");
+    metrics.send_failed("refused");
+    metrics.store_called("failed");
+    let text = metrics.render();
+    let exposed = text.lines().filter(|line| line.starts_with("# TYPE "));
+    assert_eq!(exposed.count(), GATEWAY_METRICS.len());
+    for spec in GATEWAY_METRICS {
+        let line = format!("# TYPE {} {}", spec.name, spec.kind);
+        assert!(text.contains(&line), "{line}");
+    }
+}
+
 #[test]
 fn page_explains_every_metric() {
     let rows: Vec<&str> = PAGE
         .lines()
         .filter(|line| line.starts_with("| `celeryknot_"))
         .collect();
-    assert_eq!(rows.len(), METRICS.len());
-    for (row, spec) in rows.iter().zip(METRICS) {
+    let specs: Vec<_> = METRICS.iter().chain(GATEWAY_METRICS).collect();
+    assert_eq!(rows.len(), specs.len());
+    for (row, spec) in rows.iter().zip(specs) {
         let labels: Vec<String> = spec
             .labels
             .iter()
--- a/crates/celeryknot_policy/tests/direct.rs
+++ b/crates/celeryknot_policy/tests/direct.rs
@@ -1,5 +1,10 @@
 //! Decisions of daemons that send straight to endpoints, played for a whole fleet without network.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "tests may unwrap, in their helper functions too"
+)]
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use celeryknot_core::TokenCount;
--- a/crates/celeryknot_policy/tests/routing.rs
+++ b/crates/celeryknot_policy/tests/routing.rs
@@ -1,5 +1,10 @@
 //! Routes, customers and versions of the configuration.
 
+#![allow(
+    clippy::unwrap_used,
+    reason = "tests may unwrap, in their helper functions too"
+)]
+
 use std::sync::Arc;
 
 use celeryknot_core::{DurationMs, ErrorKind};
