--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -92,7 +92,7 @@
                     Poll::Pending if overdue.as_mut().poll(context).is_ready() => {
                         Poll::Ready(Some(Err(AnswerError(ErrorKind::AnswerTimeout))))
                     }
-                    poll => poll,
+                    poll @ (Poll::Ready(_) | Poll::Pending) => poll,
                 }
             }
             Source::Relay { pieces, .. } => pieces
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -42,7 +42,7 @@
 /// The answer that ends a request.
 enum Answer {
     /// Whole.
-    Whole(Response<GatewayBody>),
+    Whole(Box<Response<GatewayBody>>),
     /// The head of a stream.
     Stream(Box<Answered>),
 }
@@ -77,7 +77,7 @@
     };
     let answered = async { Some(forward.run_sends::<B>().await) };
     match future::or(answered, is_overdue).await {
-        Some(Ok(Answer::Whole(response))) => Ok(response),
+        Some(Ok(Answer::Whole(response))) => Ok(*response),
         Some(Ok(Answer::Stream(answered))) => Ok(resume::stream_answer::<B>(forward, *answered)),
         Some(Err(refusal)) => Err(refusal),
         None => Err(Refusal::new(forward.overdue_kind())),
@@ -303,7 +303,7 @@
         }
         let mut response = Response::from_parts(answered.head, GatewayBody::whole(bytes));
         keep_answer::<B>(&mut response);
-        Ok(Answer::Whole(response))
+        Ok(Answer::Whole(Box::new(response)))
     }
 }
 
