Go on serving callers that come to a leaving daemon

Change: a leaving daemon accepts until it ends, one request a connection; requests of its last three seconds are refused before anything is sent.

--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,7 @@
 use crate::boundary::Boundary;
 use crate::control::{ControlSockets, run_control};
 use crate::listeners::Listeners;
-use crate::shared::{LOADS_LEN_MAX, Shared};
+use crate::shared::{LOADS_LEN_MAX, NOT_LEAVING, Shared};
 use crate::traffic::run_traffic;
 use crate::view::View;
 
@@ -63,7 +63,7 @@
             loads_heard: async_channel::bounded(LOADS_LEN_MAX),
             loads_told,
             store_heard_at_ms: AtomicU64::new(0),
-            is_leaving: AtomicBool::new(false),
+            leaving_since_ms: AtomicU64::new(NOT_LEAVING),
             callers_end: callers_end_signal,
             in_flight: Arc::default(),
             connections: Arc::default(),
@@ -111,13 +111,13 @@
     /// Lets the requests in flight end; returns how many did not within the grace time.
     ///
     /// Readiness goes off at once. After a time for the balancer, connections end after the
-    /// requests in flight.
+    /// requests in flight; new ones are served one request each, and refused near the end.
     pub fn shut_down(mut self) -> u64 {
         tracing::info!(
             in_flight = self.shared.in_flight.load(Ordering::Acquire),
             "shutting down"
         );
-        self.shared.is_leaving.store(true, Ordering::Release);
+        self.shared.start_leaving();
         let grace_ms = self.shared.settings.bounds.shutdown_grace_ms;
         let ends_at = Instant::now() + grace_ms.as_std().saturating_sub(GRACE_MARGIN.as_std());
         std::thread::sleep(SETTLE.min(grace_ms).as_std());
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
@@ -22,6 +22,15 @@
 /// Loads that wait for the other thread; later ones are dropped while it lags behind.
 pub(crate) const LOADS_LEN_MAX: usize = 4_096;
 
+/// Stands in `leaving_since_ms` while no shutdown has begun.
+pub(crate) const NOT_LEAVING: u64 = u64::MAX;
+
+/// Time before the end of the grace time from which requests are refused.
+///
+/// Nearly all requests last shorter; a refused one is served at once by another daemon, and one
+/// that is cut is lost.
+const LAST_REQUEST_BEFORE_END: DurationMs = DurationMs(3_000);
+
 /// What the traffic thread tells the control thread of endpoints' loads.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum HeardLoad {
@@ -53,8 +62,8 @@
     pub(crate) loads_told: Sender<ToldLoad>,
     /// When the store was last read, by whichever daemon, on this daemon's clock.
     pub(crate) store_heard_at_ms: AtomicU64,
-    /// Set from the start of a shutdown.
-    pub(crate) is_leaving: AtomicBool,
+    /// When the shutdown began; `NOT_LEAVING` before.
+    pub(crate) leaving_since_ms: AtomicU64,
     /// Closed when connections of callers are to end after the requests in flight.
     pub(crate) callers_end: Signal,
     pub(crate) in_flight: Arc<AtomicU64>,
@@ -77,8 +86,25 @@
         self.now() - MonotonicMs(self.store_heard_at_ms.load(Ordering::Acquire))
     }
 
+    /// Notes that a shutdown begins.
+    pub(crate) fn start_leaving(&self) {
+        let now_ms = self.now().0;
+        self.leaving_since_ms.store(now_ms, Ordering::Release);
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Acquire)
+        self.leaving_since_ms.load(Ordering::Acquire) != NOT_LEAVING
+    }
+
+    /// Tells whether the process will live long enough for a request that begins now.
+    ///
+    /// The balancer sends callers to a leaving daemon as well while too few others are left in
+    /// its zone.
+    pub(crate) fn has_time_for_requests(&self) -> bool {
+        let since_ms = self.leaving_since_ms.load(Ordering::Acquire);
+        let grace_ms = self.settings.bounds.shutdown_grace_ms;
+        let taken_ms = grace_ms.0.saturating_sub(LAST_REQUEST_BEFORE_END.0);
+        since_ms == NOT_LEAVING || self.now() - MonotonicMs(since_ms) < DurationMs(taken_ms)
     }
 
     /// Writes all metrics, after those that are read off here are brought up to date.
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -17,7 +17,6 @@
 use celeryknot_callers::executor::ThreadRuntime;
 use celeryknot_callers::server::{ConnectionContext, serve_connection};
 use celeryknot_core::DurationMs;
-use futures_lite::future;
 use smol::Async;
 use smol::net::TcpStream;
 
@@ -73,20 +72,16 @@
             return;
         }
     };
-    let accept = async {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => serve_caller::<B>(&gateway, TcpStream::from(stream)),
-                // Accepting fails while descriptors are short; others may become free.
-                Err(error) => {
-                    tracing::warn!(%error, "a connection was not accepted");
-                    smol::Timer::after(ACCEPT_PAUSE.as_std()).await;
-                }
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => serve_caller::<B>(&gateway, TcpStream::from(stream)),
+            // Accepting fails while descriptors are short; others may become free.
+            Err(error) => {
+                tracing::warn!(%error, "a connection was not accepted");
+                smol::Timer::after(ACCEPT_PAUSE.as_std()).await;
             }
         }
-    };
-    let end = async { while gateway.shared.callers_end.recv().await.is_ok() {} };
-    future::or(accept, end).await;
+    }
 }
 
 fn serve_caller<B: Boundary>(gateway: &Rc<TrafficThread>, stream: TcpStream) {
@@ -100,7 +95,11 @@
         executor: gateway.executor.clone(),
         timers: gateway.timers.clone(),
         limits: limits_in_force(&gateway),
-        shutdown: gateway.shared.callers_end.clone(),
+        shutdown: match gateway.shared.callers_end.is_closed() {
+            // A connection that comes after the signal is closed behind its first answer.
+            true => gateway.never.clone(),
+            false => gateway.shared.callers_end.clone(),
+        },
     };
     let executor = gateway.executor.clone();
     let serve = async move {
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -2,11 +2,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use arc_swap::Guard;
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use celeryknot_callers::ThreadExecutor;
 use celeryknot_core::{EndpointName, MonotonicMs, Refusal, ServiceName, Timers};
 use celeryknot_endpoints::Connections;
@@ -17,7 +18,7 @@
 use celeryknot_policy::routing::Service;
 
 use crate::loads::{EndpointTag, LoadNews};
-use crate::shared::{HeardLoad, Shared, ToldLoad};
+use crate::shared::{HeardLoad, Shared, Signal, ToldLoad};
 use crate::view::View;
 
 /// Fewest daemons that the fleet's bounds are divided by, while others may not be known yet.
@@ -42,6 +43,9 @@
     view_seen: Cell<u64>,
     /// Loads that peers have told.
     loads: Receiver<ToldLoad>,
+    /// A signal that is not given before the thread ends.
+    pub(crate) never: Signal,
+    _never: Sender<Infallible>,
 }
 
 impl TrafficThread {
@@ -52,6 +56,7 @@
     ) -> Rc<Self> {
         let timers = Timers::default();
         timers.advance(shared.now());
+        let (never_sender, never) = async_channel::bounded(1);
         Rc::new(Self {
             connections: Connections::new(timers.clone()),
             executor,
@@ -59,6 +64,8 @@
             services: RefCell::default(),
             view_seen: Cell::new(0),
             loads,
+            never,
+            _never: never_sender,
             shared,
         })
     }
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -137,6 +137,9 @@
     body: Incoming,
 ) -> Result<Response<GatewayBody>, Refusal> {
     let arrived_at = gateway.now();
+    if !gateway.shared.has_time_for_requests() {
+        return Err(Refusal::after(ErrorKind::Draining, RETRY_ELSEWHERE));
+    }
     let table = {
         let view = gateway.view();
         let table = view.table.clone();
