Keep requests in the regions that their route and customer name

Cause: allowedRegions was not read; deployments of several regions would send bodies across them.

Change: routes and customers name regions, the settings say in which region each zone lies, and placement leaves out endpoints elsewhere.

--- a/crates/celeryknot_core/src/id.rs
+++ b/crates/celeryknot_core/src/id.rs
@@ -114,6 +114,10 @@
     /// The name of a model that a service offers.
     ModelName, "model name"
 );
+name_type!(
+    /// The name of a region, which holds availability zones.
+    RegionName, "region name"
+);
 name_type!(
     /// The name of an availability zone.
     ZoneName, "zone name"
--- a/crates/celeryknot_gateway/src/traffic/call.rs
+++ b/crates/celeryknot_gateway/src/traffic/call.rs
@@ -4,11 +4,12 @@
 
 use bytes::Bytes;
 use celeryknot_callers::hop_by_hop;
-use celeryknot_core::{CustomerName, DurationMs, MonotonicMs, ServiceName};
+use celeryknot_core::{CustomerName, DurationMs, MonotonicMs, ServiceName, ZoneName};
 use celeryknot_endpoints::RequestBody;
 use celeryknot_policy::direct::Placement;
 use celeryknot_policy::routing::Route;
 use http::{HeaderMap, Method, Request, Uri, header};
+use smallvec::SmallVec;
 
 use crate::boundary::{Boundary, CallHead, SendHead};
 
@@ -20,6 +21,8 @@
     pub(crate) service: ServiceName,
     pub(crate) customer: Option<CustomerName>,
     pub(crate) priority: u8,
+    /// The zones whose endpoints may run the request; `None` if all may.
+    pub(crate) allowed_zones: Option<SmallVec<[ZoneName; 4]>>,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     /// What the caller sent, less what concerns its connection only.
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -179,6 +179,7 @@
         let request = PlacementRequest {
             shared,
             draw: rand::random(),
+            allowed_zones: call.allowed_zones.as_deref(),
             tried: &self.tried,
         };
         let placed = self.gateway.place(&call.service, &request);
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -8,9 +8,9 @@
 use celeryknot_callers::body::read_body;
 use celeryknot_callers::framing::check_framing;
 use celeryknot_callers::head_scanner::AmbiguousFraming;
-use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, Refusal};
+use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, Refusal, RegionName, ZoneName};
 use celeryknot_policy::direct::SharedParts;
-use celeryknot_policy::routing::{Route, RoutingTable};
+use celeryknot_policy::routing::{Route, RoutingTable, allowed_zones};
 use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, Version};
@@ -145,7 +145,8 @@
         let table = view.table.clone();
         table.ok_or(Refusal::new(ErrorKind::NotReady))?
     };
-    let call = check_call(&table, head, parts, arrived_at)
+    let zones = &gateway.shared.settings.zone_regions;
+    let call = check_call(&table, zones, head, parts, arrived_at)
         .map_err(|kind| refuse_unknown(kind, gateway.shared.store_age()))?;
     let limits = table.limits();
     let body = read_body(
@@ -173,6 +174,7 @@
 /// Finds the route, the customer and the service of a request.
 fn check_call(
     table: &Arc<RoutingTable>,
+    zones: &[(ZoneName, RegionName)],
     head: CallHead,
     parts: Parts,
     arrived_at: MonotonicMs,
@@ -185,7 +187,9 @@
     });
     let mut headers = parts.headers;
     keep_end_to_end(&mut headers);
+    let of_customer = customer.map_or(&[][..], |customer| &customer.allowed_regions);
     Ok(Call {
+        allowed_zones: allowed_zones(zones, &route.allowed_regions, of_customer),
         route: Arc::clone(route),
         service,
         customer: customer.map(|customer| customer.name.clone()),
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -11,7 +11,7 @@
 
 use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{
-    DurationMs, EndpointName, ErrorKind, MemberName, MonotonicMs, Refusal, TokenCount,
+    DurationMs, EndpointName, ErrorKind, MemberName, MonotonicMs, Refusal, TokenCount, ZoneName,
 };
 use smallvec::SmallVec;
 use strum::{Display, EnumIter, IntoStaticStr};
@@ -72,6 +72,8 @@
     pub shared: Option<SharedParts>,
     /// A number from 0 to 1, drawn for this request.
     pub draw: f64,
+    /// The zones whose endpoints may run the request; `None` if all may.
+    pub allowed_zones: Option<&'a [ZoneName]>,
     /// Endpoints that failed this request already.
     pub tried: &'a [EndpointName],
 }
@@ -279,7 +281,11 @@
             .endpoints
             .iter()
             .filter(|(name, state)| {
+                let zone = &state.listed.zone;
                 state.listed.takes_new_work
+                    && request
+                        .allowed_zones
+                        .is_none_or(|zones| zones.contains(zone))
                     && !request.tried.contains(name)
                     && (takes_avoided || !state.is_avoided(now))
             })
--- a/crates/celeryknot_policy/src/routing.rs
+++ b/crates/celeryknot_policy/src/routing.rs
@@ -5,7 +5,9 @@
 
 use std::sync::Arc;
 
-use celeryknot_core::{CustomerName, DurationMs, RatePerS, ServiceName, SizeBytes, TokenCount};
+use celeryknot_core::{
+    CustomerName, DurationMs, RatePerS, RegionName, ServiceName, SizeBytes, TokenCount, ZoneName,
+};
 use smallvec::SmallVec;
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
@@ -74,6 +76,8 @@
     pub priority: u8,
     /// Most endpoints that may run one request.
     pub attempts_max: u32,
+    /// Regions whose endpoints may run the requests; all where there are none.
+    pub allowed_regions: SmallVec<[RegionName; 2]>,
     /// Whether callers need no key.
     pub is_anonymous: bool,
     /// Whether requests carry the parts of a prompt.
@@ -117,6 +121,39 @@
     pub keys: Vec<String>,
     /// Rank of all the customer's requests, before that of the route.
     pub priority: Option<u8>,
+    /// Regions whose endpoints may run the requests; all where there are none.
+    pub allowed_regions: SmallVec<[RegionName; 2]>,
+}
+
+/// Returns the zones whose endpoints may run a request, or `None` if all may.
+///
+/// Where both the route and the customer name regions, both bind. `zones` says which region each
+/// zone lies in; a zone that it does not name is in none.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_policy::routing::allowed_zones;
+///
+/// let zones = [("a-1".parse()?, "a".parse()?), ("b-1".parse()?, "b".parse()?)];
+/// let only_b = ["b".parse()?];
+/// assert_eq!(allowed_zones(&zones, &[], &[]), None);
+/// assert_eq!(allowed_zones(&zones, &only_b, &[]).unwrap()[..], ["b-1".parse()?]);
+/// # Ok::<(), celeryknot_core::IdError>(())
+/// ```
+pub fn allowed_zones(
+    zones: &[(ZoneName, RegionName)],
+    of_route: &[RegionName],
+    of_customer: &[RegionName],
+) -> Option<SmallVec<[ZoneName; 4]>> {
+    if of_route.is_empty() && of_customer.is_empty() {
+        return None;
+    }
+    let allows = |regions: &[RegionName], region| regions.is_empty() || regions.contains(region);
+    let allowed = zones
+        .iter()
+        .filter(|(_, region)| allows(of_route, region) && allows(of_customer, region));
+    Some(allowed.map(|(zone, _)| zone.clone()).collect())
 }
 
 /// What a caller may send and how long it may take.
--- a/crates/celeryknot_policy/tests/direct.rs
+++ b/crates/celeryknot_policy/tests/direct.rs
@@ -69,6 +69,7 @@
     PlacementRequest {
         shared,
         draw,
+        allowed_zones: None,
         tried: &[],
     }
 }
@@ -468,6 +469,30 @@
     assert!(pool.place(now, &ask(None, 0.5)).is_ok());
 }
 
+#[test]
+fn a_request_stays_in_the_zones_that_it_may_run_in() {
+    let mut pool = pool(0, 1, 4);
+    let moved = (0..4).map(|number| {
+        let mut endpoint = listed(number);
+        if number == 3 {
+            endpoint.zone = "far-a".parse().unwrap();
+        }
+        endpoint
+    });
+    pool.relist(MonotonicMs(0), moved);
+    let far = ["far-a".parse().unwrap()];
+    for (zones, expected) in [(&far[..], Some(engine(3))), (&[], None)] {
+        for key in 0..20 {
+            let request = PlacementRequest {
+                allowed_zones: Some(zones),
+                ..ask(prompt(key, HEAVY), 0.5)
+            };
+            let placed = pool.place(MonotonicMs(0), &request);
+            assert_eq!(placed.ok().map(|it| it.endpoint), expected);
+        }
+    }
+}
+
 #[test]
 fn a_slow_plain_endpoint_gets_fewer_requests() {
     let mut pool = pool(0, 1, 3);
--- a/crates/celeryknot_policy/tests/routing.rs
+++ b/crates/celeryknot_policy/tests/routing.rs
@@ -25,6 +25,7 @@
         pause_objective_ms: None,
         priority: 1,
         attempts_max: 2,
+        allowed_regions: smallvec![],
         is_anonymous: false,
         has_prompt: false,
         services: smallvec![
@@ -53,6 +54,7 @@
             name: "otaru".parse().unwrap(),
             keys: vec!["secret".to_owned()],
             priority: None,
+            allowed_regions: smallvec![],
         }],
         ..Configuration::default()
     }
--- a/crates/celeryknot_settings/src/gateway.rs
+++ b/crates/celeryknot_settings/src/gateway.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 
-use celeryknot_core::{DurationMs, MemberName, ZoneName};
+use celeryknot_core::{DurationMs, MemberName, RegionName, ZoneName};
 
 use crate::builder::setters;
-use crate::diagnostic::Diagnostic;
+use crate::diagnostic::{Diagnostic, DiagnosticCode};
 use crate::fields::Fields;
 use crate::key_table::GATEWAY_KEYS;
 
@@ -69,6 +69,8 @@
     pub store_addresses: Vec<SocketAddr>,
     /// `[members] seeds`: daemons that are asked for the others; some may be gone.
     pub seeds: Vec<SocketAddr>,
+    /// `[regions] zones`, `regions`: the region that each availability zone lies in.
+    pub zone_regions: Vec<(ZoneName, RegionName)>,
     /// `[bounds]`: what the users require of the whole fleet.
     pub bounds: FleetBounds,
 }
@@ -100,6 +102,7 @@
                 operators_address: None,
                 store_addresses: Vec::new(),
                 seeds: Vec::new(),
+                zone_regions: Vec::new(),
                 bounds: FleetBounds::default(),
             },
         }
@@ -121,7 +124,16 @@
     /// ```
     pub fn parse(text: &str) -> Result<Self, Vec<Diagnostic>> {
         let fields = Fields::read(GATEWAY_KEYS, text)?;
+        let zones: Vec<ZoneName> = fields.list("regions", "zones");
+        let regions: Vec<RegionName> = fields.list("regions", "regions");
+        if zones.len() != regions.len() {
+            let reason = format!("{} zones, but {} regions", zones.len(), regions.len());
+            let line = fields.line("regions", "regions");
+            let conflict = Diagnostic::new(DiagnosticCode::Conflict, line, reason);
+            return Err(vec![conflict]);
+        }
         Ok(Self {
+            zone_regions: zones.into_iter().zip(regions).collect(),
             name: fields.get("gateway", "name"),
             zone: fields.get("gateway", "zone"),
             connections_max: fields.get("gateway", "connections_max"),
@@ -161,6 +173,7 @@
         operators_address: Option<SocketAddr>,
         store_addresses: Vec<SocketAddr>,
         seeds: Vec<SocketAddr>,
+        zone_regions: Vec<(ZoneName, RegionName)>,
         bounds: FleetBounds,
     });
 
--- a/crates/celeryknot_settings/src/key.rs
+++ b/crates/celeryknot_settings/src/key.rs
@@ -19,6 +19,8 @@
     Name,
     /// Names with commas between them.
     Names,
+    /// Names with commas between them, of which some may be the same.
+    Words,
     /// An IP address with a port.
     Address,
     /// IP addresses with ports, with commas between them.
@@ -101,7 +103,7 @@
     pub const fn unit(&self) -> &'static str {
         match self {
             Self::Name => "name",
-            Self::Names => "list of names",
+            Self::Names | Self::Words => "list of names",
             Self::Address => "IP address and port",
             Self::Addresses => "list of IP addresses and ports",
             Self::Secret => "secret",
@@ -120,7 +122,9 @@
     /// Returns the accepted range in words.
     pub fn range(&self) -> String {
         match self {
-            Self::Name | Self::Names => "1 to 63 of a-z, 0-9, `-`, `_`, `.`".to_owned(),
+            Self::Name | Self::Names | Self::Words => {
+                "1 to 63 of a-z, 0-9, `-`, `_`, `.`".to_owned()
+            }
             Self::Address | Self::Addresses => "numeric, such as `10.0.0.1:80`".to_owned(),
             Self::Secret => format!("at least {KEY_LEN_MIN_BYTES} bytes"),
             Self::Sha256 => "64 hex digits".to_owned(),
@@ -141,7 +145,9 @@
     /// Says what a value must be, for messages.
     const fn expected(&self) -> &'static str {
         match self {
-            Self::Name | Self::Names => "a name of 1 to 63 of a-z, 0-9, `-`, `_` and `.`",
+            Self::Name | Self::Names | Self::Words => {
+                "a name of 1 to 63 of a-z, 0-9, `-`, `_` and `.`"
+            }
             Self::Address | Self::Addresses => "an IP address and port such as `10.0.0.1:80`",
             Self::Secret => "a secret key",
             Self::Sha256 => "64 hex digits",
@@ -165,6 +171,9 @@
         match self {
             Self::Name => self.parse::<ModelName>(text).map(drop),
             Self::Names => self.check_list::<ModelName>(text),
+            Self::Words => {
+                split_list(text).try_for_each(|item| self.parse::<ModelName>(item).map(drop))
+            }
             Self::Address => self.parse::<SocketAddr>(text).map(drop),
             Self::Addresses => self.check_list::<SocketAddr>(text),
             Self::Routes => self.check_list::<RouteRule>(text),
