--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -36,7 +36,7 @@
 /// Time between two looks at whether this daemon is a reader.
 const ROLE_PERIOD: Duration = Duration::from_millis(100);
 
-const BACKOFF_FIRST_MS: DurationMs = DurationMs(100);
+const BACKOFF_FIRST_MS: DurationMs = DurationMs(50);
 const BACKOFF_LONGEST_MS: DurationMs = DurationMs(400);
 
 /// Longest pause after a failure, of a daemon that is no reader.
@@ -88,11 +88,8 @@
                     tracing::warn!(%error, "the store can't be read");
                 }
                 let pause = backoff.next_wait(rand::random());
-                // Without a configuration nothing is served: the store is asked as often as at first.
-                let is_needed = publisher.position().is_none() && publisher.is_reader();
-                let pause = if is_needed { BACKOFF_FIRST_MS } else { pause };
                 smol::Timer::after(pause.as_std()).await;
-                if !is_needed && !publisher.is_reader() {
+                if !publisher.is_reader() {
                     // The readers look for the store; all daemons together must not press it.
                     let pause_ms = rand::random_range(0..BACKOFF_OTHERS_MS.0);
                     smol::Timer::after(DurationMs(pause_ms).as_std()).await;
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -28,16 +28,6 @@
 /// News comes at the latest after a reader's watch and a question to it, 2.5 s together.
 const NEWS_STALE_AFTER: DurationMs = DurationMs(3_000);
 
-/// Time after its start in which a daemon hears of the configuration if anybody knows it.
-const STARTING: DurationMs = DurationMs(1_000);
-
-/// Time to come back to a daemon that has just started.
-const RETRY_STARTING: DurationMs = DurationMs(300);
-
-/// Time to come back while the store is away and nobody knows a configuration; callers that have
-/// less time shorten it themselves.
-const RETRY_STORE_AWAY: DurationMs = DurationMs(1_500);
-
 /// Time to come back, to another daemon, after a refusal that concerns this one only.
 const RETRY_ELSEWHERE: DurationMs = DurationMs(100);
 
@@ -153,7 +143,7 @@
     let table = {
         let view = gateway.view();
         let table = view.table.clone();
-        table.ok_or_else(|| refuse_unready(arrived_at))?
+        table.ok_or(Refusal::new(ErrorKind::NotReady))?
     };
     let zones = &gateway.shared.settings.zone_regions;
     let call = check_call(&table, zones, head, parts, arrived_at)
@@ -170,17 +160,6 @@
     forward::run::<B>(gateway, Call { body, ..call }).await
 }
 
-/// Words the refusal of a request that comes before any configuration is known.
-///
-/// A daemon that has just started knows one in a moment; later on, the store is away from all.
-fn refuse_unready(now: MonotonicMs) -> Refusal {
-    let retry_after_ms = match now < MonotonicMs(STARTING.0) {
-        true => RETRY_STARTING,
-        false => RETRY_STORE_AWAY,
-    };
-    Refusal::after(ErrorKind::NotReady, retry_after_ms)
-}
-
 /// Words the refusal of a request whose route or key is unknown.
 ///
 /// A daemon that has had no news for a while can't tell that there is no such route or key.
