--- /dev/null
+++ b/crates/celeryknot_gateway/src/counted.rs
@@ -0,0 +1,28 @@
+//! Counts of things that are open, shared between threads.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counts one thing that is open, until it is dropped.
+#[derive(Debug)]
+pub struct Counted(Arc<AtomicU64>);
+
+impl Counted {
+    /// Counts one more.
+    pub fn new(counter: &Arc<AtomicU64>) -> Self {
+        counter.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(counter))
+    }
+
+    /// Counts unless that many are open already.
+    pub fn below(counter: &Arc<AtomicU64>, max: u64) -> Option<Self> {
+        let counted = Self::new(counter);
+        (counter.load(Ordering::Acquire) <= max).then_some(counted)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/crates/celeryknot_gateway/src/lib.rs
+++ b/crates/celeryknot_gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod boundary;
 mod control;
+pub mod counted;
 pub mod daemon;
 pub mod in_flight;
 mod listeners;
--- a/crates/celeryknot_gateway/src/run.rs
+++ b/crates/celeryknot_gateway/src/run.rs
@@ -13,7 +13,7 @@
 use crate::daemon::Gateway;
 use crate::logs;
 
-/// The exit statuses of a gateway.
+/// The exit statuses of a daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 #[repr(u8)]
@@ -22,7 +22,7 @@
     Done = 0,
     /// Shut down by a signal; requests in flight were cut at the end of the grace time.
     Leftover = 1,
-    /// The settings file can't be used.
+    /// The arguments or the settings file can't be used.
     Usage = 2,
     /// An address can't be bound, or a thread can't be started.
     Unavailable = 3,
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -128,26 +128,3 @@
         !self.is_leaving() && self.view.load().is_usable()
     }
 }
-
-/// Counts one thing that is open, until it is dropped.
-#[derive(Debug)]
-pub(crate) struct Counted(Arc<AtomicU64>);
-
-impl Counted {
-    pub(crate) fn new(counter: &Arc<AtomicU64>) -> Self {
-        counter.fetch_add(1, Ordering::AcqRel);
-        Self(Arc::clone(counter))
-    }
-
-    /// Counts unless that many are open already.
-    pub(crate) fn below(counter: &Arc<AtomicU64>, max: u64) -> Option<Self> {
-        let counted = Self::new(counter);
-        (counter.load(Ordering::Acquire) <= max).then_some(counted)
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -21,7 +21,8 @@
 use smol::net::TcpStream;
 
 use crate::boundary::Boundary;
-use crate::shared::{Counted, Shared, Signal, ToldLoad};
+use crate::counted::Counted;
+use crate::shared::{Shared, Signal, ToldLoad};
 use context::TrafficThread;
 
 /// Pause after the system refused to accept a connection.
--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -13,7 +13,7 @@
 
 use super::context::Started;
 use super::serve::RequestEnd;
-use crate::shared::Counted;
+use crate::counted::Counted;
 
 /// Where the bytes come from.
 #[derive(Debug)]
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -1,7 +1,5 @@
 //! Answers that are streams of events; one that breaks goes on at another endpoint, if it may.
 
-use std::pin::Pin;
-
 use async_channel::Sender;
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind};
@@ -77,7 +75,6 @@
             timers.after(left_ms).await;
             Some(ErrorKind::AnswerTimeout)
         };
-        let relay: Pin<Box<dyn Future<Output = Option<ErrorKind>>>> = Box::pin(relay);
         if let Some(kind) = future::or(relay, is_overdue).await {
             // A caller that has left needs no word of the failure.
             drop(pieces.send(Err(AnswerError(kind))).await);
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -21,7 +21,7 @@
 use super::context::TrafficThread;
 use super::forward;
 use crate::boundary::{Boundary, CallHead};
-use crate::shared::Counted;
+use crate::counted::Counted;
 
 /// Age of the last news of the store beyond which the configuration may be an old one.
 ///
--- a/crates/celeryknotd/src/run.rs
+++ b/crates/celeryknotd/src/run.rs
@@ -2,7 +2,6 @@
 
 use std::io::IsTerminal;
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 use argh::FromArgs;
 use async_signal::{Signal, Signals};
@@ -13,32 +12,13 @@
 use strum::{EnumIter, EnumString, IntoStaticStr};
 use tracing_subscriber::EnvFilter;
 
+pub use celeryknot_gateway::ExitStatus;
+
 use crate::daemon::Daemon;
 
 /// Level of the log lines where the environment sets none.
 const LOG_LEVEL_DEFAULT: &str = "info";
 
-/// The exit statuses of `celeryknotd`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumIter, IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-#[repr(u8)]
-pub enum ExitStatus {
-    /// Shut down by a signal; no request was cut.
-    Done = 0,
-    /// Shut down by a signal; requests in flight were cut at the end of the grace time.
-    Leftover = 1,
-    /// The arguments or the settings file can't be used.
-    Usage = 2,
-    /// An address can't be bound, or a thread can't be started.
-    Unavailable = 3,
-}
-
-impl From<ExitStatus> for ExitCode {
-    fn from(status: ExitStatus) -> Self {
-        Self::from(status as u8)
-    }
-}
-
 /// A router between callers and endpoints; one of a fleet of equals.
 ///
 /// SIGTERM or SIGINT shuts it down gracefully; a second one ends it at once.
@@ -89,18 +69,7 @@
     };
     match arguments.boundary {
         Speech::Native => run_native(&arguments.settings),
-        Speech::Kinrin => celeryknot_gateway::run::<Kinrin>(&arguments.settings).into(),
-    }
-}
-
-impl From<celeryknot_gateway::ExitStatus> for ExitStatus {
-    fn from(status: celeryknot_gateway::ExitStatus) -> Self {
-        match status {
-            celeryknot_gateway::ExitStatus::Done => Self::Done,
-            celeryknot_gateway::ExitStatus::Leftover => Self::Leftover,
-            celeryknot_gateway::ExitStatus::Usage => Self::Usage,
-            celeryknot_gateway::ExitStatus::Unavailable => Self::Unavailable,
-        }
+        Speech::Kinrin => celeryknot_gateway::run::<Kinrin>(&arguments.settings),
     }
 }
 
--- a/crates/celeryknotd/src/traffic/shared.rs
+++ b/crates/celeryknotd/src/traffic/shared.rs
@@ -6,6 +6,7 @@
 
 use async_channel::{Receiver, Sender};
 use celeryknot_core::{EndpointName, Incarnation, RequestId, SizeBytes};
+pub(crate) use celeryknot_gateway::counted::Counted;
 use celeryknot_operators::Metrics;
 use celeryknot_settings::DaemonSettings;
 
@@ -68,29 +69,6 @@
     }
 }
 
-/// Counts one thing that is open, until it is dropped.
-#[derive(Debug)]
-pub(crate) struct Counted(Arc<AtomicU64>);
-
-impl Counted {
-    pub(crate) fn new(counter: &Arc<AtomicU64>) -> Self {
-        counter.fetch_add(1, Ordering::AcqRel);
-        Self(Arc::clone(counter))
-    }
-
-    /// Counts unless that many are open already.
-    pub(crate) fn below(counter: &Arc<AtomicU64>, max: u64) -> Option<Self> {
-        let counted = Self::new(counter);
-        (counter.load(Ordering::Acquire) <= max).then_some(counted)
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// Most bytes of request bodies in memory at the same time.
 const BODIES_SIZE_MAX: SizeBytes = SizeBytes(128 << 20);
 
