Do not start a stream over whose events bear no ids

Cause, found by reading: a resumable stream that broke after events without ids was asked of another engine from the start, and its events came twice.

Change: such a stream ends there, and its connection with it. The test failed before (the second engine's events followed the first one's).

--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -103,6 +103,10 @@
                 "stream broke"
             );
             let last_event_id = self.last_event_id.clone();
+            if self.events > 0 && last_event_id.is_none() {
+                // Another endpoint could only start over.
+                return Some(ErrorKind::AnswerIncomplete);
+            }
             match self.forward.go_on::<B>(failure, last_event_id).await {
                 Ok(next) => {
                     self.forward.gateway.shared.metrics.resumes.inc();
