--- a/crates/celeryknot_core/src/id.rs
+++ b/crates/celeryknot_core/src/id.rs
@@ -231,17 +231,17 @@
 );
 
 macro_rules! hex_type {
-    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+    ($(#[$doc:meta])* $name:ident, $number:ty, $digits:literal, $kind:literal) => {
         $(#[$doc])*
         #[derive(
             Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
         )]
         #[serde(transparent)]
-        pub struct $name(pub u64);
+        pub struct $name(pub $number);
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                write!(f, "{:016x}", self.0)
+                write!(f, "{:01$x}", self.0, $digits)
             }
         }
 
@@ -249,10 +249,10 @@
             type Err = IdError;
 
             fn from_str(text: &str) -> Result<Self, IdError> {
-                if text.len() != 16 {
+                if text.len() != $digits {
                     return Err(IdError::new($kind, text));
                 }
-                u64::from_str_radix(text, 16)
+                <$number>::from_str_radix(text, 16)
                     .map(Self)
                     .map_err(|_| IdError::new($kind, text))
             }
@@ -262,16 +262,42 @@
 
 hex_type!(
     /// One life of a daemon process: drawn at random when it starts.
-    Incarnation, "incarnation"
+    Incarnation, u64, 16, "incarnation"
 );
 hex_type!(
     /// One request as it passes from the caller to the endpoint and back.
-    RequestId, "request id"
+    RequestId, u64, 16, "request id"
 );
 hex_type!(
     /// The hash that stands for one chat of one customer with one model.
-    ChatKey, "chat key"
+    ChatKey, u64, 16, "chat key"
+);
+
+hex_type!(
+    /// An endpoint's name in four bytes, as daemons tell it each other.
+    EndpointTag, u32, 8, "endpoint tag"
 );
+hex_type!(
+    /// The hash that stands for the shared parts of a prompt among daemons.
+    PromptTag, u32, 8, "prompt tag"
+);
+
+impl EndpointTag {
+    /// Returns the tag of an endpoint.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::EndpointTag;
+    ///
+    /// let tag = EndpointTag::new(&"engine-1".parse()?);
+    /// assert_eq!(tag.to_string().parse::<EndpointTag>()?, tag);
+    /// # Ok::<(), celeryknot_core::IdError>(())
+    /// ```
+    pub fn new(name: &EndpointName) -> Self {
+        Self(rendezvous_score(0, name.as_str()) as u32)
+    }
+}
 
 impl ChatKey {
     /// Hashes what identifies a chat.
--- a/crates/celeryknot_core/src/lib.rs
+++ b/crates/celeryknot_core/src/lib.rs
@@ -17,8 +17,8 @@
 pub use endpoint::{EndpointCondition, EndpointSummary};
 pub use error_kind::{Answer, ErrorKind, Execution, Refusal, RetryAdvice};
 pub use id::{
-    ChatKey, CustomerName, EndpointName, IdError, Incarnation, MemberName, ModelName, RegionName,
-    RequestId, Revision, ServiceName, SettingPath, TeamName, ZoneName,
+    ChatKey, CustomerName, EndpointName, EndpointTag, IdError, Incarnation, MemberName, ModelName,
+    PromptTag, RegionName, RequestId, Revision, ServiceName, SettingPath, TeamName, ZoneName,
 };
 pub use quantity::{QuantityError, RatePerS, SizeBytes, TokenCount};
 pub use time::{DurationMs, MonotonicMs};
--- a/crates/celeryknot_gateway/src/control.rs
+++ b/crates/celeryknot_gateway/src/control.rs
@@ -56,14 +56,14 @@
             let probes = probes::serve(executor.clone(), listener, Arc::clone(&shared));
             executor.spawn(probes).detach();
         }
-        executor.spawn(take_loads(Rc::clone(&publisher))).detach();
+        executor.spawn(take_news(Rc::clone(&publisher))).detach();
         executor.spawn(tick(publisher)).detach();
         while stop.recv().await.is_ok() {}
     }));
 }
 
-async fn take_loads(publisher: Rc<Publisher>) {
-    let heard = publisher.shared.loads_heard.1.clone();
+async fn take_news(publisher: Rc<Publisher>) {
+    let heard = publisher.shared.news_heard.1.clone();
     while let Ok(news) = heard.recv().await {
         publisher.take_heard(news);
     }
--- a/crates/celeryknot_gateway/src/control/news.rs
+++ b/crates/celeryknot_gateway/src/control/news.rs
@@ -10,7 +10,7 @@
 use smol::LocalExecutor;
 
 use super::Publisher;
-use super::publisher::LoadCursor;
+use super::publisher::NewsCursor;
 use crate::boundary::Boundary;
 
 /// Peers that a daemon asks at the same time, so that the loss of one delays nothing.
@@ -45,7 +45,7 @@
     place: usize,
 ) {
     let mut client: Option<NewsClient> = None;
-    let mut cursor = LoadCursor::default();
+    let mut cursor = NewsCursor::default();
     let mut is_lost = false;
     let mut count = 0u64;
     loop {
@@ -61,21 +61,21 @@
         let mut asked = match client.take() {
             Some(open) if open.address() == address => open,
             Some(_) | None => {
-                cursor = LoadCursor::default();
+                cursor = NewsCursor::default();
                 NewsClient::new(&executor, address)
             }
         };
         let wait = news_wait(publisher.member_count());
         let question = publisher.question(wait, &cursor, place == 0);
-        let told = publisher.loads_version();
+        let told = publisher.news_version();
         match asked.ask(question).await {
             Ok(reply) => {
                 if std::mem::take(&mut is_lost) {
                     tracing::info!(peer = %address, "news of a peer again");
                 }
-                cursor = LoadCursor {
+                cursor = NewsCursor {
                     told,
-                    heard: reply.loads_at,
+                    heard: reply.news_at,
                 };
                 publisher.take_reply::<B>(reply);
                 client = Some(asked);
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -4,18 +4,18 @@
 use std::sync::Arc;
 
 use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
-use celeryknot_peers::relay::{NewsCall, NewsReply, NewsRequest, RelayLoad};
+use celeryknot_peers::relay::{NewsCall, NewsReply, NewsRequest, RelayHolder, RelayLoad};
 
 use super::questions::{
-    Known, Questions, build_reply, read_counts, read_load, read_member, write_counts, write_load,
-    write_member,
+    Known, Questions, build_reply, read_counts, read_member, read_news, write_counts, write_member,
+    write_news,
 };
 use crate::boundary::{Boundary, StoreRevision};
+use crate::endpoint_news::{EndpointNews, NewsTable};
 use crate::in_flight::InFlightTable;
-use crate::loads::{LoadNews, LoadTable};
 use crate::members::{Member, MemberTable};
 use crate::relay_log::{RawItem, RelayLog};
-use crate::shared::{HeardLoad, Shared, ToldLoad};
+use crate::shared::{Heard, Shared, Told};
 use crate::store_state::{StateChange, StoreState};
 use crate::view::View;
 
@@ -35,9 +35,9 @@
     Peer,
 }
 
-/// Up to which load a peer was told, and up to which it has told.
+/// Up to which news of endpoints a peer was told, and up to which it has told.
 #[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct LoadCursor {
+pub(crate) struct NewsCursor {
     pub(crate) told: u64,
     pub(crate) heard: u64,
 }
@@ -50,7 +50,7 @@
     log: RefCell<RelayLog>,
     members: RefCell<MemberTable>,
     members_published: RefCell<u64>,
-    loads: RefCell<LoadTable>,
+    endpoint_news: RefCell<NewsTable>,
     in_flight: RefCell<InFlightTable>,
     questions: RefCell<Questions>,
 }
@@ -70,7 +70,7 @@
             log: RefCell::default(),
             members: RefCell::new(members),
             members_published: RefCell::new(0),
-            loads: RefCell::default(),
+            endpoint_news: RefCell::default(),
             in_flight: RefCell::default(),
             questions: RefCell::default(),
         }
@@ -160,7 +160,7 @@
         let changes = self.state.borrow_mut().advance(now);
         self.publish(NewsSource::Store, StoreRevision::default(), &changes);
         self.members.borrow_mut().advance(now);
-        self.loads.borrow_mut().advance(now);
+        self.endpoint_news.borrow_mut().advance(now);
         self.in_flight.borrow_mut().advance(now);
         self.tell_own_total(now);
         self.publish_members();
@@ -173,7 +173,7 @@
     fn tell_own_total(&self, now: MonotonicMs) {
         if self.is_reader() {
             let total = self.in_flight.borrow().total(now);
-            self.tell_traffic(ToldLoad::Totals(total));
+            self.tell_traffic(Told::Totals(total));
         }
     }
 
@@ -220,12 +220,13 @@
     pub(crate) fn question(
         &self,
         wait: DurationMs,
-        cursor: &LoadCursor,
+        cursor: &NewsCursor,
         tells_own: bool,
     ) -> NewsRequest {
         let now = self.now();
         let is_reader = self.is_reader();
-        let loads = self.loads.borrow().after(now, cursor.told);
+        let news = self.endpoint_news.borrow().after(now, cursor.told);
+        let (loads, holders) = write_news(now, news);
         let members = self.members.borrow();
         NewsRequest {
             member: Some(write_member(members.own(), DurationMs(0))),
@@ -233,26 +234,24 @@
             wait_ms: u32::try_from(wait.0).unwrap_or(u32::MAX),
             members_digest: members.digest(),
             ages: members.ages(now),
-            loads: loads
-                .into_iter()
-                .map(|load| write_load(now, load))
-                .collect(),
-            loads_after: cursor.heard,
+            loads,
+            holders,
+            news_after: cursor.heard,
             in_flight: (tells_own && !is_reader)
                 .then(|| write_counts(self.in_flight.borrow().own())),
             adds_up: is_reader,
         }
     }
 
-    /// Returns the number of the last load that this daemon knows.
-    pub(crate) fn loads_version(&self) -> u64 {
-        self.loads.borrow().version()
+    /// Returns the number of the last news of endpoints that this daemon knows.
+    pub(crate) fn news_version(&self) -> u64 {
+        self.endpoint_news.borrow().version()
     }
 
     /// Takes over what a peer has answered.
     pub(crate) fn take_reply<B: Boundary>(&self, reply: NewsReply) {
         let now = self.now();
-        self.take_peer_loads(&reply.loads);
+        self.take_peer_news(&reply.loads, &reply.holders);
         self.take_sums(&reply);
         {
             let mut members = self.members.borrow_mut();
@@ -284,7 +283,7 @@
     /// Takes up a question of a peer; it is answered at once if there is news.
     pub(crate) fn take_question(&self, call: NewsCall) {
         let now = self.now();
-        self.take_peer_loads(&call.request.loads);
+        self.take_peer_news(&call.request.loads, &call.request.holders);
         {
             let mut members = self.members.borrow_mut();
             let asker = call.request.member.as_ref();
@@ -314,28 +313,28 @@
             now: self.now(),
             members: &self.members.borrow(),
             log: &self.log.borrow(),
-            loads: &self.loads.borrow(),
+            endpoints: &self.endpoint_news.borrow(),
             in_flight: &self.in_flight.borrow(),
             store_age: self.shared.store_age(),
         };
         build_reply(known, request)
     }
 
-    /// Takes in what the traffic thread has heard of endpoints' loads.
-    pub(crate) fn take_heard(&self, heard: HeardLoad) {
+    /// Takes in what the traffic thread has heard of endpoints.
+    pub(crate) fn take_heard(&self, heard: Heard) {
         match heard {
-            HeardLoad::Report(news) => {
-                self.loads.borrow_mut().observe(news);
+            Heard::News(news) => {
+                self.endpoint_news.borrow_mut().observe(news);
             }
-            HeardLoad::InFlight { endpoint, count } => {
+            Heard::InFlight { endpoint, count } => {
                 self.in_flight.borrow_mut().set_own(endpoint, count);
             }
         }
     }
 
-    fn tell_traffic(&self, told: ToldLoad) {
-        if self.shared.loads_told.try_send(told).is_err() {
-            tracing::debug!("the traffic thread lags behind; it is told later loads soon");
+    fn tell_traffic(&self, told: Told) {
+        if self.shared.news_told.try_send(told).is_err() {
+            tracing::debug!("the traffic thread lags behind; it is told later news soon");
         }
     }
 
@@ -348,23 +347,20 @@
             in_flight.note_reader(now, peer.name, read_counts(here));
         }
         if let Some(total) = &reply.in_flight_total {
-            self.tell_traffic(ToldLoad::Totals(read_counts(total)));
+            self.tell_traffic(Told::Totals(read_counts(total)));
         }
     }
 
-    /// Takes in loads that a peer tells, and lets the traffic thread know.
-    fn take_peer_loads(&self, loads: &[RelayLoad]) {
-        if loads.is_empty() {
-            return;
-        }
+    /// Takes in what a peer tells of endpoints, and lets the traffic thread know.
+    fn take_peer_news(&self, loads: &[RelayLoad], holders: &[RelayHolder]) {
         let now = self.now();
-        let news: Vec<LoadNews> = {
-            let mut table = self.loads.borrow_mut();
-            let read = loads.iter().map(|load| read_load(now, load));
+        let news: Vec<EndpointNews> = {
+            let mut table = self.endpoint_news.borrow_mut();
+            let read = read_news(now, loads, holders);
             read.filter(|news| table.observe(*news)).collect()
         };
-        for load in news {
-            self.tell_traffic(ToldLoad::Report(load));
+        for news in news {
+            self.tell_traffic(Told::News(news));
         }
     }
 }
--- a/crates/celeryknot_gateway/src/control/questions.rs
+++ b/crates/celeryknot_gateway/src/control/questions.rs
@@ -3,15 +3,16 @@
 use std::rc::Rc;
 
 use async_channel::Receiver;
-use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
+use celeryknot_core::{DurationMs, EndpointTag, Incarnation, MonotonicMs, PromptTag};
 use celeryknot_peers::relay::{
-    InFlightCounts, NewsCall, NewsReply, NewsRequest, RelayItem, RelayLoad, RelayMember,
+    InFlightCounts, NewsCall, NewsReply, NewsRequest, RelayHolder, RelayItem, RelayLoad,
+    RelayMember,
 };
 
 use super::Publisher;
 use crate::boundary::StoreRevision;
+use crate::endpoint_news::{EndpointNews, Fact, NewsTable};
 use crate::in_flight::{Counts, InFlightTable};
-use crate::loads::{EndpointTag, LoadNews, LoadTable};
 use crate::members::{Member, MemberTable};
 use crate::relay_log::RelayLog;
 
@@ -86,7 +87,7 @@
     pub(super) now: MonotonicMs,
     pub(super) members: &'a MemberTable,
     pub(super) log: &'a RelayLog,
-    pub(super) loads: &'a LoadTable,
+    pub(super) endpoints: &'a NewsTable,
     pub(super) in_flight: &'a InFlightTable,
     pub(super) store_age: DurationMs,
 }
@@ -96,20 +97,18 @@
         now,
         members,
         log,
-        loads,
+        endpoints,
         in_flight,
         store_age,
     } = known;
     let news = log.after(request.after.map(StoreRevision));
+    let (loads, holders) = write_news(now, endpoints.after(now, request.news_after));
     let is_list_known = request.members_digest == members.digest();
     let others = members.others(now);
     NewsReply {
-        loads: loads
-            .after(now, request.loads_after)
-            .into_iter()
-            .map(|load| write_load(now, load))
-            .collect(),
-        loads_at: loads.version(),
+        loads,
+        holders,
+        news_at: endpoints.version(),
         in_flight_here: request.adds_up.then(|| write_counts(&in_flight.here(now))),
         in_flight_total: request
             .in_flight
@@ -149,20 +148,56 @@
     tags.zip(text.counts.iter().copied()).collect()
 }
 
-pub(super) fn write_load(now: MonotonicMs, news: LoadNews) -> RelayLoad {
-    RelayLoad {
-        endpoint: news.endpoint.0,
-        held: news.held,
-        age_ms: age_ms(now - news.at),
+/// Writes news of endpoints: loads and failures, and holders of prompts.
+pub(super) fn write_news(
+    now: MonotonicMs,
+    news: Vec<EndpointNews>,
+) -> (Vec<RelayLoad>, Vec<RelayHolder>) {
+    let (mut loads, mut holders) = (Vec::new(), Vec::new());
+    for EndpointNews { endpoint, fact, at } in news {
+        let age_ms = age_ms(now - at);
+        let load = |held, is_unreachable| RelayLoad {
+            endpoint: endpoint.0,
+            held,
+            age_ms,
+            is_unreachable,
+        };
+        match fact {
+            Fact::Load { held } => loads.push(load(held, false)),
+            Fact::Unreachable => loads.push(load(0, true)),
+            Fact::Holds { prompt } => holders.push(RelayHolder {
+                endpoint: endpoint.0,
+                prompt: prompt.0,
+                age_ms,
+            }),
+        }
     }
+    (loads, holders)
 }
 
-pub(super) fn read_load(now: MonotonicMs, load: &RelayLoad) -> LoadNews {
-    LoadNews {
-        endpoint: EndpointTag(load.endpoint),
-        held: load.held,
-        at: MonotonicMs(now.0.saturating_sub(u64::from(load.age_ms))),
-    }
+/// Reads news of endpoints as a peer has written them.
+pub(super) fn read_news<'a>(
+    now: MonotonicMs,
+    loads: &'a [RelayLoad],
+    holders: &'a [RelayHolder],
+) -> impl Iterator<Item = EndpointNews> + 'a {
+    let news = move |endpoint, fact, age_ms| EndpointNews {
+        endpoint: EndpointTag(endpoint),
+        fact,
+        at: MonotonicMs(now.0.saturating_sub(u64::from(age_ms))),
+    };
+    let loads = loads.iter().map(move |load| {
+        let fact = match load.is_unreachable {
+            true => Fact::Unreachable,
+            false => Fact::Load { held: load.held },
+        };
+        news(load.endpoint, fact, load.age_ms)
+    });
+    let holders = holders.iter().map(move |holder| {
+        let prompt = PromptTag(holder.prompt);
+        news(holder.endpoint, Fact::Holds { prompt }, holder.age_ms)
+    });
+    loads.chain(holders)
 }
 
 pub(super) fn write_member(member: &Member, age: DurationMs) -> RelayMember {
--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use celeryknot_core::{Backoff, DurationMs};
@@ -64,6 +65,8 @@
             Err(_) => "failed",
         };
         shared.metrics.store_called(outcome);
+        let is_away = outcome == "failed";
+        shared.is_store_away.store(is_away, Ordering::Release);
         match result {
             Ok(at) => {
                 let is_first = std::mem::take(&mut must_list);
--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,7 @@
 use crate::boundary::Boundary;
 use crate::control::{ControlSockets, run_control};
 use crate::listeners::Listeners;
-use crate::shared::{LOADS_LEN_MAX, NOT_LEAVING, Shared};
+use crate::shared::{NEWS_LEN_MAX, NOT_LEAVING, Shared};
 use crate::traffic::run_traffic;
 use crate::view::View;
 
@@ -50,7 +50,7 @@
         let listeners = Listeners::bind(&mut settings)?;
         let (callers_end, callers_end_signal) = async_channel::bounded(1);
         let (stop, stop_signal) = async_channel::bounded(1);
-        let (loads_told, loads) = async_channel::bounded(LOADS_LEN_MAX);
+        let (news_told, news) = async_channel::bounded(NEWS_LEN_MAX);
         let members = vec![settings.name.clone()];
         let shared = Arc::new(Shared {
             settings,
@@ -60,9 +60,10 @@
                 members,
                 ..View::default()
             }),
-            loads_heard: async_channel::bounded(LOADS_LEN_MAX),
-            loads_told,
+            news_heard: async_channel::bounded(NEWS_LEN_MAX),
+            news_told,
             store_heard_at_ms: AtomicU64::new(0),
+            is_store_away: AtomicBool::new(false),
             leaving_since_ms: AtomicU64::new(NOT_LEAVING),
             callers_end: callers_end_signal,
             in_flight: Arc::default(),
@@ -84,7 +85,7 @@
             run_control::<B>(control_shared, sockets, control_stop);
         })?;
         gateway.spawn("traffic", move || {
-            run_traffic::<B>(shared, listeners.callers, loads, stop_signal);
+            run_traffic::<B>(shared, listeners.callers, news, stop_signal);
         })?;
         Ok(gateway)
     }
--- a/crates/celeryknot_gateway/src/in_flight.rs
+++ b/crates/celeryknot_gateway/src/in_flight.rs
@@ -6,9 +6,7 @@
 
 use std::collections::HashMap;
 
-use celeryknot_core::{DurationMs, MemberName, MonotonicMs};
-
-use crate::loads::EndpointTag;
+use celeryknot_core::{DurationMs, EndpointTag, MemberName, MonotonicMs};
 
 /// Age from which counts that were told are of no more use.
 const AGE_MAX: DurationMs = DurationMs(1_000);
@@ -21,9 +19,8 @@
 /// # Examples
 ///
 /// ```
-/// use celeryknot_core::MonotonicMs;
+/// use celeryknot_core::{EndpointTag, MonotonicMs};
 /// use celeryknot_gateway::in_flight::InFlightTable;
-/// use celeryknot_gateway::loads::EndpointTag;
 ///
 /// let mut table = InFlightTable::default();
 /// let now = MonotonicMs(100);
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -2,25 +2,25 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
-use celeryknot_core::{DurationMs, MonotonicMs};
+use celeryknot_core::{DurationMs, EndpointTag, MonotonicMs};
 use celeryknot_operators::GatewayMetrics;
 use celeryknot_settings::GatewaySettings;
 
+use crate::endpoint_news::EndpointNews;
 use crate::in_flight::Counts;
-use crate::loads::{EndpointTag, LoadNews};
 use crate::logs;
 use crate::view::View;
 
 /// A channel on which nothing is sent: closing it is the signal.
 pub(crate) type Signal = Receiver<Infallible>;
 
-/// Loads that wait for the other thread; later ones are dropped while it lags behind.
-pub(crate) const LOADS_LEN_MAX: usize = 4_096;
+/// News that wait for the other thread; later ones are dropped while it lags behind.
+pub(crate) const NEWS_LEN_MAX: usize = 4_096;
 
 /// Stands in `leaving_since_ms` while no shutdown has begun.
 pub(crate) const NOT_LEAVING: u64 = u64::MAX;
@@ -31,20 +31,26 @@
 /// that is cut is lost.
 const LAST_REQUEST_BEFORE_END: DurationMs = DurationMs(3_000);
 
-/// What the traffic thread tells the control thread of endpoints' loads.
+/// Time after the start for which requests wait for the first configuration.
+///
+/// The store answers within some milliseconds, within a quarter of a second when it is slow; a
+/// caller that is refused comes back a second later.
+const FIRST_CONFIGURATION_WAIT: DurationMs = DurationMs(500);
+
+/// What the traffic thread tells the control thread of endpoints.
 #[derive(Debug, Clone, Copy)]
-pub(crate) enum HeardLoad {
-    /// What an endpoint said.
-    Report(LoadNews),
+pub(crate) enum Heard {
+    /// What peers are to be told.
+    News(EndpointNews),
     /// What this daemon has in flight at an endpoint.
     InFlight { endpoint: EndpointTag, count: u32 },
 }
 
-/// What the control thread tells the traffic thread of endpoints' loads.
+/// What the control thread tells the traffic thread of endpoints.
 #[derive(Debug, Clone)]
-pub(crate) enum ToldLoad {
-    /// What an endpoint said to another daemon.
-    Report(LoadNews),
+pub(crate) enum Told {
+    /// What another daemon has seen.
+    News(EndpointNews),
     /// What all daemons have in flight together.
     Totals(Counts),
 }
@@ -57,11 +63,13 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) view: ArcSwap<View>,
     /// What the traffic thread has heard and has in flight, for the control thread.
-    pub(crate) loads_heard: (Sender<HeardLoad>, Receiver<HeardLoad>),
+    pub(crate) news_heard: (Sender<Heard>, Receiver<Heard>),
     /// What peers have told, for the traffic thread.
-    pub(crate) loads_told: Sender<ToldLoad>,
+    pub(crate) news_told: Sender<Told>,
     /// When the store was last read, by whichever daemon, on this daemon's clock.
     pub(crate) store_heard_at_ms: AtomicU64,
+    /// Whether this daemon's last read of the store failed.
+    pub(crate) is_store_away: AtomicBool,
     /// When the shutdown began; `NOT_LEAVING` before.
     pub(crate) leaving_since_ms: AtomicU64,
     /// Closed when connections of callers are to end after the requests in flight.
@@ -86,6 +94,12 @@
         self.now() - MonotonicMs(self.store_heard_at_ms.load(Ordering::Acquire))
     }
 
+    /// Tells whether the first configuration is likely to come within moments.
+    pub(crate) fn expects_configuration(&self) -> bool {
+        let has_just_started = self.now() < MonotonicMs(FIRST_CONFIGURATION_WAIT.0);
+        has_just_started && !self.is_store_away.load(Ordering::Acquire)
+    }
+
     /// Notes that a shutdown begins.
     pub(crate) fn start_leaving(&self) {
         let now_ms = self.now().0;
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -22,7 +22,7 @@
 
 use crate::boundary::Boundary;
 use crate::counted::Counted;
-use crate::shared::{Shared, Signal, ToldLoad};
+use crate::shared::{Shared, Signal, Told};
 use context::TrafficThread;
 
 /// Pause after the system refused to accept a connection.
@@ -38,12 +38,12 @@
 pub(crate) fn run_traffic<B: Boundary>(
     shared: Arc<Shared>,
     callers: TcpListener,
-    loads: Receiver<ToldLoad>,
+    news: Receiver<Told>,
     stop: Signal,
 ) {
     let runtime = ThreadRuntime::new();
     let executor = runtime.executor();
-    let gateway = TrafficThread::new(shared, executor.clone(), loads);
+    let gateway = TrafficThread::new(shared, executor.clone(), news);
     smol::block_on(runtime.run(async {
         executor.spawn(tick(Rc::clone(&gateway))).detach();
         let accept = accept::<B>(Rc::clone(&gateway), callers);
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -9,7 +9,7 @@
 use arc_swap::Guard;
 use async_channel::{Receiver, Sender};
 use celeryknot_callers::ThreadExecutor;
-use celeryknot_core::{EndpointName, MonotonicMs, Refusal, ServiceName, Timers};
+use celeryknot_core::{EndpointName, EndpointTag, MonotonicMs, Refusal, ServiceName, Timers};
 use celeryknot_endpoints::Connections;
 use celeryknot_policy::direct::cold_share::ColdBound;
 use celeryknot_policy::direct::{
@@ -17,8 +17,8 @@
 };
 use celeryknot_policy::routing::Service;
 
-use crate::loads::{EndpointTag, LoadNews};
-use crate::shared::{HeardLoad, Shared, Signal, ToldLoad};
+use crate::endpoint_news::{EndpointNews, Fact};
+use crate::shared::{Heard, Shared, Signal, Told};
 use crate::view::View;
 
 /// Fewest daemons that the fleet's bounds are divided by, while others may not be known yet.
@@ -41,18 +41,32 @@
     pub(crate) connections: Connections,
     services: RefCell<HashMap<ServiceName, ServiceState>>,
     view_seen: Cell<u64>,
-    /// Loads that peers have told.
-    loads: Receiver<ToldLoad>,
+    /// What peers have told of endpoints.
+    news: Receiver<Told>,
     /// A signal that is not given before the thread ends.
     pub(crate) never: Signal,
     _never: Sender<Infallible>,
 }
 
+impl ServiceState {
+    /// Takes over what another daemon has seen, if it is of one of the service's endpoints.
+    fn observe_told(&mut self, news: &EndpointNews) {
+        let Some(name) = self.tags.get(&news.endpoint) else {
+            return;
+        };
+        match news.fact {
+            Fact::Load { held } => self.pool.observe_told_load(news.at, name, held),
+            Fact::Unreachable => self.pool.observe_told_unreachable(news.at, name),
+            Fact::Holds { prompt } => self.pool.observe_told_holder(news.at, prompt, name),
+        }
+    }
+}
+
 impl TrafficThread {
     pub(crate) fn new(
         shared: Arc<Shared>,
         executor: ThreadExecutor,
-        loads: Receiver<ToldLoad>,
+        news: Receiver<Told>,
     ) -> Rc<Self> {
         let timers = Timers::default();
         timers.advance(shared.now());
@@ -63,7 +77,7 @@
             timers,
             services: RefCell::default(),
             view_seen: Cell::new(0),
-            loads,
+            news,
             never,
             _never: never_sender,
             shared,
@@ -81,23 +95,19 @@
             self.view_seen.set(view.version);
             self.take_over(&view);
         }
-        self.take_loads();
+        self.take_news();
         view
     }
 
-    /// Takes over what the control thread has heard of endpoints' loads.
-    fn take_loads(&self) {
+    /// Takes over what the control thread has heard of endpoints.
+    fn take_news(&self) {
         let now = self.now();
         let mut services = self.services.borrow_mut();
-        while let Ok(told) = self.loads.try_recv() {
+        while let Ok(told) = self.news.try_recv() {
             for state in services.values_mut() {
                 match &told {
-                    ToldLoad::Report(load) => {
-                        if let Some(name) = state.tags.get(&load.endpoint) {
-                            state.pool.observe_told_load(load.at, name, load.held);
-                        }
-                    }
-                    ToldLoad::Totals(totals) => {
+                    Told::News(news) => state.observe_told(news),
+                    Told::Totals(totals) => {
                         state.pool.observe_totals(now, |name| {
                             let total = totals.get(&EndpointTag::new(name));
                             total.copied().unwrap_or(0)
@@ -152,6 +162,7 @@
             own_name: settings.name.clone(),
             members: view.members.clone(),
             members_min: MEMBERS_MIN,
+            drain_ms: settings.bounds.drain_ms,
             load_factor: settings.bounds.load_factor,
             cache_life_ms: settings.bounds.cache_reuse_ms,
             cold_bound,
@@ -182,10 +193,15 @@
         let no_endpoint = || Refusal::new(celeryknot_core::ErrorKind::NoEndpoint);
         let state = services.get_mut(service).ok_or_else(no_endpoint)?;
         let placement = state.pool.place(self.now(), request)?;
-        self.tell_control(HeardLoad::InFlight {
-            endpoint: EndpointTag::new(&placement.endpoint),
+        let endpoint = EndpointTag::new(&placement.endpoint);
+        self.tell_control(Heard::InFlight {
+            endpoint,
             count: state.pool.in_flight(&placement.endpoint),
         });
+        if let Some(shared) = request.shared.filter(|_| placement.is_news_to_others) {
+            let prompt = shared.tag();
+            self.tell_peers(endpoint, Fact::Holds { prompt });
+        }
         let started = Started {
             gateway: Rc::clone(self),
             service: service.clone(),
@@ -194,9 +210,14 @@
         Ok((placement, started))
     }
 
-    fn tell_control(&self, heard: HeardLoad) {
-        if self.shared.loads_heard.0.try_send(heard).is_err() {
-            tracing::debug!("the control thread lags behind; it hears later loads soon");
+    fn tell_peers(&self, endpoint: EndpointTag, fact: Fact) {
+        let at = self.now();
+        self.tell_control(Heard::News(EndpointNews { endpoint, fact, at }));
+    }
+
+    fn tell_control(&self, heard: Heard) {
+        if self.shared.news_heard.0.try_send(heard).is_err() {
+            tracing::debug!("the control thread lags behind; it hears later news soon");
         }
     }
 
@@ -221,17 +242,15 @@
         self.gateway.with_pool(&self.service, |pool| {
             pool.observe_load(now, &self.endpoint, load);
         });
-        let news = LoadNews {
-            endpoint: EndpointTag::new(&self.endpoint),
-            held: load.running + load.waiting,
-            at: now,
-        };
-        self.gateway.tell_control(HeardLoad::Report(news));
+        let held = load.running + load.waiting;
+        let endpoint = EndpointTag::new(&self.endpoint);
+        self.gateway.tell_peers(endpoint, Fact::Load { held });
     }
 
     pub(crate) fn observe_success(&self) {
+        let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
-            pool.observe_success(&self.endpoint);
+            pool.observe_success(now, &self.endpoint);
         });
     }
 
@@ -240,6 +259,10 @@
         self.gateway.with_pool(&self.service, |pool| {
             pool.observe_failure(now, &self.endpoint, failure);
         });
+        if failure.is_unreachable() {
+            let endpoint = EndpointTag::new(&self.endpoint);
+            self.gateway.tell_peers(endpoint, Fact::Unreachable);
+        }
     }
 }
 
@@ -247,7 +270,7 @@
     fn drop(&mut self) {
         self.gateway.with_pool(&self.service, |pool| {
             pool.finish(&self.endpoint);
-            self.gateway.tell_control(HeardLoad::InFlight {
+            self.gateway.tell_control(Heard::InFlight {
                 endpoint: EndpointTag::new(&self.endpoint),
                 count: pool.in_flight(&self.endpoint),
             });
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -28,6 +28,9 @@
 /// News comes at the latest after a reader's watch and a question to it, 2.5 s together.
 const NEWS_STALE_AFTER: DurationMs = DurationMs(3_000);
 
+/// Time between two looks for the first configuration.
+const CONFIGURATION_POLL: DurationMs = DurationMs(10);
+
 /// Time to come back, to another daemon, after a refusal that concerns this one only.
 const RETRY_ELSEWHERE: DurationMs = DurationMs(100);
 
@@ -140,11 +143,7 @@
     if !gateway.shared.has_time_for_requests() {
         return Err(Refusal::after(ErrorKind::Draining, RETRY_ELSEWHERE));
     }
-    let table = {
-        let view = gateway.view();
-        let table = view.table.clone();
-        table.ok_or(Refusal::new(ErrorKind::NotReady))?
-    };
+    let table = await_table(gateway).await?;
     let zones = &gateway.shared.settings.zone_regions;
     let call = check_call(&table, zones, head, parts, arrived_at)
         .map_err(|kind| refuse_unknown(kind, gateway.shared.store_age()))?;
@@ -160,6 +159,19 @@
     forward::run::<B>(gateway, Call { body, ..call }).await
 }
 
+/// Returns the configuration in force; waits for the first one while it is likely to come.
+async fn await_table(gateway: &TrafficThread) -> Result<Arc<RoutingTable>, Refusal> {
+    loop {
+        if let Some(table) = &gateway.view().table {
+            return Ok(Arc::clone(table));
+        }
+        if !gateway.shared.expects_configuration() {
+            return Err(Refusal::new(ErrorKind::NotReady));
+        }
+        gateway.timers.after(CONFIGURATION_POLL).await;
+    }
+}
+
 /// Words the refusal of a request whose route or key is unknown.
 ///
 /// A daemon that has had no news for a while can't tell that there is no such route or key.
--- a/crates/celeryknot_gateway/tests/control.rs
+++ b/crates/celeryknot_gateway/tests/control.rs
@@ -7,8 +7,9 @@
 
 use std::collections::BTreeSet;
 
-use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
+use celeryknot_core::{DurationMs, EndpointTag, Incarnation, MonotonicMs, PromptTag};
 use celeryknot_gateway::boundary::{EndpointRecord, StoreRecord, StoreRevision};
+use celeryknot_gateway::endpoint_news::{EndpointNews, Fact, NewsTable};
 use celeryknot_gateway::members::{Member, MemberTable, READERS};
 use celeryknot_gateway::relay_log::{RawItem, RelayLog};
 use celeryknot_gateway::store_state::{StateChange, StoreState};
@@ -259,3 +260,55 @@
     assert!(offer(&mut state, 9, 4).is_some());
     assert_eq!(state.table().map(|table| table.version()), Some(9));
 }
+
+struct EchoCase {
+    name: &'static str,
+    fact: Fact,
+}
+
+/// Six daemons that tell each other what is news to them, each 100 ms, with 1 ms on the way: each
+/// of them hears of a fact once.
+#[test]
+fn news_do_not_go_round() {
+    let cases = [
+        EchoCase {
+            name: "load",
+            fact: Fact::Load { held: 3 },
+        },
+        EchoCase {
+            name: "failure",
+            fact: Fact::Unreachable,
+        },
+        EchoCase {
+            name: "holder",
+            fact: Fact::Holds {
+                prompt: PromptTag(7),
+            },
+        },
+    ];
+    const DAEMONS: usize = 6;
+    for case in cases {
+        let mut tables: Vec<NewsTable> = vec![NewsTable::default(); DAEMONS];
+        tables[0].observe(EndpointNews {
+            endpoint: EndpointTag(1),
+            fact: case.fact,
+            at: MonotonicMs(1_000),
+        });
+        let mut told_until = [[0; DAEMONS]; DAEMONS];
+        let mut heard = 0;
+        for now_ms in (1_000..20_000).step_by(100) {
+            for from in 0..DAEMONS {
+                for to in (0..DAEMONS).filter(|to| *to != from) {
+                    let news = tables[from].after(MonotonicMs(now_ms), told_until[from][to]);
+                    told_until[from][to] = tables[from].version();
+                    for mut news in news {
+                        // The age is told; the way takes a millisecond.
+                        news.at = MonotonicMs(news.at.0 + 1);
+                        heard += usize::from(tables[to].observe(news));
+                    }
+                }
+            }
+        }
+        assert_eq!(heard, DAEMONS - 1, "{}", case.name);
+    }
+}
--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -93,6 +93,23 @@
     /// Milliseconds since it said so.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
+    /// Whether it could not be reached instead.
+    #[prost(bool, tag = "4")]
+    pub is_unreachable: bool,
+}
+
+/// Which endpoint a prompt was sent to.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayHolder {
+    /// The endpoint's name in four bytes.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// The prompt's shared parts in four bytes.
+    #[prost(fixed32, tag = "2")]
+    pub prompt: u32,
+    /// Milliseconds since it was sent.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 
 /// How many requests daemons have in flight at endpoints.
@@ -127,15 +144,18 @@
     /// Loads that it has heard of since it asked this peer last.
     #[prost(message, repeated, tag = "6")]
     pub loads: Vec<RelayLoad>,
-    /// The number of the last load that this peer has told it.
+    /// The number of the last news of endpoints that this peer has told it.
     #[prost(uint64, tag = "7")]
-    pub loads_after: u64,
+    pub news_after: u64,
     /// What it has in flight itself, told to one peer only.
     #[prost(message, optional, tag = "8")]
     pub in_flight: Option<InFlightCounts>,
     /// Whether it adds up the counts of several daemons itself.
     #[prost(bool, tag = "9")]
     pub adds_up: bool,
+    /// Holders of prompts that it has heard of since it asked this peer last.
+    #[prost(message, repeated, tag = "10")]
+    pub holders: Vec<RelayHolder>,
 }
 
 /// The answer to a question for news.
@@ -168,15 +188,18 @@
     /// Loads that it has heard of since.
     #[prost(message, repeated, tag = "9")]
     pub loads: Vec<RelayLoad>,
-    /// The number of the last of them.
+    /// The number of the last news of endpoints that it has.
     #[prost(uint64, tag = "10")]
-    pub loads_at: u64,
+    pub news_at: u64,
     /// What the daemons that tell this peer have in flight together; to one that adds up.
     #[prost(message, optional, tag = "11")]
     pub in_flight_here: Option<InFlightCounts>,
     /// What all daemons have in flight together; to one that has told its own.
     #[prost(message, optional, tag = "12")]
     pub in_flight_total: Option<InFlightCounts>,
+    /// Holders of prompts that it has heard of since.
+    #[prost(message, repeated, tag = "13")]
+    pub holders: Vec<RelayHolder>,
 }
 
 /// A question that a peer waits with.
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -28,6 +28,17 @@
 /// Longest time for which an endpoint that failed is passed over.
 const AVOID_MAX: DurationMs = DurationMs(2_400);
 
+/// Time for which an endpoint that another daemon could not reach is passed over.
+///
+/// Longer than the news of it takes, so that one daemon at a time looks whether it is back.
+const SUSPECT_FOR: DurationMs = DurationMs(1_000);
+
+/// Silence of an endpoint before a failure from which others believe that failure.
+///
+/// A daemon that is cut off itself finds every endpoint out of reach; one that others have just
+/// heard is well.
+const SUSPECT_SILENCE: DurationMs = DurationMs(300);
+
 /// Failures in a row, other than refused connections, that make an endpoint be passed over.
 const FAILURES_MAX: u32 = 2;
 
@@ -84,6 +95,10 @@
     share_set_at: MonotonicMs,
     failures_in_row: u32,
     avoid_until: MonotonicMs,
+    /// When it last answered, to this daemon or to another one.
+    heard_at: Option<MonotonicMs>,
+    /// When another daemon last found it out of reach.
+    unreachable_at: Option<MonotonicMs>,
 }
 
 impl EndpointState {
@@ -99,6 +114,8 @@
             share_set_at: MonotonicMs(0),
             failures_in_row: 0,
             avoid_until: MonotonicMs(0),
+            heard_at: None,
+            unreachable_at: None,
         }
     }
 
@@ -115,6 +132,7 @@
 
     /// Takes in what the endpoint said of its load, to this daemon or to another one.
     pub(crate) fn observe_load(&mut self, at: MonotonicMs, held: u32) {
+        self.heard_at = self.heard_at.max(Some(at));
         if self.report.is_none_or(|report| report.at < at) {
             self.report = Some(self.report_of(at, held));
         }
@@ -156,8 +174,30 @@
         self.share
     }
 
-    pub(crate) fn note_success(&mut self) {
+    pub(crate) fn note_success(&mut self, now: MonotonicMs) {
         self.failures_in_row = 0;
+        self.heard_at = self.heard_at.max(Some(now));
+    }
+
+    /// Takes in that another daemon found the endpoint out of reach.
+    pub(crate) fn note_told_unreachable(&mut self, at: MonotonicMs) {
+        self.unreachable_at = self.unreachable_at.max(Some(at));
+    }
+
+    fn is_suspect(&self, now: MonotonicMs) -> bool {
+        let Some(at) = self.unreachable_at else {
+            return false;
+        };
+        let was_silent = self
+            .heard_at
+            .is_none_or(|heard| at - heard >= SUSPECT_SILENCE);
+        was_silent && now - at < SUSPECT_FOR
+    }
+
+    /// Tells whether the endpoint has answered lately and not failed since.
+    pub(crate) fn is_sound(&self, now: MonotonicMs, heard_within: DurationMs) -> bool {
+        let is_heard = self.heard_at.is_some_and(|at| now - at <= heard_within);
+        is_heard && self.failures_in_row == 0 && !self.is_avoided(now)
     }
 
     /// Counts a failure; `is_unreachable` if not even a connection could be opened.
@@ -171,9 +211,9 @@
         self.avoid_until = now + DurationMs(avoid_ms.min(AVOID_MAX.0));
     }
 
-    /// Tells whether the endpoint is passed over for its failures.
+    /// Tells whether the endpoint is passed over for its failures, seen here or told.
     pub(crate) fn is_avoided(&self, now: MonotonicMs) -> bool {
-        now < self.avoid_until
+        now < self.avoid_until || self.is_suspect(now)
     }
 
     /// Tells whether the endpoint is in cold start.
--- a/crates/celeryknot_policy/src/direct/holders.rs
+++ b/crates/celeryknot_policy/src/direct/holders.rs
@@ -1,12 +1,15 @@
-//! Which endpoints this daemon has sent a prompt's shared parts to, and when.
+//! Which endpoints a prompt's shared parts were sent to, by this daemon or another one, and when.
 
 use std::collections::HashMap;
 
-use celeryknot_core::{DurationMs, EndpointName, MonotonicMs};
+use celeryknot_core::{DurationMs, EndpointName, MonotonicMs, PromptTag};
 use smallvec::SmallVec;
 
 /// Prompts that are remembered; the oldest are forgotten beyond that.
-const KEYS_MAX: usize = 8_192;
+const PROMPTS_MAX: usize = 8_192;
+
+/// Endpoints that are remembered of one prompt; a copy needs one that is still there.
+const HOLDERS_MAX: usize = 6;
 
 #[derive(Debug, Clone)]
 struct Holder {
@@ -14,35 +17,55 @@
     sent_at: MonotonicMs,
 }
 
-/// The latest holders of each prompt, as this daemon knows them from its own sends.
+/// The latest holders of each prompt.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::{DurationMs, MonotonicMs, PromptTag};
+/// use celeryknot_policy::direct::HolderMemory;
+///
+/// let mut memory = HolderMemory::default();
+/// let (prompt, engine) = (PromptTag(7), "engine-1".parse()?);
+/// memory.note(MonotonicMs(1_000), prompt, &engine);
+/// assert!(memory.has_sent(MonotonicMs(2_000), prompt, &engine, DurationMs(5_000)));
+/// assert!(!memory.has_sent(MonotonicMs(9_000), prompt, &engine, DurationMs(5_000)));
+/// # Ok::<(), celeryknot_core::IdError>(())
+/// ```
 #[derive(Debug, Clone, Default)]
 pub struct HolderMemory {
-    holders: HashMap<u64, SmallVec<[Holder; 3]>>,
+    holders: HashMap<PromptTag, SmallVec<[Holder; 3]>>,
 }
 
 impl HolderMemory {
-    /// Notes that a prompt was sent to an endpoint.
-    pub fn note(&mut self, now: MonotonicMs, shared_key: u64, endpoint: &EndpointName) {
-        if self.holders.len() >= KEYS_MAX && !self.holders.contains_key(&shared_key) {
+    /// Notes that a prompt was sent to an endpoint; an older time changes nothing.
+    pub fn note(&mut self, sent_at: MonotonicMs, prompt: PromptTag, endpoint: &EndpointName) {
+        if self.holders.len() >= PROMPTS_MAX && !self.holders.contains_key(&prompt) {
             self.forget_older_half();
         }
-        let holders = self.holders.entry(shared_key).or_default();
-        holders.retain(|holder| holder.endpoint != *endpoint);
-        holders.push(Holder {
-            endpoint: endpoint.clone(),
-            sent_at: now,
-        });
+        let holders = self.holders.entry(prompt).or_default();
+        match holders.iter_mut().find(|it| it.endpoint == *endpoint) {
+            Some(holder) => holder.sent_at = holder.sent_at.max(sent_at),
+            None => holders.push(Holder {
+                endpoint: endpoint.clone(),
+                sent_at,
+            }),
+        }
+        holders.sort_by_key(|holder| holder.sent_at);
+        if holders.len() > HOLDERS_MAX {
+            holders.remove(0);
+        }
     }
 
     /// Tells whether a prompt was sent to an endpoint within a time.
     pub fn has_sent(
         &self,
         now: MonotonicMs,
-        shared_key: u64,
+        prompt: PromptTag,
         endpoint: &EndpointName,
         age_max: DurationMs,
     ) -> bool {
-        let holders = self.holders.get(&shared_key);
+        let holders = self.holders.get(&prompt);
         holders
             .into_iter()
             .flatten()
@@ -53,11 +76,11 @@
     pub fn others<'a>(
         &'a self,
         now: MonotonicMs,
-        shared_key: u64,
+        prompt: PromptTag,
         endpoint: &'a EndpointName,
         age_max: DurationMs,
     ) -> impl Iterator<Item = &'a EndpointName> {
-        let holders = self.holders.get(&shared_key);
+        let holders = self.holders.get(&prompt);
         holders
             .into_iter()
             .flat_map(|holders| holders.iter().rev())
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -11,7 +11,8 @@
 
 use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{
-    DurationMs, EndpointName, ErrorKind, MemberName, MonotonicMs, Refusal, TokenCount, ZoneName,
+    DurationMs, EndpointName, ErrorKind, MemberName, MonotonicMs, PromptTag, Refusal, TokenCount,
+    ZoneName,
 };
 use smallvec::SmallVec;
 use strum::{Display, EnumIter, IntoStaticStr};
@@ -45,6 +46,15 @@
 /// Added to how full endpoints are before they are compared, so that small numbers weigh little.
 const FILL_EVEN: f64 = 0.5;
 
+/// Longest silence of an endpoint that is gone from the list and still serves.
+///
+/// Less than the three heartbeats of 1.2 s after which the platform drops one that has crashed.
+const DEPARTED_SILENCE_MAX: DurationMs = DurationMs(3_000);
+
+/// Time for which a prompt counts as held where it was sent; a prompt that has been dropped since
+/// costs a vain look.
+const HOLDER_LIFE: DurationMs = DurationMs(30_000);
+
 /// Time to come back where no endpoint takes new work now.
 const RETRY_NO_ENDPOINT: DurationMs = DurationMs(500);
 
@@ -61,6 +71,8 @@
     pub load_factor: f64,
     /// Time for which a prompt that an endpoint has read counts as still cached there.
     pub cache_life_ms: DurationMs,
+    /// Time for which an endpoint serves on after it has left the list.
+    pub drain_ms: DurationMs,
     /// What a cold endpoint may get; `None` if cold ones bear all.
     pub cold_bound: Option<ColdBound>,
 }
@@ -107,6 +119,8 @@
     pub is_cold: bool,
     /// Another endpoint, which more likely holds the prompt's shared parts in its cache.
     pub fetch_from: Option<SocketAddr>,
+    /// Whether other daemons can't know that the endpoint holds the prompt from now on.
+    pub is_news_to_others: bool,
 }
 
 /// The endpoints of one service.
@@ -115,6 +129,15 @@
     limits: PoolLimits,
     endpoints: BTreeMap<EndpointName, EndpointState>,
     holders: HolderMemory,
+    departed: SmallVec<[Departed; 4]>,
+}
+
+/// An endpoint that has left the list and serves for a while yet.
+#[derive(Debug, Clone)]
+struct Departed {
+    name: EndpointName,
+    address: SocketAddr,
+    until: MonotonicMs,
 }
 
 struct Candidate {
@@ -166,6 +189,7 @@
             limits,
             endpoints: BTreeMap::new(),
             holders: HolderMemory::default(),
+            departed: SmallVec::new(),
         }
     }
 
@@ -188,6 +212,25 @@
             };
             self.endpoints.insert(name, state);
         }
+        self.note_departed(now, before);
+    }
+
+    fn note_departed(&mut self, now: MonotonicMs, gone: BTreeMap<EndpointName, EndpointState>) {
+        let until = now + self.limits.drain_ms;
+        let sound = gone
+            .into_iter()
+            .filter(|(_, state)| state.is_sound(now, DEPARTED_SILENCE_MAX));
+        self.departed.extend(sound.map(|(name, state)| Departed {
+            name,
+            address: state.listed.address,
+            until,
+        }));
+        let is_listed = |gone: &Departed| {
+            let mut listed = self.endpoints.values();
+            listed.any(|state| state.listed.address == gone.address)
+        };
+        self.departed
+            .retain(|gone| now < gone.until && !is_listed(gone));
     }
 
     /// Picks the endpoint that gets a request now, and counts it as started there.
@@ -204,11 +247,12 @@
             .choose(now, request, false)
             .or_else(|| self.choose(now, request, true))
             .ok_or(Refusal::after(ErrorKind::NoEndpoint, RETRY_NO_ENDPOINT))?;
-        let key = request.shared.map(|shared| shared.key);
-        let fetch_from = key.and_then(|key| self.fetch_source(now, key, &name));
-        if let Some(key) = key {
-            self.holders.note(now, key, &name);
-        }
+        let fetch_from = request
+            .shared
+            .and_then(|shared| self.fetch_source(now, shared, &name, request.tried));
+        let is_news_to_others = request
+            .shared
+            .is_some_and(|shared| self.note_holder(now, shared, &name));
         let state = self
             .endpoints
             .get_mut(&name)
@@ -224,48 +268,99 @@
             load_age_ms,
             is_cold,
             fetch_from,
+            is_news_to_others,
         })
     }
 
+    /// Notes that a prompt goes to an endpoint; tells whether that is news to other daemons.
+    fn note_holder(&mut self, now: MonotonicMs, shared: SharedParts, name: &EndpointName) -> bool {
+        let prompt = shared.tag();
+        let is_known = self.holders.has_sent(now, prompt, name, HOLDER_LIFE);
+        self.holders.note(now, prompt, name);
+        self.holders.note(now, shared.first_tag(), name);
+        !is_known
+    }
+
     /// Returns an endpoint that more likely holds a prompt's shared parts than the chosen one.
     ///
-    /// That is the last other one that this daemon sent them to, or else the one that ranks first
-    /// among those that have been there for a while: the daemons agree on the ranks, and the
-    /// chosen one ranks first only since an endpoint came or went.
+    /// That is the last other one that they were sent to, by whichever daemon. Where none is known,
+    /// the chosen one may rank first only since an endpoint came or went, and the one that did
+    /// before holds them; or they are new, and one that their first part was sent to holds that.
     fn fetch_source(
         &self,
         now: MonotonicMs,
-        shared_key: u64,
+        shared: SharedParts,
         chosen: &EndpointName,
+        tried: &[EndpointName],
     ) -> Option<SocketAddr> {
+        let prompt = shared.tag();
         let cache_life_ms = self.limits.cache_life_ms;
-        if self
-            .holders
-            .has_sent(now, shared_key, chosen, cache_life_ms)
-        {
+        if self.holders.has_sent(now, prompt, chosen, cache_life_ms) {
             return None;
         }
-        let serves = |name: &&EndpointName| {
-            let state = self.endpoints.get(*name);
-            state.is_some_and(|state| !state.is_avoided(now))
+        let serves = |name: &EndpointName, state: &EndpointState| {
+            name != chosen && !tried.contains(name) && !state.is_avoided(now)
         };
-        let sent_to = self
-            .holders
-            .others(now, shared_key, chosen, cache_life_ms)
-            .find(serves);
-        let ranks_first = || {
-            let rank = |(name, state): &(&EndpointName, &EndpointState)| {
-                let is_settled = now - state.listed_since >= cache_life_ms;
-                (is_settled, rendezvous_score(shared_key, name.as_str()))
-            };
-            self.endpoints
-                .iter()
-                .filter(|(name, state)| *name != chosen && !state.is_avoided(now))
-                .max_by_key(rank)
-                .map(|(name, _)| name)
+        let address_of = |name: &EndpointName| match self.endpoints.get(name) {
+            Some(state) => serves(name, state).then_some(state.listed.address),
+            None => self.departed_address(now, name),
+        };
+        let holder_of = |tag| {
+            let mut others = self.holders.others(now, tag, chosen, HOLDER_LIFE);
+            others.find_map(address_of)
+        };
+        let is_new_here = self
+            .endpoints
+            .get(chosen)
+            .is_some_and(|it| !self.is_settled(now, it));
+        let of_first_part = || holder_of(shared.first_tag()).filter(|_| !is_new_here);
+        holder_of(prompt)
+            .or_else(|| self.departed_holder(now, shared))
+            .or_else(of_first_part)
+            .or_else(|| self.expected_holder(now, shared, serves))
+    }
+
+    /// Tells whether an endpoint has been there for long enough to hold what ranks it first.
+    fn is_settled(&self, now: MonotonicMs, state: &EndpointState) -> bool {
+        now - state.listed_since >= self.limits.cache_life_ms
+    }
+
+    /// Returns the endpoint that ranks first for a prompt among those that have been there for a
+    /// while, as all daemons see it.
+    fn expected_holder(
+        &self,
+        now: MonotonicMs,
+        shared: SharedParts,
+        serves: impl Fn(&EndpointName, &EndpointState) -> bool,
+    ) -> Option<SocketAddr> {
+        let rank = |(name, state): &(&EndpointName, &EndpointState)| {
+            (
+                self.is_settled(now, state),
+                rendezvous_score(shared.key, name.as_str()),
+            )
         };
-        let source = sent_to.or_else(ranks_first)?;
-        Some(self.endpoints.get(source)?.listed.address)
+        self.endpoints
+            .iter()
+            .filter(|(name, state)| serves(name, state))
+            .max_by_key(rank)
+            .map(|(_, state)| state.listed.address)
+    }
+
+    /// Returns where an endpoint serves yet that has left the list.
+    fn departed_address(&self, now: MonotonicMs, name: &EndpointName) -> Option<SocketAddr> {
+        let gone = self.departed.iter().find(|gone| gone.name == *name)?;
+        (now < gone.until).then_some(gone.address)
+    }
+
+    /// Returns the endpoint that has left the list and ranked before all that are on it.
+    fn departed_holder(&self, now: MonotonicMs, shared: SharedParts) -> Option<SocketAddr> {
+        let score = |name: &EndpointName| rendezvous_score(shared.key, name.as_str());
+        let listed_max = self.endpoints.keys().map(score).max();
+        self.departed
+            .iter()
+            .filter(|gone| now < gone.until && Some(score(&gone.name)) > listed_max)
+            .max_by_key(|gone| score(&gone.name))
+            .map(|gone| gone.address)
     }
 
     /// Picks an endpoint; with `takes_avoided`, also one that is passed over for its failures.
@@ -369,6 +464,23 @@
         }
     }
 
+    /// Takes over that another daemon could not reach an endpoint.
+    pub fn observe_told_unreachable(&mut self, at: MonotonicMs, endpoint: &EndpointName) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.note_told_unreachable(at);
+        }
+    }
+
+    /// Takes over that another daemon sent a prompt to an endpoint.
+    pub fn observe_told_holder(
+        &mut self,
+        at: MonotonicMs,
+        prompt: PromptTag,
+        endpoint: &EndpointName,
+    ) {
+        self.holders.note(at, prompt, endpoint);
+    }
+
     /// Takes over what all daemons have in flight together.
     pub fn observe_totals(&mut self, now: MonotonicMs, total_of: impl Fn(&EndpointName) -> u32) {
         for (name, state) in &mut self.endpoints {
@@ -398,9 +510,9 @@
     }
 
     /// Notes that an endpoint has given a good answer.
-    pub fn observe_success(&mut self, endpoint: &EndpointName) {
+    pub fn observe_success(&mut self, now: MonotonicMs, endpoint: &EndpointName) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
-            state.note_success();
+            state.note_success(now);
         }
     }
 
@@ -417,17 +529,12 @@
         match failure {
             // A full endpoint is well; its load says so.
             SendFailure::Refused => {}
-            SendFailure::NotSent | SendFailure::Misdirected => state.note_failure(now, true),
-            SendFailure::Unanswered
+            SendFailure::NotSent
+            | SendFailure::Misdirected
+            | SendFailure::Unanswered
             | SendFailure::Broken
             | SendFailure::Mismatched
-            | SendFailure::EndpointError => state.note_failure(now, false),
+            | SendFailure::EndpointError => state.note_failure(now, failure.is_unreachable()),
         }
     }
-
-    /// Returns the number of listed endpoints that may get new work.
-    pub fn usable_count(&self) -> usize {
-        let takes = |state: &&EndpointState| state.listed.takes_new_work;
-        self.endpoints.values().filter(takes).count()
-    }
 }
--- a/crates/celeryknot_policy/src/direct/prompt.rs
+++ b/crates/celeryknot_policy/src/direct/prompt.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use celeryknot_core::TokenCount;
+use celeryknot_core::{PromptTag, TokenCount};
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -86,8 +86,10 @@
         let shared = self.shared();
         let key = |key, part: &PromptPart| xxh3_64_with_seed(&part.id.to_le_bytes(), key);
         let tokens = shared.iter().map(|part| part.tokens.0);
-        (!shared.is_empty()).then(|| SharedParts {
+        let first = shared.first()?;
+        Some(SharedParts {
             key: shared.iter().fold(0, key),
+            first_key: key(0, first),
             tokens: TokenCount(tokens.fold(0, u32::saturating_add)),
         })
     }
@@ -98,6 +100,20 @@
 pub struct SharedParts {
     /// Equal for equal parts.
     pub key: u64,
+    /// Equal for an equal first part, which the most prompts have in common.
+    pub first_key: u64,
     /// Their size.
     pub tokens: TokenCount,
 }
+
+impl SharedParts {
+    /// Returns what stands for the parts in messages between daemons.
+    pub fn tag(&self) -> PromptTag {
+        PromptTag(self.key as u32)
+    }
+
+    /// Returns what stands for the first part.
+    pub fn first_tag(&self) -> PromptTag {
+        PromptTag(self.first_key as u32)
+    }
+}
--- a/crates/celeryknot_policy/src/direct/resend.rs
+++ b/crates/celeryknot_policy/src/direct/resend.rs
@@ -35,6 +35,18 @@
 }
 
 impl SendFailure {
+    /// Tells whether the endpoint is not there at all.
+    pub const fn is_unreachable(self) -> bool {
+        match self {
+            Self::NotSent | Self::Misdirected => true,
+            Self::Refused
+            | Self::Unanswered
+            | Self::Broken
+            | Self::Mismatched
+            | Self::EndpointError => false,
+        }
+    }
+
     /// Tells whether the endpoint may have run the request.
     pub const fn may_have_run(self) -> bool {
         match self {
--- a/crates/celeryknot_policy/src/routing/table.rs
+++ b/crates/celeryknot_policy/src/routing/table.rs
@@ -67,11 +67,6 @@
         &self.limits
     }
 
-    /// Returns the number of routes.
-    pub fn route_count(&self) -> usize {
-        self.hosts.values().map(HashMap::len).sum()
-    }
-
     /// Finds the route whose prefix is the longest that begins the path.
     ///
     /// # Errors
--- a/crates/celeryknot_policy/tests/direct.rs
+++ b/crates/celeryknot_policy/tests/direct.rs
@@ -7,8 +7,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use celeryknot_core::TokenCount;
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, MemberName, MonotonicMs, RatePerS};
+use celeryknot_core::{PromptTag, TokenCount};
 use celeryknot_policy::direct::cold_share::ColdBound;
 use celeryknot_policy::direct::{
     EndpointPool, ListedEndpoint, PlacementReason, PlacementRequest, PoolLimits, ReportedLoad,
@@ -48,6 +48,7 @@
         members_min: 1,
         load_factor: 2.0,
         cache_life_ms: DurationMs(10_000),
+        drain_ms: DurationMs(2_000),
         cold_bound: Some(ColdBound {
             rate: RatePerS(13.0),
             max_per_s: 24.5,
@@ -62,7 +63,11 @@
 }
 
 fn prompt(key: u64, tokens: TokenCount) -> Option<SharedParts> {
-    Some(SharedParts { key, tokens })
+    Some(SharedParts {
+        key,
+        first_key: key % 4 + 1_000_000,
+        tokens,
+    })
 }
 
 fn ask(shared: Option<SharedParts>, draw: f64) -> PlacementRequest<'static> {
@@ -577,3 +582,158 @@
         assert_eq!(told, expected, "{} after {:?}", case.kind, case.failures);
     }
 }
+
+/// What one daemon tells the others, and when they hear it.
+enum Told {
+    Held(PromptTag, EndpointName),
+    Load(EndpointName),
+    Unreachable(EndpointName),
+}
+
+/// Time from what a daemon sees to what all others know.
+const NEWS_MS: u64 = 150;
+
+/// Passes on to all pools what is due.
+fn pass_on(pools: &mut [EndpointPool], told: &mut BTreeMap<(u64, usize), Told>, now_ms: u64) {
+    while let Some(((at, _), _)) = told.first_key_value()
+        && at + NEWS_MS <= now_ms
+    {
+        let ((at, _), told) = told.pop_first().unwrap();
+        for pool in pools.iter_mut() {
+            match &told {
+                Told::Held(prompt, name) => {
+                    pool.observe_told_holder(MonotonicMs(at), *prompt, name);
+                }
+                Told::Load(name) => pool.observe_told_load(MonotonicMs(at), name, 1),
+                Told::Unreachable(name) => pool.observe_told_unreachable(MonotonicMs(at), name),
+            }
+        }
+    }
+}
+
+/// The load: 77 daemons see a sliver each of 400 prompts, and all engines are replaced one after
+/// the other, one a second; each departing one serves on for the drain time.
+#[test]
+fn a_prompt_is_copied_from_an_engine_that_holds_it() {
+    let mut random = SmallRng::seed_from_u64(11);
+    let mut pools: Vec<EndpointPool> = (0..77).map(|own| pool(own, 77, 20)).collect();
+    let mut told: BTreeMap<(u64, usize), Told> = BTreeMap::new();
+    let mut held: BTreeMap<u64, BTreeSet<EndpointName>> = BTreeMap::new();
+    let addresses: BTreeMap<_, _> = (0..60)
+        .map(|number| (listed(number).address, engine(number)))
+        .collect();
+    let (mut copies, mut from_holder, mut read_again) = (0, 0, 0);
+    for number in 0..20_000_usize {
+        let now_ms = number as u64 * 2;
+        let now = MonotonicMs(now_ms);
+        pass_on(&mut pools, &mut told, now_ms);
+        let replaced = (now_ms / 1_000) as usize;
+        if now_ms.is_multiple_of(1_000) {
+            for pool in &mut pools {
+                pool.relist(now, (replaced..20 + replaced).map(listed));
+            }
+        }
+        let serving = replaced.saturating_sub(2);
+        let daemon = random.random_range(0..pools.len());
+        let key = random.random_range(0..400);
+        let shared = prompt(key, HEAVY).unwrap();
+        let placement = pools[daemon]
+            .place(now, &ask(Some(shared), random.random()))
+            .unwrap();
+        pools[daemon].finish(&placement.endpoint);
+        pools[daemon].observe_success(now, &placement.endpoint);
+        told.insert((now_ms, 2 * number), Told::Load(placement.endpoint.clone()));
+        if placement.is_news_to_others {
+            let news = Told::Held(shared.tag(), placement.endpoint.clone());
+            told.insert((now_ms, 2 * number + 1), news);
+        }
+        let holders = held.entry(key).or_default();
+        let is_there = |name: &EndpointName| (serving..60).any(|it| engine(it) == *name);
+        let has_copy = holders.iter().any(is_there);
+        if !holders.contains(&placement.endpoint) && has_copy {
+            copies += 1;
+            let source = placement.fetch_from.and_then(|from| addresses.get(&from));
+            let is_holder = source.is_some_and(|from| holders.contains(from) && is_there(from));
+            from_holder += usize::from(is_holder);
+            read_again += usize::from(!is_holder);
+        }
+        holders.insert(placement.endpoint);
+    }
+    assert!(copies > 100, "engines came and went, {copies}");
+    assert!(
+        read_again * 20 <= copies,
+        "{read_again} of {copies} prompts were read again though an engine held them; \
+         {from_holder} were copied"
+    );
+}
+
+/// The load: an engine of 20 crashes under 77 daemons; each of them would find out by itself.
+#[test]
+fn daemons_learn_from_each_other_that_an_engine_is_out_of_reach() {
+    let mut random = SmallRng::seed_from_u64(5);
+    let mut pools: Vec<EndpointPool> = (0..77).map(|own| pool(own, 77, 20)).collect();
+    let mut told: BTreeMap<(u64, usize), Told> = BTreeMap::new();
+    let (crashed, crashed_at_ms) = (engine(3), 2_000);
+    let mut failed = 0;
+    for number in 0..2_000_usize {
+        let now_ms = number as u64 * 2;
+        let now = MonotonicMs(now_ms);
+        pass_on(&mut pools, &mut told, now_ms);
+        let daemon = random.random_range(0..pools.len());
+        let shared = prompt(random.random_range(0..400), HEAVY);
+        let placement = pools[daemon]
+            .place(now, &ask(shared, random.random()))
+            .unwrap();
+        pools[daemon].finish(&placement.endpoint);
+        let is_down = placement.endpoint == crashed && now_ms >= crashed_at_ms;
+        let news = match is_down {
+            true => {
+                failed += 1;
+                pools[daemon].observe_failure(now, &placement.endpoint, SendFailure::NotSent);
+                Told::Unreachable(placement.endpoint)
+            }
+            false => {
+                pools[daemon].observe_success(now, &placement.endpoint);
+                Told::Load(placement.endpoint)
+            }
+        };
+        told.insert((now_ms, number), news);
+    }
+    // A twentieth of 1,000 sends in two seconds, less what comes after half a second; and one
+    // look a second whether the engine is back.
+    assert!((1..=22).contains(&failed), "{failed} sends failed");
+}
+
+/// The load: one daemon of 20 is cut off and finds every engine out of reach.
+#[test]
+fn a_daemon_that_is_cut_off_turns_nobody_away_from_engines() {
+    let mut random = SmallRng::seed_from_u64(9);
+    let mut pools: Vec<EndpointPool> = (0..20).map(|own| pool(own, 20, 5)).collect();
+    let mut told: BTreeMap<(u64, usize), Told> = BTreeMap::new();
+    let (mut placed, mut moved) = (0, 0);
+    for number in 0..5_000_usize {
+        let now_ms = number as u64 * 2;
+        let now = MonotonicMs(now_ms);
+        pass_on(&mut pools, &mut told, now_ms);
+        let daemon = random.random_range(0..pools.len());
+        let shared = prompt(random.random_range(0..100), HEAVY);
+        let placement = pools[daemon]
+            .place(now, &ask(shared, random.random()))
+            .unwrap();
+        pools[daemon].finish(&placement.endpoint);
+        let news = match daemon {
+            0 => {
+                pools[0].observe_failure(now, &placement.endpoint, SendFailure::NotSent);
+                Told::Unreachable(placement.endpoint)
+            }
+            _ => {
+                placed += 1;
+                moved += usize::from(placement.reason != PlacementReason::First);
+                pools[daemon].observe_success(now, &placement.endpoint);
+                Told::Load(placement.endpoint)
+            }
+        };
+        told.insert((now_ms, number), news);
+    }
+    assert!(moved * 100 <= placed, "{moved} of {placed} were moved");
+}
