--- a/crates/celeryknot_policy/src/direct/holders.rs
+++ b/crates/celeryknot_policy/src/direct/holders.rs
@@ -11,10 +11,17 @@
 /// Endpoints that are remembered of one prompt; a copy needs one that is still there.
 const HOLDERS_MAX: usize = 6;
 
+/// Time after which daemons are told once more that an endpoint holds a prompt.
+///
+/// Half of the time for which placement believes it, so that one that is in use is never forgotten.
+const TELL_AGAIN_AFTER: DurationMs = DurationMs(15_000);
+
 #[derive(Debug, Clone)]
 struct Holder {
     endpoint: EndpointName,
     sent_at: MonotonicMs,
+    /// When all daemons were told last.
+    told_at: Option<MonotonicMs>,
 }
 
 /// The latest holders of each prompt.
@@ -27,7 +34,7 @@
 ///
 /// let mut memory = HolderMemory::default();
 /// let (prompt, engine) = (PromptTag(7), "engine-1".parse()?);
-/// memory.note(MonotonicMs(1_000), prompt, &engine);
+/// assert!(memory.note_sent(MonotonicMs(1_000), prompt, &engine), "others are to be told");
 /// assert!(memory.has_sent(MonotonicMs(2_000), prompt, &engine, DurationMs(5_000)));
 /// assert!(!memory.has_sent(MonotonicMs(9_000), prompt, &engine, DurationMs(5_000)));
 /// # Ok::<(), celeryknot_core::IdError>(())
@@ -38,23 +45,55 @@
 }
 
 impl HolderMemory {
-    /// Notes that a prompt was sent to an endpoint; an older time changes nothing.
-    pub fn note(&mut self, sent_at: MonotonicMs, prompt: PromptTag, endpoint: &EndpointName) {
+    /// Notes that this daemon sends a prompt to an endpoint; tells whether others are to be told.
+    pub fn note_sent(
+        &mut self,
+        now: MonotonicMs,
+        prompt: PromptTag,
+        endpoint: &EndpointName,
+    ) -> bool {
+        let holder = self.note(now, prompt, endpoint);
+        let is_news = holder
+            .told_at
+            .is_none_or(|told_at| now - told_at >= TELL_AGAIN_AFTER);
+        if is_news {
+            holder.told_at = Some(now);
+        }
+        is_news
+    }
+
+    /// Notes that another daemon has sent a prompt to an endpoint.
+    pub fn note_told(&mut self, at: MonotonicMs, prompt: PromptTag, endpoint: &EndpointName) {
+        let holder = self.note(at, prompt, endpoint);
+        holder.told_at = holder.told_at.max(Some(at));
+    }
+
+    fn note(
+        &mut self,
+        sent_at: MonotonicMs,
+        prompt: PromptTag,
+        endpoint: &EndpointName,
+    ) -> &mut Holder {
         if self.holders.len() >= PROMPTS_MAX && !self.holders.contains_key(&prompt) {
             self.forget_older_half();
         }
         let holders = self.holders.entry(prompt).or_default();
-        match holders.iter_mut().find(|it| it.endpoint == *endpoint) {
-            Some(holder) => holder.sent_at = holder.sent_at.max(sent_at),
-            None => holders.push(Holder {
+        let known = holders.iter().position(|it| it.endpoint == *endpoint);
+        let mut holder = match known {
+            Some(at) => holders.remove(at),
+            None => Holder {
                 endpoint: endpoint.clone(),
                 sent_at,
-            }),
-        }
-        holders.sort_by_key(|holder| holder.sent_at);
-        if holders.len() > HOLDERS_MAX {
+                told_at: None,
+            },
+        };
+        holder.sent_at = holder.sent_at.max(sent_at);
+        if holders.len() == HOLDERS_MAX {
             holders.remove(0);
         }
+        let place = holders.partition_point(|it| it.sent_at <= holder.sent_at);
+        holders.insert(place, holder);
+        &mut holders[place]
     }
 
     /// Tells whether a prompt was sent to an endpoint within a time.
