--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -55,13 +55,6 @@
 /// costs a vain look.
 const HOLDER_LIFE: DurationMs = DurationMs(30_000);
 
-/// Multiple of the mean load, and requests above that, up to which an endpoint that holds a prompt
-/// goes before one that ranks higher and does not.
-///
-/// Little above the mean, so that new endpoints get their part of the work soon.
-const HOLDER_LOAD_FACTOR: f64 = 1.1;
-const HOLDER_LOAD_SLACK: f64 = 1.0;
-
 /// Time to come back where no endpoint takes new work now.
 const RETRY_NO_ENDPOINT: DurationMs = DurationMs(500);
 
@@ -153,8 +146,6 @@
     share: f64,
     slots: u32,
     score: u64,
-    /// Whether it holds the prompt and little enough else.
-    is_kept: bool,
 }
 
 /// Puts one of the endpoints that rank first for a light prompt to the front: the first that holds
@@ -377,7 +368,6 @@
         takes_avoided: bool,
     ) -> Option<(EndpointName, PlacementReason)> {
         let load_max = self.load_max(now);
-        let kept_max = self.mean_load(now) * HOLDER_LOAD_FACTOR + HOLDER_LOAD_SLACK;
         let key = request.shared.map_or(0, |shared| shared.key);
         let mut candidates: SmallVec<[Candidate; 16]> = self
             .endpoints
@@ -397,15 +387,11 @@
                 share: state.share(),
                 slots: state.listed.slots,
                 score: rendezvous_score(key, name.as_str()),
-                is_kept: request.shared.is_some_and(|shared| {
-                    let holds = self.holders.has_sent(now, shared.tag(), name, HOLDER_LIFE);
-                    holds && f64::from(state.load(now).0) <= kept_max
-                }),
             })
             .collect();
         match request.shared {
             Some(shared) => {
-                candidates.sort_by_key(|it| Reverse((it.is_kept, it.score)));
+                candidates.sort_by_key(|it| Reverse(it.score));
                 if shared.tokens <= LIGHT_TOKENS_MAX {
                     let first_len = candidates.len().min(LIGHT_SPREAD);
                     let mean = self.mean_load(now);
