Let readers of the store pause for different times between watches

Ruled out: fewer readers (a third of 9 daemons may be turned away at once); longer watches (news must come within 5 s after all connections fell silent).

Change: a pause between 50 and 400 ms, drawn for each watch. One reader hears soon and tells the others, whose next watch then begins behind the change.

--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -27,8 +27,13 @@
 /// Longest time for one page of a listing.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Pause between two watches, in which changes that come together are gathered.
-const GATHER: Duration = Duration::from_millis(60);
+/// Shortest and longest pause between two watches, in which changes that come together are
+/// gathered.
+///
+/// All readers' watches are answered by the same change. With pauses that differ, one of them
+/// watches again soon, hears of the next change and tells the others, which then ask less often.
+const GATHER_MIN_MS: u64 = 50;
+const GATHER_MAX_MS: u64 = 400;
 
 /// Pause after the first listing, in which a daemon that has just started finds others that read
 /// the store already.
@@ -75,9 +80,10 @@
                 if std::mem::take(&mut is_lost) {
                     tracing::info!(revision = at.0, "the store is back");
                 }
+                let gather_ms = rand::random_range(GATHER_MIN_MS..GATHER_MAX_MS);
                 let pause = match is_first {
                     true => FIRST_PAUSE,
-                    false => GATHER,
+                    false => Duration::from_millis(gather_ms),
                 };
                 smol::Timer::after(pause).await;
             }
