Hold gateways to the users' promises under series of faults, as processes

A soak of our own: celeryknot soak runs five daemon processes before stand-ins in the platform's form, with signals, kills, freezes, outages of the store, connections reset or silenced by proxies, endpoints that fail, and planned work, in series that overlap. Eleven promises are checked from what callers and endpoints saw; a test shows a history that breaks each.

Also: a settings file that changes, on SIGHUP or seen within a second, brings its bounds into force at once (was: at the next start). One copy of bind, read_settings, render and single, which stood twice.

--- a/crates/celeryknot/src/arguments/measure.rs
+++ b/crates/celeryknot/src/arguments/measure.rs
@@ -72,6 +72,29 @@
     pub format: Format,
 }
 
+/// Run the fault soak: real daemons on this machine before stand-ins in the platform's form.
+///
+/// Each seed draws a series of signals, outages, failing endpoints and changes that overlap. The
+/// exit status is 1 when a promise was broken or a run served nothing. Ends only processes that
+/// it started.
+#[derive(FromArgs, Debug)]
+#[argh(
+    subcommand,
+    name = "soak",
+    example = "$ celeryknot soak --seeds 1..51 --parallel-runs 4"
+)]
+pub struct SoakArguments {
+    /// the seeds to run, such as 1..51 (default 1..11); the last is left out
+    #[argh(option, arg_name = "a..b", default = "1..11", from_str_fn(parse_seeds))]
+    pub seeds: Range<u64>,
+    /// runs at a time, each with five daemon processes (default 2)
+    #[argh(option, default = "2")]
+    pub parallel_runs: u16,
+    /// text (default) or json
+    #[argh(option, default = "Format::default()")]
+    pub format: Format,
+}
+
 /// What `measure` can run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MeasureName {
--- a/crates/celeryknot/src/arguments/mod.rs
+++ b/crates/celeryknot/src/arguments/mod.rs
@@ -12,7 +12,7 @@
 use strum::{Display, EnumString};
 
 pub use load::{CustomerWeight, LoadArguments};
-pub use measure::{DemoArguments, MeasureArguments, MeasureName};
+pub use measure::{DemoArguments, MeasureArguments, MeasureName, SoakArguments};
 pub use stand_in::{
     EngineArguments, FaultProxyArguments, PlatformArguments, ServiceArguments, StandInArguments,
     StandInKind,
@@ -48,6 +48,8 @@
     Load(LoadArguments),
     /// Run a measurement.
     Measure(MeasureArguments),
+    /// The fault soak of gateways.
+    Soak(SoakArguments),
     /// Run a stand-in.
     StandIn(StandInArguments),
     /// Show what a daemon knows.
--- a/crates/celeryknot/src/command/measure.rs
+++ b/crates/celeryknot/src/command/measure.rs
@@ -1,6 +1,7 @@
 //! `measure`: runs a measurement against baselines.
 
 use std::io::Write;
+use std::path::PathBuf;
 
 use celeryknot_faults::campaign::{CampaignReport, run_seeds};
 use celeryknot_measure::{MeasureOptions, run as run_measurement};
@@ -50,12 +51,22 @@
 /// Name of the daemon's binary, which is looked for beside this one.
 const DAEMON_BINARY: &str = "celeryknotd";
 
-fn run_faults(arguments: &MeasureArguments, out: &mut impl Write) -> Result<ExitStatus, Failure> {
+/// Returns the daemon's binary beside this one.
+///
+/// # Errors
+///
+/// It is not there.
+pub(super) fn daemon_binary() -> Result<PathBuf, Failure> {
     let binary = std::env::current_exe()?.with_file_name(DAEMON_BINARY);
     if !binary.is_file() {
-        let missing = format!("{} is missing beside this program", DAEMON_BINARY);
+        let missing = format!("{DAEMON_BINARY} is missing beside this program");
         return Err(Failure::usage(missing));
     }
+    Ok(binary)
+}
+
+fn run_faults(arguments: &MeasureArguments, out: &mut impl Write) -> Result<ExitStatus, Failure> {
+    let binary = daemon_binary()?;
     let seeds = arguments.seeds.clone();
     let report = run_seeds(&binary, seeds, arguments.parallel_runs, |_| {});
     match arguments.format {
--- a/crates/celeryknot/src/command/mod.rs
+++ b/crates/celeryknot/src/command/mod.rs
@@ -6,6 +6,7 @@
 pub mod explain;
 pub mod load;
 pub mod measure;
+pub mod soak;
 pub mod stand_in;
 pub mod status;
 
--- a/crates/celeryknot/src/lib.rs
+++ b/crates/celeryknot/src/lib.rs
@@ -71,6 +71,7 @@
         Command::Explain(arguments) => command::explain::run(&arguments, out),
         Command::Load(arguments) => command::load::run(&arguments, out),
         Command::Measure(arguments) => command::measure::run(&arguments, out),
+        Command::Soak(arguments) => command::soak::run(&arguments, out),
         Command::StandIn(arguments) => command::stand_in::run(&arguments, out),
         Command::Status(arguments) => command::status::run(&arguments, out),
     }
--- a/crates/celeryknot_callers/src/request.rs
+++ b/crates/celeryknot_callers/src/request.rs
@@ -3,6 +3,7 @@
 use celeryknot_core::{
     CustomerName, DurationMs, ErrorKind, ModelName, RequestId, ServiceName, TokenCount, header,
 };
+use http::header::AsHeaderName;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::Deserialize;
@@ -161,7 +162,11 @@
 }
 
 /// Reads a field that may be given once only.
-fn single<'h>(headers: &'h HeaderMap, name: &str) -> Result<Option<&'h str>, ErrorKind> {
+///
+/// # Errors
+///
+/// `MalformedRequest` where it is given more than once, or is not text.
+pub fn single(headers: &HeaderMap, name: impl AsHeaderName) -> Result<Option<&str>, ErrorKind> {
     let mut values = headers.get_all(name).iter();
     let Some(value) = values.next() else {
         return Ok(None);
--- a/crates/celeryknot_faults/src/campaign.rs
+++ b/crates/celeryknot_faults/src/campaign.rs
@@ -83,26 +83,37 @@
     parallel_runs: u16,
     watch: impl Fn(u64) + Sync,
 ) -> CampaignReport {
-    let next = AtomicU64::new(seeds.start);
     let report = Mutex::new(CampaignReport::default());
+    for_each_seed(seeds, parallel_runs, |run, seed| {
+        let result = run_plan(binary, run, Plan::from_seed(seed));
+        let mut report = report.lock().expect("no thread panics with the report");
+        report.add(seed, result);
+        watch(report.runs);
+    });
+    report
+        .into_inner()
+        .expect("no thread panics with the report")
+}
+
+/// Carries out one run for each seed, some at a time; each hears its place among those.
+pub(crate) fn for_each_seed(
+    seeds: Range<u64>,
+    parallel_runs: u16,
+    carry_out: impl Fn(u16, Seed) + Sync,
+) {
+    let next = AtomicU64::new(seeds.start);
     std::thread::scope(|scope| {
         for run in 0..parallel_runs.max(1) {
-            let (next, report, watch, end) = (&next, &report, &watch, seeds.end);
+            let (next, carry_out, end) = (&next, &carry_out, seeds.end);
             scope.spawn(move || {
                 loop {
                     let seed = Seed(next.fetch_add(1, Ordering::Relaxed));
                     if seed.0 >= end {
                         return;
                     }
-                    let result = run_plan(binary, run, Plan::from_seed(seed));
-                    let mut report = report.lock().expect("no thread panics with the report");
-                    report.add(seed, result);
-                    watch(report.runs);
+                    carry_out(run, seed);
                 }
             });
         }
     });
-    report
-        .into_inner()
-        .expect("no thread panics with the report")
 }
--- a/crates/celeryknot_faults/src/lib.rs
+++ b/crates/celeryknot_faults/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod process;
 pub mod run;
 pub mod site;
+pub mod soak;
 pub mod workload;
--- a/crates/celeryknot_faults/src/process.rs
+++ b/crates/celeryknot_faults/src/process.rs
@@ -26,6 +26,20 @@
     ///
     /// Fails when the log can't be created or the binary can't be started.
     pub fn start(binary: &Path, name: &str, settings_file: &Path) -> eyre::Result<Self> {
+        Self::start_with(binary, name, settings_file, &[])
+    }
+
+    /// Starts the binary with further arguments.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the log can't be created or the binary can't be started.
+    pub fn start_with(
+        binary: &Path,
+        name: &str,
+        settings_file: &Path,
+        arguments: &[&str],
+    ) -> eyre::Result<Self> {
         let log_file = settings_file.with_extension("log");
         let log = File::options()
             .create(true)
@@ -33,6 +47,7 @@
             .open(&log_file)
             .wrap_err("creating the log")?;
         let child = Command::new(binary)
+            .args(arguments)
             .arg("--settings")
             .arg(settings_file)
             .stdin(Stdio::null())
@@ -64,6 +79,15 @@
         self.signal(Signal::CONT)
     }
 
+    /// Tells the process that its settings have changed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn reload(&self) -> eyre::Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Asks the process to shut down gracefully.
     ///
     /// # Errors
--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -12,6 +12,7 @@
 use celeryknot_operators::GatewayMetrics;
 use celeryknot_settings::GatewaySettings;
 use eyre::WrapErr;
+use strum::{Display, EnumIter, IntoStaticStr};
 
 use crate::boundary::Boundary;
 use crate::control::{ControlSockets, run_control};
@@ -31,10 +32,24 @@
 /// Time between two looks at what is still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
+/// What became of settings that were read again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Reload {
+    /// They are the ones in force.
+    Unchanged,
+    /// All changes are in force.
+    InForce,
+    /// Changed bounds are in force; other changes come into force at the next start.
+    NeedsRestart,
+}
+
 /// A running gateway; dropping it ends it at once.
 #[derive(Debug)]
 pub struct Gateway {
     shared: Arc<Shared>,
+    /// The settings as they were given, with the bounds in force.
+    given: GatewaySettings,
     callers_end: Sender<Infallible>,
     stop: Sender<Infallible>,
     threads: Vec<JoinHandle<()>>,
@@ -47,12 +62,14 @@
     ///
     /// Names the address that could not be bound, or the thread that could not be started.
     pub fn start<B: Boundary>(mut settings: GatewaySettings) -> eyre::Result<Self> {
+        let given = settings.clone();
         let listeners = Listeners::bind(&mut settings)?;
         let (callers_end, callers_end_signal) = async_channel::bounded(1);
         let (stop, stop_signal) = async_channel::bounded(1);
         let (news_told, news) = async_channel::bounded(NEWS_LEN_MAX);
         let members = vec![settings.name.clone()];
         let shared = Arc::new(Shared {
+            bounds: ArcSwap::from_pointee(settings.bounds.clone()),
             settings,
             started_at: Instant::now(),
             metrics: GatewayMetrics::new(),
@@ -71,6 +88,7 @@
         });
         let mut gateway = Self {
             shared: Arc::clone(&shared),
+            given,
             callers_end,
             stop,
             threads: Vec::new(),
@@ -104,6 +122,23 @@
         &self.shared.settings
     }
 
+    /// Brings changed settings into force, as far as that needs no restart.
+    ///
+    /// Bounds are in force for requests that begin afterwards; no request in flight is touched.
+    pub fn reload(&mut self, settings: GatewaySettings) -> Reload {
+        let are_bounds_new = settings.bounds != self.given.bounds;
+        if are_bounds_new {
+            let bounds = Arc::new(settings.bounds.clone());
+            self.shared.bounds.store(bounds);
+            self.given.bounds = settings.bounds.clone();
+        }
+        match (are_bounds_new, settings == self.given) {
+            (_, false) => Reload::NeedsRestart,
+            (true, true) => Reload::InForce,
+            (false, true) => Reload::Unchanged,
+        }
+    }
+
     /// Returns the platform as the gateway knows it.
     pub fn view(&self) -> Arc<View> {
         self.shared.view.load_full()
@@ -119,7 +154,7 @@
             "shutting down"
         );
         self.shared.start_leaving();
-        let grace_ms = self.shared.settings.bounds.shutdown_grace_ms;
+        let grace_ms = self.shared.bounds.load().shutdown_grace_ms;
         let ends_at = Instant::now() + grace_ms.as_std().saturating_sub(GRACE_MARGIN.as_std());
         std::thread::sleep(SETTLE.min(grace_ms).as_std());
         self.callers_end.close();
--- a/crates/celeryknot_gateway/src/lib.rs
+++ b/crates/celeryknot_gateway/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod daemon;
 pub mod endpoint_news;
 pub mod in_flight;
-mod listeners;
+pub mod listeners;
 mod logs;
 pub mod members;
 pub mod relay_log;
--- a/crates/celeryknot_gateway/src/listeners.rs
+++ b/crates/celeryknot_gateway/src/listeners.rs
@@ -33,7 +33,12 @@
     }
 }
 
-fn bind(address: &mut SocketAddr) -> eyre::Result<TcpListener> {
+/// Binds a listening socket that does not block, and writes the bound address back.
+///
+/// # Errors
+///
+/// Names the address that could not be bound.
+pub fn bind(address: &mut SocketAddr) -> eyre::Result<TcpListener> {
     let listener = bind_socket(*address).wrap_err_with(|| format!("can't listen on {address}"))?;
     *address = listener.local_addr()?;
     Ok(listener)
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -9,7 +9,7 @@
 use async_channel::{Receiver, Sender};
 use celeryknot_core::{DurationMs, EndpointTag, MonotonicMs};
 use celeryknot_operators::GatewayMetrics;
-use celeryknot_settings::GatewaySettings;
+use celeryknot_settings::{FleetBounds, GatewaySettings};
 
 use crate::endpoint_news::EndpointNews;
 use crate::in_flight::Counts;
@@ -58,7 +58,10 @@
 /// Read-only but for the view, counters and flags.
 #[derive(Debug)]
 pub(crate) struct Shared {
+    /// As they were at the start, but for what a reload changes.
     pub(crate) settings: GatewaySettings,
+    /// The bounds in force; a reload changes them.
+    pub(crate) bounds: ArcSwap<FleetBounds>,
     pub(crate) started_at: Instant,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) view: ArcSwap<View>,
@@ -116,7 +119,7 @@
     /// its zone.
     pub(crate) fn has_time_for_requests(&self) -> bool {
         let since_ms = self.leaving_since_ms.load(Ordering::Acquire);
-        let grace_ms = self.settings.bounds.shutdown_grace_ms;
+        let grace_ms = self.bounds.load().shutdown_grace_ms;
         let taken_ms = grace_ms.0.saturating_sub(LAST_REQUEST_BEFORE_END.0);
         since_ms == NOT_LEAVING || self.now() - MonotonicMs(since_ms) < DurationMs(taken_ms)
     }
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -13,9 +13,11 @@
 use celeryknot_endpoints::Connections;
 use celeryknot_policy::direct::cold_share::ColdBound;
 use celeryknot_policy::direct::{
-    EndpointPool, Placement, PlacementRequest, PoolLimits, ReportedLoad, RetryShare, SendFailure,
+    EndpointPool, Placement, PlacementRequest, PoolLimits, ReportedLoad, RetryBounds, RetryShare,
+    SendFailure,
 };
 use celeryknot_policy::routing::Service;
+use celeryknot_settings::FleetBounds;
 
 use crate::endpoint_news::{EndpointNews, Fact};
 use crate::shared::{Heard, Shared, Signal, Told};
@@ -41,6 +43,7 @@
     pub(crate) connections: Connections,
     services: RefCell<HashMap<ServiceName, ServiceState>>,
     view_seen: Cell<u64>,
+    bounds_seen: RefCell<Arc<FleetBounds>>,
     /// What peers have told of endpoints.
     news: Receiver<Told>,
     /// A signal that is not given before the thread ends.
@@ -77,6 +80,7 @@
             timers,
             services: RefCell::default(),
             view_seen: Cell::new(0),
+            bounds_seen: RefCell::new(shared.bounds.load_full()),
             news,
             never,
             _never: never_sender,
@@ -91,9 +95,12 @@
     /// Returns the view in force, after the pools have taken it over.
     pub(crate) fn view(&self) -> Guard<Arc<View>> {
         let view = self.shared.view.load();
-        if view.version != self.view_seen.get() {
+        let bounds = self.shared.bounds.load();
+        let are_bounds_new = !Arc::ptr_eq(&bounds, &self.bounds_seen.borrow());
+        if view.version != self.view_seen.get() || are_bounds_new {
             self.view_seen.set(view.version);
-            self.take_over(&view);
+            self.bounds_seen.replace(Arc::clone(&bounds));
+            self.take_over(&view, &bounds);
         }
         self.take_news();
         view
@@ -118,18 +125,28 @@
         }
     }
 
-    fn take_over(&self, view: &View) {
+    fn take_over(&self, view: &View, bounds: &FleetBounds) {
         let mut services = self.services.borrow_mut();
         let Some(table) = &view.table else {
             return;
         };
         for service in table.services() {
-            let limits = self.pool_limits(view, service);
+            let limits = self.pool_limits(view, bounds, service);
+            let members = view.members.len().max(MEMBERS_MIN);
+            let retries = RetryBounds {
+                ratio: bounds.retry_ratio,
+                window_ms: bounds.retry_window_ms,
+                allowance: bounds.retry_allowance / members as f64,
+            };
             let state = services
                 .entry(service.name.clone())
-                .or_insert_with(|| self.new_service(limits.clone()));
+                .or_insert_with(|| ServiceState {
+                    pool: EndpointPool::new(limits.clone()),
+                    retries: RetryShare::new(retries),
+                    tags: HashMap::new(),
+                });
             state.pool.set_limits(limits);
-            state.retries.set_allowance(self.retry_allowance(view));
+            state.retries.set_bounds(retries);
             let listed = view.endpoints.get(&service.name);
             let names = listed.into_iter().flatten().map(|it| it.name.clone());
             state.tags = names.map(|name| (EndpointTag::new(&name), name)).collect();
@@ -138,33 +155,18 @@
         }
     }
 
-    fn new_service(&self, limits: PoolLimits) -> ServiceState {
-        let bounds = &self.shared.settings.bounds;
-        ServiceState {
-            pool: EndpointPool::new(limits),
-            retries: RetryShare::new(bounds.retry_ratio, bounds.retry_window_ms, 0.0),
-            tags: HashMap::new(),
-        }
-    }
-
-    fn retry_allowance(&self, view: &View) -> f64 {
-        let members = view.members.len().max(MEMBERS_MIN);
-        self.shared.settings.bounds.retry_allowance / members as f64
-    }
-
-    fn pool_limits(&self, view: &View, service: &Service) -> PoolLimits {
-        let settings = &self.shared.settings;
+    fn pool_limits(&self, view: &View, bounds: &FleetBounds, service: &Service) -> PoolLimits {
         let cold_bound = service.cold_rate.map(|rate| ColdBound {
             rate,
-            max_per_s: rate.0 * settings.bounds.cold_factor + settings.bounds.cold_allowance,
+            max_per_s: rate.0 * bounds.cold_factor + bounds.cold_allowance,
         });
         PoolLimits {
-            own_name: settings.name.clone(),
+            own_name: self.shared.settings.name.clone(),
             members: view.members.clone(),
             members_min: MEMBERS_MIN,
-            drain_ms: settings.bounds.drain_ms,
-            load_factor: settings.bounds.load_factor,
-            cache_life_ms: settings.bounds.cache_reuse_ms,
+            drain_ms: bounds.drain_ms,
+            load_factor: bounds.load_factor,
+            cache_life_ms: bounds.cache_reuse_ms,
             cold_bound,
         }
     }
--- a/crates/celeryknot_operators/src/metrics/gateway.rs
+++ b/crates/celeryknot_operators/src/metrics/gateway.rs
@@ -1,7 +1,7 @@
 //! Metrics of a gateway.
 
 use celeryknot_core::{DurationMs, ErrorKind};
-use prometheus::{Encoder, Histogram, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, Registry};
 
 use super::spec::{
     observe_ms, register_counter, register_counters, register_gauge, register_histogram,
@@ -116,11 +116,7 @@
 
     /// Writes all metrics in Prometheus text format.
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .expect("writing to memory does not fail");
-        String::from_utf8(text).expect("the text format is UTF-8")
+        super::render(&self.registry)
     }
 }
 
--- a/crates/celeryknot_operators/src/metrics/mod.rs
+++ b/crates/celeryknot_operators/src/metrics/mod.rs
@@ -48,14 +48,19 @@
 
     /// Writes all metrics in Prometheus text format.
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .expect("writing to memory does not fail");
-        String::from_utf8(text).expect("the text format is UTF-8")
+        render(&self.registry)
     }
 }
 
+/// Writes all metrics of a registry in the Prometheus text format.
+fn render(registry: &Registry) -> String {
+    let mut text = Vec::new();
+    TextEncoder::new()
+        .encode(&registry.gather(), &mut text)
+        .expect("writing to memory does not fail");
+    String::from_utf8(text).expect("the text format is UTF-8")
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Self::new()
--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -18,4 +18,4 @@
 pub use pool::{EndpointPool, Placement, PlacementReason, PlacementRequest, PoolLimits};
 pub use prompt::{Prompt, PromptPart, SharedParts};
 pub use resend::{SendFailure, SendHistory};
-pub use retry_share::RetryShare;
+pub use retry_share::{RetryBounds, RetryShare};
--- a/crates/celeryknot_policy/src/direct/retry_share.rs
+++ b/crates/celeryknot_policy/src/direct/retry_share.rs
@@ -14,6 +14,17 @@
     further: u32,
 }
 
+/// What a daemon may send again in a window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBounds {
+    /// Further sends for each request.
+    pub ratio: f64,
+    /// The window over which sends are counted.
+    pub window_ms: DurationMs,
+    /// Further sends besides.
+    pub allowance: f64,
+}
+
 /// Allows further sends as a ratio of the daemon's own requests, and its share of an allowance.
 ///
 /// The sum over all daemons stays within the fleet's budget in every window, in touch or not,
@@ -23,35 +34,45 @@
 ///
 /// ```
 /// use celeryknot_core::{DurationMs, MonotonicMs};
-/// use celeryknot_policy::direct::RetryShare;
+/// use celeryknot_policy::direct::{RetryBounds, RetryShare};
 ///
-/// let mut share = RetryShare::new(0.2, DurationMs(10_000), 4.0);
+/// let mut share = RetryShare::new(RetryBounds {
+///     ratio: 0.2,
+///     window_ms: DurationMs(10_000),
+///     allowance: 4.0,
+/// });
 /// let now = MonotonicMs(0);
 /// (0..10).for_each(|_| share.observe_fresh(now));
 /// assert_eq!((0..10).filter(|_| share.try_take(now)).count(), 6);
 /// ```
 #[derive(Debug, Clone)]
 pub struct RetryShare {
-    ratio: f64,
-    slot_ms: u64,
-    allowance: f64,
+    bounds: RetryBounds,
     slots: VecDeque<Slot>,
 }
 
 impl RetryShare {
-    /// Allows `ratio` further sends for each request in a window, and `allowance` besides.
-    pub fn new(ratio: f64, window: DurationMs, allowance: f64) -> Self {
+    /// Starts with an empty window.
+    pub fn new(bounds: RetryBounds) -> Self {
         Self {
-            ratio,
-            slot_ms: window.0.div_ceil(SLOTS_PER_WINDOW).max(1),
-            allowance,
+            bounds,
             slots: VecDeque::new(),
         }
     }
 
-    /// Replaces the allowance, when the number of daemons is seen to change.
-    pub fn set_allowance(&mut self, allowance: f64) {
-        self.allowance = allowance;
+    /// Replaces the bounds; a window of another length starts with what was sent in this one.
+    pub fn set_bounds(&mut self, bounds: RetryBounds) {
+        if bounds.window_ms != self.bounds.window_ms {
+            let (before, after) = (self.slot_ms(), slot_ms(bounds.window_ms));
+            for slot in &mut self.slots {
+                slot.number = slot.number * before / after;
+            }
+        }
+        self.bounds = bounds;
+    }
+
+    fn slot_ms(&self) -> u64 {
+        slot_ms(self.bounds.window_ms)
     }
 
     /// Counts a request that is to be sent for the first time.
@@ -64,7 +85,7 @@
         self.slot_mut(now);
         let fresh: u32 = self.slots.iter().map(|slot| slot.fresh).sum();
         let further: u32 = self.slots.iter().map(|slot| slot.further).sum();
-        let allowed = f64::from(fresh) * self.ratio + self.allowance;
+        let allowed = f64::from(fresh) * self.bounds.ratio + self.bounds.allowance;
         if f64::from(further) + 1.0 > allowed {
             return false;
         }
@@ -73,7 +94,7 @@
     }
 
     fn slot_mut(&mut self, now: MonotonicMs) -> &mut Slot {
-        let number = now.0 / self.slot_ms;
+        let number = now.0 / self.slot_ms();
         // One slot more than a window, so that a window of any start is covered whole.
         while let Some(first) = self.slots.front()
             && first.number + SLOTS_PER_WINDOW < number
@@ -90,3 +111,7 @@
         self.slots.back_mut().expect("a slot was just pushed")
     }
 }
+
+fn slot_ms(window_ms: DurationMs) -> u64 {
+    window_ms.0.div_ceil(SLOTS_PER_WINDOW).max(1)
+}
--- a/crates/celeryknot_policy/tests/direct.rs
+++ b/crates/celeryknot_policy/tests/direct.rs
@@ -12,7 +12,7 @@
 use celeryknot_policy::direct::cold_share::ColdBound;
 use celeryknot_policy::direct::{
     EndpointPool, ListedEndpoint, PlacementReason, PlacementRequest, PoolLimits, ReportedLoad,
-    RetryShare, SendFailure, SendHistory, SharedParts,
+    RetryBounds, RetryShare, SendFailure, SendHistory, SharedParts,
 };
 use celeryknot_policy::routing::RouteKind;
 use rand::rngs::SmallRng;
@@ -381,7 +381,13 @@
     const DAEMONS: usize = 77;
     let window = DurationMs(10_000);
     let mut shares: Vec<RetryShare> = (0..DAEMONS)
-        .map(|_| RetryShare::new(0.2, window, 194.0 / DAEMONS as f64))
+        .map(|_| {
+            RetryShare::new(RetryBounds {
+                ratio: 0.2,
+                window_ms: window,
+                allowance: 194.0 / DAEMONS as f64,
+            })
+        })
         .collect();
     let mut random = SmallRng::seed_from_u64(3);
     let mut further = Vec::new();
--- a/crates/celeryknotd/src/listeners.rs
+++ b/crates/celeryknotd/src/listeners.rs
@@ -1,13 +1,9 @@
 //! The sockets that a daemon listens on.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 
+use celeryknot_gateway::listeners::bind;
 use celeryknot_settings::DaemonSettings;
-use eyre::WrapErr;
-use socket2::{Domain, Protocol, Socket, Type};
-
-/// Connections that may wait to be accepted.
-const BACKLOG: i32 = 1024;
 
 /// The bound sockets of one daemon.
 #[derive(Debug)]
@@ -37,23 +33,3 @@
         })
     }
 }
-
-fn bind(address: &mut SocketAddr) -> eyre::Result<TcpListener> {
-    let listener = bind_socket(*address).wrap_err_with(|| format!("can't listen on {address}"))?;
-    *address = listener.local_addr()?;
-    Ok(listener)
-}
-
-fn bind_socket(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    // A restarted daemon takes its port back while old connections linger in TIME_WAIT.
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    socket.set_nonblocking(true)?;
-    Ok(socket.into())
-}
--- a/crates/celeryknotd/src/run.rs
+++ b/crates/celeryknotd/src/run.rs
@@ -1,10 +1,11 @@
 //! The command `celeryknotd`: arguments, settings file, logs, signals.
 
 use std::io::IsTerminal;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use argh::FromArgs;
 use async_signal::{Signal, Signals};
+use celeryknot_gateway::run::read_settings;
 use celeryknot_kinrin::Kinrin;
 use celeryknot_settings::{DaemonSettings, LogFormat};
 use eyre::WrapErr;
@@ -73,8 +74,8 @@
     }
 }
 
-fn run_native(settings_path: &PathBuf) -> ExitStatus {
-    let settings = match read_settings(settings_path) {
+fn run_native(settings_path: &Path) -> ExitStatus {
+    let settings = match read_settings(settings_path, DaemonSettings::parse) {
         Ok(settings) => settings,
         Err(report) => {
             eprintln!("{report:#}");
@@ -91,18 +92,6 @@
     }
 }
 
-fn read_settings(path: &PathBuf) -> eyre::Result<DaemonSettings> {
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).wrap_err_with(|| format!("can't read {name}"))?;
-    DaemonSettings::parse(&text).map_err(|findings| {
-        let lines: Vec<String> = findings
-            .into_iter()
-            .map(|finding| finding.in_source(name.as_str()).to_string())
-            .collect();
-        eyre::Report::msg(lines.join("\n"))
-    })
-}
-
 fn start_logs(format: LogFormat) {
     let filter =
         EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(LOG_LEVEL_DEFAULT));
