Let the strongest daemons of all zones read the store for the others

Changes: settings and members carry processor cores; readers are the strongest of each zone, in turns of the zones. The wait for news grows with the number of endpoints, and each is told of less often. A listing goes on behind the page that failed, and ends when a peer has told everything.

Tried and taken back: daemons that start leave the store to the seeds for 0.45 s.

--- a/crates/celeryknot_gateway/src/control/news.rs
+++ b/crates/celeryknot_gateway/src/control/news.rs
@@ -34,8 +34,18 @@
 /// Questions after which a seed is asked once, so that separate groups of daemons find together.
 const SEED_EVERY: u64 = 16;
 
-/// Pause where there is nobody to ask, or the one asked has failed.
+/// Pause where there is nobody to ask, or the one asked has failed; shorter until there is news.
 const PAUSE: Duration = Duration::from_millis(200);
+const FIRST_PAUSE: Duration = Duration::from_millis(30);
+
+/// Time for which a daemon with many endpoints waits for each of them.
+///
+/// An answer holds some six bytes for each endpoint with requests, so that two answers at a time
+/// keep within the 8 KB a second that a daemon may spend on others.
+const NEWS_WAIT_PER_ENDPOINT_MS: f64 = 0.75;
+
+/// Longest wait, however many endpoints there are; counts are of use for two seconds.
+const NEWS_WAIT_ENDPOINTS_MAX: DurationMs = DurationMs(1_000);
 
 /// Asks the peer at a place of the ranking, again and again; beyond the first places only a reader
 /// does, so that the readers know what each of them was told.
@@ -55,7 +65,7 @@
             continue;
         }
         let Some(address) = pick_source(&publisher, place, count) else {
-            smol::Timer::after(PAUSE).await;
+            smol::Timer::after(pause(&publisher)).await;
             continue;
         };
         let mut asked = match client.take() {
@@ -65,7 +75,7 @@
                 NewsClient::new(&executor, address)
             }
         };
-        let wait = news_wait(publisher.member_count());
+        let wait = news_wait(publisher.member_count(), publisher.endpoint_count());
         let question = publisher.question(wait, &cursor, place == 0);
         let told = publisher.news_version();
         match asked.ask(question).await {
@@ -85,15 +95,25 @@
                     tracing::warn!(peer = %address, %error, "a peer gives no news");
                 }
                 publisher.note_silent(address);
-                smol::Timer::after(PAUSE).await;
+                smol::Timer::after(pause(&publisher)).await;
             }
         }
     }
 }
 
-fn news_wait(daemons: usize) -> DurationMs {
+fn news_wait(daemons: usize, endpoints: usize) -> DurationMs {
     let daemons = u64::try_from(daemons).unwrap_or(u64::MAX).max(1);
-    DurationMs(NEWS_WAIT_PER_DAEMON_MS / daemons).clamp(NEWS_WAIT_MIN, NEWS_WAIT_MAX)
+    let for_daemons =
+        DurationMs(NEWS_WAIT_PER_DAEMON_MS / daemons).clamp(NEWS_WAIT_MIN, NEWS_WAIT_MAX);
+    let for_endpoints = DurationMs((endpoints as f64 * NEWS_WAIT_PER_ENDPOINT_MS) as u64);
+    for_daemons.max(for_endpoints.min(NEWS_WAIT_ENDPOINTS_MAX))
+}
+
+fn pause(publisher: &Publisher) -> Duration {
+    match publisher.position() {
+        None => FIRST_PAUSE,
+        Some(_) => PAUSE,
+    }
 }
 
 fn pick_source(publisher: &Publisher, place: usize, count: u64) -> Option<SocketAddr> {
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -63,6 +63,7 @@
             zone: settings.zone.clone(),
             address: settings.peers_address,
             incarnation: Incarnation(rand::random()),
+            cores_percent: (settings.cores * 100.0).round() as u32,
         });
         Self {
             shared,
@@ -98,6 +99,16 @@
         self.members.borrow().names().len()
     }
 
+    pub(crate) fn endpoint_count(&self) -> usize {
+        self.shared
+            .view
+            .load()
+            .endpoints
+            .values()
+            .map(Vec::len)
+            .sum()
+    }
+
     pub(crate) fn sources(&self, draw: u64) -> Vec<Member> {
         self.members.borrow().sources(self.now(), draw)
     }
--- a/crates/celeryknot_gateway/src/control/questions.rs
+++ b/crates/celeryknot_gateway/src/control/questions.rs
@@ -206,6 +206,7 @@
         zone: member.zone.to_string(),
         address: member.address.to_string(),
         incarnation: member.incarnation.0,
+        cores_percent: member.cores_percent,
         age_ms: age_ms(age),
     }
 }
@@ -218,6 +219,7 @@
             zone: text.zone.parse().ok()?,
             address: text.address.parse().ok()?,
             incarnation: Incarnation(text.incarnation),
+            cores_percent: text.cores_percent,
         })
     };
     let member = read();
--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use celeryknot_core::{Backoff, DurationMs};
 use celeryknot_platform::{ByteMeter, PlatformClient, PlatformError};
@@ -27,6 +27,11 @@
 /// Longest time for one page of a listing.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time for which the pages of a listing that was broken off are of use.
+///
+/// The watch that follows needs the history since the first page, of which the store keeps 20 s.
+const LISTING_LIFE: Duration = Duration::from_secs(10);
+
 /// Shortest and longest pause between two watches, in which changes that come together are
 /// gathered.
 ///
@@ -53,7 +58,9 @@
     let addresses = shared.settings.store_addresses.clone();
     let mut client = PlatformClient::new(addresses, 0, Arc::new(ByteMeter::default()));
     let mut backoff = Backoff::new(BACKOFF_FIRST_MS, BACKOFF_LONGEST_MS);
-    let mut must_list = true;
+    let mut must_list = false;
+    let mut has_read = false;
+    let mut listing = Listing::default();
     let mut is_lost = false;
     loop {
         if !publisher.must_read_store() {
@@ -61,8 +68,11 @@
             continue;
         }
         let result = match publisher.position().filter(|_| !must_list) {
-            None => read_all::<B>(&mut client, &publisher).await,
-            Some(after) => read_changes::<B>(&mut client, &publisher, after).await,
+            None => read_all::<B>(&mut client, &publisher, &mut listing, must_list).await,
+            Some(after) => {
+                let changes = read_changes::<B>(&mut client, &publisher, after);
+                changes.await.map(Some)
+            }
         };
         let outcome = match &result {
             Ok(_) => "answered",
@@ -73,8 +83,12 @@
         let is_away = outcome == "failed";
         shared.is_store_away.store(is_away, Ordering::Release);
         match result {
-            Ok(at) => {
-                let is_first = std::mem::take(&mut must_list);
+            Ok(None) => {
+                tracing::debug!("a peer has told everything; the listing is left off");
+            }
+            Ok(Some(at)) => {
+                let is_first = !has_read;
+                (has_read, must_list) = (true, false);
                 backoff.reset();
                 publisher.note_store_heard(DurationMs(0));
                 if std::mem::take(&mut is_lost) {
@@ -90,6 +104,7 @@
             Err(PlatformError::Status(StatusCode::GONE)) => {
                 tracing::info!("the store has dropped its history; reading it anew");
                 must_list = true;
+                listing = Listing::default();
             }
             Err(error) => {
                 publisher.note_outage();
@@ -108,22 +123,45 @@
     }
 }
 
+/// The pages of a listing that have been read.
+#[derive(Debug, Default)]
+struct Listing {
+    /// The revision of the first page, and when that was read.
+    first: Option<(StoreRevision, Instant)>,
+    items: Vec<RawItem>,
+}
+
+/// Reads the pages that are left of a listing; one that fails is gone on with the next time.
+///
+/// A daemon that starts leaves off as soon as a peer has told it everything, unless it must list:
+/// when hundreds start at once, the store would otherwise have to give each of them every page.
 async fn read_all<B: Boundary>(
     client: &mut PlatformClient,
     publisher: &Publisher,
-) -> Result<StoreRevision, PlatformError> {
-    let mut items: Vec<RawItem> = Vec::new();
-    let mut first_at = None;
+    listing: &mut Listing,
+    must_list: bool,
+) -> Result<Option<StoreRevision>, PlatformError> {
+    if listing
+        .first
+        .is_some_and(|(_, at)| at.elapsed() > LISTING_LIFE)
+    {
+        *listing = Listing::default();
+    }
     loop {
-        let after = items.last().map(|item| item.key.as_str());
+        let after = listing.items.last().map(|item| item.key.as_str());
         let body = client.fetch(&B::list_uri(after), LIST_TIMEOUT).await?;
         let page = B::read_list(&body).map_err(|error| PlatformError::Body(error.to_string()))?;
         // Pages are no snapshot: what changed between them comes by the watch once more.
-        let at = *first_at.get_or_insert(page.at);
-        items.extend(page.items);
+        let (at, _) = *listing.first.get_or_insert((page.at, Instant::now()));
+        listing.items.extend(page.items);
+        if publisher.position().is_some() && !must_list {
+            *listing = Listing::default();
+            return Ok(None);
+        }
         if !page.has_more {
+            let items = std::mem::take(listing).items;
             publisher.take_items::<B>(NewsSource::Store, at, true, items);
-            return Ok(at);
+            return Ok(Some(at));
         }
     }
 }
--- a/crates/celeryknot_gateway/src/endpoint_news.rs
+++ b/crates/celeryknot_gateway/src/endpoint_news.rs
@@ -19,6 +19,11 @@
 /// without this they would go round until they are too old.
 const STATE_LATER_BY: DurationMs = DurationMs(25);
 
+/// The same, for each endpoint that is told of, and the longest; the more endpoints, the less often
+/// is each told.
+const STATE_LATER_PER_ENDPOINT_MS: f64 = 0.5;
+const STATE_LATER_MAX: DurationMs = DurationMs(1_000);
+
 /// Time by which a prompt must have been sent later to be told again.
 const HOLDER_LATER_BY: DurationMs = DurationMs(10_000);
 
@@ -71,9 +76,12 @@
     }
 
     /// Tells whether this is more than an echo of earlier news of the same subject.
-    fn is_later_than(&self, known: &Self) -> bool {
+    fn is_later_than(&self, known: &Self, endpoints: usize) -> bool {
+        let per_endpoint = DurationMs((endpoints as f64 * STATE_LATER_PER_ENDPOINT_MS) as u64);
         let later_by = match self.fact {
-            Fact::Load { .. } | Fact::Unreachable => STATE_LATER_BY,
+            Fact::Load { .. } | Fact::Unreachable => {
+                STATE_LATER_BY.max(per_endpoint.min(STATE_LATER_MAX))
+            }
             Fact::Holds { .. } => HOLDER_LATER_BY,
         };
         self.at - known.at >= later_by
@@ -114,6 +122,8 @@
     versions: HashMap<Subject, u64>,
     news: BTreeMap<u64, EndpointNews>,
     version: u64,
+    /// Endpoints whose loads are known.
+    endpoints: usize,
 }
 
 impl NewsTable {
@@ -121,7 +131,7 @@
     pub fn observe(&mut self, news: EndpointNews) -> bool {
         let before = self.versions.get(&news.subject()).copied();
         let known = before.and_then(|version| self.news.get(&version));
-        if known.is_some_and(|known| !news.is_later_than(known)) {
+        if known.is_some_and(|known| !news.is_later_than(known, self.endpoints)) {
             return false;
         }
         if let Some(before) = before {
@@ -159,8 +169,11 @@
     /// Forgets news that are of no more use.
     pub fn advance(&mut self, now: MonotonicMs) {
         let versions = &mut self.versions;
+        self.endpoints = 0;
         self.news.retain(|_, news| {
             let is_fresh = news.is_fresh(now);
+            let is_load = matches!(news.fact, Fact::Load { .. });
+            self.endpoints += usize::from(is_fresh && is_load);
             if !is_fresh {
                 versions.remove(&news.subject());
             }
--- a/crates/celeryknot_gateway/src/in_flight.rs
+++ b/crates/celeryknot_gateway/src/in_flight.rs
@@ -9,7 +9,7 @@
 use celeryknot_core::{DurationMs, EndpointTag, MemberName, MonotonicMs};
 
 /// Age from which counts that were told are of no more use.
-const AGE_MAX: DurationMs = DurationMs(1_000);
+const AGE_MAX: DurationMs = DurationMs(2_000);
 
 /// Requests in flight at each endpoint.
 pub type Counts = HashMap<EndpointTag, u32>;
--- a/crates/celeryknot_gateway/src/members.rs
+++ b/crates/celeryknot_gateway/src/members.rs
@@ -4,6 +4,7 @@
 //! store itself if it ranks among the first. While views differ, some more daemons read than
 //! need to, which does no harm; a daemon that hears nothing new of the store reads it anyway.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -42,6 +43,8 @@
     pub address: SocketAddr,
     /// Its life.
     pub incarnation: Incarnation,
+    /// Processor cores that it may use, in hundredths.
+    pub cores_percent: u32,
 }
 
 #[derive(Debug, Clone)]
@@ -73,6 +76,7 @@
     ///     zone: "hkd-a".parse()?,
     ///     address: "10.1.0.40:8229".parse()?,
     ///     incarnation: Incarnation(1),
+    ///     cores_percent: 25,
     /// };
     /// let table = MemberTable::new(own);
     /// assert!(table.is_reader(MonotonicMs(0)), "nobody else is known");
@@ -165,14 +169,34 @@
 
     /// Tells whether this daemon reads the store for the others.
     pub fn is_reader(&self, now: MonotonicMs) -> bool {
-        let score = |name: &MemberName| rendezvous_score(READER_KEY, name.as_str());
-        let own_score = score(&self.own.name);
-        let before = self
-            .entries
-            .values()
-            .filter(|entry| self.is_heard(now, entry) && score(&entry.member.name) > own_score)
-            .count();
-        before < READERS
+        let readers = self.reader_order(now).into_iter().take(READERS);
+        readers.into_iter().any(|member| *member == self.own)
+    }
+
+    /// Returns the daemons that are heard, this one included, the first readers first.
+    ///
+    /// The zones take turns, so that a zone's loss takes few readers; within a zone those with the
+    /// most processor go first, since a reader answers the questions of many.
+    fn reader_order(&self, now: MonotonicMs) -> Vec<&Member> {
+        let heard = self.entries.values().filter(|it| self.is_heard(now, it));
+        let mut order: Vec<(&Member, u64)> = heard
+            .map(|entry| &entry.member)
+            .chain([&self.own])
+            .map(|member| (member, rendezvous_score(READER_KEY, member.name.as_str())))
+            .collect();
+        order.sort_by_key(|(member, score)| Reverse((member.cores_percent, *score)));
+        let mut turns: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        let mut in_turns: Vec<(usize, &Member)> = order
+            .into_iter()
+            .map(|(member, _)| {
+                let turn = turns.entry(&member.zone).or_default();
+                *turn += 1;
+                (*turn, member)
+            })
+            .collect();
+        // Stable: within a turn, those with the most processor go first.
+        in_turns.sort_by_key(|(turn, _)| *turn);
+        in_turns.into_iter().map(|(_, member)| member).collect()
     }
 
     /// Returns the daemons to ask for news, the best ones first: readers of the own zone, other
@@ -180,26 +204,21 @@
     ///
     /// `draw` varies the order among equals, so that the readers' work is spread.
     pub fn sources(&self, now: MonotonicMs, draw: u64) -> Vec<Member> {
-        let score = |name: &MemberName| rendezvous_score(READER_KEY, name.as_str());
-        let mut heard: Vec<&Entry> = self
-            .entries
-            .values()
-            .filter(|entry| self.is_heard(now, entry))
-            .collect();
-        heard.sort_by_key(|entry| std::cmp::Reverse(score(&entry.member.name)));
-        let mut ranked: Vec<(bool, bool, u64, &Entry)> = heard
+        let mut ranked: Vec<(bool, bool, u64, &Member)> = self
+            .reader_order(now)
             .into_iter()
             .enumerate()
-            .map(|(rank, entry)| {
-                let is_far = entry.member.zone != self.own.zone;
-                let mix = rendezvous_score(draw, entry.member.name.as_str());
-                (rank >= READERS, is_far, mix, entry)
+            .filter(|(_, member)| **member != self.own)
+            .map(|(rank, member)| {
+                let is_far = member.zone != self.own.zone;
+                let mix = rendezvous_score(draw, member.name.as_str());
+                (rank >= READERS, is_far, mix, member)
             })
             .collect();
         ranked.sort_by_key(|(is_no_reader, is_far, mix, _)| (*is_no_reader, *is_far, *mix));
         ranked
             .into_iter()
-            .map(|(_, _, _, entry)| entry.member.clone())
+            .map(|(_, _, _, member)| member.clone())
             .collect()
     }
 
--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -65,6 +65,9 @@
     /// Milliseconds since it was heard.
     #[prost(uint32, tag = "5")]
     pub age_ms: u32,
+    /// Processor cores that it may use, in hundredths.
+    #[prost(uint32, tag = "6")]
+    pub cores_percent: u32,
 }
 
 /// One item of the store, or its removal.
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -10,7 +10,7 @@
 const REPORT_AGE_MAX: DurationMs = DurationMs(2_000);
 
 /// Age after which what all daemons have in flight is no longer used.
-const TOTAL_AGE_MAX: DurationMs = DurationMs(1_000);
+const TOTAL_AGE_MAX: DurationMs = DurationMs(2_000);
 
 /// Time between two changes of an endpoint's share; about as long as a change takes to show.
 const SHARE_PERIOD: DurationMs = DurationMs(300);
--- a/crates/celeryknot_settings/src/gateway.rs
+++ b/crates/celeryknot_settings/src/gateway.rs
@@ -57,6 +57,8 @@
     pub zone: ZoneName,
     /// `[gateway] connections_max`: most open sockets.
     pub connections_max: u32,
+    /// `[gateway] cores`: processor cores that the daemon may use.
+    pub cores: f64,
     /// `[addresses] callers`: where callers connect.
     pub callers_address: SocketAddr,
     /// `[addresses] readiness`: where the balancer asks whether the daemon takes callers.
@@ -96,6 +98,7 @@
                 name,
                 zone,
                 connections_max: 4096,
+                cores: 1.0,
                 callers_address: any_port,
                 readiness_address: any_port,
                 peers_address: any_port,
@@ -137,6 +140,7 @@
             name: fields.get("gateway", "name"),
             zone: fields.get("gateway", "zone"),
             connections_max: fields.get("gateway", "connections_max"),
+            cores: fields.get("gateway", "cores"),
             callers_address: fields.get("addresses", "callers"),
             readiness_address: fields.get("addresses", "readiness"),
             peers_address: fields.get("addresses", "peers"),
@@ -167,6 +171,7 @@
 impl GatewaySettingsBuilder {
     setters!(GatewaySettings {
         connections_max: u32,
+        cores: f64,
         callers_address: SocketAddr,
         readiness_address: SocketAddr,
         peers_address: SocketAddr,
