Keep the platform's names of entries in its stand-ins

The soak wrote state and coldRemainingMs itself; the stand-ins' site builds such entries now. No daemon's code changes.

--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -9,7 +9,7 @@
 use celeryknot_kinrin_standins::caller::Ask;
 use celeryknot_kinrin_standins::engine::{Arrival, Behaviour, Engine};
 use celeryknot_kinrin_standins::site::{
-    CONFIGURATION_KEY, ZONE, changed, entry, generation, key_of,
+    CONFIGURATION_KEY, ZONE, at_address, cold, draining, entry, generation, key_of,
 };
 use celeryknot_kinrin_standins::store::{Store, StoreMode};
 use celeryknot_standins::{Fault, FaultProxy};
@@ -338,8 +338,7 @@
     fn drain(&self, index: usize) {
         let mut place = lock(&self.places[index]);
         let key = key_of(&place.engine);
-        let leaving = changed(place.entry(), "state", "draining");
-        self.store.put(&key, &leaving);
+        self.store.put(&key, &draining(place.entry()));
         lock(&self.operator).withdrawals.push(Withdrawal {
             endpoint: place.engine.id.clone(),
             at: Instant::now(),
@@ -375,8 +374,8 @@
         lock(&self.gone).push(std::mem::replace(&mut place.engine, engine));
         place.proxy = proxy;
         let cold_ms = u64::try_from(COLD.as_millis()).expect("some seconds");
-        let cold = changed(place.entry(), "coldRemainingMs", cold_ms);
-        self.store.put(&key_of(&place.engine), &cold);
+        let entry = cold(place.entry(), cold_ms);
+        self.store.put(&key_of(&place.engine), &entry);
     }
 
     fn with_store(&self, mode: StoreMode, wait: impl FnOnce()) {
@@ -424,7 +423,6 @@
 impl Place {
     /// Returns the endpoint's entry, which names the proxy before it.
     fn entry(&self) -> serde_json::Value {
-        let address = self.proxy.address().to_string();
-        changed(entry(&self.engine, self.service), "address", address)
+        at_address(entry(&self.engine, self.service), self.proxy.address())
     }
 }
