--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -51,8 +51,9 @@
 /// Less than the three heartbeats of 1.2 s after which the platform drops one that has crashed.
 const DEPARTED_SILENCE_MAX: DurationMs = DurationMs(3_000);
 
-/// Time for which a prompt counts as held where it was sent; a prompt that has been dropped since
-/// costs a vain look.
+/// Time for which a prompt counts as held where it was sent.
+///
+/// A copy is asked for in vain if the prompt has been dropped since, which costs little.
 const HOLDER_LIFE: DurationMs = DurationMs(30_000);
 
 /// Time to come back where no endpoint takes new work now.
