--- a/crates/celeryknot_faults/src/soak/check.rs
+++ b/crates/celeryknot_faults/src/soak/check.rs
@@ -235,10 +235,8 @@
 
 fn check_cold(checker: &mut Checker, seen: &Seen) {
     for (name, until) in &seen.cold {
-        let arrivals = seen.arrivals.iter().find(|(id, _)| id == name);
-        let mut times: Vec<Instant> = arrivals
-            .into_iter()
-            .flat_map(|(_, arrivals)| arrivals)
+        let mut times: Vec<Instant> = seen
+            .arrivals_at(name)
             .filter(|arrival| arrival.is_run && arrival.at < *until)
             .map(|arrival| arrival.at)
             .collect();
@@ -262,13 +260,8 @@
 fn check_leaving(checker: &mut Checker, seen: &Seen) {
     let ids: BTreeSet<&str> = seen.asked.iter().map(|asked| asked.id.as_str()).collect();
     for withdrawal in &seen.withdrawals {
-        let arrivals = seen
-            .arrivals
-            .iter()
-            .find(|(id, _)| *id == withdrawal.endpoint);
-        let late = arrivals
-            .into_iter()
-            .flat_map(|(_, arrivals)| arrivals)
+        let late = seen
+            .arrivals_at(&withdrawal.endpoint)
             .filter(|arrival| arrival.is_run && arrival.at > withdrawal.at + DRAIN)
             .filter_map(|arrival| arrival.head.request_id())
             .filter(|id| ids.contains(id))
--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -85,6 +85,17 @@
     pub revoked_at: Option<Instant>,
 }
 
+impl Seen {
+    /// Returns the requests that an endpoint saw.
+    pub(crate) fn arrivals_at<'a>(
+        &'a self,
+        endpoint: &'a str,
+    ) -> impl Iterator<Item = &'a Arrival> {
+        let found = self.arrivals.iter().filter(move |(id, _)| id == endpoint);
+        found.flat_map(|(_, arrivals)| arrivals)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Operator {
     generation: u64,
