Log which side closed a caller's connection and the limits in force

The lines of the incident's streams said only that they ended with outcome caller-left, so that a connection closed by the daemon's own timeout could not be told from a caller that left. The daemon now logs connections that it closes because no request arrived in time, with the caller's address, which request ended bears too, and the header and idle timeouts of each configuration in force. Answers without a body are no longer logged as caller-left.

--- a/crates/celeryknot_callers/src/server.rs
+++ b/crates/celeryknot_callers/src/server.rs
@@ -189,6 +189,11 @@
     }
 }
 
+/// Returns whether a connection ended because no request, or no complete head, arrived in time.
+pub fn is_request_timeout(error: &eyre::Report) -> bool {
+    error.downcast_ref::<hyper::Error>().is_some_and(is_timeout)
+}
+
 /// Returns whether the error is a timeout of a request head.
 fn is_timeout(error: &hyper::Error) -> bool {
     error
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -383,9 +383,14 @@
 fn log_change(source: UpdateSource, at: StoreRevision, change: &StateChange) {
     let revision = at.0;
     match change {
-        StateChange::Configuration { version } => {
-            tracing::info!(%source, revision, version, "configuration in force");
-        }
+        StateChange::Configuration { version, limits } => tracing::info!(
+            %source,
+            revision,
+            version,
+            header_timeout_ms = limits.header_timeout_ms.0,
+            idle_timeout_ms = limits.idle_timeout_ms.0,
+            "configuration in force"
+        ),
         StateChange::Endpoint(record) => tracing::info!(
             %source,
             revision,
--- a/crates/celeryknot_gateway/src/store_state.rs
+++ b/crates/celeryknot_gateway/src/store_state.rs
@@ -7,7 +7,7 @@
 
 use celeryknot_core::{DurationMs, MonotonicMs, ServiceName, ZoneName};
 use celeryknot_policy::direct::ListedEndpoint;
-use celeryknot_policy::routing::{ActiveConfiguration, RoutingTable};
+use celeryknot_policy::routing::{ActiveConfiguration, RequestLimits, RoutingTable};
 
 use crate::platform_protocol::{EndpointRecord, StoreRecord, StoreRevision};
 
@@ -37,6 +37,8 @@
     Configuration {
         /// Its version.
         version: u64,
+        /// Its limits on callers.
+        limits: RequestLimits,
     },
     /// An endpoint's entry was added or changed.
     Endpoint(EndpointRecord),
@@ -79,9 +81,9 @@
         };
         match record {
             StoreRecord::Configuration(configuration) => {
-                let version = configuration.version;
+                let (version, limits) = (configuration.version, configuration.limits);
                 let is_new = self.active.offer(*configuration);
-                is_new.then_some(StateChange::Configuration { version })
+                is_new.then_some(StateChange::Configuration { version, limits })
             }
             StoreRecord::Endpoint(record) => self.put_endpoint(now, key, revision, record),
             StoreRecord::ZoneEvacuated(zone) => {
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -8,14 +8,14 @@
 mod send;
 mod serve;
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use async_channel::Receiver;
 use celeryknot_callers::CallerLimits;
 use celeryknot_callers::executor::ThreadRuntime;
-use celeryknot_callers::server::{ConnectionContext, serve_connection};
+use celeryknot_callers::server::{ConnectionContext, is_request_timeout, serve_connection};
 use celeryknot_core::DurationMs;
 use smol::Async;
 use smol::net::TcpStream;
@@ -75,7 +75,9 @@
     };
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => serve_caller::<P>(&gateway, TcpStream::from(stream)),
+            Ok((stream, caller)) => {
+                serve_caller::<P>(&gateway, TcpStream::from(stream), caller);
+            }
             // Accepting fails while no file descriptor is available; others may be released.
             Err(error) => {
                 tracing::warn!(%error, "failed to accept a connection");
@@ -85,7 +87,11 @@
     }
 }
 
-fn serve_caller<P: PlatformProtocol>(gateway: &Rc<TrafficThread>, stream: TcpStream) {
+fn serve_caller<P: PlatformProtocol>(
+    gateway: &Rc<TrafficThread>,
+    stream: TcpStream,
+    caller: SocketAddr,
+) {
     let connections_max = u64::from(gateway.shared.settings.connections_max);
     let Some(count_guard) = CountGuard::try_new(&gateway.shared.connections, connections_max)
     else {
@@ -105,9 +111,13 @@
     };
     let executor = gateway.executor.clone();
     let serve = async move {
-        let handler = move |request| serve::serve_request::<P>(Rc::clone(&gateway), request);
-        if let Err(error) = serve_connection(stream, &connection, handler).await {
-            tracing::debug!(%error, "caller connection failed");
+        let handler = move |request| serve::serve_request::<P>(Rc::clone(&gateway), caller, request);
+        match serve_connection(stream, &connection, handler).await {
+            Ok(()) => {}
+            Err(error) if is_request_timeout(&error) => {
+                tracing::info!(%caller, "closed a caller connection: no request in time");
+            }
+            Err(error) => tracing::debug!(%caller, %error, "caller connection failed"),
         }
         drop(count_guard);
     };
--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -60,6 +60,10 @@
     pub(super) fn hold_until_end(mut self, in_flight: CountGuard, request_log: RequestLog) -> Self {
         self.in_flight = Some(in_flight);
         self.request_log = Some(request_log);
+        if self.is_end_stream() {
+            // The HTTP library does not poll an empty body.
+            self.record_outcome("answered");
+        }
         self
     }
 
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -1,6 +1,7 @@
 //! Serves callers: validates requests against the configuration, runs them, and builds refusals.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -39,6 +40,8 @@
 pub(super) struct RequestLog {
     gateway: Rc<TrafficThread>,
     request_id: String,
+    /// The address that the caller's connection comes from.
+    caller: SocketAddr,
     arrived_at: MonotonicMs,
     status: u16,
     outcome: &'static str,
@@ -59,6 +62,7 @@
             .observe_request_duration(took_ms);
         tracing::info!(
             request_id = self.request_id,
+            caller = %self.caller,
             status = self.status,
             outcome = self.outcome,
             took_ms = took_ms.0,
@@ -70,6 +74,7 @@
 /// Serves one request of a caller.
 pub(super) async fn serve_request<P: PlatformProtocol>(
     gateway: Rc<TrafficThread>,
+    caller: SocketAddr,
     request: Request<Incoming>,
 ) -> Result<Response<GatewayBody>, Infallible> {
     let in_flight = CountGuard::new(&gateway.shared.in_flight);
@@ -78,6 +83,7 @@
     let (parts, body) = request.into_parts();
     let mut request_log = RequestLog {
         request_id: String::new(),
+        caller,
         arrived_at: gateway.now(),
         status: 0,
         outcome: "caller-left",
