--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -111,7 +111,8 @@
     };
     let executor = gateway.executor.clone();
     let serve = async move {
-        let handler = move |request| serve::serve_request::<P>(Rc::clone(&gateway), caller, request);
+        let handler =
+            move |request| serve::serve_request::<P>(Rc::clone(&gateway), caller, request);
         match serve_connection(stream, &connection, handler).await {
             Ok(()) => {}
             Err(error) if is_request_timeout(&error) => {
