Keep the timeout for the next request off until a response has left

Callers got streams that were cut in the middle, without an end or a refusal, as soon as they lasted longer than the idle timeout of the configuration; the incident shows it with 3 s.

Cause: on HTTP/1.1 a request counted as in flight only until the head of its response, and the timeout for the head of the next request ran from the first read after that. While the body was still being sent, it ended the connection. Ruled out: the shutdown (eleven of twelve streams were cut before their daemon, if it was stopping at all, ended connections), a deadline or a silent engine (both would have been logged as the stream's outcome).

A request now counts as in flight until the end of its body, and the timeout starts again with each write, so that it also spares the buffered rest of a response to a slow caller. It starts after the response without a further read of the HTTP library; before, a connection whose response was written at once was never closed for being idle. What the fault bounded by accident has a bound of its own: a caller that takes no byte of a response for the idle timeout is disconnected.

The cases for a slow caller and for one that stops reading fail without their part of the change.

--- a/crates/celeryknot_callers/src/head_scanner.rs
+++ b/crates/celeryknot_callers/src/head_scanner.rs
@@ -218,6 +218,8 @@
     stream: TcpStream,
     scanner: Rc<RefCell<HeadScanner>>,
     head_timeout: HeadTimeout,
+    /// Runs while the caller takes no bytes of a response.
+    write_timeout: Option<Sleep>,
 }
 
 /// The timeout for the head of the next request.
@@ -227,7 +229,7 @@
     timeout_ms: DurationMs,
     idle_timeout_ms: DurationMs,
     sleep: Option<Sleep>,
-    /// The number of requests in flight; the timeout is off while there are any.
+    /// The requests whose responses are not complete; the timeout is off while there are any.
     in_flight: Rc<Cell<u32>>,
 }
 
@@ -267,6 +269,10 @@
     }
 }
 
+fn timed_out(reason: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::TimedOut, reason)
+}
+
 impl ScannedStream {
     pub(crate) fn new(
         stream: TcpStream,
@@ -277,8 +283,42 @@
             stream,
             scanner,
             head_timeout,
+            write_timeout: None,
         }
     }
+
+    fn poll_head_timeout(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let (is_in_head, is_between_requests) = {
+            let scanner = self.scanner.borrow();
+            (scanner.is_in_head(), scanner.is_between_requests())
+        };
+        self.head_timeout
+            .poll(context, is_in_head, is_between_requests)
+    }
+
+    /// Restarts the timeouts when bytes were written; fails a write that was blocked for too long.
+    fn limit_write(
+        &mut self,
+        context: &mut Context<'_>,
+        poll: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if poll.is_ready() {
+            self.head_timeout.sleep = None;
+            self.write_timeout = None;
+            return poll;
+        }
+        let HeadTimeout {
+            timers,
+            idle_timeout_ms,
+            ..
+        } = &self.head_timeout;
+        let timeout = self
+            .write_timeout
+            .get_or_insert_with(|| timers.after(*idle_timeout_ms));
+        Pin::new(timeout)
+            .poll(context)
+            .map(|()| Err(timed_out("the caller read nothing in time")))
+    }
 }
 
 impl AsyncRead for ScannedStream {
@@ -298,13 +338,8 @@
             }
             return poll;
         }
-        let (is_in_head, is_idle) = {
-            let scanner = this.scanner.borrow();
-            (scanner.is_in_head(), scanner.is_between_requests())
-        };
-        let timeout = &mut this.head_timeout;
-        if poll.is_pending() && timeout.poll(context, is_in_head, is_idle).is_ready() {
-            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        if poll.is_pending() && this.poll_head_timeout(context).is_ready() {
+            return Poll::Ready(Err(timed_out("no request arrived in time")));
         }
         poll
     }
@@ -316,7 +351,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let poll = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.limit_write(context, poll)
     }
 
     fn poll_write_vectored(
@@ -324,11 +360,18 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.limit_write(context, poll)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let poll = Pin::new(&mut self.stream).poll_flush(context);
+        // After the end of a response, the HTTP library waits for the next request without another
+        // read, so the timeout starts here.
+        if poll.is_ready() && self.poll_head_timeout(context).is_ready() {
+            return Poll::Ready(Err(timed_out("no request arrived in time")));
+        }
+        poll
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/celeryknot_callers/src/server.rs
+++ b/crates/celeryknot_callers/src/server.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use futures_lite::{AsyncWriteExt, future};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use smol::channel::Receiver;
@@ -67,7 +68,7 @@
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<B>, Infallible>> + 'static,
-    B: Body<Data = Bytes> + 'static,
+    B: Body<Data = Bytes> + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     stream.set_nodelay(true)?;
@@ -121,7 +122,7 @@
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<B>, Infallible>> + 'static,
-    B: Body<Data = Bytes> + 'static,
+    B: Body<Data = Bytes> + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let has_served = Rc::new(Cell::new(false));
@@ -145,12 +146,14 @@
         let guard = InFlightGuard::new(&in_flight);
         async move {
             let mut answer = answer.await?;
-            drop(guard);
             if is_ambiguous {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
             }
-            Ok::<_, Infallible>(answer)
+            Ok::<_, Infallible>(answer.map(|body| InFlightBody {
+                body,
+                _guard: guard,
+            }))
         }
     });
     let connection = http1::Builder::new()
@@ -173,6 +176,32 @@
     Ok(result?)
 }
 
+/// A response body whose request counts as in flight until its end is written or it is dropped.
+struct InFlightBody<B> {
+    body: B,
+    _guard: InFlightGuard,
+}
+
+impl<B: Body + Unpin> Body for InFlightBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A guard that counts a request as in flight until it is dropped.
 struct InFlightGuard(Rc<Cell<u32>>);
 
@@ -189,12 +218,12 @@
     }
 }
 
-/// Returns whether a connection ended because no request, or no complete head, arrived in time.
-pub fn is_request_timeout(error: &eyre::Report) -> bool {
+/// Returns whether a connection ended by a timeout of the server, and not by the caller.
+pub fn is_connection_timeout(error: &eyre::Report) -> bool {
     error.downcast_ref::<hyper::Error>().is_some_and(is_timeout)
 }
 
-/// Returns whether the error is a timeout of a request head.
+/// Returns whether the error is a timeout of the connection.
 fn is_timeout(error: &hyper::Error) -> bool {
     error
         .source()
--- a/crates/celeryknot_callers/tests/connection_timeouts.rs
+++ b/crates/celeryknot_callers/tests/connection_timeouts.rs
@@ -6,7 +6,6 @@
 )]
 
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,9 +13,10 @@
 use celeryknot_callers::executor::{ThreadExecutor, ThreadRuntime};
 use celeryknot_callers::server::{ConnectionContext, serve_connection};
 use celeryknot_core::{DurationMs, MonotonicMs, Timers};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, Stream, future, stream};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future, stream};
 use http::{Request, Response};
-use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use smol::net::{TcpListener, TcpStream};
 
@@ -30,20 +30,40 @@
 /// Time after which a connection counts as never closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(15);
 
-const REQUEST: &[u8] = b"GET /chat HTTP/1.1\r\nhost: x\r\n\r\n";
-const RESPONSE_END: &[u8] = b"0\r\n\r\n";
+const CHAT: &[u8] = b"GET /chat HTTP/1.1\r\nhost: x\r\n\r\n";
+const CHAT_AND_PARTIAL_HEAD: &[u8] =
+    b"GET /chat HTTP/1.1\r\nhost: x\r\n\r\nGET /chat HTTP/1.1\r\nho";
+const FILE: &[u8] = b"GET /file HTTP/1.1\r\nhost: x\r\n\r\n";
+
+/// Size of a file, several times the buffers of a loopback connection.
+const FILE_SIZE_BYTES: usize = 48 << 20;
+
+/// The end of a file with its head, and so a length that only a complete file reaches.
+const FILE_END: &[u8] = &[b'x'; FILE_SIZE_BYTES];
+
+/// Most that a caller takes with one read.
+const READ_SIZE_BYTES: usize = 1 << 20;
+
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 struct Case {
     name: &'static str,
     idle_timeout_ms: DurationMs,
     header_timeout_ms: DurationMs,
-    /// Bytes that the caller sends right behind its request.
-    sent_ahead: &'static [u8],
+    request: &'static [u8],
+    response_end: &'static [u8],
+    /// Pause of the caller after each read.
+    read_pause: Duration,
 }
 
-type SlowBody = StreamBody<Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Infallible>>>>>;
-
-async fn respond_slowly(_request: Request<Incoming>) -> Result<Response<SlowBody>, Infallible> {
+/// Responds to `/file` with a body of known length, and otherwise with a slow stream.
+async fn respond(
+    request: Request<Incoming>,
+) -> Result<Response<UnsyncBoxBody<Bytes, Infallible>>, Infallible> {
+    if request.uri().path() == "/file" {
+        let file = Full::new(Bytes::from(vec![b'x'; FILE_SIZE_BYTES]));
+        return Ok(Response::new(file.boxed_unsync()));
+    }
     let chunks = stream::unfold(0, |sent| async move {
         if sent == CHUNK_COUNT {
             return None;
@@ -52,7 +72,7 @@
         let chunk = Frame::data(Bytes::from_static(b"data: token\n\n"));
         Some((Ok(chunk), sent + 1))
     });
-    Ok(Response::new(StreamBody::new(Box::pin(chunks))))
+    Ok(Response::new(StreamBody::new(chunks).boxed_unsync()))
 }
 
 async fn advance_timers(timers: Timers) {
@@ -64,17 +84,14 @@
     }
 }
 
-/// Sends one request and returns all bytes until the server closes the connection.
-async fn exchange(executor: ThreadExecutor, case: &Case) -> Vec<u8> {
+/// Serves one connection with the limits of a case until it ends.
+async fn serve(executor: ThreadExecutor, listener: TcpListener, case: &Case) {
     let timers = Timers::default();
-    executor.spawn(advance_timers(timers.clone())).detach();
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let mut caller = TcpStream::connect(address).await.unwrap();
+    let _clock = executor.spawn(advance_timers(timers.clone()));
     let (stream, _) = listener.accept().await.unwrap();
     let (_shutdown_sender, shutdown) = smol::channel::bounded(1);
     let context = ConnectionContext {
-        executor: executor.clone(),
+        executor,
         timers,
         limits: CallerLimits::builder()
             .idle_timeout_ms(case.idle_timeout_ms)
@@ -82,13 +99,42 @@
             .build(),
         shutdown,
     };
-    let serve = async move { serve_connection(stream, &context, respond_slowly).await };
-    let _server = executor.spawn(serve);
-    caller.write_all(REQUEST).await.unwrap();
-    caller.write_all(case.sent_ahead).await.unwrap();
+    // The library reports some timeouts as errors and others as a clean end.
+    drop(serve_connection(stream, &context, respond).await);
+}
+
+/// Sends a request and returns all bytes until the connection is closed.
+async fn receive(mut caller: TcpStream, case: &Case) -> Vec<u8> {
+    caller.write_all(case.request).await.unwrap();
     let mut received = Vec::new();
-    caller.read_to_end(&mut received).await.unwrap();
-    received
+    let mut buffer = vec![0; READ_SIZE_BYTES];
+    loop {
+        let len = caller.read(&mut buffer).await.unwrap();
+        if len == 0 {
+            return received;
+        }
+        received.extend_from_slice(&buffer[..len]);
+        smol::Timer::after(case.read_pause).await;
+    }
+}
+
+/// Runs one exchange until both sides have ended; `None` if they do not.
+fn run(case: &Case) -> Option<Vec<u8>> {
+    let runtime = ThreadRuntime::new();
+    let executor = runtime.executor();
+    let ended = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let caller = TcpStream::connect(address).await.unwrap();
+        let (received, ()) =
+            future::zip(receive(caller, case), serve(executor, listener, case)).await;
+        Some(received)
+    };
+    let never_ended = async {
+        smol::Timer::after(CLOSE_TIMEOUT).await;
+        None
+    };
+    smol::block_on(runtime.run(future::or(ended, never_ended)))
 }
 
 #[test]
@@ -98,29 +144,64 @@
             name: "idle timeout",
             idle_timeout_ms: SHORT,
             header_timeout_ms: LONG,
-            sent_ahead: b"",
+            request: CHAT,
+            response_end: LAST_CHUNK,
+            read_pause: Duration::ZERO,
         },
         Case {
             name: "header timeout, with part of the next head sent ahead",
             idle_timeout_ms: LONG,
             header_timeout_ms: SHORT,
-            sent_ahead: b"GET /chat HTTP/1.1\r\nho",
+            request: CHAT_AND_PARTIAL_HEAD,
+            response_end: LAST_CHUNK,
+            read_pause: Duration::ZERO,
+        },
+        Case {
+            name: "slow caller",
+            idle_timeout_ms: SHORT,
+            header_timeout_ms: LONG,
+            request: FILE,
+            response_end: FILE_END,
+            read_pause: Duration::from_millis(20),
         },
     ];
     for case in &cases {
-        let runtime = ThreadRuntime::new();
-        let closed = async { Some(exchange(runtime.executor(), case).await) };
-        let never_closed = async {
-            smol::Timer::after(CLOSE_TIMEOUT).await;
-            None
-        };
-        let received = smol::block_on(runtime.run(future::or(closed, never_closed)))
-            .unwrap_or_else(|| panic!("{}: not closed after the response", case.name));
+        let received =
+            run(case).unwrap_or_else(|| panic!("{}: not closed after the response", case.name));
         assert!(
-            received.ends_with(RESPONSE_END),
-            "{}: the response is incomplete: {}",
+            received.ends_with(case.response_end),
+            "{}: the response is incomplete after {} bytes",
             case.name,
-            String::from_utf8_lossy(&received)
+            received.len()
         );
     }
 }
+
+#[test]
+fn connection_of_a_caller_that_stops_reading_is_closed() {
+    let case = Case {
+        name: "caller that stops reading",
+        idle_timeout_ms: SHORT,
+        header_timeout_ms: LONG,
+        request: FILE,
+        response_end: FILE_END,
+        read_pause: Duration::ZERO,
+    };
+    let runtime = ThreadRuntime::new();
+    let executor = runtime.executor();
+    let closed = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut caller = TcpStream::connect(listener.local_addr().unwrap())
+            .await
+            .unwrap();
+        caller.write_all(case.request).await.unwrap();
+        serve(executor, listener, &case).await;
+        true
+    };
+    let never_closed = async {
+        smol::Timer::after(CLOSE_TIMEOUT).await;
+        false
+    };
+    let is_closed = smol::block_on(runtime.run(future::or(closed, never_closed)));
+    assert!(is_closed, "{}", case.name);
+}
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -15,7 +15,7 @@
 use async_channel::Receiver;
 use celeryknot_callers::CallerLimits;
 use celeryknot_callers::executor::ThreadRuntime;
-use celeryknot_callers::server::{ConnectionContext, is_request_timeout, serve_connection};
+use celeryknot_callers::server::{ConnectionContext, is_connection_timeout, serve_connection};
 use celeryknot_core::DurationMs;
 use smol::Async;
 use smol::net::TcpStream;
@@ -115,8 +115,9 @@
             move |request| serve::serve_request::<P>(Rc::clone(&gateway), caller, request);
         match serve_connection(stream, &connection, handler).await {
             Ok(()) => {}
-            Err(error) if is_request_timeout(&error) => {
-                tracing::info!(%caller, "closed a caller connection: no request in time");
+            Err(error) if is_connection_timeout(&error) => {
+                let reason = format!("{error:#}");
+                tracing::info!(%caller, reason, "caller connection timed out");
             }
             Err(error) => tracing::debug!(%caller, %error, "caller connection failed"),
         }
