Test each part of the fix for cut answers by itself

The server now runs in a task of its own; there are cases with a pause longer than the idle timeout, a body that the framing check takes for a head, a response that is written at once, and callers that stop reading a file or a stream. The test of a caller that stops reading goes into the table of idle_or_stalled_connection_is_closed.

--- a/crates/celeryknot_callers/src/server.rs
+++ b/crates/celeryknot_callers/src/server.rs
@@ -176,7 +176,7 @@
     Ok(result?)
 }
 
-/// A response body whose request counts as in flight until its end is written or it is dropped.
+/// A response body whose request counts as in flight until the HTTP library has taken its end.
 struct InFlightBody<B> {
     body: B,
     _guard: InFlightGuard,
--- a/crates/celeryknot_callers/tests/connection_timeouts.rs
+++ b/crates/celeryknot_callers/tests/connection_timeouts.rs
@@ -10,9 +10,10 @@
 
 use bytes::Bytes;
 use celeryknot_callers::CallerLimits;
+use celeryknot_callers::body::read_body;
 use celeryknot_callers::executor::{ThreadExecutor, ThreadRuntime};
 use celeryknot_callers::server::{ConnectionContext, serve_connection};
-use celeryknot_core::{DurationMs, MonotonicMs, Timers};
+use celeryknot_core::{DurationMs, MonotonicMs, SizeBytes, Timers};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future, stream};
 use http::{Request, Response};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -23,56 +24,78 @@
 const SHORT: DurationMs = DurationMs(200);
 const LONG: DurationMs = DurationMs(20_000);
 
-/// Chunks of a response, which takes several times the short timeout.
+/// Chunks of a stream, which takes several times the short timeout.
 const CHUNK_COUNT: usize = 20;
 const CHUNK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Pause after the first chunk of a paused stream, several times the short timeout.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Time after which a connection counts as never closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(15);
 
-const CHAT: &[u8] = b"GET /chat HTTP/1.1\r\nhost: x\r\n\r\n";
-const CHAT_AND_PARTIAL_HEAD: &[u8] =
-    b"GET /chat HTTP/1.1\r\nhost: x\r\n\r\nGET /chat HTTP/1.1\r\nho";
+const STREAM: &[u8] = b"GET /stream HTTP/1.1\r\nhost: x\r\n\r\n";
+const STREAM_AND_PARTIAL_HEAD: &[u8] =
+    b"GET /stream HTTP/1.1\r\nhost: x\r\n\r\nGET /stream HTTP/1.1\r\nho";
+const PAUSED_STREAM: &[u8] = b"GET /paused HTTP/1.1\r\nhost: x\r\n\r\n";
+const ENDLESS_STREAM: &[u8] = b"GET /endless HTTP/1.1\r\nhost: x\r\n\r\n";
 const FILE: &[u8] = b"GET /file HTTP/1.1\r\nhost: x\r\n\r\n";
+const EMPTY: &[u8] = b"GET /empty HTTP/1.1\r\nhost: x\r\n\r\n";
+
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// Size of a file, several times the buffers of a loopback connection.
 const FILE_SIZE_BYTES: usize = 48 << 20;
 
-/// The end of a file with its head, and so a length that only a complete file reaches.
+/// The whole file, so that only a complete response ends with it.
 const FILE_END: &[u8] = &[b'x'; FILE_SIZE_BYTES];
 
 /// Most that a caller takes with one read.
 const READ_SIZE_BYTES: usize = 1 << 20;
 
-const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// Digits before a content length, more than the framing check keeps of a line.
+const LEADING_ZEROS: usize = 300;
 
 struct Case {
     name: &'static str,
     idle_timeout_ms: DurationMs,
     header_timeout_ms: DurationMs,
-    request: &'static [u8],
+    request: Vec<u8>,
     response_end: &'static [u8],
     /// Pause of the caller after each read.
     read_pause: Duration,
 }
 
-/// Responds to `/file` with a body of known length, and otherwise with a slow stream.
-async fn respond(
-    request: Request<Incoming>,
-) -> Result<Response<UnsyncBoxBody<Bytes, Infallible>>, Infallible> {
-    if request.uri().path() == "/file" {
-        let file = Full::new(Bytes::from(vec![b'x'; FILE_SIZE_BYTES]));
-        return Ok(Response::new(file.boxed_unsync()));
-    }
-    let chunks = stream::unfold(0, |sent| async move {
-        if sent == CHUNK_COUNT {
+type TestResponse = Response<UnsyncBoxBody<Bytes, Infallible>>;
+
+async fn respond(request: Request<Incoming>) -> Result<TestResponse, Infallible> {
+    let path = request.uri().path().to_owned();
+    let body = request.into_body();
+    read_body(body, SizeBytes(1 << 20), LONG, &Timers::default())
+        .await
+        .unwrap();
+    Ok(Response::new(match path.as_str() {
+        "/empty" => Full::default().boxed_unsync(),
+        "/file" => Full::new(Bytes::from(vec![b'x'; FILE_SIZE_BYTES])).boxed_unsync(),
+        "/paused" => stream_chunks(2, PAUSE),
+        "/endless" => stream_chunks(usize::MAX, Duration::ZERO),
+        _ => stream_chunks(CHUNK_COUNT, CHUNK_INTERVAL),
+    }))
+}
+
+/// Streams chunks with a pause between them; without a pause, as fast as the caller reads.
+fn stream_chunks(count: usize, pause: Duration) -> UnsyncBoxBody<Bytes, Infallible> {
+    let chunks = stream::unfold(0, move |sent| async move {
+        if sent == count {
             return None;
         }
-        smol::Timer::after(CHUNK_INTERVAL).await;
+        if sent > 0 && !pause.is_zero() {
+            smol::Timer::after(pause).await;
+        }
         let chunk = Frame::data(Bytes::from_static(b"data: token\n\n"));
         Some((Ok(chunk), sent + 1))
     });
-    Ok(Response::new(StreamBody::new(chunks).boxed_unsync()))
+    StreamBody::new(chunks).boxed_unsync()
 }
 
 async fn advance_timers(timers: Timers) {
@@ -84,14 +107,17 @@
     }
 }
 
-/// Serves one connection with the limits of a case until it ends.
-async fn serve(executor: ThreadExecutor, listener: TcpListener, case: &Case) {
-    let timers = Timers::default();
-    let _clock = executor.spawn(advance_timers(timers.clone()));
+/// Opens a connection to a server task of its own, which ends with the connection.
+async fn connect(executor: &ThreadExecutor, case: &Case) -> (TcpStream, smol::Task<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let caller = TcpStream::connect(address).await.unwrap();
     let (stream, _) = listener.accept().await.unwrap();
-    let (_shutdown_sender, shutdown) = smol::channel::bounded(1);
+    let timers = Timers::default();
+    executor.spawn(advance_timers(timers.clone())).detach();
+    let (shutdown_sender, shutdown) = smol::channel::bounded(1);
     let context = ConnectionContext {
-        executor,
+        executor: executor.clone(),
         timers,
         limits: CallerLimits::builder()
             .idle_timeout_ms(case.idle_timeout_ms)
@@ -99,18 +125,36 @@
             .build(),
         shutdown,
     };
-    // The library reports some timeouts as errors and others as a clean end.
-    drop(serve_connection(stream, &context, respond).await);
+    let server = executor.spawn(async move {
+        // The HTTP library reports some timeouts as errors and others as a clean end.
+        drop(serve_connection(stream, &context, respond).await);
+        drop(shutdown_sender);
+    });
+    (caller, server)
+}
+
+/// Returns the result of an exchange; `None` if it does not end.
+fn run<T>(exchange: impl AsyncFnOnce(ThreadExecutor) -> T) -> Option<T> {
+    let runtime = ThreadRuntime::new();
+    let executor = runtime.executor();
+    let ended = async { Some(exchange(executor).await) };
+    let never_ended = async {
+        smol::Timer::after(CLOSE_TIMEOUT).await;
+        None
+    };
+    smol::block_on(runtime.run(future::or(ended, never_ended)))
 }
 
-/// Sends a request and returns all bytes until the connection is closed.
-async fn receive(mut caller: TcpStream, case: &Case) -> Vec<u8> {
-    caller.write_all(case.request).await.unwrap();
+/// Sends a request and returns all bytes until the server has closed the connection.
+async fn receive(executor: ThreadExecutor, case: &Case) -> Vec<u8> {
+    let (mut caller, server) = connect(&executor, case).await;
+    caller.write_all(&case.request).await.unwrap();
     let mut received = Vec::new();
     let mut buffer = vec![0; READ_SIZE_BYTES];
     loop {
         let len = caller.read(&mut buffer).await.unwrap();
         if len == 0 {
+            server.await;
             return received;
         }
         received.extend_from_slice(&buffer[..len]);
@@ -118,56 +162,37 @@
     }
 }
 
-/// Runs one exchange until both sides have ended; `None` if they do not.
-fn run(case: &Case) -> Option<Vec<u8>> {
-    let runtime = ThreadRuntime::new();
-    let executor = runtime.executor();
-    let ended = async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let caller = TcpStream::connect(address).await.unwrap();
-        let (received, ()) =
-            future::zip(receive(caller, case), serve(executor, listener, case)).await;
-        Some(received)
-    };
-    let never_ended = async {
-        smol::Timer::after(CLOSE_TIMEOUT).await;
-        None
-    };
-    smol::block_on(runtime.run(future::or(ended, never_ended)))
-}
-
 #[test]
 fn response_in_progress_is_not_cut_by_the_timeout_for_the_next_request() {
+    let zeros = "0".repeat(LEADING_ZEROS);
+    let long_line =
+        format!("POST /stream HTTP/1.1\r\nhost: x\r\ncontent-length: {zeros}5\r\n\r\nhello");
+    let idle = |name, request: &[u8], response_end, read_pause_ms| Case {
+        name,
+        idle_timeout_ms: SHORT,
+        header_timeout_ms: LONG,
+        request: request.to_vec(),
+        response_end,
+        read_pause: Duration::from_millis(read_pause_ms),
+    };
+    let header = |name, request: &[u8]| Case {
+        idle_timeout_ms: LONG,
+        header_timeout_ms: SHORT,
+        ..idle(name, request, LAST_CHUNK, 0)
+    };
     let cases = [
-        Case {
-            name: "idle timeout",
-            idle_timeout_ms: SHORT,
-            header_timeout_ms: LONG,
-            request: CHAT,
-            response_end: LAST_CHUNK,
-            read_pause: Duration::ZERO,
-        },
-        Case {
-            name: "header timeout, with part of the next head sent ahead",
-            idle_timeout_ms: LONG,
-            header_timeout_ms: SHORT,
-            request: CHAT_AND_PARTIAL_HEAD,
-            response_end: LAST_CHUNK,
-            read_pause: Duration::ZERO,
-        },
-        Case {
-            name: "slow caller",
-            idle_timeout_ms: SHORT,
-            header_timeout_ms: LONG,
-            request: FILE,
-            response_end: FILE_END,
-            read_pause: Duration::from_millis(20),
-        },
+        idle("long stream", STREAM, LAST_CHUNK, 0),
+        idle("long pause in a stream", PAUSED_STREAM, LAST_CHUNK, 0),
+        idle("slow caller", FILE, FILE_END, 20),
+        header(
+            "part of the next head is sent ahead",
+            STREAM_AND_PARTIAL_HEAD,
+        ),
+        header("body that looks like a head", long_line.as_bytes()),
     ];
     for case in &cases {
-        let received =
-            run(case).unwrap_or_else(|| panic!("{}: not closed after the response", case.name));
+        let received = run(async |executor| receive(executor, case).await)
+            .unwrap_or_else(|| panic!("{}: not closed after the response", case.name));
         assert!(
             received.ends_with(case.response_end),
             "{}: the response is incomplete after {} bytes",
@@ -178,30 +203,26 @@
 }
 
 #[test]
-fn connection_of_a_caller_that_stops_reading_is_closed() {
-    let case = Case {
-        name: "caller that stops reading",
+fn idle_or_stalled_connection_is_closed() {
+    let case = |name, request: &[u8]| Case {
+        name,
         idle_timeout_ms: SHORT,
         header_timeout_ms: LONG,
-        request: FILE,
-        response_end: FILE_END,
+        request: request.to_vec(),
+        response_end: b"",
         read_pause: Duration::ZERO,
     };
-    let runtime = ThreadRuntime::new();
-    let executor = runtime.executor();
-    let closed = async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let mut caller = TcpStream::connect(listener.local_addr().unwrap())
-            .await
-            .unwrap();
-        caller.write_all(case.request).await.unwrap();
-        serve(executor, listener, &case).await;
-        true
-    };
-    let never_closed = async {
-        smol::Timer::after(CLOSE_TIMEOUT).await;
-        false
-    };
-    let is_closed = smol::block_on(runtime.run(future::or(closed, never_closed)));
-    assert!(is_closed, "{}", case.name);
+    let cases = [
+        case("idle after a response that was written at once", EMPTY),
+        case("caller that stops reading a file", FILE),
+        case("caller that stops reading a stream", ENDLESS_STREAM),
+    ];
+    for case in &cases {
+        let closed = run(async |executor| {
+            let (mut caller, server) = connect(&executor, case).await;
+            caller.write_all(&case.request).await.unwrap();
+            server.await;
+        });
+        assert!(closed.is_some(), "{}", case.name);
+    }
 }
