Keep a call in progress when its hedge or its retry fails

A caller got connect-failed, which promises that its call was not run, while the endpoint was running it: if the hedge of a call on a reused connection could not connect, the first attempt was dropped, although it would have been answered, and a third one decided the outcome. The same answer was given if the first attempt failed after it was sent and its retry could not connect.

Found by the review of the cut answers, as a place of the same class: one that ends an exchange that is still going on. The first success of the two attempts now counts; if both fail, the outcome is unknown unless neither was sent.

--- a/crates/celeryknot_endpoints/src/call.rs
+++ b/crates/celeryknot_endpoints/src/call.rs
@@ -2,6 +2,8 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::task::Poll;
 
 use celeryknot_core::{DurationMs, ErrorKind, Execution, RequestId, SizeBytes, header};
 use futures_lite::future;
@@ -153,10 +155,13 @@
     where
         M: Fn() -> Result<(), ErrorKind>,
     {
-        let (reused, is_hedged) = match self.reuse {
-            Reuse::Never => (None, false),
-            Reuse::IdleUnder(idle_max) => (connections.take(address, idle_max).await, false),
-            Reuse::Hedged(idle_max) => (connections.take(address, idle_max).await, true),
+        let (reused, hedge_delay_ms) = match self.reuse {
+            Reuse::Never => (None, None),
+            Reuse::IdleUnder(idle_max) => (connections.take(address, idle_max).await, None),
+            Reuse::Hedged(idle_max) => {
+                let reused = connections.take(address, idle_max).await;
+                (reused, Some(HEDGE_DELAY))
+            }
         };
         let Some(connection) = reused else {
             let (connection, answer) = self
@@ -164,25 +169,26 @@
                 .await?;
             return self.check_response(connections, address, connection, answer);
         };
-        let result = if is_hedged {
-            let hedge = async {
-                connections.timers().after(HEDGE_DELAY).await;
-                self.attempt_on_new_connection(connections, address, may_send)
-                    .await
-            };
-            future::or(self.attempt_on(connection, may_send), hedge).await
-        } else {
-            self.attempt_on(connection, may_send).await
+        // Usually, a reused connection fails because the endpoint has closed it. The call is
+        // idempotent, so it is retried.
+        let has_failed = Cell::new(false);
+        let first = async {
+            let result = self.attempt_on(connection, may_send).await;
+            has_failed.set(result.is_err());
+            result
         };
-        let (connection, answer) = match result {
-            Ok(exchanged) => exchanged,
-            // Usually, the endpoint has closed the idle connection. The call is idempotent, so it
-            // is retried.
-            Err(_) => {
-                self.attempt_on_new_connection(connections, address, may_send)
-                    .await?
-            }
+        let second = async {
+            let mut hedge_delay = hedge_delay_ms.map(|delay| connections.timers().after(delay));
+            future::poll_fn(|context| match &mut hedge_delay {
+                _ if has_failed.get() => Poll::Ready(()),
+                Some(delay) => Pin::new(delay).poll(context),
+                None => Poll::Pending,
+            })
+            .await;
+            self.attempt_on_new_connection(connections, address, may_send)
+                .await
         };
+        let (connection, answer) = first_success(first, second).await?;
         self.check_response(connections, address, connection, answer)
     }
 
@@ -273,6 +279,44 @@
     }
 }
 
+/// Returns the first success of two attempts of one call.
+///
+/// `first` is polled before `second`. If both fail, the error states that the call was not run only
+/// if neither attempt may have run it.
+async fn first_success<T>(
+    first: impl Future<Output = Result<T, ErrorKind>>,
+    second: impl Future<Output = Result<T, ErrorKind>>,
+) -> Result<T, ErrorKind> {
+    let (mut first, mut second) = (pin!(first), pin!(second));
+    let (mut first_error, mut second_error) = (None, None);
+    future::poll_fn(|context| {
+        if first_error.is_none()
+            && let Poll::Ready(result) = first.as_mut().poll(context)
+        {
+            match result {
+                Ok(success) => return Poll::Ready(Ok(success)),
+                Err(kind) => first_error = Some(kind),
+            }
+        }
+        if second_error.is_none()
+            && let Poll::Ready(result) = second.as_mut().poll(context)
+        {
+            match result {
+                Ok(success) => return Poll::Ready(Ok(success)),
+                Err(kind) => second_error = Some(kind),
+            }
+        }
+        match (first_error, second_error) {
+            (Some(ErrorKind::OutcomeUnknown), Some(_)) => {
+                Poll::Ready(Err(ErrorKind::OutcomeUnknown))
+            }
+            (Some(_), Some(kind)) => Poll::Ready(Err(kind)),
+            (Some(_), None) | (None, Some(_)) | (None, None) => Poll::Pending,
+        }
+    })
+    .await
+}
+
 /// Returns whether the endpoint refused the call and reports that it did not run it.
 fn is_refusal(head: &response::Parts) -> bool {
     let may_refuse = matches!(
