Give a subtotal of requests in flight only from a reader

A reader polls the six best peers, which with seven daemons include the one that isn't a reader. It got a subtotal there that another reader's subtotal contained as well. Now a daemon gives a subtotal only if it is a reader itself; otherwise it reports its counts to one.

--- a/crates/celeryknot_gateway/src/control/long_polls.rs
+++ b/crates/celeryknot_gateway/src/control/long_polls.rs
@@ -109,8 +109,8 @@
         loads,
         holders,
         updates_version: endpoints.version(),
-        in_flight_subtotal: request
-            .is_aggregator
+        // A daemon that isn't a reader reports its counts to one, whose subtotal contains them.
+        in_flight_subtotal: (request.is_aggregator && members.is_reader(now))
             .then(|| encode_counts(&in_flight.subtotal(now))),
         in_flight_total: request
             .in_flight
--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -194,7 +194,7 @@
     /// The version of its latest endpoint updates.
     #[prost(uint64, tag = "10")]
     pub updates_version: u64,
-    /// Sum of the counts reported to this peer; only in responses to aggregating daemons.
+    /// Sum of the counts reported to this peer; only in responses of aggregating daemons to others.
     #[prost(message, optional, tag = "11")]
     pub in_flight_subtotal: Option<InFlightCounts>,
     /// Sum of the counts of all daemons; only in responses to polls that report their own.
