Apply changed idle and header timeouts to open connections

A connection kept the timeouts that were active when it was accepted. Since connections are closed for being idle after every response, a caller that relies on a raised idle timeout would have found its connection closed. The timeouts are now read when a timeout starts.

--- a/crates/celeryknot_callers/src/head_scanner.rs
+++ b/crates/celeryknot_callers/src/head_scanner.rs
@@ -12,11 +12,13 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
+use celeryknot_core::Timers;
 use celeryknot_core::timers::Sleep;
-use celeryknot_core::{DurationMs, Timers};
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
+use crate::limits::ConnectionTimeouts;
+
 /// Limit on the bytes buffered of a line; the relevant header fields are shorter.
 const LINE_BUFFER_MAX_BYTES: usize = 256;
 
@@ -226,8 +228,7 @@
 #[derive(Debug)]
 pub(crate) struct HeadTimeout {
     timers: Timers,
-    timeout_ms: DurationMs,
-    idle_timeout_ms: DurationMs,
+    timeouts: ConnectionTimeouts,
     sleep: Option<Sleep>,
     /// The requests whose responses are not complete; the timeout is off while there are any.
     in_flight: Rc<Cell<u32>>,
@@ -236,14 +237,12 @@
 impl HeadTimeout {
     pub(crate) fn new(
         timers: Timers,
-        timeout_ms: DurationMs,
-        idle_timeout_ms: DurationMs,
+        timeouts: ConnectionTimeouts,
         in_flight: Rc<Cell<u32>>,
     ) -> Self {
         Self {
             timers,
-            timeout_ms,
-            idle_timeout_ms,
+            timeouts,
             sleep: None,
             in_flight,
         }
@@ -259,12 +258,13 @@
             self.sleep = None;
             return Poll::Pending;
         }
-        let timeout_ms = match is_between_requests {
-            true => self.idle_timeout_ms,
-            false => self.timeout_ms,
-        };
-        let timers = &self.timers;
-        let sleep = self.sleep.get_or_insert_with(|| timers.after(timeout_ms));
+        let (timers, timeouts) = (&self.timers, &self.timeouts);
+        let sleep = self.sleep.get_or_insert_with(|| {
+            timers.after(match is_between_requests {
+                true => timeouts.idle_timeout(),
+                false => timeouts.header_timeout(),
+            })
+        });
         Pin::new(sleep).poll(context)
     }
 }
@@ -308,13 +308,11 @@
             return poll;
         }
         let HeadTimeout {
-            timers,
-            idle_timeout_ms,
-            ..
+            timers, timeouts, ..
         } = &self.head_timeout;
         let timeout = self
             .write_timeout
-            .get_or_insert_with(|| timers.after(*idle_timeout_ms));
+            .get_or_insert_with(|| timers.after(timeouts.idle_timeout()));
         Pin::new(timeout)
             .poll(context)
             .map(|()| Err(timed_out("the caller read nothing in time")))
--- a/crates/celeryknot_callers/src/lib.rs
+++ b/crates/celeryknot_callers/src/lib.rs
@@ -14,5 +14,5 @@
 pub mod token;
 
 pub use executor::ThreadExecutor;
-pub use limits::CallerLimits;
+pub use limits::{CallerLimits, ConnectionTimeouts};
 pub use request::{CallerRequest, ChatCompletion, Target};
--- a/crates/celeryknot_callers/src/limits.rs
+++ b/crates/celeryknot_callers/src/limits.rs
@@ -1,5 +1,8 @@
 //! Resource limits for callers.
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use celeryknot_core::{DurationMs, SizeBytes};
 
 /// Smallest header limit that the HTTP/1.1 parser accepts.
@@ -61,6 +64,60 @@
     }
 }
 
+/// Timeouts that also apply to connections which are already open; shared between clones.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_callers::{CallerLimits, ConnectionTimeouts};
+/// use celeryknot_core::DurationMs;
+///
+/// let timeouts = ConnectionTimeouts::new(&CallerLimits::default());
+/// let of_connection = timeouts.clone();
+/// let limits = CallerLimits::builder().idle_timeout_ms(DurationMs(300)).build();
+/// timeouts.update(&limits);
+/// assert_eq!(of_connection.idle_timeout(), DurationMs(300));
+/// ```
+#[derive(Debug, Clone)]
+pub struct ConnectionTimeouts(Rc<Cell<Timeouts>>);
+
+#[derive(Debug, Clone, Copy)]
+struct Timeouts {
+    header_timeout_ms: DurationMs,
+    idle_timeout_ms: DurationMs,
+}
+
+impl From<&CallerLimits> for Timeouts {
+    fn from(limits: &CallerLimits) -> Self {
+        Self {
+            header_timeout_ms: limits.header_timeout_ms,
+            idle_timeout_ms: limits.idle_timeout_ms,
+        }
+    }
+}
+
+impl ConnectionTimeouts {
+    /// Takes the timeouts from the limits.
+    pub fn new(limits: &CallerLimits) -> Self {
+        Self(Rc::new(Cell::new(limits.into())))
+    }
+
+    /// Replaces the timeouts; those that are running are not affected.
+    pub fn update(&self, limits: &CallerLimits) {
+        self.0.set(limits.into());
+    }
+
+    /// Returns the timeout for receiving a header block.
+    pub fn header_timeout(&self) -> DurationMs {
+        self.0.get().header_timeout_ms
+    }
+
+    /// Returns the timeout between a response and the next request.
+    pub fn idle_timeout(&self) -> DurationMs {
+        self.0.get().idle_timeout_ms
+    }
+}
+
 /// Builds [`CallerLimits`].
 #[derive(Debug, Clone)]
 pub struct CallerLimitsBuilder(CallerLimits);
--- a/crates/celeryknot_callers/src/server.rs
+++ b/crates/celeryknot_callers/src/server.rs
@@ -24,7 +24,7 @@
 
 use crate::executor::ThreadExecutor;
 use crate::head_scanner::{AmbiguousFraming, HeadScanner, HeadTimeout, ScannedStream};
-use crate::limits::CallerLimits;
+use crate::limits::{CallerLimits, ConnectionTimeouts};
 use crate::problem::problem_response;
 
 /// Connection preface that starts an HTTP/2 connection.
@@ -51,6 +51,8 @@
     pub timers: Timers,
     /// The resource limits for the caller.
     pub limits: CallerLimits,
+    /// The timeouts between requests and within a header block.
+    pub timeouts: ConnectionTimeouts,
     /// Closes at shutdown; the connection then ends after the requests in flight.
     pub shutdown: Receiver<Infallible>,
 }
@@ -101,8 +103,8 @@
     };
     let timed_out = async {
         // Callers may open a connection well before its first request.
-        let limits = &context.limits;
-        let timeout_ms = limits.header_timeout_ms.max(limits.idle_timeout_ms);
+        let timeouts = &context.timeouts;
+        let timeout_ms = timeouts.header_timeout().max(timeouts.idle_timeout());
         smol::Timer::after(timeout_ms.as_std()).await;
         write_refusal(stream, ErrorKind::RequestTimeout).await;
         Ok(None)
@@ -131,8 +133,7 @@
     let in_flight = Rc::new(Cell::new(0));
     let head_timeout = HeadTimeout::new(
         context.timers.clone(),
-        context.limits.header_timeout_ms,
-        context.limits.idle_timeout_ms,
+        context.timeouts.clone(),
         Rc::clone(&in_flight),
     );
     let scanned_stream = ScannedStream::new(stream.clone(), Rc::clone(&scanner), head_timeout);
--- a/crates/celeryknot_callers/tests/connection_timeouts.rs
+++ b/crates/celeryknot_callers/tests/connection_timeouts.rs
@@ -9,10 +9,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use celeryknot_callers::CallerLimits;
 use celeryknot_callers::body::read_body;
 use celeryknot_callers::executor::{ThreadExecutor, ThreadRuntime};
 use celeryknot_callers::server::{ConnectionContext, serve_connection};
+use celeryknot_callers::{CallerLimits, ConnectionTimeouts};
 use celeryknot_core::{DurationMs, MonotonicMs, SizeBytes, Timers};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future, stream};
 use http::{Request, Response};
@@ -116,13 +116,15 @@
     let timers = Timers::default();
     executor.spawn(advance_timers(timers.clone())).detach();
     let (shutdown_sender, shutdown) = smol::channel::bounded(1);
+    let limits = CallerLimits::builder()
+        .idle_timeout_ms(case.idle_timeout_ms)
+        .header_timeout_ms(case.header_timeout_ms)
+        .build();
     let context = ConnectionContext {
         executor: executor.clone(),
         timers,
-        limits: CallerLimits::builder()
-            .idle_timeout_ms(case.idle_timeout_ms)
-            .header_timeout_ms(case.header_timeout_ms)
-            .build(),
+        timeouts: ConnectionTimeouts::new(&limits),
+        limits,
         shutdown,
     };
     let server = executor.spawn(async move {
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -13,7 +13,6 @@
 use std::sync::Arc;
 
 use async_channel::Receiver;
-use celeryknot_callers::CallerLimits;
 use celeryknot_callers::executor::ThreadRuntime;
 use celeryknot_callers::server::{ConnectionContext, is_connection_timeout, serve_connection};
 use celeryknot_core::DurationMs;
@@ -102,7 +101,8 @@
     let connection = ConnectionContext {
         executor: gateway.executor.clone(),
         timers: gateway.timers.clone(),
-        limits: active_limits(&gateway),
+        limits: gateway.caller_limits(),
+        timeouts: gateway.connection_timeouts.clone(),
         shutdown: match gateway.shared.drain_connections.is_closed() {
             // A connection opened after the signal closes after its first response.
             true => gateway.never_closed.clone(),
@@ -125,15 +125,3 @@
     };
     executor.spawn(serve).detach();
 }
-
-fn active_limits(gateway: &TrafficThread) -> CallerLimits {
-    let view = gateway.shared.view.load();
-    let limits = view.table.as_ref().map(|table| *table.limits());
-    let limits = limits.unwrap_or_default();
-    CallerLimits::builder()
-        .header_size_max_bytes(limits.header_size_max_bytes)
-        .header_timeout_ms(limits.header_timeout_ms)
-        .idle_timeout_ms(limits.idle_timeout_ms)
-        .body_timeout_ms(limits.header_timeout_ms)
-        .build()
-}
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::Guard;
 use async_channel::{Receiver, Sender};
-use celeryknot_callers::ThreadExecutor;
+use celeryknot_callers::{CallerLimits, ConnectionTimeouts, ThreadExecutor};
 use celeryknot_core::{EndpointName, EndpointTag, MonotonicMs, Refusal, ServiceName, Timers};
 use celeryknot_endpoints::ConnectionPool;
 use celeryknot_policy::direct::cold_rate_limit::ColdRateLimit;
@@ -16,7 +16,7 @@
     AttemptFailure, EndpointPool, Placement, PlacementRequest, PoolLimits, ReportedLoad,
     RetryBounds, RetryShare,
 };
-use celeryknot_policy::routing::Service;
+use celeryknot_policy::routing::{RequestLimits, Service};
 use celeryknot_settings::FleetBounds;
 
 use crate::endpoint_updates::{EndpointUpdate, Observation};
@@ -46,6 +46,8 @@
     applied_bounds: RefCell<Arc<FleetBounds>>,
     /// Updates from peers about endpoints.
     peer_updates: Receiver<PeerUpdate>,
+    /// The active timeouts of callers' connections.
+    pub(crate) connection_timeouts: ConnectionTimeouts,
     /// A signal that is never given while the thread runs.
     pub(crate) never_closed: Signal,
     _never_closed_sender: Sender<Infallible>,
@@ -84,6 +86,7 @@
             applied_view_version: Cell::new(0),
             applied_bounds: RefCell::new(shared.bounds.load_full()),
             peer_updates,
+            connection_timeouts: ConnectionTimeouts::new(&CallerLimits::default()),
             never_closed,
             _never_closed_sender: never_sender,
             shared,
@@ -127,11 +130,20 @@
         }
     }
 
+    /// Returns the limits for a new connection of a caller.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        let view = self.view();
+        let limits = view.table.as_ref().map(|table| *table.limits());
+        build_caller_limits(limits.unwrap_or_default())
+    }
+
     fn apply_view(&self, view: &View, bounds: &FleetBounds) {
         let mut services = self.services.borrow_mut();
         let Some(table) = &view.table else {
             return;
         };
+        self.connection_timeouts
+            .update(&build_caller_limits(*table.limits()));
         for service in table.services() {
             let limits = self.pool_limits(view, bounds, service);
             let members = view.members.len().max(MEMBER_COUNT_MIN);
@@ -236,6 +248,15 @@
     }
 }
 
+fn build_caller_limits(limits: RequestLimits) -> CallerLimits {
+    CallerLimits::builder()
+        .header_size_max_bytes(limits.header_size_max_bytes)
+        .header_timeout_ms(limits.header_timeout_ms)
+        .idle_timeout_ms(limits.idle_timeout_ms)
+        .body_timeout_ms(limits.header_timeout_ms)
+        .build()
+}
+
 /// Counts a request as in flight at an endpoint until dropped.
 #[derive(Debug)]
 pub(crate) struct InFlightGuard {
--- a/crates/celeryknotd/src/traffic/thread.rs
+++ b/crates/celeryknotd/src/traffic/thread.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU64;
 
 use async_channel::Receiver;
+use celeryknot_callers::ConnectionTimeouts;
 use celeryknot_callers::executor::ThreadRuntime;
 use celeryknot_callers::server::{ConnectionContext, serve_connection};
 use celeryknot_core::DurationMs;
@@ -118,6 +119,7 @@
         executor: context.executor.clone(),
         timers: context.timers.clone(),
         limits: context.limits.clone(),
+        timeouts: ConnectionTimeouts::new(&context.limits),
         shutdown: shutdown.clone(),
     }
 }
