--- a/crates/celeryknot_settings/src/key_table.rs
+++ b/crates/celeryknot_settings/src/key_table.rs
@@ -49,7 +49,7 @@
     key("limits", "control_bytes_per_s", T::Size(1024, MIB_BYTES), Default("8KiB"), "8KiB", "Most bytes of control traffic that the daemon sends in a second."),
     key("limits", "connections_max", T::Count(1, 1_000_000), Default("4096"), "20000", "Most open connections of callers."),
     key("limits", "header_size_max_bytes", T::Size(1024, MIB_BYTES), Default("16KiB"), "32KiB", "Largest header block of a caller."),
-    key("limits", "header_timeout_ms", T::Duration(100, 10 * MINUTE_MS), Default("5s"), "10s", "Longest time for a header block to arrive."),
+    key("limits", "header_timeout_ms", T::Duration(100, 10 * MINUTE_MS), Default("5s"), "10s", "Longest time for a header block to arrive, for a connection to be idle, and for a caller to read nothing of its answer."),
     key("limits", "body_timeout_ms", T::Duration(100, 10 * MINUTE_MS), Default("10s"), "30s", "Longest silence within a request body."),
     key("limits", "shutdown_settle_ms", T::Duration(0, 10 * MINUTE_MS), Default("1s"), "5s", "Time at the start of a shutdown in which callers are still taken, for the balancer to see that the daemon is leaving; at most the grace time."),
     key("limits", "shutdown_grace_ms", T::Duration(0, 60 * MINUTE_MS), Default("30s"), "2min", "Longest time for requests in flight to end at a shutdown."),
