Decide during a shutdown by time limit and expected length

The decision now takes the time left, the request's time limit and an upper estimate of its length, and the estimate comes from the route's own answers of the last 30 s: the longest wait for a head and the longest time per token of the bound that the caller declared, or the longest answer where there is none, doubled. Too few answers give no estimate.

--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -4,6 +4,7 @@
 //! They agree on placement through hashing, and on load through the reports that endpoints attach
 //! to each response.
 
+pub mod answer_times;
 pub mod attempt_history;
 pub mod cold_rate_limit;
 pub mod endpoint;
@@ -11,7 +12,9 @@
 pub mod pool;
 pub mod prompt;
 pub mod retry_share;
+pub mod shutdown_admission;
 
+pub use answer_times::{AnswerTime, AnswerTimes};
 pub use attempt_history::{AttemptFailure, AttemptHistory};
 pub use cold_rate_limit::ColdStartBucket;
 pub use endpoint::{ListedEndpoint, ReportedLoad};
@@ -19,3 +22,4 @@
 pub use pool::{EndpointPool, Placement, PlacementReason, PlacementRequest, PoolLimits};
 pub use prompt::{Prompt, PromptPart, SharedPrefix};
 pub use retry_share::{RetryBounds, RetryShare};
+pub use shutdown_admission::ShutdownAdmission;
--- /dev/null
+++ b/crates/celeryknot_policy/src/direct/answer_times.rs
@@ -0,0 +1,132 @@
+//! How long the answers of one route take, as an upper estimate.
+
+use std::collections::VecDeque;
+
+use celeryknot_core::{DurationMs, MonotonicMs, TokenCount};
+
+/// Time for which an answer counts.
+const WINDOW: DurationMs = DurationMs(30_000);
+
+/// Length of the slots in which a window's answers are counted.
+const SLOT: DurationMs = DurationMs(3_000);
+
+/// Number of answers without which there is no estimate.
+///
+/// The largest of fewer is exceeded too often.
+const ANSWERS_MIN: u32 = 12;
+
+/// Percentage of the largest observation that an estimate is; engines slow down under load.
+const MARGIN_PERCENT: u64 = 200;
+
+const US_PER_MS: u64 = 1_000;
+
+/// The duration of one answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerTime {
+    /// Time from the request's arrival to the head of the answer.
+    pub head_ms: DurationMs,
+    /// Time from the request's arrival to the end of the answer.
+    pub total_ms: DurationMs,
+    /// Upper bound on the answer's size that the request declared.
+    pub output_tokens_max: Option<TokenCount>,
+}
+
+/// The answers of one period; each maximum is taken by itself.
+#[derive(Debug, Clone, Copy, Default)]
+struct Slot {
+    number: u64,
+    answers: u32,
+    /// Answers to requests that declared an upper bound.
+    bounded_answers: u32,
+    total_max_ms: u64,
+    head_max_ms: u64,
+    /// Largest time after the head of an answer, per token of its declared bound.
+    token_max_us: u64,
+}
+
+/// The largest durations of one route's answers in a sliding window.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::{DurationMs, MonotonicMs, TokenCount};
+/// use celeryknot_policy::direct::{AnswerTime, AnswerTimes};
+///
+/// let mut times = AnswerTimes::default();
+/// let now = MonotonicMs(0);
+/// assert_eq!(times.expected(now, Some(TokenCount(10))), None);
+/// for _ in 0..20 {
+///     times.observe(now, &AnswerTime {
+///         head_ms: DurationMs(50),
+///         total_ms: DurationMs(150),
+///         output_tokens_max: Some(TokenCount(100)),
+///     });
+/// }
+/// let short = times.expected(now, Some(TokenCount(10)));
+/// let long = times.expected(now, Some(TokenCount(1_000)));
+/// assert!(short < long);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct AnswerTimes {
+    slots: VecDeque<Slot>,
+}
+
+impl AnswerTimes {
+    /// Counts an answer that has ended.
+    pub fn observe(&mut self, now: MonotonicMs, answer: &AnswerTime) {
+        let number = now.0 / SLOT.0;
+        self.slots.retain(|slot| is_counted(slot, now));
+        if self.slots.back().is_none_or(|last| last.number != number) {
+            self.slots.push_back(Slot {
+                number,
+                ..Slot::default()
+            });
+        }
+        let slot = self.slots.back_mut().expect("a slot was just pushed");
+        slot.answers += 1;
+        slot.total_max_ms = slot.total_max_ms.max(answer.total_ms.0);
+        if let Some(tokens) = answer.output_tokens_max {
+            let body_ms = answer.total_ms.0.saturating_sub(answer.head_ms.0);
+            let body_us = body_ms.saturating_mul(US_PER_MS);
+            slot.bounded_answers += 1;
+            slot.head_max_ms = slot.head_max_ms.max(answer.head_ms.0);
+            let token_us = body_us.div_ceil(u64::from(tokens.0.max(1)));
+            slot.token_max_us = slot.token_max_us.max(token_us);
+        }
+    }
+
+    /// Returns an upper estimate of an answer's length, or `None` after too few answers.
+    pub fn expected(
+        &self,
+        now: MonotonicMs,
+        output_tokens_max: Option<TokenCount>,
+    ) -> Option<DurationMs> {
+        let slots = || self.slots.iter().filter(|slot| is_counted(slot, now));
+        let max = |value: fn(&Slot) -> u64| slots().map(value).max().unwrap_or(0);
+        let (answers, largest_ms): (u32, u64) = match output_tokens_max {
+            Some(tokens) => {
+                let body_us = max(|slot| slot.token_max_us).saturating_mul(u64::from(tokens.0));
+                let head_ms = max(|slot| slot.head_max_ms);
+                let answers = slots().map(|slot| slot.bounded_answers).sum();
+                (answers, head_ms.saturating_add(body_us.div_ceil(US_PER_MS)))
+            }
+            None => {
+                let answers = slots().map(|slot| slot.answers).sum();
+                (answers, max(|slot| slot.total_max_ms))
+            }
+        };
+        let estimate_ms = largest_ms.saturating_mul(MARGIN_PERCENT) / 100;
+        (answers >= ANSWERS_MIN).then_some(DurationMs(estimate_ms))
+    }
+
+    /// Returns whether no answer counts any more.
+    pub fn is_empty(&self, now: MonotonicMs) -> bool {
+        !self.slots.iter().any(|slot| is_counted(slot, now))
+    }
+}
+
+/// Returns whether any part of the slot lies in the window that ends now.
+fn is_counted(slot: &Slot, now: MonotonicMs) -> bool {
+    let end = MonotonicMs((slot.number + 1) * SLOT.0);
+    now - end < WINDOW
+}
