--- a/crates/celeryknot_gateway/src/platform_protocol.rs
+++ b/crates/celeryknot_gateway/src/platform_protocol.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use celeryknot_core::{
-    CustomerName, DurationMs, EndpointName, ErrorKind, Refusal, ServiceName, ZoneName,
+    CustomerName, DurationMs, EndpointName, ErrorKind, Refusal, ServiceName, TokenCount, ZoneName,
 };
 use celeryknot_policy::direct::{Prompt, ReportedLoad};
 use celeryknot_policy::routing::Configuration;
@@ -95,6 +95,8 @@
     pub key: Option<String>,
     /// The prompt's parts, if the request has a prompt.
     pub prompt: Option<Prompt>,
+    /// Upper bound on the answer's size, if the caller declares one.
+    pub output_tokens_max: Option<TokenCount>,
 }
 
 /// The router's additions to the head of a request that it sends to an endpoint.
