--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -14,7 +14,7 @@
 pub mod retry_share;
 pub mod shutdown_admission;
 
-pub use answer_times::{AnswerTime, AnswerTimes};
+pub use answer_times::{AnswerTime, AnswerTimes, LongestAnswer};
 pub use attempt_history::{AttemptFailure, AttemptHistory};
 pub use cold_rate_limit::ColdStartBucket;
 pub use endpoint::{ListedEndpoint, ReportedLoad};
@@ -22,4 +22,4 @@
 pub use pool::{EndpointPool, Placement, PlacementReason, PlacementRequest, PoolLimits};
 pub use prompt::{Prompt, PromptPart, SharedPrefix};
 pub use retry_share::{RetryBounds, RetryShare};
-pub use shutdown_admission::ShutdownAdmission;
+pub use shutdown_admission::{ShutdownAdmission, ShutdownPhase};
--- a/crates/celeryknot_policy/src/direct/answer_times.rs
+++ b/crates/celeryknot_policy/src/direct/answer_times.rs
@@ -1,4 +1,4 @@
-//! How long the answers of one route take, as an upper estimate.
+//! How long the answers of one route may take.
 
 use std::collections::VecDeque;
 
@@ -10,13 +10,17 @@
 /// Length of the slots in which a window's answers are counted.
 const SLOT: DurationMs = DurationMs(3_000);
 
-/// Number of answers without which there is no estimate.
+/// Number of answers without which there is no upper bound.
+const ANSWERS_MIN: u32 = 8;
+
+/// Dividend of the margin, in percent of the largest observation: `MARGIN_PERCENT` over the number
+/// of answers and `MARGIN_ANSWERS`.
 ///
-/// The largest of fewer is exceeded too often.
-const ANSWERS_MIN: u32 = 12;
+/// The largest of few answers says little of the next one.
+const MARGIN_PERCENT: u64 = 1_200;
 
-/// Percentage of the largest observation that an estimate is; engines slow down under load.
-const MARGIN_PERCENT: u64 = 200;
+/// Number of answers added to the observed ones in the divisor of the margin.
+const MARGIN_ANSWERS: u64 = 16;
 
 const US_PER_MS: u64 = 1_000;
 
@@ -44,6 +48,38 @@
     token_max_us: u64,
 }
 
+/// The longest answer that the recent answers of a route let expect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LongestAnswer {
+    /// Number of answers that it is derived from.
+    pub answers: u32,
+    /// Its duration.
+    pub longest_ms: DurationMs,
+}
+
+impl LongestAnswer {
+    /// Returns the duration that nearly no further answer exceeds; `None` after too few answers.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::DurationMs;
+    /// use celeryknot_policy::direct::LongestAnswer;
+    ///
+    /// let upper_bound = |answers| {
+    ///     let longest_ms = DurationMs(1_000);
+    ///     LongestAnswer { answers, longest_ms }.upper_bound()
+    /// };
+    /// assert_eq!(upper_bound(1), None);
+    /// assert!(upper_bound(100) < upper_bound(10));
+    /// ```
+    pub fn upper_bound(&self) -> Option<DurationMs> {
+        let margin_percent = MARGIN_PERCENT / (u64::from(self.answers) + MARGIN_ANSWERS);
+        let bound_ms = self.longest_ms.0.saturating_mul(100 + margin_percent) / 100;
+        (self.answers >= ANSWERS_MIN).then_some(DurationMs(bound_ms))
+    }
+}
+
 /// The largest durations of one route's answers in a sliding window.
 ///
 /// # Examples
@@ -54,7 +90,7 @@
 ///
 /// let mut times = AnswerTimes::default();
 /// let now = MonotonicMs(0);
-/// assert_eq!(times.expected(now, Some(TokenCount(10))), None);
+/// assert_eq!(times.longest(now, Some(TokenCount(10))), None);
 /// for _ in 0..20 {
 ///     times.observe(now, &AnswerTime {
 ///         head_ms: DurationMs(50),
@@ -62,9 +98,9 @@
 ///         output_tokens_max: Some(TokenCount(100)),
 ///     });
 /// }
-/// let short = times.expected(now, Some(TokenCount(10)));
-/// let long = times.expected(now, Some(TokenCount(1_000)));
-/// assert!(short < long);
+/// let longest_ms = |tokens| times.longest(now, Some(TokenCount(tokens))).unwrap().longest_ms;
+/// assert_eq!(longest_ms(10), DurationMs(60));
+/// assert_eq!(longest_ms(1_000), DurationMs(1_050));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct AnswerTimes {
@@ -95,15 +131,15 @@
         }
     }
 
-    /// Returns an upper estimate of an answer's length, or `None` after too few answers.
-    pub fn expected(
+    /// Returns the longest answer that the recent ones let expect, or `None` without any.
+    pub fn longest(
         &self,
         now: MonotonicMs,
         output_tokens_max: Option<TokenCount>,
-    ) -> Option<DurationMs> {
+    ) -> Option<LongestAnswer> {
         let slots = || self.slots.iter().filter(|slot| is_counted(slot, now));
         let max = |value: fn(&Slot) -> u64| slots().map(value).max().unwrap_or(0);
-        let (answers, largest_ms): (u32, u64) = match output_tokens_max {
+        let (answers, longest_ms) = match output_tokens_max {
             Some(tokens) => {
                 let body_us = max(|slot| slot.token_max_us).saturating_mul(u64::from(tokens.0));
                 let head_ms = max(|slot| slot.head_max_ms);
@@ -115,8 +151,10 @@
                 (answers, max(|slot| slot.total_max_ms))
             }
         };
-        let estimate_ms = largest_ms.saturating_mul(MARGIN_PERCENT) / 100;
-        (answers >= ANSWERS_MIN).then_some(DurationMs(estimate_ms))
+        (answers > 0).then_some(LongestAnswer {
+            answers,
+            longest_ms: DurationMs(longest_ms),
+        })
     }
 
     /// Returns whether no answer counts any more.
