Accept requests in a shutdown by whether their answers end in time

Each request is now judged, when it has been read and before each further attempt, by the time left, its time limit and the answers of its route. The end of connections is fixed when the shutdown starts, and with a grace below 2.5 s they now end in time for the process to exit. A request that has no head of its answer 0.1 s before the end gets 504, or 503 if it was never sent, instead of a closed connection. An answer that runs is ended by its own limits or by the end alone.

--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -82,7 +82,7 @@
             peer_updates,
             store_read_at_ms: AtomicU64::new(0),
             is_store_unreachable: AtomicBool::new(false),
-            draining_since_ms: AtomicU64::new(NOT_DRAINING),
+            connections_end_at_ms: AtomicU64::new(NOT_DRAINING),
             drain_connections: drain_connections_signal,
             in_flight: Arc::default(),
             connections: Arc::default(),
@@ -148,17 +148,19 @@
     /// Drains the gateway; returns how many requests did not finish within the grace time.
     ///
     /// Readiness fails immediately. Once the balancer has had time to notice, connections close
-    /// after their requests in flight. New ones are served one request each, and refused near the
-    /// end.
+    /// after their requests in flight. New ones are served one request each; requests that may
+    /// outlast the grace time are refused. The end of connections is fixed at the start.
     pub fn shut_down(mut self) -> u64 {
         tracing::info!(
             in_flight = self.shared.in_flight.load(Ordering::Acquire),
             "shutting down"
         );
-        self.shared.start_draining();
         let grace_ms = self.shared.bounds.load().shutdown_grace_ms;
-        let deadline = Instant::now() + grace_ms.as_std().saturating_sub(EXIT_MARGIN.as_std());
-        std::thread::sleep(READINESS_PROPAGATION_TIME.min(grace_ms).as_std());
+        let connections_end_after = DurationMs(grace_ms.0.saturating_sub(EXIT_MARGIN.0));
+        let deadline = Instant::now() + connections_end_after.as_std();
+        self.shared.start_draining(connections_end_after);
+        let propagation_time = READINESS_PROPAGATION_TIME.min(connections_end_after);
+        std::thread::sleep(propagation_time.as_std());
         self.drain_connections.close();
         let has_connections = || self.shared.connections.load(Ordering::Acquire) > 0;
         while has_connections() && Instant::now() < deadline {
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -22,14 +22,11 @@
 /// Updates queued for the other thread; further ones are dropped while the queue is full.
 pub(crate) const UPDATE_QUEUE_LEN_MAX: usize = 4_096;
 
-/// Value of `draining_since_ms` before a shutdown starts.
+/// Value of `connections_end_at_ms` before a shutdown starts.
 pub(crate) const NOT_DRAINING: u64 = u64::MAX;
 
-/// Length of the final part of the grace time in which requests are refused.
-///
-/// Nearly all requests are shorter. Another daemon serves a refused request immediately, while an
-/// aborted request is lost.
-const REQUEST_CUTOFF_BEFORE_END: DurationMs = DurationMs(3_000);
+/// Time for the last answers to be written before connections end.
+const FINAL_ANSWER_MARGIN: DurationMs = DurationMs(100);
 
 /// Time after the start in which requests wait for the first configuration.
 ///
@@ -75,8 +72,8 @@
     pub(crate) store_read_at_ms: AtomicU64,
     /// Whether this daemon's last read of the store failed.
     pub(crate) is_store_unreachable: AtomicBool,
-    /// When the shutdown started; `NOT_DRAINING` before.
-    pub(crate) draining_since_ms: AtomicU64,
+    /// When connections end; `NOT_DRAINING` before a shutdown.
+    pub(crate) connections_end_at_ms: AtomicU64,
     /// Closed when callers' connections must close after their requests in flight.
     pub(crate) drain_connections: Signal,
     pub(crate) in_flight: Arc<AtomicU64>,
@@ -105,25 +102,21 @@
         has_just_started && !self.is_store_unreachable.load(Ordering::Acquire)
     }
 
-    /// Marks the start of a shutdown.
-    pub(crate) fn start_draining(&self) {
-        let now_ms = self.now().0;
-        self.draining_since_ms.store(now_ms, Ordering::Release);
+    /// Starts a shutdown in which connections end after the given time.
+    pub(crate) fn start_draining(&self, connections_end_after: DurationMs) {
+        let end = self.now() + connections_end_after;
+        self.connections_end_at_ms.store(end.0, Ordering::Release);
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining_since_ms.load(Ordering::Acquire) != NOT_DRAINING
+        self.connections_end_at_ms.load(Ordering::Acquire) != NOT_DRAINING
     }
 
-    /// Returns whether enough grace time is left for a request that starts now.
-    ///
-    /// The balancer also sends callers to a draining daemon while too few others are left in its
-    /// zone.
-    pub(crate) fn accepts_requests(&self) -> bool {
-        let since_ms = self.draining_since_ms.load(Ordering::Acquire);
-        let grace_ms = self.bounds.load().shutdown_grace_ms;
-        let accepting_ms = grace_ms.0.saturating_sub(REQUEST_CUTOFF_BEFORE_END.0);
-        since_ms == NOT_DRAINING || self.now() - MonotonicMs(since_ms) < DurationMs(accepting_ms)
+    /// Returns the time in which answers must end; `None` before a shutdown.
+    pub(crate) fn time_left(&self) -> Option<DurationMs> {
+        let end_at_ms = self.connections_end_at_ms.load(Ordering::Acquire);
+        let answers_end = MonotonicMs(end_at_ms.saturating_sub(FINAL_ANSWER_MARGIN.0));
+        (end_at_ms != NOT_DRAINING).then(|| answers_end - self.now())
     }
 
     /// Updates the gauges that are derived from shared state, and renders all metrics.
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -7,6 +7,7 @@
 mod resume;
 mod send;
 mod serve;
+mod shutdown;
 
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -58,6 +59,7 @@
         smol::Timer::after(TIMER_INTERVAL.as_std()).await;
         let now = gateway.now();
         gateway.timers.advance(now);
+        gateway.signal_final_answers();
         if now - checked_at >= IDLE_CHECK_INTERVAL {
             checked_at = now;
             gateway.connections.close_idle();
--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 
 use super::context::InFlightGuard;
-use super::serve::RequestLog;
+use super::serve::{ANSWERED, RequestLog};
 use crate::count_guard::CountGuard;
 
 /// The source of a response body.
@@ -62,7 +62,7 @@
         self.request_log = Some(request_log);
         if self.is_end_stream() {
             // The HTTP library does not poll an empty body.
-            self.record_outcome("answered");
+            self.record_outcome(ANSWERED);
         }
         self
     }
@@ -111,8 +111,8 @@
                 .map(|next| next.map(|chunk| chunk.map(Frame::data))),
         };
         match &poll {
-            Poll::Ready(Some(Ok(_))) if self.is_end_stream() => self.record_outcome("answered"),
-            Poll::Ready(None) => self.record_outcome("answered"),
+            Poll::Ready(Some(Ok(_))) if self.is_end_stream() => self.record_outcome(ANSWERED),
+            Poll::Ready(None) => self.record_outcome(ANSWERED),
             Poll::Ready(Some(Err(error))) => self.record_outcome(error.0.code()),
             Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -19,6 +19,7 @@
 use celeryknot_policy::routing::Service;
 use celeryknot_settings::FleetBounds;
 
+use super::shutdown::RouteTimes;
 use crate::endpoint_updates::{EndpointUpdate, Observation};
 use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate};
 use crate::view::View;
@@ -49,6 +50,11 @@
     /// A signal that is never given while the thread runs.
     pub(crate) never_closed: Signal,
     _never_closed_sender: Sender<Infallible>,
+    /// Durations of answers, for requests that arrive during a shutdown.
+    pub(super) route_times: RefCell<RouteTimes>,
+    /// Closed when requests that still wait for an answer must end.
+    pub(super) final_answers: Signal,
+    _final_answers_sender: Sender<Infallible>,
 }
 
 impl ServiceState {
@@ -76,6 +82,7 @@
         let timers = Timers::default();
         timers.advance(shared.now());
         let (never_sender, never_closed) = async_channel::bounded(1);
+        let (final_answers_sender, final_answers) = async_channel::bounded(1);
         Rc::new(Self {
             connections: ConnectionPool::new(timers.clone()),
             executor,
@@ -86,6 +93,9 @@
             peer_updates,
             never_closed,
             _never_closed_sender: never_sender,
+            route_times: RefCell::default(),
+            final_answers,
+            _final_answers_sender: final_answers_sender,
             shared,
         })
     }
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -14,6 +14,7 @@
 use super::context::{InFlightGuard, TrafficThread};
 use super::resume;
 use super::send::{AttemptProgress, EndpointResponse, read_buffered, send, with_timeout};
+use super::shutdown::draining_refusal;
 use crate::platform_protocol::PlatformProtocol;
 
 /// `Retry-After` of a refusal where another endpoint may serve the request immediately.
@@ -75,15 +76,20 @@
         gateway.timers.after(remaining_ms).await;
         None
     };
+    let on_shutdown = async {
+        gateway.final_answers_due().await;
+        None
+    };
+    let time_out = future::or(on_deadline, on_shutdown);
     let attempts = async { Some(forward.run_attempts::<P>().await) };
-    match future::or(attempts, on_deadline).await {
+    match future::or(attempts, time_out).await {
         Some(Ok(Answer::Complete(response))) => Ok(*response),
         Some(Ok(Answer::Stream(endpoint_response))) => Ok(resume::build_stream_response::<P>(
             forward,
             *endpoint_response,
         )),
         Some(Err(refusal)) => Err(refusal),
-        None => Err(Refusal::new(forward.timeout_kind())),
+        None => Err(forward.refuse_unanswered()),
     }
 }
 
@@ -92,12 +98,15 @@
         self.call.deadline - self.gateway.now()
     }
 
-    /// Returns the error kind for a request whose deadline has passed.
-    fn timeout_kind(&self) -> ErrorKind {
+    /// Builds the refusal of a request whose deadline, or whose daemon's time, has passed.
+    fn refuse_unanswered(&self) -> Refusal {
         if self.history.may_have_run() || self.progress.may_have_been_sent.get() {
-            return ErrorKind::AnswerTimeout;
+            return Refusal::new(ErrorKind::AnswerTimeout);
+        }
+        match self.remaining_ms() > DurationMs(0) {
+            true => draining_refusal(),
+            false => Refusal::new(ErrorKind::DeadlineUnreachable),
         }
-        ErrorKind::DeadlineUnreachable
     }
 
     async fn run_attempts<P: PlatformProtocol>(&mut self) -> Result<Answer, Refusal> {
@@ -177,6 +186,15 @@
         })
     }
 
+    /// Refuses the next attempt if its answer may not end before the daemon's shutdown does.
+    fn check_shutdown(&self) -> Result<(), Refusal> {
+        let checked = self.gateway.check_shutdown(&self.call);
+        checked.map_err(|refusal| match self.last_failure {
+            Some(failure) => self.refuse(failure),
+            None => refusal,
+        })
+    }
+
     /// Picks the endpoint for the next attempt.
     fn place(&mut self) -> Result<(Placement, InFlightGuard), Refusal> {
         let call = &self.call;
@@ -259,6 +277,7 @@
 
     /// Places and sends the request once; an error is a final refusal.
     async fn attempt<P: PlatformProtocol>(&mut self) -> Result<AttemptResult, Refusal> {
+        self.check_shutdown()?;
         let (placement, guard) = self.place()?;
         let endpoint_response = match self.send::<P>(&placement, guard, None).await {
             Ok(endpoint_response) => endpoint_response,
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -9,8 +9,10 @@
 use celeryknot_callers::body::read_body;
 use celeryknot_callers::framing::check_framing;
 use celeryknot_callers::head_scanner::AmbiguousFraming;
-use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, Refusal, RegionName, ZoneName};
-use celeryknot_policy::direct::SharedPrefix;
+use celeryknot_core::{
+    DurationMs, ErrorKind, MonotonicMs, Refusal, RegionName, TokenCount, ZoneName,
+};
+use celeryknot_policy::direct::{AnswerTime, SharedPrefix};
 use celeryknot_policy::routing::{Route, RoutingTable, allowed_zones};
 use http::header::CONNECTION;
 use http::request::Parts;
@@ -21,6 +23,7 @@
 use super::call::{Call, strip_connection_headers};
 use super::context::TrafficThread;
 use super::forward;
+use super::shutdown::OTHER_DAEMON_RETRY_DELAY;
 use crate::count_guard::CountGuard;
 use crate::platform_protocol::{CallerRequestHead, PlatformProtocol};
 
@@ -32,8 +35,8 @@
 /// Interval between checks for the first configuration.
 const CONFIGURATION_POLL: DurationMs = DurationMs(10);
 
-/// `Retry-After` of a refusal that is specific to this daemon; another daemon can serve the retry.
-const OTHER_DAEMON_RETRY_DELAY: DurationMs = DurationMs(100);
+/// Outcome of a request whose answer is complete.
+pub(super) const ANSWERED: &str = "answered";
 
 /// Writes a request's log line when dropped, whatever the outcome.
 #[derive(Debug)]
@@ -45,6 +48,16 @@
     arrived_at: MonotonicMs,
     status: u16,
     outcome: &'static str,
+    /// Set once the head of an endpoint's answer has arrived.
+    answer: Option<AnswerHeadTime>,
+}
+
+/// What a successful answer's duration depends on.
+#[derive(Debug)]
+struct AnswerHeadTime {
+    route: Arc<Route>,
+    output_tokens_max: Option<TokenCount>,
+    head_ms: DurationMs,
 }
 
 impl RequestLog {
@@ -56,6 +69,14 @@
 impl Drop for RequestLog {
     fn drop(&mut self) {
         let took_ms = self.gateway.now() - self.arrived_at;
+        if let Some(answer) = self.answer.take().filter(|_| self.outcome == ANSWERED) {
+            let time = AnswerTime {
+                head_ms: answer.head_ms,
+                total_ms: took_ms,
+                output_tokens_max: answer.output_tokens_max,
+            };
+            self.gateway.observe_answer_time(&answer.route.name, &time);
+        }
         self.gateway
             .shared
             .metrics
@@ -87,12 +108,13 @@
         arrived_at: gateway.now(),
         status: 0,
         outcome: "caller-left",
+        answer: None,
         gateway: Rc::clone(&gateway),
     };
     let result = match read_head::<P>(&parts) {
         Ok(head) => {
             request_log.request_id.clone_from(&head.request_id);
-            run_call::<P>(&gateway, head, parts, body).await
+            run_call::<P>(&gateway, &mut request_log, head, parts, body).await
         }
         Err(kind) => Err(Refusal::new(kind)),
     };
@@ -144,17 +166,12 @@
 
 async fn run_call<P: PlatformProtocol>(
     gateway: &Rc<TrafficThread>,
+    request_log: &mut RequestLog,
     head: CallerRequestHead,
     parts: Parts,
     body: Incoming,
 ) -> Result<Response<GatewayBody>, Refusal> {
-    let arrived_at = gateway.now();
-    if !gateway.shared.accepts_requests() {
-        return Err(Refusal::with_retry_after(
-            ErrorKind::Draining,
-            OTHER_DAEMON_RETRY_DELAY,
-        ));
-    }
+    let arrived_at = request_log.arrived_at;
     let table = wait_for_table(gateway).await?;
     let zones = &gateway.shared.settings.zone_regions;
     let call = check_call(&table, zones, head, parts, arrived_at)
@@ -168,7 +185,14 @@
     )
     .await
     .map_err(Refusal::new)?;
-    forward::run::<P>(gateway, Call { body, ..call }).await
+    let (route, output_tokens_max) = (Arc::clone(&call.route), call.head.output_tokens_max);
+    let answer = forward::run::<P>(gateway, Call { body, ..call }).await?;
+    request_log.answer = answer.status().is_success().then(|| AnswerHeadTime {
+        route,
+        output_tokens_max,
+        head_ms: gateway.now() - arrived_at,
+    });
+    Ok(answer)
 }
 
 /// Returns the active configuration; waits for the first one while it is expected.
