Await a late response head while no other endpoint can take over

Callers saw: a repeatable request whose endpoint had sent no head after the route's latency objective ended with 502 `outcome-unknown`, although the endpoint responded moments later and the deadline was far off.

Cause: the attempt was cancelled at the objective, before it was known whether a retry could be made. If the retry budget then denied it, no other endpoint could be placed, or the other one refused the connection, the request was refused.

Why this works: the silent attempt keeps running while a retry is prepared next to it: permitted by the history, in the budget, placed, and its connection open. Only then is the budget charged, the attempt cancelled, and the retry sent, so that no request runs at two endpoints at once. If one of these is missing, it is asked for again after each further silence. A head that arrives meanwhile wins. The silence is still recorded against the endpoint, once per attempt, and its idle connections are still closed.

After a failed attempt, too, the budget is charged only when the retry has an endpoint; and an error response of an endpoint is forwarded if no other one can be placed.

--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -180,6 +180,13 @@
         }
     }
 
+    /// Returns whether this daemon's share of the service's retry budget has a retry left.
+    pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
+        let mut services = self.services.borrow_mut();
+        let state = services.get_mut(service);
+        state.is_some_and(|state| state.retries.has_retry(self.now()))
+    }
+
     /// Takes one retry from this daemon's share of the service's retry budget.
     pub(crate) fn try_take_retry(&self, service: &ServiceName) -> bool {
         let mut services = self.services.borrow_mut();
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -1,9 +1,11 @@
 //! Runs a request: places it, sends it, and retries it where that is safe.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use celeryknot_callers::hop_by_hop;
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal};
+use celeryknot_endpoints::EndpointConnection;
 use celeryknot_policy::direct::{AttemptFailure, AttemptHistory, Placement, PlacementRequest};
 use futures_lite::future;
 use http::{HeaderName, Response, header};
@@ -13,7 +15,7 @@
 use super::call::Call;
 use super::context::{InFlightGuard, TrafficThread};
 use super::resume;
-use super::send::{AttemptProgress, EndpointResponse, read_buffered, send, with_timeout};
+use super::send::{AttemptProgress, EndpointResponse, connect, read_buffered, send, with_timeout};
 use crate::platform_protocol::PlatformProtocol;
 
 /// `Retry-After` of a refusal where another endpoint may serve the request immediately.
@@ -22,11 +24,11 @@
 /// Minimum time that must be left for a retry.
 const RETRY_TIME_MIN: DurationMs = DurationMs(20);
 
-/// Multiple of the latency objective after which a retryable attempt times out.
-const ATTEMPT_TIMEOUT_MULTIPLE: f64 = 1.0;
+/// Multiple of the latency objective after which a retryable attempt counts as silent.
+const SILENCE_MULTIPLE: f64 = 1.0;
 
-/// Shortest timeout of an attempt.
-const ATTEMPT_TIMEOUT_MIN: DurationMs = DurationMs(150);
+/// Shortest time without a response head after which an attempt counts as silent.
+const SILENCE_MIN: DurationMs = DurationMs(150);
 
 /// The state of a request and its attempts.
 #[derive(Debug)]
@@ -35,10 +37,18 @@
     pub(super) call: Rc<Call>,
     history: AttemptHistory,
     tried: SmallVec<[EndpointName; 4]>,
-    last_failure: Option<AttemptFailure>,
     progress: Rc<AttemptProgress>,
 }
 
+/// An attempt that is placed but not sent.
+#[derive(Debug)]
+pub(super) struct PlacedAttempt {
+    placement: Placement,
+    guard: InFlightGuard,
+    /// The connection to use, if it is already open.
+    connection: Option<EndpointConnection>,
+}
+
 /// The final response to a request.
 enum Answer {
     /// A complete response.
@@ -52,7 +62,15 @@
     Final(Answer),
     Failed(AttemptFailure),
     /// The failure has already been recorded.
-    Retry,
+    Retry(Box<PlacedAttempt>),
+}
+
+/// How the wait for a response head ended.
+enum SendEnd {
+    Head(Box<EndpointResponse>),
+    Failed(AttemptFailure),
+    /// The endpoint was silent, and its attempt is canceled in favor of this one.
+    Replaced(Box<PlacedAttempt>),
 }
 
 /// Runs a request until the head of its response arrives, it is refused, or its deadline passes.
@@ -67,7 +85,6 @@
         gateway: Rc::clone(gateway),
         call: Rc::new(call),
         tried: SmallVec::new(),
-        last_failure: None,
         progress: Rc::clone(&progress),
     };
     let remaining_ms = forward.remaining_ms();
@@ -101,57 +118,110 @@
     }
 
     async fn run_attempts<P: PlatformProtocol>(&mut self) -> Result<Answer, Refusal> {
+        let mut placed = self.place()?;
         loop {
-            match self.attempt::<P>().await? {
+            placed = match self.attempt::<P>(placed).await {
                 AttemptResult::Final(answer) => return Ok(answer),
-                AttemptResult::Failed(failure) => self.note_failure(failure)?,
-                AttemptResult::Retry => {}
-            }
+                AttemptResult::Failed(failure) => self.place_retry(failure)?,
+                AttemptResult::Retry(next) => *next,
+            };
         }
     }
 
     /// Resumes a broken stream at another endpoint, after the last forwarded event.
     pub(super) async fn resume_stream<P: PlatformProtocol>(
         &mut self,
-        failure: AttemptFailure,
-        last_event_id: Option<String>,
+        placed: PlacedAttempt,
+        last_event_id: Option<&str>,
     ) -> Result<EndpointResponse, Refusal> {
-        let mut failure = failure;
+        let mut placed = placed;
         loop {
-            self.note_failure(failure)?;
-            let (placement, guard) = self.place()?;
-            let last_event_id = last_event_id.as_deref();
-            let sent = self.send::<P>(&placement, guard, last_event_id).await;
-            failure = match sent {
-                Ok(response) if response.head.status.is_success() => return Ok(response),
-                Ok(response) => {
-                    response
-                        .guard
-                        .observe_failure(AttemptFailure::EndpointError);
-                    AttemptFailure::EndpointError
+            placed = match self.send::<P>(placed, last_event_id).await {
+                SendEnd::Head(response) if response.head.status.is_success() => {
+                    return Ok(*response);
                 }
-                Err(failure) => failure,
+                SendEnd::Head(response) => {
+                    let failure = AttemptFailure::EndpointError;
+                    response.guard.observe_failure(failure);
+                    drop(response);
+                    self.place_retry(failure)?
+                }
+                SendEnd::Failed(failure) => self.place_retry(failure)?,
+                SendEnd::Replaced(next) => *next,
             };
         }
     }
 
-    /// Records a failed attempt; refuses the request if it must not be retried.
-    fn note_failure(&mut self, failure: AttemptFailure) -> Result<(), Refusal> {
-        self.history.record_failure(failure);
-        self.last_failure = Some(failure);
-        self.progress.may_have_been_sent.set(false);
-        let may_retry = self.remaining_ms() > RETRY_TIME_MIN && self.history.may_retry();
-        if may_retry {
+    /// Records a failed attempt and places a retry; refuses the request if there can be none.
+    pub(super) fn place_retry(
+        &mut self,
+        failure: AttemptFailure,
+    ) -> Result<PlacedAttempt, Refusal> {
+        self.record_failure(failure);
+        if !self.history.may_retry() || !self.has_retry() {
+            return Err(self.refuse(failure));
+        }
+        let placed = self.place().map_err(|_| self.refuse(failure))?;
+        match self.gateway.try_take_retry(&self.call.service) {
+            true => Ok(placed),
+            false => Err(self.refuse(failure)),
+        }
+    }
+
+    /// Waits until the attempt that has been silent for `silence_ms` can be replaced.
+    ///
+    /// The silent attempt keeps running meanwhile, and must be canceled before the next one is
+    /// sent. Silence alone ends no response, so this completes only when a retry is permitted, its
+    /// endpoint accepts a connection and the budget has paid for it.
+    pub(super) async fn replace_silent_attempt(&mut self, silence_ms: DurationMs) -> PlacedAttempt {
+        loop {
+            if let Some(placed) = self.try_replace_silent_attempt().await {
+                return placed;
+            }
+            self.gateway.timers.after(silence_ms).await;
+        }
+    }
+
+    async fn try_replace_silent_attempt(&mut self) -> Option<PlacedAttempt> {
+        let failure = AttemptFailure::Unanswered;
+        while self.history.may_retry_after(failure) && self.has_retry() {
+            let mut placed = self.place().ok()?;
+            match connect(&self.gateway, &self.call, &placed.placement).await {
+                Ok(connection) => placed.connection = Some(connection),
+                Err(failure) => {
+                    placed.guard.observe_failure(failure);
+                    self.log_failure(&placed.placement, failure);
+                    continue;
+                }
+            }
             if self.gateway.try_take_retry(&self.call.service) {
-                return Ok(());
+                self.record_failure(failure);
+                return Some(placed);
             }
+            self.tried.pop();
+        }
+        None
+    }
+
+    fn record_failure(&mut self, failure: AttemptFailure) {
+        self.history.record_failure(failure);
+        self.progress.may_have_been_sent.set(false);
+    }
+
+    /// Returns whether the remaining time and the budget allow a retry.
+    fn has_retry(&self) -> bool {
+        if self.remaining_ms() <= RETRY_TIME_MIN {
+            return false;
+        }
+        let has_retry = self.gateway.has_retry(&self.call.service);
+        if !has_retry {
             self.gateway.shared.metrics.retries_denied.inc();
             tracing::info!(
                 request_id = self.call.head.request_id,
                 "the retry budget allows no further send"
             );
         }
-        Err(self.refuse(failure))
+        has_retry
     }
 
     /// Builds the final refusal, which never reports a request that may have run as not run.
@@ -178,7 +248,7 @@
     }
 
     /// Picks the endpoint for the next attempt.
-    fn place(&mut self) -> Result<(Placement, InFlightGuard), Refusal> {
+    fn place(&mut self) -> Result<PlacedAttempt, Refusal> {
         let call = &self.call;
         // Applies a newer view: the endpoints may have changed since the request arrived.
         drop(self.gateway.view());
@@ -189,11 +259,18 @@
             allowed_zones: call.allowed_zones.as_deref(),
             tried: &self.tried,
         };
-        let placed = self.gateway.place(&call.service, &request);
-        let (placement, guard) = placed.map_err(|refusal| match self.last_failure {
-            Some(failure) => self.refuse(failure),
-            None => refusal,
-        })?;
+        let (placement, guard) = self.gateway.place(&call.service, &request)?;
+        self.tried.push(placement.endpoint.clone());
+        Ok(PlacedAttempt {
+            placement,
+            guard,
+            connection: None,
+        })
+    }
+
+    fn log_placement(&self, placement: &Placement) {
+        let call = &self.call;
+        let shared = call.head.prompt.as_ref().and_then(|it| it.shared_prefix());
         tracing::info!(
             request_id = call.head.request_id,
             route = %call.route.name,
@@ -211,35 +288,58 @@
             "request placed"
         );
         self.gateway.shared.metrics.placed(placement.reason.into());
-        self.tried.push(placement.endpoint.clone());
-        Ok((placement, guard))
     }
 
+    /// Sends the request and waits for the head of the response.
     async fn send<P: PlatformProtocol>(
-        &self,
-        placement: &Placement,
-        guard: InFlightGuard,
+        &mut self,
+        placed: PlacedAttempt,
         last_event_id: Option<&str>,
-    ) -> Result<EndpointResponse, AttemptFailure> {
-        let (gateway, call) = (&self.gateway, &self.call);
-        let sent = send::<P>(
-            gateway,
-            call,
+    ) -> SendEnd {
+        let PlacedAttempt {
             placement,
+            guard,
+            connection,
+        } = placed;
+        self.log_placement(&placement);
+        let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
+        let (progress, silence_ms) = (Rc::clone(&self.progress), self.silence_ms());
+        let sent = send::<P>(
+            &gateway,
+            &call,
+            &placement,
             &guard,
-            &self.progress,
+            connection,
+            &progress,
             last_event_id,
         );
-        match with_timeout(gateway, self.attempt_timeout(), sent).await {
-            Ok((head, body)) => Ok(EndpointResponse { head, body, guard }),
-            Err(failure) => {
-                guard.observe_failure(failure);
-                if failure == AttemptFailure::Unanswered {
-                    // If one connection went silent, the others to the endpoint may have too.
+        let sent = with_timeout(&gateway, self.remaining_ms(), sent);
+        let was_silent = Cell::new(false);
+        let replaced = async {
+            gateway.timers.after(silence_ms).await;
+            was_silent.set(true);
+            guard.observe_failure(AttemptFailure::Unanswered);
+            // If one connection went silent, the others to the endpoint may have too.
+            gateway.connections.close_idle_to(placement.address);
+            Err(self.replace_silent_attempt(silence_ms).await)
+        };
+        let end = future::or(async { Ok(sent.await) }, replaced).await;
+        match end {
+            Ok(Ok((head, body))) => SendEnd::Head(Box::new(EndpointResponse { head, body, guard })),
+            Ok(Err(failure)) => {
+                let is_unanswered = failure == AttemptFailure::Unanswered;
+                if !(is_unanswered && was_silent.get()) {
+                    guard.observe_failure(failure);
+                }
+                if is_unanswered {
                     gateway.connections.close_idle_to(placement.address);
                 }
-                self.log_failure(placement, failure);
-                Err(failure)
+                self.log_failure(&placement, failure);
+                SendEnd::Failed(failure)
+            }
+            Err(next) => {
+                self.log_failure(&placement, AttemptFailure::Unanswered);
+                SendEnd::Replaced(Box::new(next))
             }
         }
     }
@@ -257,12 +357,13 @@
         );
     }
 
-    /// Places and sends the request once; an error is a final refusal.
-    async fn attempt<P: PlatformProtocol>(&mut self) -> Result<AttemptResult, Refusal> {
-        let (placement, guard) = self.place()?;
-        let endpoint_response = match self.send::<P>(&placement, guard, None).await {
-            Ok(endpoint_response) => endpoint_response,
-            Err(failure) => return Ok(AttemptResult::Failed(failure)),
+    /// Sends the request once and reads the response, up to the head of a stream.
+    async fn attempt<P: PlatformProtocol>(&mut self, placed: PlacedAttempt) -> AttemptResult {
+        let placement = placed.placement.clone();
+        let endpoint_response = match self.send::<P>(placed, None).await {
+            SendEnd::Head(endpoint_response) => *endpoint_response,
+            SendEnd::Failed(failure) => return AttemptResult::Failed(failure),
+            SendEnd::Replaced(next) => return AttemptResult::Retry(next),
         };
         if endpoint_response.head.status.is_server_error() {
             endpoint_response
@@ -271,30 +372,30 @@
             self.log_failure(&placement, AttemptFailure::EndpointError);
             // Without a retry, the caller gets this response.
             let is_repeatable = self.call.route.kind.is_repeatable();
-            if is_repeatable && self.note_failure(AttemptFailure::EndpointError).is_ok() {
-                return Ok(AttemptResult::Retry);
+            if is_repeatable && let Ok(next) = self.place_retry(AttemptFailure::EndpointError) {
+                return AttemptResult::Retry(Box::new(next));
             }
         }
         match self.finish_response::<P>(endpoint_response).await {
-            Ok(answer) => Ok(AttemptResult::Final(answer)),
+            Ok(answer) => AttemptResult::Final(answer),
             Err(failure) => {
                 self.log_failure(&placement, failure);
-                Ok(AttemptResult::Failed(failure))
+                AttemptResult::Failed(failure)
             }
         }
     }
 
-    /// Returns the timeout for the head of a response, after which another endpoint is tried.
-    fn attempt_timeout(&self) -> DurationMs {
+    /// Returns the time without a response head after which another endpoint may take over.
+    fn silence_ms(&self) -> DurationMs {
         let remaining_ms = self.remaining_ms();
         let route = &self.call.route;
         let is_last = self.history.failed_attempts() + 1 >= route.attempts_max;
         if !route.kind.is_repeatable() || is_last {
             return remaining_ms;
         }
-        let objective_ms = route.latency_objective_ms.0 as f64 * ATTEMPT_TIMEOUT_MULTIPLE;
+        let objective_ms = route.latency_objective_ms.0 as f64 * SILENCE_MULTIPLE;
         DurationMs(objective_ms as u64)
-            .max(ATTEMPT_TIMEOUT_MIN)
+            .max(SILENCE_MIN)
             .min(remaining_ms)
     }
 
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -110,11 +110,14 @@
                 // Without an event id, another endpoint could only start over.
                 return Some(ErrorKind::AnswerIncomplete);
             }
-            match self
+            let placed = match self.forward.place_retry(failure) {
+                Ok(placed) => placed,
+                Err(refusal) => return Some(refusal.kind),
+            };
+            let resumed = self
                 .forward
-                .resume_stream::<P>(failure, last_event_id)
-                .await
-            {
+                .resume_stream::<P>(placed, last_event_id.as_deref());
+            match resumed.await {
                 Ok(next) => {
                     self.forward.gateway.shared.metrics.resumes.inc();
                     endpoint_response = next;
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -62,31 +62,52 @@
     call: &Call,
     placement: &Placement,
     guard: &InFlightGuard,
+    connection: Option<EndpointConnection>,
     progress: &AttemptProgress,
     last_event_id: Option<&str>,
 ) -> Result<(response::Parts, AnswerBody), AttemptFailure> {
-    let (connection, answer) =
-        try_send::<P>(gateway, call, placement, progress, last_event_id).await?;
+    let connection = match connection {
+        Some(connection) => connection,
+        None => connect(gateway, call, placement).await?,
+    };
+    let (connection, answer) = try_send::<P>(
+        gateway,
+        call,
+        placement,
+        connection,
+        progress,
+        last_event_id,
+    )
+    .await?;
     check_response::<P>(gateway, call, placement, guard, connection, answer)
 }
 
-async fn try_send<P: PlatformProtocol>(
+/// Takes an idle connection to an endpoint or opens one; sends nothing.
+pub(super) async fn connect(
     gateway: &TrafficThread,
     call: &Call,
     placement: &Placement,
-    progress: &AttemptProgress,
-    last_event_id: Option<&str>,
-) -> Result<(EndpointConnection, Response<Incoming>), AttemptFailure> {
+) -> Result<EndpointConnection, AttemptFailure> {
     let idle_max = match call.route.kind.is_repeatable() {
         true => IDLE_MAX,
         false => IDLE_MAX_NON_IDEMPOTENT,
     };
-    let mut connection = match gateway.connections.take(placement.address, idle_max).await {
-        Some(connection) => connection,
-        None => EndpointConnection::open(placement.address, CONNECT_TIMEOUT, &gateway.timers)
-            .await
-            .map_err(|_| AttemptFailure::NotSent)?,
-    };
+    if let Some(connection) = gateway.connections.take(placement.address, idle_max).await {
+        return Ok(connection);
+    }
+    EndpointConnection::open(placement.address, CONNECT_TIMEOUT, &gateway.timers)
+        .await
+        .map_err(|_| AttemptFailure::NotSent)
+}
+
+async fn try_send<P: PlatformProtocol>(
+    gateway: &TrafficThread,
+    call: &Call,
+    placement: &Placement,
+    mut connection: EndpointConnection,
+    progress: &AttemptProgress,
+    last_event_id: Option<&str>,
+) -> Result<(EndpointConnection, Response<Incoming>), AttemptFailure> {
     let remaining_ms = call.deadline - gateway.now();
     let request = call.request::<P>(placement, remaining_ms, last_event_id);
     progress.may_have_been_sent.set(true);
--- a/crates/celeryknot_policy/src/direct/attempt_history.rs
+++ b/crates/celeryknot_policy/src/direct/attempt_history.rs
@@ -109,6 +109,26 @@
         self.maybe_run > 0
     }
 
+    /// Returns whether a retry would be safe and within the route's limits if an attempt that is
+    /// still running failed now.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_policy::direct::{AttemptFailure, AttemptHistory};
+    /// use celeryknot_policy::routing::RouteKind;
+    ///
+    /// let mut history = AttemptHistory::new(RouteKind::Idempotent, 2);
+    /// assert!(history.may_retry_after(AttemptFailure::Unanswered));
+    /// history.record_failure(AttemptFailure::EndpointError);
+    /// assert!(!history.may_retry_after(AttemptFailure::Unanswered));
+    /// ```
+    pub fn may_retry_after(&self, failure: AttemptFailure) -> bool {
+        let mut history = self.clone();
+        history.record_failure(failure);
+        history.may_retry()
+    }
+
     /// Returns whether a retry is safe and within the route's limits.
     pub fn may_retry(&self) -> bool {
         let is_safe = self.maybe_run == 0 || self.kind.is_repeatable();
--- a/crates/celeryknot_policy/src/direct/retry_share.rs
+++ b/crates/celeryknot_policy/src/direct/retry_share.rs
@@ -80,17 +80,37 @@
         self.slot_mut(now).first_attempts += 1;
     }
 
-    /// Takes one retry from the budget, if one is left.
-    pub fn try_take(&mut self, now: MonotonicMs) -> bool {
+    /// Returns whether a retry is left in the budget, without taking it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::{DurationMs, MonotonicMs};
+    /// use celeryknot_policy::direct::{RetryBounds, RetryShare};
+    ///
+    /// let mut share = RetryShare::new(RetryBounds {
+    ///     ratio: 0.2,
+    ///     window_ms: DurationMs(10_000),
+    ///     allowance: 1.0,
+    /// });
+    /// let now = MonotonicMs(0);
+    /// assert!(share.has_retry(now));
+    /// assert!(share.try_take(now));
+    /// assert!(!share.has_retry(now));
+    /// ```
+    pub fn has_retry(&mut self, now: MonotonicMs) -> bool {
         self.slot_mut(now);
         let first_attempts: u32 = self.slots.iter().map(|slot| slot.first_attempts).sum();
         let retries: u32 = self.slots.iter().map(|slot| slot.retries).sum();
         let allowed = f64::from(first_attempts) * self.bounds.ratio + self.bounds.allowance;
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-        self.slot_mut(now).retries += 1;
-        true
+        f64::from(retries) + 1.0 <= allowed
+    }
+
+    /// Takes one retry from the budget, if one is left.
+    pub fn try_take(&mut self, now: MonotonicMs) -> bool {
+        let has_retry = self.has_retry(now);
+        self.slot_mut(now).retries += u32::from(has_retry);
+        has_retry
     }
 
     fn slot_mut(&mut self, now: MonotonicMs) -> &mut Slot {
--- a/crates/celeryknot_policy/tests/direct.rs
+++ b/crates/celeryknot_policy/tests/direct.rs
@@ -625,6 +625,58 @@
         let actual = (history.may_retry(), history.may_have_run());
         let expected = (case.may_retry, case.may_have_run);
         assert_eq!(actual, expected, "{} after {:?}", case.kind, case.failures);
+        let Some((running, failures)) = case.failures.split_last() else {
+            continue;
+        };
+        let mut history = AttemptHistory::new(case.kind, case.attempts_max);
+        failures
+            .iter()
+            .for_each(|failure| history.record_failure(*failure));
+        assert_eq!(
+            history.may_retry_after(*running),
+            case.may_retry,
+            "{} after {failures:?} while {running} is expected",
+            case.kind
+        );
+        assert_eq!(history.failed_attempts() as usize, failures.len());
+    }
+}
+
+#[test]
+fn asking_for_a_retry_takes_none() {
+    struct Case {
+        ratio: f64,
+        allowance: f64,
+        requests: u32,
+        retries: usize,
+    }
+    let case = |ratio, allowance, requests, retries| Case {
+        ratio,
+        allowance,
+        requests,
+        retries,
+    };
+    let cases = [
+        case(0.0, 0.0, 100, 0),
+        case(0.2, 0.0, 4, 0),
+        case(0.2, 0.0, 10, 2),
+        case(0.0, 1.5, 0, 1),
+        case(0.2, 4.0, 10, 6),
+    ];
+    for case in cases {
+        let mut share = RetryShare::new(RetryBounds {
+            ratio: case.ratio,
+            window_ms: DurationMs(10_000),
+            allowance: case.allowance,
+        });
+        let now = MonotonicMs(0);
+        (0..case.requests).for_each(|_| share.observe_first_attempt(now));
+        for _ in 0..case.retries {
+            assert!((0..5).all(|_| share.has_retry(now)));
+            assert!(share.try_take(now));
+        }
+        assert!(!share.has_retry(now));
+        assert!(!share.try_take(now));
     }
 }
 
