Await a silent stream while no other endpoint can take over

Callers saw: a resumable stream that paused for 0.9 s ended incomplete, although its engine went on later and the deadline was far off.

Cause: the silent stream was dropped first; only then was it found out that the attempts were used up, the retry budget denied another, no other endpoint could be placed or reached, or that the events had no ids after which another could go on.

Why this works: the stream uses the same mechanism as a late head. It is read on while a retry is prepared, with the partial event kept, so that no event is lost or repeated; it is cancelled only when a retry is placed, connected and paid for, and before that one is sent.

Further tests: the silent attempt is cancelled when another endpoint takes over (the platform allows 400 ms of overlap); an awaited response moves to an endpoint that becomes available later; it ends at the deadline and not before; a caller that leaves cancels it.

--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -10,18 +10,18 @@
 use http_body_util::BodyExt;
 
 use super::body::{BodySource, GatewayBody};
-use super::forward::{Forward, forward_stream, strip_response_headers};
+use super::forward::{Forward, PlacedAttempt, forward_stream, strip_response_headers};
 use super::send::EndpointResponse;
 use crate::platform_protocol::PlatformProtocol;
 
 /// Events queued for a slow caller.
 const EVENT_QUEUE_LEN_MAX: usize = 8;
 
-/// Multiple of the route's pause objective after which a silent stream times out.
-const STREAM_TIMEOUT_MULTIPLE: u64 = 3;
+/// Multiple of the route's pause objective after which another endpoint may take over a stream.
+const SILENCE_MULTIPLE: u64 = 3;
 
-/// Shortest silence after which a stream times out and resumes at another endpoint.
-const STREAM_TIMEOUT_MIN: DurationMs = DurationMs(800);
+/// Shortest silence after which another endpoint may take over a stream.
+const SILENCE_MIN: DurationMs = DurationMs(800);
 
 /// Builds the response for a stream whose head has arrived.
 pub(super) fn build_stream_response<P: PlatformProtocol>(
@@ -63,6 +63,16 @@
     Complete,
     CallerDisconnected,
     Failed(AttemptFailure),
+    /// The endpoint was silent, and its attempt is canceled in favor of this one.
+    Replaced(Box<PlacedAttempt>),
+}
+
+/// The next part of an endpoint's stream.
+enum NextPart {
+    Data(Bytes),
+    End,
+    Failed(AttemptFailure),
+    Replaced(Box<PlacedAttempt>),
 }
 
 impl StreamRelay {
@@ -88,35 +98,35 @@
     ) -> Option<ErrorKind> {
         let mut endpoint_response = first;
         loop {
-            let failure = match self.forward_events(&mut endpoint_response).await {
+            let end = self.forward_events(&mut endpoint_response).await;
+            let placed = match end {
                 StreamEnd::Complete => {
                     endpoint_response.guard.observe_success();
                     return None;
                 }
                 StreamEnd::CallerDisconnected => return None,
-                StreamEnd::Failed(failure) => failure,
-            };
-            endpoint_response.guard.observe_failure(failure);
-            drop(endpoint_response);
-            tracing::info!(
-                request_id = self.forward.call.head.request_id,
-                %failure,
-                events = self.events,
-                last_event_id = self.last_event_id,
-                "stream broke"
-            );
-            let last_event_id = self.last_event_id.clone();
-            if self.events > 0 && last_event_id.is_none() {
-                // Without an event id, another endpoint could only start over.
-                return Some(ErrorKind::AnswerIncomplete);
-            }
-            let placed = match self.forward.place_retry(failure) {
-                Ok(placed) => placed,
-                Err(refusal) => return Some(refusal.kind),
+                StreamEnd::Failed(failure) => {
+                    endpoint_response.guard.observe_failure(failure);
+                    drop(endpoint_response);
+                    self.log_break(failure);
+                    if !self.can_resume() {
+                        return Some(ErrorKind::AnswerIncomplete);
+                    }
+                    match self.forward.place_retry(failure) {
+                        Ok(placed) => placed,
+                        Err(refusal) => return Some(refusal.kind),
+                    }
+                }
+                StreamEnd::Replaced(next) => {
+                    // Cancels the silent attempt before the next one is sent.
+                    drop(endpoint_response);
+                    self.log_break(AttemptFailure::Unanswered);
+                    *next
+                }
             };
             let resumed = self
                 .forward
-                .resume_stream::<P>(placed, last_event_id.as_deref());
+                .resume_stream::<P>(placed, self.last_event_id.as_deref());
             match resumed.await {
                 Ok(next) => {
                     self.forward.gateway.shared.metrics.resumes.inc();
@@ -127,16 +137,34 @@
         }
     }
 
+    /// Returns whether another endpoint can go on after the last forwarded event.
+    ///
+    /// Without an event id, it could only start over.
+    fn can_resume(&self) -> bool {
+        self.events == 0 || self.last_event_id.is_some()
+    }
+
+    fn log_break(&self, failure: AttemptFailure) {
+        tracing::info!(
+            request_id = self.forward.call.head.request_id,
+            %failure,
+            events = self.events,
+            last_event_id = self.last_event_id,
+            "stream broke"
+        );
+    }
+
     async fn forward_events(&mut self, endpoint_response: &mut EndpointResponse) -> StreamEnd {
         let mut splitter = EventSplitter::default();
         loop {
-            let frame = match self.next_frame(endpoint_response).await {
-                Ok(Some(bytes)) => bytes,
-                Ok(None) if splitter.has_partial_event() => {
+            let frame = match self.next_part(endpoint_response).await {
+                NextPart::Data(bytes) => bytes,
+                NextPart::End if splitter.has_partial_event() => {
                     return StreamEnd::Failed(AttemptFailure::Broken);
                 }
-                Ok(None) => return StreamEnd::Complete,
-                Err(failure) => return StreamEnd::Failed(failure),
+                NextPart::End => return StreamEnd::Complete,
+                NextPart::Failed(failure) => return StreamEnd::Failed(failure),
+                NextPart::Replaced(next) => return StreamEnd::Replaced(next),
             };
             if splitter.push(&frame).is_err() {
                 return StreamEnd::Failed(AttemptFailure::Broken);
@@ -153,36 +181,37 @@
         }
     }
 
-    async fn next_frame(
-        &self,
-        endpoint_response: &mut EndpointResponse,
-    ) -> Result<Option<Bytes>, AttemptFailure> {
-        let frame = async {
+    async fn next_part(&mut self, endpoint_response: &mut EndpointResponse) -> NextPart {
+        let (silence_ms, can_resume) = (self.silence_ms(), self.can_resume());
+        let EndpointResponse { body, guard, .. } = endpoint_response;
+        let part = async {
             loop {
-                let Some(frame) = endpoint_response.body.frame().await else {
-                    return Ok(None);
+                let data = match body.frame().await {
+                    None => return NextPart::End,
+                    Some(Err(_)) => return NextPart::Failed(AttemptFailure::Broken),
+                    Some(Ok(frame)) => frame.into_data(),
                 };
-                let frame = frame.map_err(|_| AttemptFailure::Broken)?;
-                if let Ok(data) = frame.into_data() {
-                    return Ok(Some(data));
+                if let Ok(data) = data {
+                    return NextPart::Data(data);
                 }
             }
         };
-        let silence = async {
-            self.forward
-                .gateway
-                .timers
-                .after(self.stream_timeout())
-                .await;
-            Err(AttemptFailure::Unanswered)
+        let forward = &mut self.forward;
+        let replaced = async {
+            forward.gateway.timers.after(silence_ms).await;
+            guard.observe_failure(AttemptFailure::Unanswered);
+            if !can_resume {
+                future::pending::<()>().await;
+            }
+            NextPart::Replaced(Box::new(forward.replace_silent_attempt(silence_ms).await))
         };
-        future::or(frame, silence).await
+        future::or(part, replaced).await
     }
 
-    fn stream_timeout(&self) -> DurationMs {
+    /// Returns the silence after which another endpoint may take over.
+    fn silence_ms(&self) -> DurationMs {
         let objective_ms = self.forward.call.route.pause_objective_ms;
-        let timeout_ms =
-            objective_ms.map_or(0, |objective_ms| objective_ms.0 * STREAM_TIMEOUT_MULTIPLE);
-        DurationMs(timeout_ms).max(STREAM_TIMEOUT_MIN)
+        let silence_ms = objective_ms.map_or(0, |objective_ms| objective_ms.0 * SILENCE_MULTIPLE);
+        DurationMs(silence_ms).max(SILENCE_MIN)
     }
 }
