Count several silences of one stream as one failure of its endpoint

Callers saw nothing yet; since a stream that is awaited over two silences ejected its engine, so that its prompts moved elsewhere although it was delivering.

Cause: each silence was recorded as a failure, and two in a row eject an endpoint. Before the first silence ended the attempt.

Why it works: the first silence of an attempt is recorded, as for a late head; the next attempt starts anew.

--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -39,6 +39,7 @@
         chunks,
         last_event_id: None,
         events: 0,
+        was_silent: false,
     };
     let source = BodySource::Resumable {
         chunks: Box::pin(received),
@@ -56,6 +57,8 @@
     /// The id of the last forwarded event.
     last_event_id: Option<String>,
     events: u64,
+    /// Whether the current endpoint's silence has been recorded.
+    was_silent: bool,
 }
 
 /// How the stream of one endpoint ended.
@@ -131,6 +134,7 @@
                 Ok(next) => {
                     self.forward.gateway.shared.metrics.resumes.inc();
                     endpoint_response = next;
+                    self.was_silent = false;
                 }
                 Err(refusal) => return Some(refusal.kind),
             }
@@ -196,10 +200,12 @@
                 }
             }
         };
-        let forward = &mut self.forward;
+        let (forward, was_silent) = (&mut self.forward, &mut self.was_silent);
         let replaced = async {
             forward.gateway.timers.after(silence_ms).await;
-            guard.observe_failure(AttemptFailure::Unanswered);
+            if !std::mem::replace(was_silent, true) {
+                guard.observe_failure(AttemptFailure::Unanswered);
+            }
             if !can_resume {
                 future::pending::<()>().await;
             }
