Leave an endpoint untried until the request is sent to it

If the silent attempt broke while the connection to the next endpoint was opening, that endpoint was excluded from the retry of the broken attempt, and without a third one the caller got an error.

Not reproduced: a test would need a connect that takes long on loopback.

Why it works: an endpoint counts as tried when a request is sent to it or its connection fails.

--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -191,6 +191,7 @@
                 Err(failure) => {
                     placed.guard.observe_failure(failure);
                     self.log_failure(&placed.placement, failure);
+                    self.tried.push(placed.placement.endpoint);
                     continue;
                 }
             }
@@ -198,7 +199,6 @@
                 self.record_failure(failure);
                 return Some(placed);
             }
-            self.tried.pop();
         }
         None
     }
@@ -260,7 +260,6 @@
             tried: &self.tried,
         };
         let (placement, guard) = self.gateway.place(&call.service, &request)?;
-        self.tried.push(placement.endpoint.clone());
         Ok(PlacedAttempt {
             placement,
             guard,
@@ -302,6 +301,7 @@
             connection,
         } = placed;
         self.log_placement(&placement);
+        self.tried.push(placement.endpoint.clone());
         let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
         let (progress, silence_ms) = (Rc::clone(&self.progress), self.silence_ms());
         let sent = send::<P>(
