Return to a silent endpoint if the one that took over refuses

Callers saw: a request that left a silent endpoint for another one, which refused it, ended with 502 (a stream: incomplete), although the silent one might have served it.

Cause: the silent attempt is cancelled before the next one is sent, since a request must not run at two endpoints at once; and its endpoint counted as tried from then on.

Why it works: an attempt that was cancelled for its silence alone says little about its endpoint. If no untried endpoint is left for a retry, those endpoints can be placed again, within the route's attempts and the retry budget. A stream goes on there after the last forwarded event. The work done by the cancelled attempt is lost; keeping it would need both to run at once.

--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -252,6 +252,11 @@
 }
 
 impl InFlightGuard {
+    /// Returns the endpoint at which the request counts.
+    pub(crate) fn endpoint(&self) -> &EndpointName {
+        &self.endpoint
+    }
+
     pub(crate) fn observe_load(&self, load: ReportedLoad) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -37,6 +37,8 @@
     pub(super) call: Rc<Call>,
     history: AttemptHistory,
     tried: SmallVec<[EndpointName; 4]>,
+    /// The tried endpoints whose attempts were canceled for their silence alone.
+    silent: SmallVec<[EndpointName; 4]>,
     progress: Rc<AttemptProgress>,
 }
 
@@ -85,6 +87,7 @@
         gateway: Rc::clone(gateway),
         call: Rc::new(call),
         tried: SmallVec::new(),
+        silent: SmallVec::new(),
         progress: Rc::clone(&progress),
     };
     let remaining_ms = forward.remaining_ms();
@@ -161,21 +164,32 @@
         if !self.history.may_retry() || !self.has_retry() {
             return Err(self.refuse(failure));
         }
-        let placed = self.place().map_err(|_| self.refuse(failure))?;
+        let placed = self.place().or_else(|_| {
+            // Those endpoints may still be healthy, and no other one is left.
+            let silent = std::mem::take(&mut self.silent);
+            self.tried.retain(|name| !silent.contains(name));
+            self.place()
+        });
+        let placed = placed.map_err(|_| self.refuse(failure))?;
         match self.gateway.try_take_retry(&self.call.service) {
             true => Ok(placed),
             false => Err(self.refuse(failure)),
         }
     }
 
-    /// Waits until the attempt that has been silent for `silence_ms` can be replaced.
+    /// Waits until the attempt at `endpoint`, silent for `silence_ms`, can be replaced.
     ///
     /// The silent attempt keeps running meanwhile, and must be canceled before the next one is
     /// sent. Silence alone ends no response, so this completes only when a retry is permitted, its
     /// endpoint accepts a connection and the budget has paid for it.
-    pub(super) async fn replace_silent_attempt(&mut self, silence_ms: DurationMs) -> PlacedAttempt {
+    pub(super) async fn replace_silent_attempt(
+        &mut self,
+        endpoint: &EndpointName,
+        silence_ms: DurationMs,
+    ) -> PlacedAttempt {
         loop {
             if let Some(placed) = self.try_replace_silent_attempt().await {
+                self.silent.push(endpoint.clone());
                 return placed;
             }
             self.gateway.timers.after(silence_ms).await;
@@ -321,7 +335,8 @@
             guard.observe_failure(AttemptFailure::Unanswered);
             // If one connection went silent, the others to the endpoint may have too.
             gateway.connections.close_idle_to(placement.address);
-            Err(self.replace_silent_attempt(silence_ms).await)
+            let endpoint = &placement.endpoint;
+            Err(self.replace_silent_attempt(endpoint, silence_ms).await)
         };
         let end = future::or(async { Ok(sent.await) }, replaced).await;
         match end {
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -209,7 +209,8 @@
             if !can_resume {
                 future::pending::<()>().await;
             }
-            NextPart::Replaced(Box::new(forward.replace_silent_attempt(silence_ms).await))
+            let next = forward.replace_silent_attempt(guard.endpoint(), silence_ms);
+            NextPart::Replaced(Box::new(next.await))
         };
         future::or(part, replaced).await
     }
