--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -217,6 +217,7 @@
             gateway: Rc::clone(self),
             service: service.clone(),
             endpoint: placement.endpoint.clone(),
+            was_silent: Cell::new(false),
         };
         Ok((placement, guard))
     }
@@ -249,6 +250,8 @@
     gateway: Rc<TrafficThread>,
     service: ServiceName,
     endpoint: EndpointName,
+    /// Whether a silence of the endpoint has been recorded.
+    was_silent: Cell<bool>,
 }
 
 impl InFlightGuard {
@@ -275,6 +278,13 @@
         });
     }
 
+    /// Records that the endpoint was silent; further silences during the request count as one.
+    pub(crate) fn observe_silence(&self) {
+        if !self.was_silent.replace(true) {
+            self.observe_failure(AttemptFailure::Unanswered);
+        }
+    }
+
     pub(crate) fn observe_failure(&self, failure: AttemptFailure) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -1,6 +1,5 @@
 //! Runs a request: places it, sends it, and retries it where that is safe.
 
-use std::cell::Cell;
 use std::rc::Rc;
 
 use celeryknot_callers::hop_by_hop;
@@ -328,11 +327,9 @@
             last_event_id,
         );
         let sent = with_timeout(&gateway, self.remaining_ms(), sent);
-        let was_silent = Cell::new(false);
         let replaced = async {
             gateway.timers.after(silence_ms).await;
-            was_silent.set(true);
-            guard.observe_failure(AttemptFailure::Unanswered);
+            guard.observe_silence();
             // If one connection went silent, the others to the endpoint may have too.
             gateway.connections.close_idle_to(placement.address);
             let endpoint = &placement.endpoint;
@@ -342,12 +339,11 @@
         match end {
             Ok(Ok((head, body))) => SendEnd::Head(Box::new(EndpointResponse { head, body, guard })),
             Ok(Err(failure)) => {
-                let is_unanswered = failure == AttemptFailure::Unanswered;
-                if !(is_unanswered && was_silent.get()) {
-                    guard.observe_failure(failure);
-                }
-                if is_unanswered {
+                if failure == AttemptFailure::Unanswered {
+                    guard.observe_silence();
                     gateway.connections.close_idle_to(placement.address);
+                } else {
+                    guard.observe_failure(failure);
                 }
                 self.log_failure(&placement, failure);
                 SendEnd::Failed(failure)
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -39,7 +39,6 @@
         chunks,
         last_event_id: None,
         events: 0,
-        was_silent: false,
     };
     let source = BodySource::Resumable {
         chunks: Box::pin(received),
@@ -57,8 +56,6 @@
     /// The id of the last forwarded event.
     last_event_id: Option<String>,
     events: u64,
-    /// Whether the current endpoint's silence has been recorded.
-    was_silent: bool,
 }
 
 /// How the stream of one endpoint ended.
@@ -134,7 +131,6 @@
                 Ok(next) => {
                     self.forward.gateway.shared.metrics.resumes.inc();
                     endpoint_response = next;
-                    self.was_silent = false;
                 }
                 Err(refusal) => return Some(refusal.kind),
             }
@@ -200,12 +196,10 @@
                 }
             }
         };
-        let (forward, was_silent) = (&mut self.forward, &mut self.was_silent);
+        let forward = &mut self.forward;
         let replaced = async {
             forward.gateway.timers.after(silence_ms).await;
-            if !std::mem::replace(was_silent, true) {
-                guard.observe_failure(AttemptFailure::Unanswered);
-            }
+            guard.observe_silence();
             if !can_resume {
                 future::pending::<()>().await;
             }
