Ask an endpoint again that could not be reached during a silence

Callers saw: a stream whose engine fell silent while the other engine could not be reached waited until its deadline, although the other one could be reached soon after.

Cause: an endpoint whose connection failed counted as tried for the rest of the request, while the silent attempt is awaited much longer.

Found as "/read/1, NoResponse: left: 504, right: 200" in a run of the tests beside busy processes.

Why it works: endpoints that could not be reached are passed over until the next silence only.

--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -196,9 +196,12 @@
     }
 
     async fn try_replace_silent_attempt(&mut self) -> Option<PlacedAttempt> {
+        let tried_len = self.tried.len();
         let failure = AttemptFailure::Unanswered;
         while self.history.may_retry_after(failure) && self.has_retry() {
-            let mut placed = self.place().ok()?;
+            let Ok(mut placed) = self.place() else {
+                break;
+            };
             match connect(&self.gateway, &self.call, &placed.placement).await {
                 Ok(connection) => placed.connection = Some(connection),
                 Err(failure) => {
@@ -213,6 +216,8 @@
                 return Some(placed);
             }
         }
+        // An endpoint that can't be reached now may be reached after the next silence.
+        self.tried.truncate(tried_len);
         None
     }
 
