Let a silent stream move to an engine that could not be reached at first

Callers saw: a stream whose preferred engine could not be reached at first, and whose second engine fell silent, waited until its deadline although the first one was back.

Cause: an endpoint whose connection failed before the silent attempt counted as tried for the rest of the request.

Found by a run of platform/tests/silence.rs beside two busy processes on two cores, in which `silent_attempt_is_cancelled_as_soon_as_another_endpoint_takes_over` failed for "/draft/1, StreamHang(2)" with an incomplete stream. That this run failed by this path is likely but not shown, as it wrote no log.

Why it works: unreachable endpoints are kept apart, and each silence considers them again, whether the connection failed before the silent attempt or during it.

--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -38,6 +38,8 @@
     tried: SmallVec<[EndpointName; 4]>,
     /// The tried endpoints whose attempts were canceled for their silence alone.
     silent: SmallVec<[EndpointName; 4]>,
+    /// The tried endpoints that could not be reached.
+    unreachable: SmallVec<[EndpointName; 4]>,
     progress: Rc<AttemptProgress>,
 }
 
@@ -87,6 +89,7 @@
         call: Rc::new(call),
         tried: SmallVec::new(),
         silent: SmallVec::new(),
+        unreachable: SmallVec::new(),
         progress: Rc::clone(&progress),
     };
     let remaining_ms = forward.remaining_ms();
@@ -196,18 +199,19 @@
     }
 
     async fn try_replace_silent_attempt(&mut self) -> Option<PlacedAttempt> {
-        let tried_len = self.tried.len();
+        // What could not be reached before a silence may be reached after it.
+        let unreachable = std::mem::take(&mut self.unreachable);
+        self.tried.retain(|name| !unreachable.contains(name));
         let failure = AttemptFailure::Unanswered;
         while self.history.may_retry_after(failure) && self.has_retry() {
-            let Ok(mut placed) = self.place() else {
-                break;
-            };
+            let mut placed = self.place().ok()?;
             match connect(&self.gateway, &self.call, &placed.placement).await {
                 Ok(connection) => placed.connection = Some(connection),
                 Err(failure) => {
                     placed.guard.observe_failure(failure);
                     self.log_failure(&placed.placement, failure);
-                    self.tried.push(placed.placement.endpoint);
+                    self.tried.push(placed.placement.endpoint.clone());
+                    self.unreachable.push(placed.placement.endpoint);
                     continue;
                 }
             }
@@ -216,8 +220,6 @@
                 return Some(placed);
             }
         }
-        // An endpoint that can't be reached now may be reached after the next silence.
-        self.tried.truncate(tried_len);
         None
     }
 
@@ -350,6 +352,9 @@
                 } else {
                     guard.observe_failure(failure);
                 }
+                if failure == AttemptFailure::NotSent {
+                    self.unreachable.push(placement.endpoint.clone());
+                }
                 self.log_failure(&placement, failure);
                 SendEnd::Failed(failure)
             }
