Merge answers that are awaited while an endpoint is silent

The decision on requests in a shutdown is taken before the first attempt and before each retry after a failure; an attempt that is replaced for its silence was accepted before.

--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -202,6 +202,13 @@
         }
     }
 
+    /// Returns whether this daemon's share of the service's retry budget has a retry left.
+    pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
+        let mut services = self.services.borrow_mut();
+        let state = services.get_mut(service);
+        state.is_some_and(|state| state.retries.has_retry(self.now()))
+    }
+
     /// Takes one retry from this daemon's share of the service's retry budget.
     pub(crate) fn try_take_retry(&self, service: &ServiceName) -> bool {
         let mut services = self.services.borrow_mut();
@@ -232,6 +239,7 @@
             gateway: Rc::clone(self),
             service: service.clone(),
             endpoint: placement.endpoint.clone(),
+            was_silent: Cell::new(false),
         };
         Ok((placement, guard))
     }
@@ -273,9 +281,16 @@
     gateway: Rc<TrafficThread>,
     service: ServiceName,
     endpoint: EndpointName,
+    /// Whether a silence of the endpoint has been recorded.
+    was_silent: Cell<bool>,
 }
 
 impl InFlightGuard {
+    /// Returns the endpoint at which the request counts.
+    pub(crate) fn endpoint(&self) -> &EndpointName {
+        &self.endpoint
+    }
+
     pub(crate) fn observe_load(&self, load: ReportedLoad) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
@@ -294,6 +309,13 @@
         });
     }
 
+    /// Records that the endpoint was silent; further silences during the request count as one.
+    pub(crate) fn observe_silence(&self) {
+        if !self.was_silent.replace(true) {
+            self.observe_failure(AttemptFailure::Unanswered);
+        }
+    }
+
     pub(crate) fn observe_failure(&self, failure: AttemptFailure) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
