Send streams in the soak that outlast timeouts, with limits drawn per seed

The soak missed streams that were cut at the idle timeout of their connection: its streams lasted 30 ms and the idle timeout was 10 s. Half of 16 callers now also send streams of 0.15 to 6 s, an event every 25 ms; the idle timeout is drawn from 1 to 10 s, the grace time of a shutdown from 5, 6 and 8 s. Callers pause on open connections for up to four fifths of the idle timeout. The limits are drawn after the steps of a seed, so that seeds which failed in the past keep their steps.

Proxies of delisted endpoints stay: dropped, they cut the streams that they still carried. The stream routes have a timeout of 12 s.

--- a/crates/celeryknot_faults/src/soak.rs
+++ b/crates/celeryknot_faults/src/soak.rs
@@ -103,7 +103,7 @@
 ///
 /// Fails when a process can't be started or does not exit as expected.
 pub fn run_plan(binary: &Path, run: u16, plan: SoakPlan) -> eyre::Result<SoakVerdict> {
-    let fleet = Arc::new(Fleet::start(binary, run).wrap_err("starting the fleet")?);
+    let fleet = Arc::new(Fleet::start(binary, run, plan.limits).wrap_err("starting the fleet")?);
     let started = Instant::now();
     let callers = Callers::start(&fleet, plan.seed);
     let steps_result = std::thread::scope(|scope| {
--- a/crates/celeryknot_faults/src/soak/callers.rs
+++ b/crates/celeryknot_faults/src/soak/callers.rs
@@ -9,20 +9,31 @@
 use std::time::{Duration, Instant};
 
 use celeryknot_kinrin_standins::caller::{TestRequest, read_response};
-use celeryknot_kinrin_standins::engine::STREAM_EVENT_COUNT;
 use celeryknot_kinrin_standins::http::Message;
 use celeryknot_kinrin_standins::site::{KEY, SPARE_KEY};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use strum::{Display, EnumIter, IntoStaticStr};
 
-use super::fleet::{DAEMON_COUNT, Fleet};
+use super::fleet::{DAEMON_COUNT, EVENT_INTERVAL, Fleet, STREAM_TIMEOUT_MS};
 use crate::plan::Seed;
 
 /// Number of callers.
-const CALLER_COUNT: u64 = 8;
+const CALLER_COUNT: u64 = 16;
 
-/// Read timeout of a response; the deadline of the requests is 4 s.
+/// Number of callers that also send long streams.
+const LONG_STREAM_CALLER_COUNT: u64 = 8;
+
+/// Percentage of long streams among the requests of these callers.
+const LONG_STREAM_PERCENT: u32 = 50;
+
+/// Number of events of a short stream.
+const SHORT_STREAM_EVENT_COUNT: usize = 6;
+
+/// Longest duration of a stream.
+const STREAM_DURATION_MAX: Duration = Duration::from_secs(6);
+
+/// Read timeout of a response; the deadline of requests other than streams is 4 s.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Timeout for opening a connection.
@@ -31,6 +42,15 @@
 /// Upper bound of the think time between two requests.
 const THINK_TIME_MAX_MS: u64 = 40;
 
+/// Percentage of requests before which a caller pauses, for up to four fifths of the idle timeout.
+const PAUSE_PERCENT: u32 = 5;
+
+/// Upper bound of a pause, whatever the idle timeout is.
+const PAUSE_MAX: Duration = Duration::from_secs(4);
+
+/// Interval at which a pausing caller checks whether it should stop.
+const PAUSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Percentage of requests before which a caller reconnects to a random daemon.
 const RECONNECT_PERCENT: u32 = 10;
 
@@ -60,19 +80,28 @@
     }
 }
 
+/// What a caller asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Call {
+    /// The kind of request.
+    pub kind: RequestKind,
+    /// Number of events of the complete stream; 0 for other kinds.
+    pub event_count: usize,
+    /// Whether it is sent with the spare key, which may be revoked.
+    pub has_spare_key: bool,
+}
+
 /// One request and its outcome for the caller.
 #[derive(Debug, Clone)]
 pub struct RequestRecord {
     /// The request's id.
     pub id: String,
-    /// The kind of request.
-    pub kind: RequestKind,
+    /// What it asks for.
+    pub call: Call,
     /// The daemon that it was sent to.
     pub daemon: usize,
     /// That daemon's incarnation, if it did not change during the request.
     pub incarnation: Option<u64>,
-    /// Whether it was sent with the spare key, which may be revoked.
-    pub has_spare_key: bool,
     /// When it was sent.
     pub sent_at: Instant,
     /// When the response was complete or aborted.
@@ -140,6 +169,7 @@
                 let caller = CallerThread {
                     fleet: Arc::clone(fleet),
                     rng: SmallRng::seed_from_u64(seed.0.wrapping_mul(1_000) + number),
+                    sends_long_streams: number < LONG_STREAM_CALLER_COUNT,
                     daemon: 0,
                     connection: None,
                 };
@@ -166,6 +196,7 @@
 struct CallerThread {
     fleet: Arc<Fleet>,
     rng: SmallRng,
+    sends_long_streams: bool,
     daemon: usize,
     connection: Option<(TcpStream, BufReader<TcpStream>)>,
 }
@@ -176,11 +207,23 @@
         while !is_stopping.load(Ordering::Relaxed) {
             let think_time_ms = self.rng.random_range(1..THINK_TIME_MAX_MS);
             std::thread::sleep(Duration::from_millis(think_time_ms));
+            if self.rng.random_range(0..100) < PAUSE_PERCENT {
+                self.pause(is_stopping);
+            }
             records.extend(self.send_request());
         }
         records
     }
 
+    /// Leaves the connection idle for a time after which the daemon must still keep it open.
+    fn pause(&mut self, is_stopping: &AtomicBool) {
+        let pause_max = (self.fleet.limits().idle_timeout() * 4 / 5).min(PAUSE_MAX);
+        let end = Instant::now() + pause_max.mul_f64(self.rng.random());
+        while Instant::now() < end && !is_stopping.load(Ordering::Relaxed) {
+            std::thread::sleep(PAUSE_POLL_INTERVAL);
+        }
+    }
+
     /// Sends one request; `None` if no connection could be opened.
     fn send_request(&mut self) -> Option<RequestRecord> {
         if self.rng.random_range(0..100) < RECONNECT_PERCENT {
@@ -192,8 +235,8 @@
             incarnation = self.fleet.incarnation(self.daemon);
             self.connection = Some(self.connect()?);
         }
-        let (kind, has_spare_key) = (self.draw_kind(), self.rng.random_range(0..5) == 0);
-        let request = build_request(kind, has_spare_key);
+        let call = self.draw_call();
+        let request = build_request(call);
         let (mut stream, mut reader) = self.connection.take()?;
         if incarnation == 0 {
             incarnation = self.fleet.incarnation(self.daemon);
@@ -207,11 +250,10 @@
         }
         Some(RequestRecord {
             id: request.id().to_owned(),
-            kind,
+            call,
             daemon: self.daemon,
             incarnation: Some(incarnation)
                 .filter(|incarnation| *incarnation == self.fleet.incarnation(self.daemon)),
-            has_spare_key,
             sent_at,
             ended_at: Instant::now(),
             response: (message.status() != 0).then(|| message.into()),
@@ -227,6 +269,28 @@
         Some((stream, reader))
     }
 
+    fn draw_call(&mut self) -> Call {
+        let is_long =
+            self.sends_long_streams && self.rng.random_range(0..100) < LONG_STREAM_PERCENT;
+        let kind = match is_long {
+            true if self.rng.random() => RequestKind::Chat,
+            true => RequestKind::Draft,
+            false => self.draw_kind(),
+        };
+        let event_count = match kind {
+            RequestKind::Chat | RequestKind::Draft if is_long => self
+                .rng
+                .random_range(SHORT_STREAM_EVENT_COUNT..=longest_event_count()),
+            RequestKind::Chat | RequestKind::Draft => SHORT_STREAM_EVENT_COUNT,
+            RequestKind::Read | RequestKind::Book | RequestKind::Generation(_) => 0,
+        };
+        Call {
+            kind,
+            event_count,
+            has_spare_key: self.rng.random_range(0..5) == 0,
+        }
+    }
+
     fn draw_kind(&mut self) -> RequestKind {
         let generation = self.fleet.generation();
         match self.rng.random_range(0..10) {
@@ -240,28 +304,30 @@
     }
 }
 
-fn build_request(kind: RequestKind, has_spare_key: bool) -> TestRequest {
-    let key = match has_spare_key {
+fn longest_event_count() -> usize {
+    let count = STREAM_DURATION_MAX.as_millis() / EVENT_INTERVAL.as_millis();
+    usize::try_from(count).expect("some hundred events")
+}
+
+fn build_request(call: Call) -> TestRequest {
+    let key = match call.has_spare_key {
         true => SPARE_KEY,
         false => KEY,
     };
-    let request = match kind {
+    let stream = |path| {
+        TestRequest::new("POST", path)
+            .prompt()
+            .output_tokens_max(call.event_count)
+            .deadline_ms(STREAM_TIMEOUT_MS)
+    };
+    let request = match call.kind {
         RequestKind::Read => TestRequest::new("GET", "/read/1"),
         RequestKind::Book => TestRequest::new("POST", "/book/1").body(b"a slot"),
-        RequestKind::Chat => TestRequest::new("POST", "/chat/1")
-            .prompt()
-            .body(b"a question"),
-        RequestKind::Draft => TestRequest::new("POST", "/draft/1")
-            .prompt()
-            .body(b"a letter"),
+        RequestKind::Chat => stream("/chat/1").body(b"a question"),
+        RequestKind::Draft => stream("/draft/1").body(b"a letter"),
         RequestKind::Generation(number) => {
             TestRequest::new("GET", &format!("/generation-{number}/1"))
         }
     };
     request.key(key)
 }
-
-/// Returns the event ids of a complete stream.
-pub fn complete_event_ids() -> Vec<usize> {
-    (1..=STREAM_EVENT_COUNT).collect()
-}
--- a/crates/celeryknot_faults/src/soak/check.rs
+++ b/crates/celeryknot_faults/src/soak/check.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use strum::{Display, EnumIter, IntoStaticStr};
 
-use super::callers::{RequestKind, RequestRecord, complete_event_ids};
+use super::callers::{RequestKind, RequestRecord};
 use super::fleet::{
     COLD_MAX_PER_S, CONFIGURATION_DELAY_MAX, DRAIN_TIME, Observations, RETRY_ALLOWANCE,
 };
@@ -134,20 +134,20 @@
 
 fn check_executions(checker: &mut Checker, request: &RequestRecord, arrivals: &[&Arrival]) {
     let runs = run_count(arrivals);
-    if !request.kind.is_repeatable() {
+    if !request.call.kind.is_repeatable() {
         checker.check(Promise::AtMostOnce, runs <= 1, || {
-            format!("{} {} was run {runs} times", request.kind, request.id)
+            format!("{} {} was run {runs} times", request.call.kind, request.id)
         });
     }
     let status = request
         .response
         .as_ref()
         .map_or(0, |response| response.status);
-    if NOT_RUN_STATUSES.contains(&status) && !request.kind.is_repeatable() {
+    if NOT_RUN_STATUSES.contains(&status) && !request.call.kind.is_repeatable() {
         checker.check(Promise::TrueRefusals, runs == 0, || {
             format!(
                 "{} {} was answered {status} and run",
-                request.kind, request.id
+                request.call.kind, request.id
             )
         });
     }
@@ -157,13 +157,13 @@
     let Some(response) = request.response.as_ref().filter(|it| it.status == 200) else {
         return;
     };
-    let is_stream = matches!(request.kind, RequestKind::Chat | RequestKind::Draft);
+    let is_stream = matches!(request.call.kind, RequestKind::Chat | RequestKind::Draft);
     if is_stream {
         let ids = response.event_ids();
-        let all_ids = complete_event_ids();
+        let all_ids: Vec<usize> = (1..=request.call.event_count).collect();
         let is_in_order = all_ids.starts_with(&ids) && (!response.is_whole || ids == all_ids);
         checker.check(Promise::EventsInOrder, is_in_order, || {
-            format!("{} {}: events {ids:?}", request.kind, request.id)
+            format!("{} {}: events {ids:?}", request.call.kind, request.id)
         });
     }
     if !response.is_whole {
@@ -178,7 +178,7 @@
     checker.check(
         Promise::WholeAnswers,
         is_matching && is_from_endpoint,
-        || format!("{} {}: {response:?}", request.kind, request.id),
+        || format!("{} {}: {response:?}", request.call.kind, request.id),
     );
 }
 
@@ -190,7 +190,10 @@
             .as_ref()
             .is_some_and(|response| response.is_whole);
         checker.check(Promise::NoneLost, is_answered, || {
-            format!("{} {} at edge-{}", request.kind, request.id, request.daemon)
+            format!(
+                "{} {} at edge-{}",
+                request.call.kind, request.id, request.daemon
+            )
         });
     }
 }
@@ -203,7 +206,7 @@
     observations: &Observations,
 ) {
     let is_active_when_sent = |at: Instant| at + CONFIGURATION_DELAY_MAX < request.sent_at;
-    if let RequestKind::Generation(number) = request.kind {
+    if let RequestKind::Generation(number) = request.call.kind {
         let newer = observations.generations.iter().find(|(it, _)| *it > number);
         if newer.is_some_and(|(_, at)| is_active_when_sent(*at)) {
             checker.check(Promise::ConfigurationInForce, !request.is_success(), || {
@@ -211,7 +214,7 @@
             });
         }
     }
-    if request.has_spare_key && observations.revoked_at.is_some_and(is_active_when_sent) {
+    if request.call.has_spare_key && observations.revoked_at.is_some_and(is_active_when_sent) {
         checker.check(Promise::ConfigurationInForce, !request.is_success(), || {
             format!("{} ran with a key that was taken away", request.id)
         });
@@ -246,7 +249,7 @@
 }
 
 fn check_rollbacks(checker: &mut Checker, observations: &Observations) {
-    let generation = |request: &RequestRecord| match request.kind {
+    let generation = |request: &RequestRecord| match request.call.kind {
         RequestKind::Generation(number) => request.is_success().then_some(number),
         RequestKind::Read | RequestKind::Book | RequestKind::Chat | RequestKind::Draft => None,
     };
--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -10,14 +10,14 @@
 use celeryknot_kinrin_standins::engine::{Arrival, Behaviour, Engine};
 use celeryknot_kinrin_standins::site::{
     CONFIGURATION_KEY, ZONE, cold_entry, draining_entry, engine_entry, entry_key,
-    generation_configuration, with_address,
+    generation_configuration, with_address, with_idle_timeout, with_stream_timeout,
 };
 use celeryknot_kinrin_standins::store::{Store, StoreMode};
 use celeryknot_standins::{Fault, FaultProxy};
 use eyre::{WrapErr, ensure, eyre};
 
 use super::callers::RequestRecord;
-use super::plan::{Step, StepKind};
+use super::plan::{RunLimits, Step, StepKind};
 use crate::process::{DaemonProcess, RunFolder, loopback_address};
 
 /// Number of daemons.
@@ -46,9 +46,14 @@
 const FAULT_INTERVAL: Duration = Duration::from_millis(37);
 /// Delay of slow connections to an endpoint.
 const ENDPOINT_DELAY_MS: u64 = 60;
-/// Grace period of a daemon's shutdown, and the time limit for its exit.
-const SHUTDOWN_GRACE_S: u64 = 5;
-const EXIT_TIMEOUT: Duration = Duration::from_secs(SHUTDOWN_GRACE_S + 10);
+/// Time limit for a daemon's exit after the grace time of its shutdown.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout of streams, which is longer than the longest stream.
+pub const STREAM_TIMEOUT_MS: u64 = 12_000;
+/// Time between two events of a stream.
+pub const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// What endpoints do unless a step says otherwise.
+const NORMAL_BEHAVIOUR: Behaviour = Behaviour::StreamByTokens(EVENT_INTERVAL);
 /// Time limit for a started daemon to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -114,10 +119,12 @@
     binary: PathBuf,
     folder: RunFolder,
     run: u16,
+    limits: RunLimits,
     store: Store,
     store_proxies: Vec<FaultProxy>,
     slots: Vec<Mutex<EndpointSlot>>,
-    removed: Mutex<Vec<Engine>>,
+    /// Endpoints that were delisted; their proxies still carry streams.
+    removed: Mutex<Vec<(Engine, FaultProxy)>>,
     daemons: Vec<Mutex<Option<DaemonProcess>>>,
     incarnations: Vec<AtomicU64>,
     operator: Mutex<OperatorState>,
@@ -133,12 +140,11 @@
     /// # Errors
     ///
     /// Fails when something can't be started or a daemon is not ready in time.
-    pub fn start(binary: &Path, run: u16) -> eyre::Result<Self> {
+    pub fn start(binary: &Path, run: u16, limits: RunLimits) -> eyre::Result<Self> {
         let store = Store::start();
         let slots = (0..ENGINE_COUNT + PLAIN_ENDPOINT_COUNT).map(|index| {
             let service = if index < ENGINE_COUNT { "llm" } else { "desk" };
-            let engine = Engine::start(&format!("i-{service}-{index}"));
-            let proxy = FaultProxy::start_on_loopback(engine.address)?;
+            let (engine, proxy) = start_endpoint(&format!("i-{service}-{index}"))?;
             let slot = EndpointSlot {
                 service,
                 engine,
@@ -153,6 +159,7 @@
             binary: binary.to_owned(),
             folder: RunFolder::create(&format!("soak-{run}"))?,
             run,
+            limits,
             store_proxies: proxies.collect::<eyre::Result<_>>()?,
             store,
             slots,
@@ -181,6 +188,11 @@
         self.incarnations[daemon].load(Ordering::Acquire)
     }
 
+    /// Returns the limits of the daemons.
+    pub fn limits(&self) -> RunLimits {
+        self.limits
+    }
+
     /// Returns the newest generation of the configuration.
     pub fn generation(&self) -> u64 {
         lock(&self.operator).generation
@@ -210,13 +222,14 @@
              [regions]\nzones = {ZONE}\nregions = hkd\n\n\
              [bounds]\nretry_ratio = 0.2\nretry_window_ms = 10s\n\
              retry_allowance = {RETRY_ALLOWANCE}\ncold_factor = 1.5\ncold_allowance = 5\n\
-             load_factor = 2\ndrain_ms = {}ms\nshutdown_grace_ms = {SHUTDOWN_GRACE_S}s\ncache_reuse_ms = 10s\n",
+             load_factor = 2\ndrain_ms = {}ms\nshutdown_grace_ms = {}s\ncache_reuse_ms = 10s\n",
             self.address(daemon, CALLERS_PORT),
             self.address(daemon, READINESS_PORT),
             self.address(daemon, PEERS_PORT),
             self.store_proxies[daemon].address(),
             seeds.join(", "),
             DRAIN_TIME.as_millis(),
+            self.limits.shutdown_grace_s,
         )
     }
 
@@ -320,7 +333,7 @@
         };
         self.wait_until_listening(daemon)?;
         process.terminate()?;
-        let status = process.wait_for_exit(EXIT_TIMEOUT)?;
+        let status = process.wait_for_exit(self.limits.shutdown_grace() + EXIT_TIMEOUT)?;
         ensure!(
             status.code().is_some_and(|code| code <= 1),
             "edge-{daemon} ended with {status}"
@@ -347,6 +360,8 @@
         let number = operator.generation + 1;
         let has_spare_key = operator.revoked_at.is_none() && !revokes;
         let configuration = generation_configuration(number, has_spare_key);
+        let configuration = with_idle_timeout(configuration, self.limits.idle_timeout_ms);
+        let configuration = with_stream_timeout(configuration, STREAM_TIMEOUT_MS);
         self.store.put(CONFIGURATION_KEY, &configuration);
         let now = Instant::now();
         operator.generation = number;
@@ -368,10 +383,8 @@
         let replacement = self.new_endpoint(slot.service);
         std::thread::sleep(DRAIN_TIME);
         self.store.delete(&key);
-        let engine = replacement.0.clone();
-        lock(&self.removed).push(std::mem::replace(&mut slot.engine, replacement.0));
-        slot.proxy = replacement.1;
-        self.store.put(&entry_key(&engine), &slot.entry());
+        self.replace_endpoint(&mut slot, replacement);
+        self.store.put(&entry_key(&slot.engine), &slot.entry());
     }
 
     fn new_endpoint(&self, service: &str) -> (Engine, FaultProxy) {
@@ -380,21 +393,24 @@
             operator.next_endpoint += 1;
             operator.next_endpoint
         };
-        let engine = Engine::start(&format!("i-{service}-new-{number}"));
-        let proxy = FaultProxy::start_on_loopback(engine.address).expect("a loopback port is free");
-        (engine, proxy)
+        start_endpoint(&format!("i-{service}-new-{number}")).expect("a loopback port is free")
+    }
+
+    fn replace_endpoint(&self, slot: &mut EndpointSlot, replacement: (Engine, FaultProxy)) {
+        let engine = std::mem::replace(&mut slot.engine, replacement.0);
+        let proxy = std::mem::replace(&mut slot.proxy, replacement.1);
+        lock(&self.removed).push((engine, proxy));
     }
 
     /// Replaces an engine, which is delisted without draining, with a cold one.
     fn add_cold_engine(&self, index: usize) {
         let mut slot = lock(&self.slots[index]);
-        let (engine, proxy) = self.new_endpoint(slot.service);
+        let replacement = self.new_endpoint(slot.service);
         lock(&self.operator)
             .cold
-            .push((engine.id.clone(), Instant::now() + COLD_TIME));
+            .push((replacement.0.id.clone(), Instant::now() + COLD_TIME));
         self.store.delete(&entry_key(&slot.engine));
-        lock(&self.removed).push(std::mem::replace(&mut slot.engine, engine));
-        slot.proxy = proxy;
+        self.replace_endpoint(&mut slot, replacement);
         let cold_ms = u64::try_from(COLD_TIME.as_millis()).expect("some seconds");
         let entry = cold_entry(slot.entry(), cold_ms);
         self.store.put(&entry_key(&slot.engine), &entry);
@@ -422,15 +438,15 @@
         let engine = lock(slot).engine.clone();
         engine.set_default_behaviour(behaviour);
         std::thread::sleep(step.duration());
-        engine.set_default_behaviour(Behaviour::Good);
+        engine.set_default_behaviour(NORMAL_BEHAVIOUR);
     }
 
     /// Returns the observations of the run, including the callers' requests.
     pub fn observations(&self, requests: Vec<RequestRecord>) -> Observations {
         let operator = lock(&self.operator);
         let listed = self.slots.iter().map(|slot| lock(slot).engine.clone());
-        let removed = lock(&self.removed).clone();
-        let engines = listed.chain(removed);
+        let removed = lock(&self.removed);
+        let engines = listed.chain(removed.iter().map(|(engine, _)| engine.clone()));
         Observations {
             requests,
             arrivals: engines.map(|it| (it.id.clone(), it.arrivals())).collect(),
@@ -442,6 +458,13 @@
     }
 }
 
+fn start_endpoint(id: &str) -> eyre::Result<(Engine, FaultProxy)> {
+    let engine = Engine::start(id);
+    engine.set_default_behaviour(NORMAL_BEHAVIOUR);
+    let proxy = FaultProxy::start_on_loopback(engine.address)?;
+    Ok((engine, proxy))
+}
+
 impl EndpointSlot {
     /// Returns the endpoint's entry, with the proxy's address.
     fn entry(&self) -> serde_json::Value {
--- a/crates/celeryknot_faults/src/soak/plan.rs
+++ b/crates/celeryknot_faults/src/soak/plan.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
-use rand::{RngExt, SeedableRng};
+use rand::{Rng, RngExt, SeedableRng};
 use strum::{Display, EnumIter, IntoEnumIterator, IntoStaticStr};
 
 use crate::plan::Seed;
@@ -22,6 +22,12 @@
 /// Every third seed has planned work only, to check the promises that hold only then.
 const PLANNED_SEED_INTERVAL: u64 = 3;
 
+/// Idle timeouts of callers' connections; most are shorter than the longest streams.
+const IDLE_TIMEOUTS_MS: [u64; 5] = [1_000, 1_500, 2_500, 4_000, 10_000];
+
+/// Grace times of a shutdown; 8 s is the users'.
+const SHUTDOWN_GRACES_S: [u64; 3] = [5, 6, 8];
+
 /// The kinds of step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -127,11 +133,41 @@
     }
 }
 
+/// The limits of one run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunLimits {
+    /// Idle timeout of callers' connections.
+    pub idle_timeout_ms: u64,
+    /// Grace time of a daemon's shutdown.
+    pub shutdown_grace_s: u64,
+}
+
+impl RunLimits {
+    fn draw(rng: &mut impl Rng) -> Self {
+        Self {
+            idle_timeout_ms: IDLE_TIMEOUTS_MS[rng.random_range(0..IDLE_TIMEOUTS_MS.len())],
+            shutdown_grace_s: SHUTDOWN_GRACES_S[rng.random_range(0..SHUTDOWN_GRACES_S.len())],
+        }
+    }
+
+    /// Returns the idle timeout of callers' connections.
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms)
+    }
+
+    /// Returns the grace time of a daemon's shutdown.
+    pub fn shutdown_grace(&self) -> Duration {
+        Duration::from_secs(self.shutdown_grace_s)
+    }
+}
+
 /// The steps of one run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SoakPlan {
     /// The seed that the plan was drawn from.
     pub seed: Seed,
+    /// The limits of the daemons.
+    pub limits: RunLimits,
     /// The steps, sorted by start time; they may overlap.
     pub steps: Vec<Step>,
 }
@@ -164,8 +200,14 @@
                 duration_ms: rng.random_range(300..DURATION_MAX_MS),
             })
             .collect();
+        // Drawn after the steps, so that a seed that failed in the past keeps them.
+        let limits = RunLimits::draw(&mut rng);
         steps.sort_by_key(|step| step.start_ms);
-        Self { seed, steps }
+        Self {
+            seed,
+            limits,
+            steps,
+        }
     }
 
     /// Returns whether all steps are planned work of operators.
@@ -176,7 +218,15 @@
 
 impl fmt::Display for SoakPlan {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "seed {}", self.seed)?;
+        let RunLimits {
+            idle_timeout_ms,
+            shutdown_grace_s,
+        } = self.limits;
+        write!(
+            f,
+            "seed {}; idle timeout {idle_timeout_ms} ms, grace time {shutdown_grace_s} s",
+            self.seed
+        )?;
         for step in &self.steps {
             write!(f, "; {step}")?;
         }
--- a/crates/celeryknot_faults/tests/soak_check.rs
+++ b/crates/celeryknot_faults/tests/soak_check.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use celeryknot_faults::plan::Seed;
-use celeryknot_faults::soak::callers::{Answer, RequestKind, RequestRecord};
+use celeryknot_faults::soak::callers::{Answer, Call, RequestKind, RequestRecord};
 use celeryknot_faults::soak::check::{Promise, check};
 use celeryknot_faults::soak::fleet::{Observations, Withdrawal};
-use celeryknot_faults::soak::plan::{SoakPlan, Step, StepKind};
+use celeryknot_faults::soak::plan::{RunLimits, SoakPlan, Step, StepKind};
 use celeryknot_kinrin_standins::engine::Arrival;
 use celeryknot_kinrin_standins::http::Message;
 use celeryknot_kinrin_standins::site::CUSTOMER;
@@ -18,10 +18,13 @@
 fn request(kind: RequestKind, at: Instant, status: u16, body: &str) -> RequestRecord {
     RequestRecord {
         id: "00000000000000aa".to_owned(),
-        kind,
+        call: Call {
+            kind,
+            event_count: 6,
+            has_spare_key: false,
+        },
         daemon: 0,
         incarnation: Some(1),
-        has_spare_key: false,
         sent_at: at,
         ended_at: at,
         response: Some(Answer {
@@ -223,7 +226,7 @@
         observations: |at| {
             let late = at + Duration::from_millis(2_100);
             let mut request = request(RequestKind::Read, late, 200, ENGINE);
-            request.has_spare_key = true;
+            request.call.has_spare_key = true;
             let mut observations = observations(vec![request], vec![arrival(late, CUSTOMER)]);
             observations.revoked_at = Some(at);
             observations
@@ -280,6 +283,10 @@
     };
     SoakPlan {
         seed: Seed(3),
+        limits: RunLimits {
+            idle_timeout_ms: 1_000,
+            shutdown_grace_s: 8,
+        },
         steps: vec![step],
     }
 }
