Shut daemons down in series in the soak's planned seeds

Shutdowns rarely overlapped, no daemon got a signal during its shutdown, and SIGHUP waited for its end. Planned seeds now have a series: SIGTERM to three to five daemons, with a gap of 0.5 to 3 s, some with a second SIGTERM or a SIGHUP 0.3 to 3 s later, and three changes of the configuration or the endpoints meanwhile. The series is drawn after the other steps, which stay as they are.

--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -270,7 +270,17 @@
         let daemon = step.target % DAEMON_COUNT;
         let wait = || std::thread::sleep(step.duration());
         match step.kind {
-            StepKind::TerminateDaemon => return self.replace_daemon(daemon),
+            StepKind::TerminateDaemon => return self.replace_daemon(daemon, |_| Ok(())),
+            StepKind::TerminateDaemonTwice => {
+                return self.replace_daemon(daemon, |process| {
+                    signal_unless_exited(process, step.duration(), DaemonProcess::terminate)
+                });
+            }
+            StepKind::TerminateAndReloadDaemon => {
+                return self.replace_daemon(daemon, |process| {
+                    signal_unless_exited(process, step.duration(), DaemonProcess::reload)
+                });
+            }
             StepKind::ReloadDaemon => {
                 if let Some(process) = &*lock(&self.daemons[daemon]) {
                     self.wait_until_listening(daemon)?;
@@ -326,13 +336,18 @@
     /// Shuts a daemon down and starts a replacement.
     ///
     /// No request in flight should be left, but the exit status for leftover requests is accepted.
-    fn replace_daemon(&self, daemon: usize) -> eyre::Result<()> {
+    fn replace_daemon(
+        &self,
+        daemon: usize,
+        during_shutdown: impl FnOnce(&mut DaemonProcess) -> eyre::Result<()>,
+    ) -> eyre::Result<()> {
         let mut held = lock(&self.daemons[daemon]);
         let Some(process) = &mut *held else {
             return Ok(());
         };
         self.wait_until_listening(daemon)?;
         process.terminate()?;
+        during_shutdown(process)?;
         let status = process.wait_for_exit(self.limits.shutdown_grace() + EXIT_TIMEOUT)?;
         ensure!(
             status.code().is_some_and(|code| code <= 1),
@@ -458,6 +473,18 @@
     }
 }
 
+/// Sends a signal after the delay, unless the process has ended before.
+fn signal_unless_exited(
+    process: &mut DaemonProcess,
+    delay: Duration,
+    signal: fn(&DaemonProcess) -> eyre::Result<()>,
+) -> eyre::Result<()> {
+    match process.wait_for_exit(delay) {
+        Ok(_) => Ok(()),
+        Err(_) => signal(process),
+    }
+}
+
 fn start_endpoint(id: &str) -> eyre::Result<(Engine, FaultProxy)> {
     let engine = Engine::start(id);
     engine.set_default_behaviour(NORMAL_BEHAVIOUR);
--- a/crates/celeryknot_faults/src/soak/plan.rs
+++ b/crates/celeryknot_faults/src/soak/plan.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, RngExt, SeedableRng};
 use strum::{Display, EnumIter, IntoEnumIterator, IntoStaticStr};
 
+use super::fleet::DAEMON_COUNT;
 use crate::plan::Seed;
 
 /// Upper bound of the start time of a step.
@@ -22,6 +23,32 @@
 /// Every third seed has planned work only, to check the promises that hold only then.
 const PLANNED_SEED_INTERVAL: u64 = 3;
 
+/// Minimum number of daemons in a series of shutdowns.
+const SERIES_DAEMONS_MIN: usize = 3;
+
+/// Upper bound of the start time of a series of shutdowns, and bounds of the gap between two of
+/// them.
+const SERIES_START_MAX_MS: u64 = 3_000;
+const SERIES_GAP_MIN_MS: u64 = 500;
+const SERIES_GAP_MAX_MS: u64 = 3_000;
+
+/// Number of changes during a series of shutdowns.
+const SERIES_CHANGE_COUNT: usize = 3;
+
+/// The shutdowns of a series.
+const SHUTDOWN_KINDS: [StepKind; 3] = [
+    StepKind::TerminateDaemon,
+    StepKind::TerminateDaemonTwice,
+    StepKind::TerminateAndReloadDaemon,
+];
+
+/// The changes during a series of shutdowns.
+const CHANGE_KINDS: [StepKind; 3] = [
+    StepKind::ChangeConfiguration,
+    StepKind::DrainEndpoint,
+    StepKind::AddColdEndpoint,
+];
+
 /// Idle timeouts of callers' connections; most are shorter than the longest streams.
 const IDLE_TIMEOUTS_MS: [u64; 5] = [1_000, 1_500, 2_500, 4_000, 10_000];
 
@@ -35,6 +62,12 @@
     /// A daemon is shut down with SIGTERM and replaced.
     #[strum(serialize = "term-daemon")]
     TerminateDaemon,
+    /// A daemon is shut down with SIGTERM, gets another one meanwhile, and is replaced.
+    #[strum(serialize = "term-daemon-twice")]
+    TerminateDaemonTwice,
+    /// A daemon is shut down with SIGTERM, gets SIGHUP meanwhile, and is replaced.
+    #[strum(serialize = "term-hup-daemon")]
+    TerminateAndReloadDaemon,
     /// A daemon reloads its settings on SIGHUP.
     #[strum(serialize = "hup-daemon")]
     ReloadDaemon,
@@ -89,6 +122,8 @@
         matches!(
             self,
             Self::TerminateDaemon
+                | Self::TerminateDaemonTwice
+                | Self::TerminateAndReloadDaemon
                 | Self::ReloadDaemon
                 | Self::ChangeConfiguration
                 | Self::DrainEndpoint
@@ -96,6 +131,14 @@
                 | Self::RevokeKey
         )
     }
+
+    /// Returns whether this is part of series of shutdowns only.
+    const fn is_in_series_only(self) -> bool {
+        matches!(
+            self,
+            Self::TerminateDaemonTwice | Self::TerminateAndReloadDaemon
+        )
+    }
 }
 
 /// One step of a run.
@@ -189,7 +232,7 @@
         let mut rng = SmallRng::seed_from_u64(seed.0);
         let is_planned = seed.0.is_multiple_of(PLANNED_SEED_INTERVAL);
         let kinds: Vec<StepKind> = StepKind::iter()
-            .filter(|kind| !is_planned || kind.is_planned())
+            .filter(|kind| !kind.is_in_series_only() && (!is_planned || kind.is_planned()))
             .collect();
         let count = rng.random_range(STEPS_MIN..=STEPS_MAX);
         let mut steps: Vec<Step> = (0..count)
@@ -202,6 +245,9 @@
             .collect();
         // Drawn after the steps, so that a seed that failed in the past keeps them.
         let limits = RunLimits::draw(&mut rng);
+        if is_planned {
+            steps.extend(draw_series(&mut rng));
+        }
         steps.sort_by_key(|step| step.start_ms);
         Self {
             seed,
@@ -216,6 +262,31 @@
     }
 }
 
+/// Draws shutdowns of daemons one after the other, with gaps that are often shorter than the grace
+/// time divided by the number of daemons, and changes meanwhile.
+fn draw_series(rng: &mut impl Rng) -> Vec<Step> {
+    let first_daemon = rng.random_range(0..DAEMON_COUNT);
+    let count = rng.random_range(SERIES_DAEMONS_MIN..=DAEMON_COUNT);
+    let start_ms = rng.random_range(300..SERIES_START_MAX_MS);
+    let gap_ms = rng.random_range(SERIES_GAP_MIN_MS..=SERIES_GAP_MAX_MS);
+    let end_ms = start_ms + gap_ms * count as u64;
+    let mut steps: Vec<Step> = (0..count)
+        .map(|index| Step {
+            kind: SHUTDOWN_KINDS[rng.random_range(0..SHUTDOWN_KINDS.len())],
+            target: first_daemon + index,
+            start_ms: start_ms + gap_ms * index as u64,
+            duration_ms: rng.random_range(300..DURATION_MAX_MS),
+        })
+        .collect();
+    steps.extend((0..SERIES_CHANGE_COUNT).map(|_| Step {
+        kind: CHANGE_KINDS[rng.random_range(0..CHANGE_KINDS.len())],
+        target: rng.random_range(0..60),
+        start_ms: rng.random_range(start_ms..end_ms),
+        duration_ms: 0,
+    }));
+    steps
+}
+
 impl fmt::Display for SoakPlan {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let RunLimits {
