Check in the soak that planned work cuts no answer that was read

The check covered requests that an endpoint ran, and any answer that a daemon cut at the end of its grace time was as wrong as one cut elsewhere. It now covers each request that reached an endpoint or whose response began, and allows what the users' rule allows: cut in the last eighth of the grace time, and sent at most three eighths of it (3 s of 8 s) after SIGTERM. Requests without either are not covered: a daemon may have closed the connection before they arrived.

--- a/crates/celeryknot_faults/src/soak.rs
+++ b/crates/celeryknot_faults/src/soak.rs
@@ -123,7 +123,7 @@
     std::thread::sleep(SETTLE_TIME);
     let requests = callers.finish();
     steps_result?;
-    let observations = fleet.observations(requests);
+    let observations = fleet.observations(started, requests);
     let (broken, checks) = check(&plan, &observations);
     Ok(SoakVerdict {
         requests: observations.requests.len() as u64,
--- a/crates/celeryknot_faults/src/soak/check.rs
+++ b/crates/celeryknot_faults/src/soak/check.rs
@@ -10,7 +10,7 @@
 
 use super::callers::{RequestKind, RequestRecord};
 use super::fleet::{
-    COLD_MAX_PER_S, CONFIGURATION_DELAY_MAX, DRAIN_TIME, Observations, RETRY_ALLOWANCE,
+    COLD_MAX_PER_S, CONFIGURATION_DELAY_MAX, DRAIN_TIME, Observations, RETRY_ALLOWANCE, Shutdown,
 };
 use super::plan::SoakPlan;
 
@@ -21,6 +21,13 @@
 /// older one.
 const ROLLBACK_TOLERANCE: Duration = Duration::from_millis(250);
 
+/// Share of the grace time after SIGTERM, in eighths, in which a request may be sent whose answer
+/// is cut at the end of the grace time: 3 s of the users' 8 s.
+const CUT_SENT_MAX_EIGHTHS: u32 = 3;
+
+/// Share of the grace time after SIGTERM, in eighths, from which a daemon may cut these answers.
+const CUT_MIN_EIGHTHS: u32 = 7;
+
 /// Status codes which guarantee that the request has not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -52,7 +59,7 @@
     EventsInOrder,
     /// Endpoints receive the right customer name and no key.
     Keys,
-    /// With planned work only, every request that an endpoint ran receives a response.
+    /// With planned work only, every request that a daemon read receives a complete response.
     NoneLost,
     /// A draining endpoint receives no requests after the drain time.
     LeavingLeftAlone,
@@ -114,7 +121,7 @@
         check_executions(&mut checker, request, arrivals);
         check_response(&mut checker, request, observations);
         if plan.is_planned_work() {
-            check_lost_requests(&mut checker, request, arrivals);
+            check_lost_requests(&mut checker, plan, request, arrivals, observations);
             check_active_configuration(&mut checker, request, observations);
         }
     }
@@ -182,20 +189,69 @@
     );
 }
 
-/// A request that ran must receive a complete response; the error for an expired deadline counts.
-fn check_lost_requests(checker: &mut Checker, request: &RequestRecord, arrivals: &[&Arrival]) {
-    if run_count(arrivals) > 0 {
-        let is_answered = request
-            .response
-            .as_ref()
-            .is_some_and(|response| response.is_whole);
-        checker.check(Promise::NoneLost, is_answered, || {
+/// A request that was read must receive a complete response; refusals count, also the one for an
+/// expired deadline.
+///
+/// A request was certainly read if it reached an endpoint or its response began. Of other ones
+/// without a response, the daemon may have closed the connection before they arrived.
+fn check_lost_requests(
+    checker: &mut Checker,
+    plan: &SoakPlan,
+    request: &RequestRecord,
+    arrivals: &[&Arrival],
+    observations: &Observations,
+) {
+    if arrivals.is_empty() && request.response.is_none() {
+        return;
+    }
+    let response = request.response.as_ref();
+    let is_answered = response.is_some_and(|response| response.is_whole);
+    let shutdown = observations.shutdowns.iter().find(|shutdown| {
+        shutdown.daemon == request.daemon
+            && request.sent_at <= shutdown.exited_at
+            && request.ended_at >= shutdown.terminated_at
+    });
+    let grace = plan.limits.shutdown_grace();
+    let may_be_cut = shutdown.is_some_and(|shutdown| {
+        request.sent_at <= shutdown.terminated_at + grace * CUT_SENT_MAX_EIGHTHS / 8
+            && request.ended_at >= shutdown.terminated_at + grace * CUT_MIN_EIGHTHS / 8
+    });
+    checker.check(Promise::NoneLost, is_answered || may_be_cut, || {
+        describe_lost_request(plan, request, shutdown, observations.started_at)
+    });
+}
+
+fn describe_lost_request(
+    plan: &SoakPlan,
+    request: &RequestRecord,
+    shutdown: Option<&Shutdown>,
+    started_at: Instant,
+) -> String {
+    let seconds = |at: Instant| at.saturating_duration_since(started_at).as_secs_f64();
+    let part = request.response.as_ref().map_or_else(
+        || "without a response".to_owned(),
+        |response| {
+            let received = response.event_ids().len();
+            let of = request.call.event_count;
             format!(
-                "{} {} at edge-{}",
-                request.call.kind, request.id, request.daemon
+                "with status {} and {received} of {of} events",
+                response.status
             )
-        });
-    }
+        },
+    );
+    let signal = shutdown.map_or_else(String::new, |shutdown| {
+        let (signal, exit) = (seconds(shutdown.terminated_at), seconds(shutdown.exited_at));
+        format!("; SIGTERM at {signal:.3} s, exit at {exit:.3} s")
+    });
+    format!(
+        "seed {}: {} {} at edge-{}, sent at {:.3} s, ended at {:.3} s {part}{signal}",
+        plan.seed,
+        request.call.kind,
+        request.id,
+        request.daemon,
+        seconds(request.sent_at),
+        seconds(request.ended_at),
+    )
 }
 
 /// After the allowed delay, requests to routes of older generations and requests with a revoked
--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -75,6 +75,17 @@
     pub at: Instant,
 }
 
+/// The shutdown of a daemon.
+#[derive(Debug, Clone)]
+pub struct Shutdown {
+    /// The daemon.
+    pub daemon: usize,
+    /// When it was sent SIGTERM first.
+    pub terminated_at: Instant,
+    /// When its process had ended.
+    pub exited_at: Instant,
+}
+
 /// The observations of a run.
 #[derive(Debug)]
 pub struct Observations {
@@ -82,6 +93,10 @@
     pub requests: Vec<RequestRecord>,
     /// The requests that each endpoint received, by the endpoint's id.
     pub arrivals: Vec<(String, Vec<Arrival>)>,
+    /// When the load started.
+    pub started_at: Instant,
+    /// Daemons that were shut down.
+    pub shutdowns: Vec<Shutdown>,
     /// Endpoints that were withdrawn.
     pub withdrawals: Vec<Withdrawal>,
     /// Endpoints that joined cold, with the end of their cold phase.
@@ -108,6 +123,7 @@
     generation: u64,
     generations: Vec<(u64, Instant)>,
     revoked_at: Option<Instant>,
+    shutdowns: Vec<Shutdown>,
     withdrawals: Vec<Withdrawal>,
     cold: Vec<(String, Instant)>,
     next_endpoint: usize,
@@ -346,9 +362,15 @@
             return Ok(());
         };
         self.wait_until_listening(daemon)?;
+        let terminated_at = Instant::now();
         process.terminate()?;
         during_shutdown(process)?;
         let status = process.wait_for_exit(self.limits.shutdown_grace() + EXIT_TIMEOUT)?;
+        lock(&self.operator).shutdowns.push(Shutdown {
+            daemon,
+            terminated_at,
+            exited_at: Instant::now(),
+        });
         ensure!(
             status.code().is_some_and(|code| code <= 1),
             "edge-{daemon} ended with {status}"
@@ -457,7 +479,7 @@
     }
 
     /// Returns the observations of the run, including the callers' requests.
-    pub fn observations(&self, requests: Vec<RequestRecord>) -> Observations {
+    pub fn observations(&self, started_at: Instant, requests: Vec<RequestRecord>) -> Observations {
         let operator = lock(&self.operator);
         let listed = self.slots.iter().map(|slot| lock(slot).engine.clone());
         let removed = lock(&self.removed);
@@ -465,6 +487,8 @@
         Observations {
             requests,
             arrivals: engines.map(|it| (it.id.clone(), it.arrivals())).collect(),
+            started_at,
+            shutdowns: operator.shutdowns.clone(),
             withdrawals: operator.withdrawals.clone(),
             cold: operator.cold.clone(),
             generations: operator.generations.clone(),
