Keep the soak's seeds with cut answers as regression cases

The test no_late_request_is_cut_at_the_end_of_a_shutdown fails until that is fixed. Planned work without known failures has seeds 27 and 30 instead of 3 and 6, which stay in the tables.

--- a/crates/celeryknotd/tests/soak.rs
+++ b/crates/celeryknotd/tests/soak.rs
@@ -34,12 +34,19 @@
     cause: &'static str,
 }
 
+fn assert_cases_pass(first_run: u16, cases: &[Case]) {
+    for (run, case) in (first_run..).zip(cases) {
+        println!("seed {}: {}", case.seed, case.cause);
+        assert_passes(run, case.seed);
+    }
+}
+
 /// In all of these, a signal killed a daemon during its start, before it handled signals. A daemon
 /// now installs its signal handlers first, and the soak waits until it listens.
-const PREVIOUSLY_FAILING: [Case; 5] = [
+const SIGNALS_AT_START: [Case; 5] = [
     Case {
         seed: 9,
-        cause: "SIGHUP while a daemon started",
+        cause: "SIGHUP while a daemon started; streams cut at an idle timeout of 4 s",
     },
     Case {
         seed: 14,
@@ -59,10 +66,48 @@
     },
 ];
 
+/// In all of these, the timeout for the next request on a connection ran during a response. It now
+/// starts after the response.
+const CUT_AT_IDLE_TIMEOUT: [Case; 4] = [
+    Case {
+        seed: 3,
+        cause: "streams cut at an idle timeout of 4 s",
+    },
+    Case {
+        seed: 15,
+        cause: "streams cut at an idle timeout of 1.5 s",
+    },
+    Case {
+        seed: 18,
+        cause: "streams cut at an idle timeout of 1.5 s",
+    },
+    Case {
+        seed: 24,
+        cause: "streams cut at an idle timeout of 4 s",
+    },
+];
+
+/// In all of these, a daemon accepted a request late in its shutdown whose answer outlasted its
+/// grace time. They also failed as those of `CUT_AT_IDLE_TIMEOUT` did.
+const CUT_AT_END_OF_GRACE: [Case; 3] = [
+    Case {
+        seed: 6,
+        cause: "streams sent 2.4 to 2.8 s after SIGTERM, cut at the end of a grace time of 6 s",
+    },
+    Case {
+        seed: 12,
+        cause: "a stream sent 2.7 s after SIGTERM, cut at the end of a grace time of 6 s",
+    },
+    Case {
+        seed: 21,
+        cause: "a stream sent 3.8 s after SIGTERM, cut at the end of a grace time of 8 s",
+    },
+];
+
 #[test]
 fn planned_work_fails_no_request() {
-    assert_passes(0, 3);
-    assert_passes(1, 6);
+    assert_passes(0, 27);
+    assert_passes(1, 30);
 }
 
 #[test]
@@ -72,9 +117,16 @@
 }
 
 #[test]
-fn previously_failing_seeds_pass() {
-    for (run, case) in (4..).zip(&PREVIOUSLY_FAILING) {
-        println!("seed {}: {}", case.seed, case.cause);
-        assert_passes(run, case.seed);
-    }
+fn daemons_survive_signals_at_their_start() {
+    assert_cases_pass(10, &SIGNALS_AT_START);
+}
+
+#[test]
+fn no_stream_is_cut_at_the_idle_timeout() {
+    assert_cases_pass(20, &CUT_AT_IDLE_TIMEOUT);
+}
+
+#[test]
+fn no_late_request_is_cut_at_the_end_of_a_shutdown() {
+    assert_cases_pass(30, &CUT_AT_END_OF_GRACE);
 }
