--- a/crates/celeryknot_faults/src/soak.rs
+++ b/crates/celeryknot_faults/src/soak.rs
@@ -8,6 +8,7 @@
 pub mod callers;
 pub mod check;
 pub mod fleet;
+pub mod observations;
 pub mod plan;
 
 use std::collections::BTreeMap;
--- a/crates/celeryknot_faults/src/soak/check.rs
+++ b/crates/celeryknot_faults/src/soak/check.rs
@@ -9,9 +9,8 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 
 use super::callers::{RequestKind, RequestRecord};
-use super::fleet::{
-    COLD_MAX_PER_S, CONFIGURATION_DELAY_MAX, DRAIN_TIME, Observations, RETRY_ALLOWANCE, Shutdown,
-};
+use super::fleet::{COLD_MAX_PER_S, CONFIGURATION_DELAY_MAX, DRAIN_TIME, RETRY_ALLOWANCE};
+use super::observations::{Observations, Shutdown};
 use super::plan::SoakPlan;
 
 /// Retries allowed per 100 requests, in addition to the allowance.
--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use celeryknot_kinrin_standins::caller::TestRequest;
-use celeryknot_kinrin_standins::engine::{Arrival, Behaviour, Engine};
+use celeryknot_kinrin_standins::engine::{Behaviour, Engine};
 use celeryknot_kinrin_standins::site::{
     CONFIGURATION_KEY, ZONE, cold_entry, draining_entry, engine_entry, entry_key,
     generation_configuration, with_address, with_idle_timeout, with_stream_timeout,
@@ -17,6 +17,7 @@
 use eyre::{WrapErr, ensure, eyre};
 
 use super::callers::RequestRecord;
+use super::observations::{Observations, Shutdown, Withdrawal};
 use super::plan::{RunLimits, Step, StepKind};
 use crate::process::{DaemonProcess, RunFolder, loopback_address};
 
@@ -66,58 +67,6 @@
     proxy: FaultProxy,
 }
 
-/// The withdrawal of an endpoint.
-#[derive(Debug, Clone)]
-pub struct Withdrawal {
-    /// The endpoint's id.
-    pub endpoint: String,
-    /// When the store acknowledged the withdrawal.
-    pub at: Instant,
-}
-
-/// The shutdown of a daemon.
-#[derive(Debug, Clone)]
-pub struct Shutdown {
-    /// The daemon.
-    pub daemon: usize,
-    /// When it was sent SIGTERM first.
-    pub terminated_at: Instant,
-    /// When its process had ended.
-    pub exited_at: Instant,
-}
-
-/// The observations of a run.
-#[derive(Debug)]
-pub struct Observations {
-    /// The requests that callers sent, with their outcomes.
-    pub requests: Vec<RequestRecord>,
-    /// The requests that each endpoint received, by the endpoint's id.
-    pub arrivals: Vec<(String, Vec<Arrival>)>,
-    /// When the load started.
-    pub started_at: Instant,
-    /// Daemons that were shut down.
-    pub shutdowns: Vec<Shutdown>,
-    /// Endpoints that were withdrawn.
-    pub withdrawals: Vec<Withdrawal>,
-    /// Endpoints that joined cold, with the end of their cold phase.
-    pub cold: Vec<(String, Instant)>,
-    /// When the store acknowledged each generation of the configuration.
-    pub generations: Vec<(u64, Instant)>,
-    /// When the spare key was revoked.
-    pub revoked_at: Option<Instant>,
-}
-
-impl Observations {
-    /// Returns the requests that an endpoint received.
-    pub(crate) fn arrivals_at<'a>(
-        &'a self,
-        endpoint: &'a str,
-    ) -> impl Iterator<Item = &'a Arrival> {
-        let found = self.arrivals.iter().filter(move |(id, _)| id == endpoint);
-        found.flat_map(|(_, arrivals)| arrivals)
-    }
-}
-
 #[derive(Debug, Default)]
 struct OperatorState {
     generation: u64,
--- /dev/null
+++ b/crates/celeryknot_faults/src/soak/observations.rs
@@ -0,0 +1,59 @@
+//! What callers, endpoints and operators observe in a run.
+
+use std::time::Instant;
+
+use celeryknot_kinrin_standins::engine::Arrival;
+
+use super::callers::RequestRecord;
+
+/// The withdrawal of an endpoint.
+#[derive(Debug, Clone)]
+pub struct Withdrawal {
+    /// The endpoint's id.
+    pub endpoint: String,
+    /// When the store acknowledged the withdrawal.
+    pub at: Instant,
+}
+
+/// The shutdown of a daemon.
+#[derive(Debug, Clone)]
+pub struct Shutdown {
+    /// The daemon.
+    pub daemon: usize,
+    /// When it was sent SIGTERM first.
+    pub terminated_at: Instant,
+    /// When its process had ended.
+    pub exited_at: Instant,
+}
+
+/// The observations of a run.
+#[derive(Debug)]
+pub struct Observations {
+    /// The requests that callers sent, with their outcomes.
+    pub requests: Vec<RequestRecord>,
+    /// The requests that each endpoint received, by the endpoint's id.
+    pub arrivals: Vec<(String, Vec<Arrival>)>,
+    /// When the load started.
+    pub started_at: Instant,
+    /// Daemons that were shut down.
+    pub shutdowns: Vec<Shutdown>,
+    /// Endpoints that were withdrawn.
+    pub withdrawals: Vec<Withdrawal>,
+    /// Endpoints that joined cold, with the end of their cold phase.
+    pub cold: Vec<(String, Instant)>,
+    /// When the store acknowledged each generation of the configuration.
+    pub generations: Vec<(u64, Instant)>,
+    /// When the spare key was revoked.
+    pub revoked_at: Option<Instant>,
+}
+
+impl Observations {
+    /// Returns the requests that an endpoint received.
+    pub(crate) fn arrivals_at<'a>(
+        &'a self,
+        endpoint: &'a str,
+    ) -> impl Iterator<Item = &'a Arrival> {
+        let found = self.arrivals.iter().filter(move |(id, _)| id == endpoint);
+        found.flat_map(|(_, arrivals)| arrivals)
+    }
+}
--- a/crates/celeryknot_faults/tests/soak_check.rs
+++ b/crates/celeryknot_faults/tests/soak_check.rs
@@ -6,7 +6,7 @@
 use celeryknot_faults::plan::Seed;
 use celeryknot_faults::soak::callers::{Answer, Call, RequestKind, RequestRecord};
 use celeryknot_faults::soak::check::{Promise, check};
-use celeryknot_faults::soak::fleet::{Observations, Shutdown, Withdrawal};
+use celeryknot_faults::soak::observations::{Observations, Shutdown, Withdrawal};
 use celeryknot_faults::soak::plan::{RunLimits, SoakPlan, Step, StepKind};
 use celeryknot_kinrin_standins::engine::Arrival;
 use celeryknot_kinrin_standins::http::Message;
