Let the soak wait for a daemon that another step shuts down

Waiting now takes a refused connection for not ready, and ends when the daemon was replaced, as the step that did so waits for its successor.

--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -198,12 +198,15 @@
         )
     }
 
+    /// Waits until a daemon is ready, or another step has replaced it.
     fn wait_until_ready(&self, daemon: usize) -> eyre::Result<()> {
         let address = self.address(daemon, READINESS_PORT);
+        let incarnation = self.incarnation(daemon);
         let until = Instant::now() + READY_TIMEOUT;
         while Instant::now() < until {
-            let is_listening = std::net::TcpStream::connect(address).is_ok();
-            if is_listening && TestRequest::new("GET", "/readyz").run(address).status() == 200 {
+            let response = TestRequest::new("GET", "/readyz").try_run(address);
+            let is_ready = response.is_ok_and(|response| response.status() == 200);
+            if is_ready || self.incarnation(daemon) != incarnation {
                 return Ok(());
             }
             std::thread::sleep(READY_POLL_INTERVAL);
