End the soak's daemons when a step panics

A step that panics is now an error of the run, after which daemons end. Such a request is reported with its first line and its id.

--- a/crates/celeryknot_faults/src/soak.rs
+++ b/crates/celeryknot_faults/src/soak.rs
@@ -15,9 +15,10 @@
 use std::ops::Range;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
+use std::thread::ScopedJoinHandle;
 use std::time::{Duration, Instant};
 
-use eyre::WrapErr;
+use eyre::{WrapErr, eyre};
 use serde::Serialize;
 
 use crate::campaign::{FailedRun, for_each_seed};
@@ -116,8 +117,10 @@
             })
         };
         let threads: Vec<_> = plan.steps.iter().copied().map(spawn_step).collect();
-        threads.into_iter().try_for_each(|thread| {
-            let result = thread.join().expect("no step panics");
+        // A panic here would leave the daemons running, as the callers still hold the fleet.
+        let results: Vec<_> = threads.into_iter().map(ScopedJoinHandle::join).collect();
+        results.into_iter().try_for_each(|result| {
+            let result = result.unwrap_or_else(|_| Err(eyre!("a step panicked")));
             result.wrap_err_with(|| plan.to_string())
         })
     });
--- a/crates/celeryknot_faults/src/soak/check.rs
+++ b/crates/celeryknot_faults/src/soak/check.rs
@@ -282,7 +282,8 @@
             let customer = arrival.head.customer();
             let is_right = customer == Some(CUSTOMER) && !arrival.head.has_key();
             checker.check(Promise::Keys, is_right, || {
-                format!("{endpoint} heard of customer {customer:?}")
+                let (id, line) = (arrival.head.request_id(), &arrival.head.start);
+                format!("{endpoint} heard of customer {customer:?} in {line:?}, request {id:?}")
             });
         }
     }
