--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::Guard;
 use async_channel::{Receiver, Sender};
-use celeryknot_callers::ThreadExecutor;
+use celeryknot_callers::{CallerLimits, ConnectionTimeouts, ThreadExecutor};
 use celeryknot_core::{EndpointName, EndpointTag, MonotonicMs, Refusal, ServiceName, Timers};
 use celeryknot_endpoints::ConnectionPool;
 use celeryknot_policy::direct::cold_rate_limit::ColdRateLimit;
@@ -16,9 +16,10 @@
     AttemptFailure, EndpointPool, Placement, PlacementRequest, PoolLimits, ReportedLoad,
     RetryBounds, RetryShare,
 };
-use celeryknot_policy::routing::Service;
+use celeryknot_policy::routing::{RequestLimits, Service};
 use celeryknot_settings::FleetBounds;
 
+use super::shutdown::RouteTimes;
 use crate::endpoint_updates::{EndpointUpdate, Observation};
 use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate};
 use crate::view::View;
@@ -46,9 +47,16 @@
     applied_bounds: RefCell<Arc<FleetBounds>>,
     /// Updates from peers about endpoints.
     peer_updates: Receiver<PeerUpdate>,
+    /// The active timeouts of callers' connections.
+    pub(crate) connection_timeouts: ConnectionTimeouts,
     /// A signal that is never given while the thread runs.
     pub(crate) never_closed: Signal,
     _never_closed_sender: Sender<Infallible>,
+    /// Durations of answers, for requests that arrive during a shutdown.
+    pub(super) route_times: RefCell<RouteTimes>,
+    /// Closed when requests that still wait for an answer must end.
+    pub(super) final_answers: Signal,
+    _final_answers_sender: Sender<Infallible>,
 }
 
 impl ServiceState {
@@ -76,6 +84,7 @@
         let timers = Timers::default();
         timers.advance(shared.now());
         let (never_sender, never_closed) = async_channel::bounded(1);
+        let (final_answers_sender, final_answers) = async_channel::bounded(1);
         Rc::new(Self {
             connections: ConnectionPool::new(timers.clone()),
             executor,
@@ -84,8 +93,12 @@
             applied_view_version: Cell::new(0),
             applied_bounds: RefCell::new(shared.bounds.load_full()),
             peer_updates,
+            connection_timeouts: ConnectionTimeouts::new(&CallerLimits::default()),
             never_closed,
             _never_closed_sender: never_sender,
+            route_times: RefCell::default(),
+            final_answers,
+            _final_answers_sender: final_answers_sender,
             shared,
         })
     }
@@ -127,11 +140,20 @@
         }
     }
 
+    /// Returns the limits for a new connection of a caller.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        let view = self.view();
+        let limits = view.table.as_ref().map(|table| *table.limits());
+        build_caller_limits(limits.unwrap_or_default())
+    }
+
     fn apply_view(&self, view: &View, bounds: &FleetBounds) {
         let mut services = self.services.borrow_mut();
         let Some(table) = &view.table else {
             return;
         };
+        self.connection_timeouts
+            .update(&build_caller_limits(*table.limits()));
         for service in table.services() {
             let limits = self.pool_limits(view, bounds, service);
             let members = view.members.len().max(MEMBER_COUNT_MIN);
@@ -180,6 +202,13 @@
         }
     }
 
+    /// Returns whether this daemon's share of the service's retry budget has a retry left.
+    pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
+        let mut services = self.services.borrow_mut();
+        let state = services.get_mut(service);
+        state.is_some_and(|state| state.retries.has_retry(self.now()))
+    }
+
     /// Takes one retry from this daemon's share of the service's retry budget.
     pub(crate) fn try_take_retry(&self, service: &ServiceName) -> bool {
         let mut services = self.services.borrow_mut();
@@ -210,6 +239,7 @@
             gateway: Rc::clone(self),
             service: service.clone(),
             endpoint: placement.endpoint.clone(),
+            was_silent: Cell::new(false),
         };
         Ok((placement, guard))
     }
@@ -236,15 +266,31 @@
     }
 }
 
+fn build_caller_limits(limits: RequestLimits) -> CallerLimits {
+    CallerLimits::builder()
+        .header_size_max_bytes(limits.header_size_max_bytes)
+        .header_timeout_ms(limits.header_timeout_ms)
+        .idle_timeout_ms(limits.idle_timeout_ms)
+        .body_timeout_ms(limits.header_timeout_ms)
+        .build()
+}
+
 /// Counts a request as in flight at an endpoint until dropped.
 #[derive(Debug)]
 pub(crate) struct InFlightGuard {
     gateway: Rc<TrafficThread>,
     service: ServiceName,
     endpoint: EndpointName,
+    /// Whether a silence of the endpoint has been recorded.
+    was_silent: Cell<bool>,
 }
 
 impl InFlightGuard {
+    /// Returns the endpoint at which the request counts.
+    pub(crate) fn endpoint(&self) -> &EndpointName {
+        &self.endpoint
+    }
+
     pub(crate) fn observe_load(&self, load: ReportedLoad) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
@@ -263,6 +309,13 @@
         });
     }
 
+    /// Records that the endpoint was silent; further silences during the request count as one.
+    pub(crate) fn observe_silence(&self) {
+        if !self.was_silent.replace(true) {
+            self.observe_failure(AttemptFailure::Unanswered);
+        }
+    }
+
     pub(crate) fn observe_failure(&self, failure: AttemptFailure) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
