--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -7,17 +7,18 @@
 use std::time::{Duration, Instant};
 
 use celeryknot_kinrin_standins::caller::TestRequest;
-use celeryknot_kinrin_standins::engine::{Arrival, Behaviour, Engine};
+use celeryknot_kinrin_standins::engine::{Behaviour, Engine};
 use celeryknot_kinrin_standins::site::{
     CONFIGURATION_KEY, ZONE, cold_entry, draining_entry, engine_entry, entry_key,
-    generation_configuration, with_address,
+    generation_configuration, with_address, with_idle_timeout, with_stream_timeout,
 };
 use celeryknot_kinrin_standins::store::{Store, StoreMode};
 use celeryknot_standins::{Fault, FaultProxy};
 use eyre::{WrapErr, ensure, eyre};
 
 use super::callers::RequestRecord;
-use super::plan::{Step, StepKind};
+use super::observations::{Observations, Shutdown, Withdrawal};
+use super::plan::{RunLimits, Step, StepKind};
 use crate::process::{DaemonProcess, RunFolder, loopback_address};
 
 /// Number of daemons.
@@ -46,9 +47,14 @@
 const FAULT_INTERVAL: Duration = Duration::from_millis(37);
 /// Delay of slow connections to an endpoint.
 const ENDPOINT_DELAY_MS: u64 = 60;
-/// Grace period of a daemon's shutdown, and the time limit for its exit.
-const SHUTDOWN_GRACE_S: u64 = 5;
-const EXIT_TIMEOUT: Duration = Duration::from_secs(SHUTDOWN_GRACE_S + 10);
+/// Time limit for a daemon's exit after the grace time of its shutdown.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Timeout of streams, which is longer than the longest stream.
+pub const STREAM_TIMEOUT_MS: u64 = 12_000;
+/// Time between two events of a stream.
+pub const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// What endpoints do unless a step says otherwise.
+const NORMAL_BEHAVIOUR: Behaviour = Behaviour::StreamByTokens(EVENT_INTERVAL);
 /// Time limit for a started daemon to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -61,48 +67,12 @@
     proxy: FaultProxy,
 }
 
-/// The withdrawal of an endpoint.
-#[derive(Debug, Clone)]
-pub struct Withdrawal {
-    /// The endpoint's id.
-    pub endpoint: String,
-    /// When the store acknowledged the withdrawal.
-    pub at: Instant,
-}
-
-/// The observations of a run.
-#[derive(Debug)]
-pub struct Observations {
-    /// The requests that callers sent, with their outcomes.
-    pub requests: Vec<RequestRecord>,
-    /// The requests that each endpoint received, by the endpoint's id.
-    pub arrivals: Vec<(String, Vec<Arrival>)>,
-    /// Endpoints that were withdrawn.
-    pub withdrawals: Vec<Withdrawal>,
-    /// Endpoints that joined cold, with the end of their cold phase.
-    pub cold: Vec<(String, Instant)>,
-    /// When the store acknowledged each generation of the configuration.
-    pub generations: Vec<(u64, Instant)>,
-    /// When the spare key was revoked.
-    pub revoked_at: Option<Instant>,
-}
-
-impl Observations {
-    /// Returns the requests that an endpoint received.
-    pub(crate) fn arrivals_at<'a>(
-        &'a self,
-        endpoint: &'a str,
-    ) -> impl Iterator<Item = &'a Arrival> {
-        let found = self.arrivals.iter().filter(move |(id, _)| id == endpoint);
-        found.flat_map(|(_, arrivals)| arrivals)
-    }
-}
-
 #[derive(Debug, Default)]
 struct OperatorState {
     generation: u64,
     generations: Vec<(u64, Instant)>,
     revoked_at: Option<Instant>,
+    shutdowns: Vec<Shutdown>,
     withdrawals: Vec<Withdrawal>,
     cold: Vec<(String, Instant)>,
     next_endpoint: usize,
@@ -114,10 +84,12 @@
     binary: PathBuf,
     folder: RunFolder,
     run: u16,
+    limits: RunLimits,
     store: Store,
     store_proxies: Vec<FaultProxy>,
     slots: Vec<Mutex<EndpointSlot>>,
-    removed: Mutex<Vec<Engine>>,
+    /// Endpoints that were delisted; their proxies still carry streams.
+    removed: Mutex<Vec<(Engine, FaultProxy)>>,
     daemons: Vec<Mutex<Option<DaemonProcess>>>,
     incarnations: Vec<AtomicU64>,
     operator: Mutex<OperatorState>,
@@ -133,12 +105,11 @@
     /// # Errors
     ///
     /// Fails when something can't be started or a daemon is not ready in time.
-    pub fn start(binary: &Path, run: u16) -> eyre::Result<Self> {
+    pub fn start(binary: &Path, run: u16, limits: RunLimits) -> eyre::Result<Self> {
         let store = Store::start();
         let slots = (0..ENGINE_COUNT + PLAIN_ENDPOINT_COUNT).map(|index| {
             let service = if index < ENGINE_COUNT { "llm" } else { "desk" };
-            let engine = Engine::start(&format!("i-{service}-{index}"));
-            let proxy = FaultProxy::start_on_loopback(engine.address)?;
+            let (engine, proxy) = start_endpoint(&format!("i-{service}-{index}"))?;
             let slot = EndpointSlot {
                 service,
                 engine,
@@ -153,6 +124,7 @@
             binary: binary.to_owned(),
             folder: RunFolder::create(&format!("soak-{run}"))?,
             run,
+            limits,
             store_proxies: proxies.collect::<eyre::Result<_>>()?,
             store,
             slots,
@@ -181,6 +153,11 @@
         self.incarnations[daemon].load(Ordering::Acquire)
     }
 
+    /// Returns the limits of the daemons.
+    pub fn limits(&self) -> RunLimits {
+        self.limits
+    }
+
     /// Returns the newest generation of the configuration.
     pub fn generation(&self) -> u64 {
         lock(&self.operator).generation
@@ -210,22 +187,26 @@
              [regions]\nzones = {ZONE}\nregions = hkd\n\n\
              [bounds]\nretry_ratio = 0.2\nretry_window_ms = 10s\n\
              retry_allowance = {RETRY_ALLOWANCE}\ncold_factor = 1.5\ncold_allowance = 5\n\
-             load_factor = 2\ndrain_ms = {}ms\nshutdown_grace_ms = {SHUTDOWN_GRACE_S}s\ncache_reuse_ms = 10s\n",
+             load_factor = 2\ndrain_ms = {}ms\nshutdown_grace_ms = {}s\ncache_reuse_ms = 10s\n",
             self.address(daemon, CALLERS_PORT),
             self.address(daemon, READINESS_PORT),
             self.address(daemon, PEERS_PORT),
             self.store_proxies[daemon].address(),
             seeds.join(", "),
             DRAIN_TIME.as_millis(),
+            self.limits.shutdown_grace_s,
         )
     }
 
+    /// Waits until a daemon is ready, or another step has replaced it.
     fn wait_until_ready(&self, daemon: usize) -> eyre::Result<()> {
         let address = self.address(daemon, READINESS_PORT);
+        let incarnation = self.incarnation(daemon);
         let until = Instant::now() + READY_TIMEOUT;
         while Instant::now() < until {
-            let is_listening = std::net::TcpStream::connect(address).is_ok();
-            if is_listening && TestRequest::new("GET", "/readyz").run(address).status() == 200 {
+            let response = TestRequest::new("GET", "/readyz").try_run(address);
+            let is_ready = response.is_ok_and(|response| response.status() == 200);
+            if is_ready || self.incarnation(daemon) != incarnation {
                 return Ok(());
             }
             std::thread::sleep(READY_POLL_INTERVAL);
@@ -257,7 +238,17 @@
         let daemon = step.target % DAEMON_COUNT;
         let wait = || std::thread::sleep(step.duration());
         match step.kind {
-            StepKind::TerminateDaemon => return self.replace_daemon(daemon),
+            StepKind::TerminateDaemon => return self.replace_daemon(daemon, |_| Ok(())),
+            StepKind::TerminateDaemonTwice => {
+                return self.replace_daemon(daemon, |process| {
+                    signal_unless_exited(process, step.duration(), DaemonProcess::terminate)
+                });
+            }
+            StepKind::TerminateAndReloadDaemon => {
+                return self.replace_daemon(daemon, |process| {
+                    signal_unless_exited(process, step.duration(), DaemonProcess::reload)
+                });
+            }
             StepKind::ReloadDaemon => {
                 if let Some(process) = &*lock(&self.daemons[daemon]) {
                     self.wait_until_listening(daemon)?;
@@ -313,14 +304,25 @@
     /// Shuts a daemon down and starts a replacement.
     ///
     /// No request in flight should be left, but the exit status for leftover requests is accepted.
-    fn replace_daemon(&self, daemon: usize) -> eyre::Result<()> {
+    fn replace_daemon(
+        &self,
+        daemon: usize,
+        during_shutdown: impl FnOnce(&mut DaemonProcess) -> eyre::Result<()>,
+    ) -> eyre::Result<()> {
         let mut held = lock(&self.daemons[daemon]);
         let Some(process) = &mut *held else {
             return Ok(());
         };
         self.wait_until_listening(daemon)?;
+        let terminated_at = Instant::now();
         process.terminate()?;
-        let status = process.wait_for_exit(EXIT_TIMEOUT)?;
+        during_shutdown(process)?;
+        let status = process.wait_for_exit(self.limits.shutdown_grace() + EXIT_TIMEOUT)?;
+        lock(&self.operator).shutdowns.push(Shutdown {
+            daemon,
+            terminated_at,
+            exited_at: Instant::now(),
+        });
         ensure!(
             status.code().is_some_and(|code| code <= 1),
             "edge-{daemon} ended with {status}"
@@ -347,6 +349,8 @@
         let number = operator.generation + 1;
         let has_spare_key = operator.revoked_at.is_none() && !revokes;
         let configuration = generation_configuration(number, has_spare_key);
+        let configuration = with_idle_timeout(configuration, self.limits.idle_timeout_ms);
+        let configuration = with_stream_timeout(configuration, STREAM_TIMEOUT_MS);
         self.store.put(CONFIGURATION_KEY, &configuration);
         let now = Instant::now();
         operator.generation = number;
@@ -368,10 +372,8 @@
         let replacement = self.new_endpoint(slot.service);
         std::thread::sleep(DRAIN_TIME);
         self.store.delete(&key);
-        let engine = replacement.0.clone();
-        lock(&self.removed).push(std::mem::replace(&mut slot.engine, replacement.0));
-        slot.proxy = replacement.1;
-        self.store.put(&entry_key(&engine), &slot.entry());
+        self.replace_endpoint(&mut slot, replacement);
+        self.store.put(&entry_key(&slot.engine), &slot.entry());
     }
 
     fn new_endpoint(&self, service: &str) -> (Engine, FaultProxy) {
@@ -380,21 +382,24 @@
             operator.next_endpoint += 1;
             operator.next_endpoint
         };
-        let engine = Engine::start(&format!("i-{service}-new-{number}"));
-        let proxy = FaultProxy::start_on_loopback(engine.address).expect("a loopback port is free");
-        (engine, proxy)
+        start_endpoint(&format!("i-{service}-new-{number}")).expect("a loopback port is free")
+    }
+
+    fn replace_endpoint(&self, slot: &mut EndpointSlot, replacement: (Engine, FaultProxy)) {
+        let engine = std::mem::replace(&mut slot.engine, replacement.0);
+        let proxy = std::mem::replace(&mut slot.proxy, replacement.1);
+        lock(&self.removed).push((engine, proxy));
     }
 
     /// Replaces an engine, which is delisted without draining, with a cold one.
     fn add_cold_engine(&self, index: usize) {
         let mut slot = lock(&self.slots[index]);
-        let (engine, proxy) = self.new_endpoint(slot.service);
+        let replacement = self.new_endpoint(slot.service);
         lock(&self.operator)
             .cold
-            .push((engine.id.clone(), Instant::now() + COLD_TIME));
+            .push((replacement.0.id.clone(), Instant::now() + COLD_TIME));
         self.store.delete(&entry_key(&slot.engine));
-        lock(&self.removed).push(std::mem::replace(&mut slot.engine, engine));
-        slot.proxy = proxy;
+        self.replace_endpoint(&mut slot, replacement);
         let cold_ms = u64::try_from(COLD_TIME.as_millis()).expect("some seconds");
         let entry = cold_entry(slot.entry(), cold_ms);
         self.store.put(&entry_key(&slot.engine), &entry);
@@ -422,18 +427,20 @@
         let engine = lock(slot).engine.clone();
         engine.set_default_behaviour(behaviour);
         std::thread::sleep(step.duration());
-        engine.set_default_behaviour(Behaviour::Good);
+        engine.set_default_behaviour(NORMAL_BEHAVIOUR);
     }
 
     /// Returns the observations of the run, including the callers' requests.
-    pub fn observations(&self, requests: Vec<RequestRecord>) -> Observations {
+    pub fn observations(&self, started_at: Instant, requests: Vec<RequestRecord>) -> Observations {
         let operator = lock(&self.operator);
         let listed = self.slots.iter().map(|slot| lock(slot).engine.clone());
-        let removed = lock(&self.removed).clone();
-        let engines = listed.chain(removed);
+        let removed = lock(&self.removed);
+        let engines = listed.chain(removed.iter().map(|(engine, _)| engine.clone()));
         Observations {
             requests,
             arrivals: engines.map(|it| (it.id.clone(), it.arrivals())).collect(),
+            started_at,
+            shutdowns: operator.shutdowns.clone(),
             withdrawals: operator.withdrawals.clone(),
             cold: operator.cold.clone(),
             generations: operator.generations.clone(),
@@ -442,6 +449,25 @@
     }
 }
 
+/// Sends a signal after the delay, unless the process has ended before.
+fn signal_unless_exited(
+    process: &mut DaemonProcess,
+    delay: Duration,
+    signal: fn(&DaemonProcess) -> eyre::Result<()>,
+) -> eyre::Result<()> {
+    match process.wait_for_exit(delay) {
+        Ok(_) => Ok(()),
+        Err(_) => signal(process),
+    }
+}
+
+fn start_endpoint(id: &str) -> eyre::Result<(Engine, FaultProxy)> {
+    let engine = Engine::start(id);
+    engine.set_default_behaviour(NORMAL_BEHAVIOUR);
+    let proxy = FaultProxy::start_on_loopback(engine.address)?;
+    Ok((engine, proxy))
+}
+
 impl EndpointSlot {
     /// Returns the endpoint's entry, with the proxy's address.
     fn entry(&self) -> serde_json::Value {
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -7,15 +7,15 @@
 mod resume;
 mod send;
 mod serve;
+mod shutdown;
 
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use async_channel::Receiver;
-use celeryknot_callers::CallerLimits;
 use celeryknot_callers::executor::ThreadRuntime;
-use celeryknot_callers::server::{ConnectionContext, serve_connection};
+use celeryknot_callers::server::{ConnectionContext, is_connection_timeout, serve_connection};
 use celeryknot_core::DurationMs;
 use smol::Async;
 use smol::net::TcpStream;
@@ -58,6 +58,7 @@
         smol::Timer::after(TIMER_INTERVAL.as_std()).await;
         let now = gateway.now();
         gateway.timers.advance(now);
+        gateway.signal_final_answers();
         if now - checked_at >= IDLE_CHECK_INTERVAL {
             checked_at = now;
             gateway.connections.close_idle();
@@ -75,7 +76,9 @@
     };
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => serve_caller::<P>(&gateway, TcpStream::from(stream)),
+            Ok((stream, caller)) => {
+                serve_caller::<P>(&gateway, TcpStream::from(stream), caller);
+            }
             // Accepting fails while no file descriptor is available; others may be released.
             Err(error) => {
                 tracing::warn!(%error, "failed to accept a connection");
@@ -85,7 +88,11 @@
     }
 }
 
-fn serve_caller<P: PlatformProtocol>(gateway: &Rc<TrafficThread>, stream: TcpStream) {
+fn serve_caller<P: PlatformProtocol>(
+    gateway: &Rc<TrafficThread>,
+    stream: TcpStream,
+    caller: SocketAddr,
+) {
     let connections_max = u64::from(gateway.shared.settings.connections_max);
     let Some(count_guard) = CountGuard::try_new(&gateway.shared.connections, connections_max)
     else {
@@ -96,7 +103,8 @@
     let connection = ConnectionContext {
         executor: gateway.executor.clone(),
         timers: gateway.timers.clone(),
-        limits: active_limits(&gateway),
+        limits: gateway.caller_limits(),
+        timeouts: gateway.connection_timeouts.clone(),
         shutdown: match gateway.shared.drain_connections.is_closed() {
             // A connection opened after the signal closes after its first response.
             true => gateway.never_closed.clone(),
@@ -105,23 +113,17 @@
     };
     let executor = gateway.executor.clone();
     let serve = async move {
-        let handler = move |request| serve::serve_request::<P>(Rc::clone(&gateway), request);
-        if let Err(error) = serve_connection(stream, &connection, handler).await {
-            tracing::debug!(%error, "caller connection failed");
+        let handler =
+            move |request| serve::serve_request::<P>(Rc::clone(&gateway), caller, request);
+        match serve_connection(stream, &connection, handler).await {
+            Ok(()) => {}
+            Err(error) if is_connection_timeout(&error) => {
+                let reason = format!("{error:#}");
+                tracing::info!(%caller, reason, "caller connection timed out");
+            }
+            Err(error) => tracing::debug!(%caller, %error, "caller connection failed"),
         }
         drop(count_guard);
     };
     executor.spawn(serve).detach();
 }
-
-fn active_limits(gateway: &TrafficThread) -> CallerLimits {
-    let view = gateway.shared.view.load();
-    let limits = view.table.as_ref().map(|table| *table.limits());
-    let limits = limits.unwrap_or_default();
-    CallerLimits::builder()
-        .header_size_max_bytes(limits.header_size_max_bytes)
-        .header_timeout_ms(limits.header_timeout_ms)
-        .idle_timeout_ms(limits.idle_timeout_ms)
-        .body_timeout_ms(limits.header_timeout_ms)
-        .build()
-}
