--- a/crates/celeryknot_faults/src/soak/check.rs
+++ b/crates/celeryknot_faults/src/soak/check.rs
@@ -8,10 +8,9 @@
 use serde::Serialize;
 use strum::{Display, EnumIter, IntoStaticStr};
 
-use super::callers::{RequestKind, RequestRecord, complete_event_ids};
-use super::fleet::{
-    COLD_MAX_PER_S, CONFIGURATION_DELAY_MAX, DRAIN_TIME, Observations, RETRY_ALLOWANCE,
-};
+use super::callers::{RequestKind, RequestRecord};
+use super::fleet::{COLD_MAX_PER_S, CONFIGURATION_DELAY_MAX, DRAIN_TIME, RETRY_ALLOWANCE};
+use super::observations::{Observations, Shutdown};
 use super::plan::SoakPlan;
 
 /// Retries allowed per 100 requests, in addition to the allowance.
@@ -21,6 +20,13 @@
 /// older one.
 const ROLLBACK_TOLERANCE: Duration = Duration::from_millis(250);
 
+/// Share of the grace time after SIGTERM, in eighths, in which a request may be sent whose answer
+/// is cut at the end of the grace time: 3 s of the users' 8 s.
+const CUT_SENT_MAX_EIGHTHS: u32 = 3;
+
+/// Share of the grace time after SIGTERM, in eighths, from which a daemon may cut these answers.
+const CUT_MIN_EIGHTHS: u32 = 7;
+
 /// Status codes which guarantee that the request has not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -52,7 +58,7 @@
     EventsInOrder,
     /// Endpoints receive the right customer name and no key.
     Keys,
-    /// With planned work only, every request that an endpoint ran receives a response.
+    /// With planned work only, every request that a daemon read receives a complete response.
     NoneLost,
     /// A draining endpoint receives no requests after the drain time.
     LeavingLeftAlone,
@@ -114,7 +120,7 @@
         check_executions(&mut checker, request, arrivals);
         check_response(&mut checker, request, observations);
         if plan.is_planned_work() {
-            check_lost_requests(&mut checker, request, arrivals);
+            check_lost_requests(&mut checker, plan, request, arrivals, observations);
             check_active_configuration(&mut checker, request, observations);
         }
     }
@@ -134,20 +140,20 @@
 
 fn check_executions(checker: &mut Checker, request: &RequestRecord, arrivals: &[&Arrival]) {
     let runs = run_count(arrivals);
-    if !request.kind.is_repeatable() {
+    if !request.call.kind.is_repeatable() {
         checker.check(Promise::AtMostOnce, runs <= 1, || {
-            format!("{} {} was run {runs} times", request.kind, request.id)
+            format!("{} {} was run {runs} times", request.call.kind, request.id)
         });
     }
     let status = request
         .response
         .as_ref()
         .map_or(0, |response| response.status);
-    if NOT_RUN_STATUSES.contains(&status) && !request.kind.is_repeatable() {
+    if NOT_RUN_STATUSES.contains(&status) && !request.call.kind.is_repeatable() {
         checker.check(Promise::TrueRefusals, runs == 0, || {
             format!(
                 "{} {} was answered {status} and run",
-                request.kind, request.id
+                request.call.kind, request.id
             )
         });
     }
@@ -157,13 +163,13 @@
     let Some(response) = request.response.as_ref().filter(|it| it.status == 200) else {
         return;
     };
-    let is_stream = matches!(request.kind, RequestKind::Chat | RequestKind::Draft);
+    let is_stream = matches!(request.call.kind, RequestKind::Chat | RequestKind::Draft);
     if is_stream {
         let ids = response.event_ids();
-        let all_ids = complete_event_ids();
+        let all_ids: Vec<usize> = (1..=request.call.event_count).collect();
         let is_in_order = all_ids.starts_with(&ids) && (!response.is_whole || ids == all_ids);
         checker.check(Promise::EventsInOrder, is_in_order, || {
-            format!("{} {}: events {ids:?}", request.kind, request.id)
+            format!("{} {}: events {ids:?}", request.call.kind, request.id)
         });
     }
     if !response.is_whole {
@@ -178,21 +184,73 @@
     checker.check(
         Promise::WholeAnswers,
         is_matching && is_from_endpoint,
-        || format!("{} {}: {response:?}", request.kind, request.id),
+        || format!("{} {}: {response:?}", request.call.kind, request.id),
     );
 }
 
-/// A request that ran must receive a complete response; the error for an expired deadline counts.
-fn check_lost_requests(checker: &mut Checker, request: &RequestRecord, arrivals: &[&Arrival]) {
-    if run_count(arrivals) > 0 {
-        let is_answered = request
-            .response
-            .as_ref()
-            .is_some_and(|response| response.is_whole);
-        checker.check(Promise::NoneLost, is_answered, || {
-            format!("{} {} at edge-{}", request.kind, request.id, request.daemon)
-        });
+/// A request that was read must receive a complete response; refusals count, also the one for an
+/// expired deadline.
+///
+/// A request was certainly read if it reached an endpoint or its response began. Of other ones
+/// without a response, the daemon may have closed the connection before they arrived.
+fn check_lost_requests(
+    checker: &mut Checker,
+    plan: &SoakPlan,
+    request: &RequestRecord,
+    arrivals: &[&Arrival],
+    observations: &Observations,
+) {
+    if arrivals.is_empty() && request.response.is_none() {
+        return;
     }
+    let response = request.response.as_ref();
+    let is_answered = response.is_some_and(|response| response.is_whole);
+    let shutdown = observations.shutdowns.iter().find(|shutdown| {
+        shutdown.daemon == request.daemon
+            && request.sent_at <= shutdown.exited_at
+            && request.ended_at >= shutdown.terminated_at
+    });
+    let grace = plan.limits.shutdown_grace();
+    let may_be_cut = shutdown.is_some_and(|shutdown| {
+        request.sent_at <= shutdown.terminated_at + grace * CUT_SENT_MAX_EIGHTHS / 8
+            && request.ended_at >= shutdown.terminated_at + grace * CUT_MIN_EIGHTHS / 8
+    });
+    checker.check(Promise::NoneLost, is_answered || may_be_cut, || {
+        describe_lost_request(plan, request, shutdown, observations.started_at)
+    });
+}
+
+fn describe_lost_request(
+    plan: &SoakPlan,
+    request: &RequestRecord,
+    shutdown: Option<&Shutdown>,
+    started_at: Instant,
+) -> String {
+    let seconds = |at: Instant| at.saturating_duration_since(started_at).as_secs_f64();
+    let part = request.response.as_ref().map_or_else(
+        || "without a response".to_owned(),
+        |response| {
+            let received = response.event_ids().len();
+            let of = request.call.event_count;
+            format!(
+                "with status {} and {received} of {of} events",
+                response.status
+            )
+        },
+    );
+    let signal = shutdown.map_or_else(String::new, |shutdown| {
+        let (signal, exit) = (seconds(shutdown.terminated_at), seconds(shutdown.exited_at));
+        format!("; SIGTERM at {signal:.3} s, exit at {exit:.3} s")
+    });
+    format!(
+        "seed {}: {} {} at edge-{}, sent at {:.3} s, ended at {:.3} s {part}{signal}",
+        plan.seed,
+        request.call.kind,
+        request.id,
+        request.daemon,
+        seconds(request.sent_at),
+        seconds(request.ended_at),
+    )
 }
 
 /// After the allowed delay, requests to routes of older generations and requests with a revoked
@@ -203,7 +261,7 @@
     observations: &Observations,
 ) {
     let is_active_when_sent = |at: Instant| at + CONFIGURATION_DELAY_MAX < request.sent_at;
-    if let RequestKind::Generation(number) = request.kind {
+    if let RequestKind::Generation(number) = request.call.kind {
         let newer = observations.generations.iter().find(|(it, _)| *it > number);
         if newer.is_some_and(|(_, at)| is_active_when_sent(*at)) {
             checker.check(Promise::ConfigurationInForce, !request.is_success(), || {
@@ -211,7 +269,7 @@
             });
         }
     }
-    if request.has_spare_key && observations.revoked_at.is_some_and(is_active_when_sent) {
+    if request.call.has_spare_key && observations.revoked_at.is_some_and(is_active_when_sent) {
         checker.check(Promise::ConfigurationInForce, !request.is_success(), || {
             format!("{} ran with a key that was taken away", request.id)
         });
@@ -224,7 +282,8 @@
             let customer = arrival.head.customer();
             let is_right = customer == Some(CUSTOMER) && !arrival.head.has_key();
             checker.check(Promise::Keys, is_right, || {
-                format!("{endpoint} heard of customer {customer:?}")
+                let (id, line) = (arrival.head.request_id(), &arrival.head.start);
+                format!("{endpoint} heard of customer {customer:?} in {line:?}, request {id:?}")
             });
         }
     }
@@ -246,7 +305,7 @@
 }
 
 fn check_rollbacks(checker: &mut Checker, observations: &Observations) {
-    let generation = |request: &RequestRecord| match request.kind {
+    let generation = |request: &RequestRecord| match request.call.kind {
         RequestKind::Generation(number) => request.is_success().then_some(number),
         RequestKind::Read | RequestKind::Book | RequestKind::Chat | RequestKind::Draft => None,
     };
