--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::Guard;
 use async_channel::{Receiver, Sender};
-use celeryknot_callers::ThreadExecutor;
+use celeryknot_callers::{CallerLimits, ConnectionTimeouts, ThreadExecutor};
 use celeryknot_core::{EndpointName, EndpointTag, MonotonicMs, Refusal, ServiceName, Timers};
 use celeryknot_endpoints::ConnectionPool;
 use celeryknot_policy::direct::cold_rate_limit::ColdRateLimit;
@@ -16,9 +16,10 @@
     AttemptFailure, EndpointPool, Placement, PlacementRequest, PoolLimits, ReportedLoad,
     RetryBounds, RetryShare,
 };
-use celeryknot_policy::routing::Service;
+use celeryknot_policy::routing::{RequestLimits, Service};
 use celeryknot_settings::FleetBounds;
 
+use super::shutdown::RouteTimes;
 use crate::endpoint_updates::{EndpointUpdate, Observation};
 use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate};
 use crate::view::View;
@@ -46,9 +47,16 @@
     applied_bounds: RefCell<Arc<FleetBounds>>,
     /// Updates from peers about endpoints.
     peer_updates: Receiver<PeerUpdate>,
+    /// The active timeouts of callers' connections.
+    pub(crate) connection_timeouts: ConnectionTimeouts,
     /// A signal that is never given while the thread runs.
     pub(crate) never_closed: Signal,
     _never_closed_sender: Sender<Infallible>,
+    /// Durations of answers, for requests that arrive during a shutdown.
+    pub(super) route_times: RefCell<RouteTimes>,
+    /// Closed when requests that still wait for an answer must end.
+    pub(super) final_answers: Signal,
+    _final_answers_sender: Sender<Infallible>,
 }
 
 impl ServiceState {
@@ -76,6 +84,7 @@
         let timers = Timers::default();
         timers.advance(shared.now());
         let (never_sender, never_closed) = async_channel::bounded(1);
+        let (final_answers_sender, final_answers) = async_channel::bounded(1);
         Rc::new(Self {
             connections: ConnectionPool::new(timers.clone()),
             executor,
@@ -84,8 +93,12 @@
             applied_view_version: Cell::new(0),
             applied_bounds: RefCell::new(shared.bounds.load_full()),
             peer_updates,
+            connection_timeouts: ConnectionTimeouts::new(&CallerLimits::default()),
             never_closed,
             _never_closed_sender: never_sender,
+            route_times: RefCell::default(),
+            final_answers,
+            _final_answers_sender: final_answers_sender,
             shared,
         })
     }
@@ -127,11 +140,20 @@
         }
     }
 
+    /// Returns the limits for a new connection of a caller.
+    pub(crate) fn caller_limits(&self) -> CallerLimits {
+        let view = self.view();
+        let limits = view.table.as_ref().map(|table| *table.limits());
+        build_caller_limits(limits.unwrap_or_default())
+    }
+
     fn apply_view(&self, view: &View, bounds: &FleetBounds) {
         let mut services = self.services.borrow_mut();
         let Some(table) = &view.table else {
             return;
         };
+        self.connection_timeouts
+            .update(&build_caller_limits(*table.limits()));
         for service in table.services() {
             let limits = self.pool_limits(view, bounds, service);
             let members = view.members.len().max(MEMBER_COUNT_MIN);
@@ -244,6 +266,15 @@
     }
 }
 
+fn build_caller_limits(limits: RequestLimits) -> CallerLimits {
+    CallerLimits::builder()
+        .header_size_max_bytes(limits.header_size_max_bytes)
+        .header_timeout_ms(limits.header_timeout_ms)
+        .idle_timeout_ms(limits.idle_timeout_ms)
+        .body_timeout_ms(limits.header_timeout_ms)
+        .build()
+}
+
 /// Counts a request as in flight at an endpoint until dropped.
 #[derive(Debug)]
 pub(crate) struct InFlightGuard {
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -15,6 +15,7 @@
 use super::context::{InFlightGuard, TrafficThread};
 use super::resume;
 use super::send::{AttemptProgress, EndpointResponse, connect, read_buffered, send, with_timeout};
+use super::shutdown::draining_refusal;
 use crate::platform_protocol::PlatformProtocol;
 
 /// `Retry-After` of a refusal where another endpoint may serve the request immediately.
@@ -97,15 +98,20 @@
         gateway.timers.after(remaining_ms).await;
         None
     };
+    let on_shutdown = async {
+        gateway.final_answers_due().await;
+        None
+    };
+    let time_out = future::or(on_deadline, on_shutdown);
     let attempts = async { Some(forward.run_attempts::<P>().await) };
-    match future::or(attempts, on_deadline).await {
+    match future::or(attempts, time_out).await {
         Some(Ok(Answer::Complete(response))) => Ok(*response),
         Some(Ok(Answer::Stream(endpoint_response))) => Ok(resume::build_stream_response::<P>(
             forward,
             *endpoint_response,
         )),
         Some(Err(refusal)) => Err(refusal),
-        None => Err(Refusal::new(forward.timeout_kind())),
+        None => Err(forward.refuse_unanswered()),
     }
 }
 
@@ -114,20 +120,29 @@
         self.call.deadline - self.gateway.now()
     }
 
-    /// Returns the error kind for a request whose deadline has passed.
-    fn timeout_kind(&self) -> ErrorKind {
+    /// Builds the refusal of a request whose deadline, or whose daemon's time, has passed.
+    fn refuse_unanswered(&self) -> Refusal {
         if self.history.may_have_run() || self.progress.may_have_been_sent.get() {
-            return ErrorKind::AnswerTimeout;
+            return Refusal::new(ErrorKind::AnswerTimeout);
+        }
+        match self.remaining_ms() > DurationMs(0) {
+            true => draining_refusal(),
+            false => Refusal::new(ErrorKind::DeadlineUnreachable),
         }
-        ErrorKind::DeadlineUnreachable
     }
 
     async fn run_attempts<P: PlatformProtocol>(&mut self) -> Result<Answer, Refusal> {
+        self.gateway.check_shutdown(&self.call)?;
         let mut placed = self.place()?;
         loop {
             placed = match self.attempt::<P>(placed).await {
                 AttemptResult::Final(answer) => return Ok(answer),
-                AttemptResult::Failed(failure) => self.place_retry(failure)?,
+                AttemptResult::Failed(failure) => {
+                    let next = self.place_retry(failure)?;
+                    let checked = self.gateway.check_shutdown(&self.call);
+                    checked.map_err(|_| self.refuse(failure))?;
+                    next
+                }
                 AttemptResult::Retry(next) => *next,
             };
         }
@@ -392,8 +407,9 @@
                 .observe_failure(AttemptFailure::EndpointError);
             self.log_failure(&placement, AttemptFailure::EndpointError);
             // Without a retry, the caller gets this response.
-            let is_repeatable = self.call.route.kind.is_repeatable();
-            if is_repeatable && let Ok(next) = self.place_retry(AttemptFailure::EndpointError) {
+            let may_retry = self.call.route.kind.is_repeatable()
+                && self.gateway.check_shutdown(&self.call).is_ok();
+            if may_retry && let Ok(next) = self.place_retry(AttemptFailure::EndpointError) {
                 return AttemptResult::Retry(Box::new(next));
             }
         }
