--- a/crates/celeryknot_endpoints/src/answer.rs
+++ b/crates/celeryknot_endpoints/src/answer.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::connection::{ConnectionPool, EndpointConnection};
+use crate::framing::BodyFraming;
 use crate::idle_timeout::IdleTimeout;
 
 /// The reason why a response failed after its head.
@@ -38,6 +39,7 @@
 #[derive(Debug)]
 pub struct AnswerBody {
     incoming: Incoming,
+    framing: BodyFraming,
     connection: Option<EndpointConnection>,
     pool_entry: Option<PoolEntry>,
     remaining_bytes: u64,
@@ -49,6 +51,7 @@
     /// Creates the body of a response that arrives on `connection`.
     pub fn new(
         incoming: Incoming,
+        framing: BodyFraming,
         connection: EndpointConnection,
         pool_entry: Option<PoolEntry>,
         size_max: SizeBytes,
@@ -56,6 +59,7 @@
     ) -> Self {
         Self {
             incoming,
+            framing,
             connection: Some(connection),
             pool_entry,
             remaining_bytes: size_max.0,
@@ -64,6 +68,11 @@
         }
     }
 
+    /// Returns how the endpoint marks the end of the body.
+    pub fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
     fn poll_incoming(
         &mut self,
         context: &mut Context<'_>,
--- a/crates/celeryknot_endpoints/src/call.rs
+++ b/crates/celeryknot_endpoints/src/call.rs
@@ -7,13 +7,14 @@
 
 use celeryknot_core::{DurationMs, ErrorKind, Execution, RequestId, SizeBytes, header};
 use futures_lite::future;
-use http::header::{CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
-use http::{HeaderMap, Method, Request, Response, StatusCode, response};
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, Request, Response, StatusCode, response};
 use hyper::body::{Body, Incoming};
 
 use crate::answer::{AnswerBody, PoolEntry};
 use crate::connection::{ConnectionPool, EndpointConnection};
 use crate::exchange::exchange;
+use crate::framing::BodyFraming;
 use crate::idle_timeout::IdleTimeout;
 use crate::load::{LoadReport, parse_load_report};
 use crate::request_body::RequestBody;
@@ -239,7 +240,9 @@
                 load,
             });
         }
-        if !has_explicit_end(self.request.method(), &head) {
+        // A close-delimited response can't be distinguished from a truncated one.
+        let framing = BodyFraming::of(self.request.method(), &head);
+        if framing == BodyFraming::CloseDelimited {
             return Err(ErrorKind::AnswerIncomplete.into());
         }
         if incoming.size_hint().lower() > self.answer_size_max.0 {
@@ -251,6 +254,7 @@
         });
         let body = AnswerBody::new(
             incoming,
+            framing,
             connection,
             pool_entry,
             self.answer_size_max,
@@ -335,15 +339,3 @@
     let seconds: u64 = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
     Some(DurationMs(seconds.saturating_mul(1000)))
 }
-
-/// Returns whether the framing marks the end of the body.
-///
-/// A close-delimited response can't be distinguished from a truncated one.
-fn has_explicit_end(method: &Method, head: &response::Parts) -> bool {
-    let has_no_body = method == Method::HEAD
-        || head.status == StatusCode::NO_CONTENT
-        || head.status == StatusCode::NOT_MODIFIED;
-    has_no_body
-        || head.headers.contains_key(CONTENT_LENGTH)
-        || head.headers.contains_key(TRANSFER_ENCODING)
-}
--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use celeryknot_core::ErrorKind;
 use celeryknot_core::timers::Sleep;
-use celeryknot_endpoints::{AnswerBody, AnswerError};
+use celeryknot_endpoints::{AnswerBody, AnswerError, BodyFraming};
 use futures_lite::Stream;
 use hyper::body::{Body, Frame, SizeHint};
 
@@ -39,6 +39,8 @@
 #[derive(Debug)]
 pub(crate) struct GatewayBody {
     source: BodySource,
+    /// How the endpoint marked the end of the body; `None` for a response of this daemon.
+    framing: Option<BodyFraming>,
     in_flight: Option<CountGuard>,
     request_log: Option<RequestLog>,
 }
@@ -47,6 +49,7 @@
     pub(super) fn new(source: BodySource) -> Self {
         Self {
             source,
+            framing: None,
             in_flight: None,
             request_log: None,
         }
@@ -56,6 +59,16 @@
         Self::new(BodySource::Buffered((!bytes.is_empty()).then_some(bytes)))
     }
 
+    /// Sets how the endpoint marked the end of the body.
+    pub(super) fn with_framing(mut self, framing: BodyFraming) -> Self {
+        self.framing = Some(framing);
+        self
+    }
+
+    pub(super) fn framing(&self) -> Option<BodyFraming> {
+        self.framing
+    }
+
     /// Holds the in-flight count and the log line until the body ends or the caller disconnects.
     pub(super) fn hold_until_end(mut self, in_flight: CountGuard, request_log: RequestLog) -> Self {
         self.in_flight = Some(in_flight);
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -452,8 +452,8 @@
         if !status.is_server_error() {
             endpoint_response.guard.observe_success();
         }
-        let mut response =
-            Response::from_parts(endpoint_response.head, GatewayBody::buffered(bytes));
+        let body = GatewayBody::buffered(bytes).with_framing(endpoint_response.body.framing());
+        let mut response = Response::from_parts(endpoint_response.head, body);
         strip_response_headers::<P>(&mut response);
         Ok(Answer::Complete(Box::new(response)))
     }
@@ -466,12 +466,14 @@
 ) -> Response<GatewayBody> {
     endpoint_response.guard.observe_success();
     let deadline = forward.gateway.timers.after(forward.remaining_ms());
+    let framing = endpoint_response.body.framing();
     let source = BodySource::Endpoint {
         body: Box::new(endpoint_response.body),
         deadline: Box::pin(deadline),
         _guard: endpoint_response.guard,
     };
-    let mut response = Response::from_parts(endpoint_response.head, GatewayBody::new(source));
+    let body = GatewayBody::new(source).with_framing(framing);
+    let mut response = Response::from_parts(endpoint_response.head, body);
     strip_response_headers::<P>(&mut response);
     response
 }
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -32,6 +32,7 @@
         return forward_stream::<P>(&forward, endpoint_response);
     }
     let head = endpoint_response.head.clone();
+    let framing = endpoint_response.body.framing();
     let (chunks, received) = async_channel::bounded(EVENT_QUEUE_LEN_MAX);
     let executor = forward.gateway.executor.clone();
     let relay = StreamRelay {
@@ -44,7 +45,8 @@
         chunks: Box::pin(received),
         _task: executor.spawn(relay.run::<P>(endpoint_response)),
     };
-    let mut response = Response::from_parts(head, GatewayBody::new(source));
+    let body = GatewayBody::new(source).with_framing(framing);
+    let mut response = Response::from_parts(head, body);
     strip_response_headers::<P>(&mut response);
     response
 }
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind, SizeBytes};
 use celeryknot_endpoints::{
-    AnswerBody, EndpointConnection, ExchangeError, IdleTimeout, PoolEntry, exchange,
+    AnswerBody, BodyFraming, EndpointConnection, ExchangeError, IdleTimeout, PoolEntry, exchange,
 };
 use celeryknot_policy::direct::{AttemptFailure, Placement};
 use futures_lite::future;
@@ -151,6 +151,7 @@
     let idle_timeout = IdleTimeout::new(gateway.timers.clone(), idle_timeout_ms);
     let body = AnswerBody::new(
         incoming,
+        BodyFraming::of(&call.method, &head),
         connection,
         pool_entry,
         ANSWER_SIZE_MAX,
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -12,6 +12,7 @@
 use celeryknot_core::{
     DurationMs, ErrorKind, MonotonicMs, Refusal, RegionName, TokenCount, ZoneName,
 };
+use celeryknot_endpoints::BodyFraming;
 use celeryknot_policy::direct::{AnswerTime, SharedPrefix};
 use celeryknot_policy::routing::{Route, RoutingTable, allowed_zones};
 use http::header::CONNECTION;
@@ -48,6 +49,8 @@
     arrived_at: MonotonicMs,
     status: u16,
     outcome: &'static str,
+    /// How the endpoint marks the end of its answer, once the head has arrived.
+    framing: Option<BodyFraming>,
     /// Set once the head of an endpoint's answer has arrived.
     answer: Option<AnswerHeadTime>,
 }
@@ -86,6 +89,7 @@
             caller = %self.caller,
             status = self.status,
             outcome = self.outcome,
+            framing = self.framing.map(<&str>::from),
             took_ms = took_ms.0,
             "request ended"
         );
@@ -108,6 +112,7 @@
         arrived_at: gateway.now(),
         status: 0,
         outcome: "caller-left",
+        framing: None,
         answer: None,
         gateway: Rc::clone(&gateway),
     };
@@ -187,6 +192,7 @@
     .map_err(Refusal::new)?;
     let (route, output_tokens_max) = (Arc::clone(&call.route), call.head.output_tokens_max);
     let answer = forward::run::<P>(gateway, Call { body, ..call }).await?;
+    request_log.framing = answer.body().framing();
     request_log.answer = answer.status().is_success().then(|| AnswerHeadTime {
         route,
         output_tokens_max,
