--- a/crates/celeryknot_standins/src/lib.rs
+++ b/crates/celeryknot_standins/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod fault_proxy;
 pub mod load;
 pub mod platform;
+pub mod raw_caller;
+pub mod raw_endpoint;
 mod server;
 pub mod service;
 pub mod text;
--- a/crates/celeryknotd/tests/odd_answers.rs
+++ b/crates/celeryknotd/tests/odd_answers.rs
@@ -4,15 +4,14 @@
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 mod fleet;
-mod raw;
 
 use std::net::SocketAddr;
 
 use celeryknot_core::{DurationMs, Execution, SizeBytes};
 use celeryknot_settings::ServiceSettings;
+use celeryknot_standins::raw_endpoint::{RawEndpoint, RawReply, ReplyEnd};
 use celeryknot_standins::{Caller, CallerOptions, LOOPBACK, Outcome, Service, ServiceOptions};
 use fleet::{PLAIN_SERVICE, TestEndpoint, TestFleet, TestOptions, booking, plain_settings};
-use raw::{Reply, ScriptedEndpoint};
 use socket2::{Domain, Socket, Type};
 
 /// Index of the daemon that owns the endpoints; the caller connects to the first one.
@@ -20,7 +19,7 @@
 
 struct Case {
     name: &'static str,
-    reply: Reply,
+    reply: RawReply,
     status: u16,
     code: &'static str,
     execution: Execution,
@@ -29,9 +28,10 @@
 const CASES: [Case; 8] = [
     Case {
         name: "refused without execution",
-        reply: Reply::Bytes(
+        reply: RawReply::new(
             "HTTP/1.1 503 Service Unavailable\r\nceleryknot-request-id: {id}\r\n\
              celeryknot-execution: not-run\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n",
+            ReplyEnd::Close,
         ),
         status: 503,
         code: "endpoint-refused",
@@ -39,16 +39,17 @@
     },
     Case {
         name: "closed without a response",
-        reply: Reply::Bytes(""),
+        reply: RawReply::new("", ReplyEnd::Close),
         status: 502,
         code: "outcome-unknown",
         execution: Execution::Unknown,
     },
     Case {
         name: "closed during the body",
-        reply: Reply::Bytes(
+        reply: RawReply::new(
             "HTTP/1.1 201 Created\r\nceleryknot-request-id: {id}\r\n\
              content-length: 30\r\n\r\n{\"slot\":",
+            ReplyEnd::Close,
         ),
         status: 502,
         code: "answer-incomplete",
@@ -56,16 +57,20 @@
     },
     Case {
         name: "without a body length",
-        reply: Reply::Bytes("HTTP/1.1 201 Created\r\nceleryknot-request-id: {id}\r\n\r\n{}"),
+        reply: RawReply::new(
+            "HTTP/1.1 201 Created\r\nceleryknot-request-id: {id}\r\n\r\n{}",
+            ReplyEnd::Close,
+        ),
         status: 502,
         code: "answer-incomplete",
         execution: Execution::Unknown,
     },
     Case {
         name: "response to another request",
-        reply: Reply::Bytes(
+        reply: RawReply::new(
             "HTTP/1.1 201 Created\r\nceleryknot-request-id: 00000000000000ff\r\n\
              content-length: 2\r\n\r\n{}",
+            ReplyEnd::Close,
         ),
         status: 502,
         code: "answer-mismatched",
@@ -73,16 +78,20 @@
     },
     Case {
         name: "response without a request id",
-        reply: Reply::Bytes("HTTP/1.1 201 Created\r\ncontent-length: 2\r\n\r\n{}"),
+        reply: RawReply::new(
+            "HTTP/1.1 201 Created\r\ncontent-length: 2\r\n\r\n{}",
+            ReplyEnd::Close,
+        ),
         status: 502,
         code: "answer-mismatched",
         execution: Execution::Unknown,
     },
     Case {
         name: "response above the size limit",
-        reply: Reply::Bytes(
+        reply: RawReply::new(
             "HTTP/1.1 201 Created\r\nceleryknot-request-id: {id}\r\n\
              content-length: 40\r\n\r\n0123456789012345678901234567890123456789",
+            ReplyEnd::Close,
         ),
         status: 502,
         code: "answer-too-large",
@@ -90,7 +99,7 @@
     },
     Case {
         name: "no response",
-        reply: Reply::Nothing,
+        reply: RawReply::new("", ReplyEnd::Silence),
         status: 504,
         code: "answer-timeout",
         execution: Execution::Unknown,
@@ -124,8 +133,8 @@
 fn booking_is_sent_once_and_its_execution_is_reported_correctly() {
     for case in &CASES {
         for owner in OWNERS {
-            let first = ScriptedEndpoint::start(case.reply);
-            let second = ScriptedEndpoint::start(case.reply);
+            let first = RawEndpoint::start(case.reply.clone()).unwrap();
+            let second = RawEndpoint::start(case.reply.clone()).unwrap();
             let endpoints = [
                 endpoint("odd-1", first.address, owner),
                 endpoint("odd-2", second.address, owner),
@@ -155,7 +164,7 @@
 fn read_is_retried_at_another_endpoint() {
     for case in &CASES {
         for owner in OWNERS {
-            let first = ScriptedEndpoint::start(case.reply);
+            let first = RawEndpoint::start(case.reply.clone()).unwrap();
             let healthy = Service::start(ServiceOptions::default(), LOOPBACK).unwrap();
             let endpoints = [
                 endpoint("odd-1", first.address, owner),
