Reset the connection of an HTTP/1.0 caller whose response breaks off

A response without a length reaches callers of HTTP/1.0 close-delimited, so any end of the connection looks like the end of the body: a stream that its endpoint broke off looked complete, and so did one whose daemon ended in the middle of it. From the head to the end of such a body the socket now has a linger time of zero. Whatever ends the connection meanwhile, an error, a timeout or the end of the process, the caller sees a reset, which an end with the body's bytes can't be taken for.

--- a/crates/celeryknot_callers/src/lib.rs
+++ b/crates/celeryknot_callers/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod limits;
 pub mod problem;
 pub mod request;
+pub mod response_end;
 pub mod server;
 pub mod token;
 
--- a/crates/celeryknot_callers/src/server.rs
+++ b/crates/celeryknot_callers/src/server.rs
@@ -26,6 +26,7 @@
 use crate::head_scanner::{AmbiguousFraming, HeadScanner, HeadTimeout, ScannedStream};
 use crate::limits::{CallerLimits, ConnectionTimeouts};
 use crate::problem::problem_response;
+use crate::response_end::frame_http1;
 
 /// Connection preface that starts an HTTP/2 connection.
 const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
@@ -137,6 +138,7 @@
         Rc::clone(&in_flight),
     );
     let scanned_stream = ScannedStream::new(stream.clone(), Rc::clone(&scanner), head_timeout);
+    let caller_stream = stream.clone();
     let service = service_fn(move |mut request: Request<Incoming>| {
         served_marker.set(true);
         let is_ambiguous = scanner.borrow_mut().pop_is_ambiguous();
@@ -144,6 +146,7 @@
             request.extensions_mut().insert(AmbiguousFraming);
         }
         let answer = handler(request);
+        let answer_stream = caller_stream.clone();
         let guard = InFlightGuard::new(&in_flight);
         async move {
             let mut answer = answer.await?;
@@ -151,6 +154,7 @@
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
             }
+            let answer = frame_http1(answer, &answer_stream);
             Ok::<_, Infallible>(answer.map(|body| InFlightBody {
                 body,
                 _guard: guard,
@@ -240,7 +244,7 @@
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<B>, Infallible>> + 'static,
-    B: Body<Data = Bytes> + 'static,
+    B: Body<Data = Bytes> + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let header_size_bytes = u32::try_from(context.limits.header_size_bytes()).unwrap_or(u32::MAX);
