Frame a response to the caller as its endpoint framed it

Cause: an endpoint's response with neither a length nor chunks ends with its connection, and the HTTP library reports that as the end of the body. The gateway sent such a body on in chunks, and a buffered one with a length, so that an end that might be a truncation became a certain one. A stream that ended inside an event was checked only on routes that may be resumed.

Class: a hop that replaces the framing of a message and thereby states more than it received.

Change: - An event stream that ends inside an event fails, whatever its framing says: the check is in the response body, for all routes and both data planes. Its length isn't announced, since the last byte would complete the response before the check. - The body keeps how its end was marked. A close-delimited one reaches callers of HTTP/1 close-delimited (of version 1.0, which is how the HTTP library writes it), callers of HTTP/2 with `celeryknot-body-end: unverified`. - The first endpoint of a resumed stream decides its framing; where that marks the end and the last endpoint's doesn't, the stream is cut, and the caller can resume it.

--- a/crates/celeryknot_callers/src/response_end.rs
+++ b/crates/celeryknot_callers/src/response_end.rs
@@ -5,28 +5,62 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Response, Version};
+use celeryknot_core::header::{BODY_END, BODY_END_UNVERIFIED};
+use http::header::CONNECTION;
+use http::{HeaderName, HeaderValue, Response, Version};
 use hyper::body::{Body, Frame, SizeHint};
 use smol::net::TcpStream;
 use socket2::SockRef;
 
-/// Prepares a response to a caller of HTTP/1.
+/// Marks a response, as an extension, whose body may have been truncated before its end.
+///
+/// Callers of HTTP/1 get it close-delimited, as it was received. HTTP/2 has no such framing; its
+/// callers get a header field that says so.
+#[derive(Debug, Clone, Copy)]
+pub struct UnverifiedEnd;
+
+/// Frames a response to a caller of HTTP/1.
+///
+/// The HTTP library delimits a body by the end of the connection only in responses of version 1.0.
 pub(crate) fn frame_http1<B: Body>(
-    response: Response<B>,
+    mut response: Response<B>,
     stream: &TcpStream,
 ) -> Response<CallerBody<B>> {
-    let has_length = response.body().size_hint().exact().is_some();
+    let is_unverified = response.extensions().get::<UnverifiedEnd>().is_some();
+    if is_unverified {
+        *response.version_mut() = Version::HTTP_10;
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    let has_length = !is_unverified && response.body().size_hint().exact().is_some();
     let is_close_delimited = response.version() == Version::HTTP_10 && !has_length;
     response.map(|body| CallerBody {
         body,
+        is_unverified,
         reset_guard: is_close_delimited.then(|| ResetGuard::new(stream.clone())),
     })
 }
 
+/// Frames a response to a caller of HTTP/2.
+pub(crate) fn frame_http2<B: Body>(mut response: Response<B>) -> Response<CallerBody<B>> {
+    let is_unverified = response.extensions().get::<UnverifiedEnd>().is_some();
+    if is_unverified {
+        let unverified = HeaderValue::from_static(BODY_END_UNVERIFIED);
+        let name = HeaderName::from_static(BODY_END);
+        response.headers_mut().insert(name, unverified);
+    }
+    response.map(|body| CallerBody {
+        body,
+        is_unverified,
+        reset_guard: None,
+    })
+}
+
 /// The body of a response to a caller.
 #[derive(Debug)]
 pub(crate) struct CallerBody<B> {
     body: B,
+    is_unverified: bool,
     /// Present until the end of a close-delimited body.
     reset_guard: Option<ResetGuard>,
 }
@@ -49,12 +83,15 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        // The HTTP library does not poll a body that has ended.
-        self.reset_guard.is_none() && self.body.is_end_stream()
+        // The HTTP library gives an empty body a length, and does not poll one that has ended.
+        !self.is_unverified && self.reset_guard.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        match self.is_unverified {
+            true => SizeHint::default(),
+            false => self.body.size_hint(),
+        }
     }
 }
 
--- a/crates/celeryknot_callers/src/server.rs
+++ b/crates/celeryknot_callers/src/server.rs
@@ -26,7 +26,7 @@
 use crate::head_scanner::{AmbiguousFraming, HeadScanner, HeadTimeout, ScannedStream};
 use crate::limits::{CallerLimits, ConnectionTimeouts};
 use crate::problem::problem_response;
-use crate::response_end::frame_http1;
+use crate::response_end::{frame_http1, frame_http2};
 
 /// Connection preface that starts an HTTP/2 connection.
 const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
@@ -255,7 +255,13 @@
         .max_send_buf_size(SEND_BUFFER_SIZE_BYTES)
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
-        .serve_connection(FuturesIo::new(stream), service_fn(handler));
+        .serve_connection(
+            FuturesIo::new(stream),
+            service_fn(move |request| {
+                let answer = handler(request);
+                async move { answer.await.map(frame_http2) }
+            }),
+        );
     Ok(drive(
         connection,
         |connection| connection.graceful_shutdown(),
--- a/crates/celeryknot_core/src/header.rs
+++ b/crates/celeryknot_core/src/header.rs
@@ -24,5 +24,9 @@
 pub const EXECUTION: &str = "celeryknot-execution";
 /// Carries the stable code of a refusal between daemons.
 pub const REFUSAL: &str = "celeryknot-refusal";
+/// States on a response over HTTP/2 that its end is not known to be its complete end.
+pub const BODY_END: &str = "celeryknot-body-end";
+/// The value of [`BODY_END`].
+pub const BODY_END_UNVERIFIED: &str = "unverified";
 /// Authenticates a daemon to another daemon.
 pub const PEER_AUTH: &str = "celeryknot-peer-auth";
--- a/crates/celeryknot_endpoints/src/answer.rs
+++ b/crates/celeryknot_endpoints/src/answer.rs
@@ -6,11 +6,14 @@
 
 use bytes::Bytes;
 use celeryknot_core::{ErrorKind, SizeBytes};
+use http::header::CONTENT_TYPE;
+use http::{Method, Response, response};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::connection::{ConnectionPool, EndpointConnection};
 use crate::framing::BodyFraming;
 use crate::idle_timeout::IdleTimeout;
+use crate::sse::EventBoundary;
 
 /// The reason why a response failed after its head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,13 +36,53 @@
     pub address: SocketAddr,
 }
 
+/// A response body and what its head says about it.
+#[derive(Debug)]
+pub struct ReceivedBody {
+    /// The body's bytes.
+    pub incoming: Incoming,
+    /// How the end of the body is marked.
+    pub framing: BodyFraming,
+    /// Whether the body is a stream of events, which must not end inside an event.
+    pub is_event_stream: bool,
+    /// The connection on which it arrives.
+    pub connection: EndpointConnection,
+}
+
+impl ReceivedBody {
+    /// Splits the response to a request with `method` into its head and its body.
+    pub fn split(
+        method: &Method,
+        response: Response<Incoming>,
+        connection: EndpointConnection,
+    ) -> (response::Parts, Self) {
+        let (head, incoming) = response.into_parts();
+        let content_type = head.headers.get(CONTENT_TYPE);
+        let is_event_stream =
+            content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
+        let framing = BodyFraming::of(method, &head);
+        let body = Self {
+            incoming,
+            framing,
+            is_event_stream,
+            connection,
+        };
+        (head, body)
+    }
+}
+
 /// The body of a response.
 ///
+/// An event stream that ends inside an event fails, whatever its framing says. The end of a
+/// close-delimited body is reported as its end, though the body may have been truncated.
+///
 /// Dropping it before its end closes the connection, which cancels the request at the endpoint.
 #[derive(Debug)]
 pub struct AnswerBody {
     incoming: Incoming,
     framing: BodyFraming,
+    /// The position in the events of an event stream.
+    event_boundary: Option<EventBoundary>,
     connection: Option<EndpointConnection>,
     pool_entry: Option<PoolEntry>,
     remaining_bytes: u64,
@@ -48,18 +91,23 @@
 }
 
 impl AnswerBody {
-    /// Creates the body of a response that arrives on `connection`.
+    /// Creates the body of a response that has arrived.
     pub fn new(
-        incoming: Incoming,
-        framing: BodyFraming,
-        connection: EndpointConnection,
+        received: ReceivedBody,
         pool_entry: Option<PoolEntry>,
         size_max: SizeBytes,
         idle_timeout: IdleTimeout,
     ) -> Self {
+        let ReceivedBody {
+            incoming,
+            framing,
+            is_event_stream,
+            connection,
+        } = received;
         Self {
             incoming,
             framing,
+            event_boundary: is_event_stream.then(EventBoundary::default),
             connection: Some(connection),
             pool_entry,
             remaining_bytes: size_max.0,
@@ -73,6 +121,17 @@
         self.framing
     }
 
+    /// Returns the announced length of the body, if there is one.
+    pub fn announced_len(&self) -> Option<u64> {
+        self.incoming.size_hint().exact()
+    }
+
+    fn is_inside_event(&self) -> bool {
+        self.event_boundary
+            .as_ref()
+            .is_some_and(EventBoundary::is_inside_event)
+    }
+
     fn poll_incoming(
         &mut self,
         context: &mut Context<'_>,
@@ -88,8 +147,11 @@
         poll
     }
 
-    fn deduct_size(&mut self, frame: &Frame<Bytes>) -> Result<(), AnswerError> {
+    fn check_frame(&mut self, frame: &Frame<Bytes>) -> Result<(), AnswerError> {
         let len = frame.data_ref().map_or(0, |data| data.len() as u64);
+        if let (Some(boundary), Some(data)) = (&mut self.event_boundary, frame.data_ref()) {
+            boundary.push(data);
+        }
         match self.remaining_bytes.checked_sub(len) {
             Some(remaining_bytes) => {
                 self.remaining_bytes = remaining_bytes;
@@ -138,15 +200,18 @@
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(()) => Err(AnswerError(ErrorKind::AnswerTimeout)),
             },
+            Poll::Ready(None) if this.is_inside_event() => {
+                Err(AnswerError(ErrorKind::AnswerIncomplete))
+            }
             Poll::Ready(None) => {
                 this.finish(context);
                 return Poll::Ready(None);
             }
             Poll::Ready(Some(Err(_))) => Err(AnswerError(ErrorKind::AnswerIncomplete)),
-            Poll::Ready(Some(Ok(frame))) => this.deduct_size(&frame).map(|()| frame),
+            Poll::Ready(Some(Ok(frame))) => this.check_frame(&frame).map(|()| frame),
         };
         this.idle_timeout.reset();
-        if result.is_ok() && this.incoming.is_end_stream() {
+        if result.is_ok() && this.incoming.is_end_stream() && !this.is_inside_event() {
             // Consumers do not poll a body of known length again after its last byte.
             this.finish(context);
         }
@@ -159,6 +224,10 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
+        match self.event_boundary {
+            // With its length, the last byte would complete the response before its end is checked.
+            Some(_) => SizeHint::default(),
+            None => self.incoming.size_hint(),
+        }
     }
 }
--- a/crates/celeryknot_endpoints/src/call.rs
+++ b/crates/celeryknot_endpoints/src/call.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Request, Response, StatusCode, response};
 use hyper::body::{Body, Incoming};
 
-use crate::answer::{AnswerBody, PoolEntry};
+use crate::answer::{AnswerBody, PoolEntry, ReceivedBody};
 use crate::connection::{ConnectionPool, EndpointConnection};
 use crate::exchange::exchange;
 use crate::framing::BodyFraming;
@@ -230,7 +230,7 @@
         connection: EndpointConnection,
         answer: Response<Incoming>,
     ) -> Result<EndpointResponse, CallFailure> {
-        let (head, incoming) = answer.into_parts();
+        let (head, received) = ReceivedBody::split(self.request.method(), answer, connection);
         self.check_echo(&head.headers)?;
         let load = parse_load_report(&head.headers);
         if is_refusal(&head) {
@@ -241,11 +241,10 @@
             });
         }
         // A close-delimited response can't be distinguished from a truncated one.
-        let framing = BodyFraming::of(self.request.method(), &head);
-        if framing == BodyFraming::CloseDelimited {
+        if received.framing == BodyFraming::CloseDelimited {
             return Err(ErrorKind::AnswerIncomplete.into());
         }
-        if incoming.size_hint().lower() > self.answer_size_max.0 {
+        if received.incoming.size_hint().lower() > self.answer_size_max.0 {
             return Err(ErrorKind::AnswerTooLarge.into());
         }
         let pool_entry = (self.reuse != Reuse::Never).then(|| PoolEntry {
@@ -253,9 +252,7 @@
             address,
         });
         let body = AnswerBody::new(
-            incoming,
-            framing,
-            connection,
+            received,
             pool_entry,
             self.answer_size_max,
             IdleTimeout::new(connections.timers().clone(), self.timeouts.idle_ms),
--- a/crates/celeryknot_endpoints/src/lib.rs
+++ b/crates/celeryknot_endpoints/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod request_body;
 pub mod sse;
 
-pub use answer::{AnswerBody, AnswerError, PoolEntry};
+pub use answer::{AnswerBody, AnswerError, PoolEntry, ReceivedBody};
 pub use call::{Call, CallFailure, CallTimeouts, EndpointResponse, Reuse};
 pub use connection::{ConnectionPool, EndpointConnection};
 pub use exchange::{ExchangeError, exchange};
@@ -23,4 +23,4 @@
 pub use idle_timeout::IdleTimeout;
 pub use load::LoadReport;
 pub use request_body::RequestBody;
-pub use sse::{EventSplitter, SseEvent, SseParser, TokenEvent};
+pub use sse::{EventBoundary, EventSplitter, SseEvent, SseParser, TokenEvent};
--- a/crates/celeryknot_endpoints/src/sse.rs
+++ b/crates/celeryknot_endpoints/src/sse.rs
@@ -3,10 +3,15 @@
 use bytes::{Buf, Bytes, BytesMut};
 use celeryknot_core::ErrorKind;
 use serde::Deserialize;
+use smallvec::SmallVec;
 
 /// Largest accepted event.
 pub const EVENT_SIZE_MAX_BYTES: usize = 64 << 10;
 
+/// What ends an event: a blank line, in each of the line ends that streams use.
+const SEPARATORS: [&[u8]; 3] = [b"\r\n\r\n", b"\n\n", b"\r\r"];
+const SEPARATOR_LEN_MAX: usize = 4;
+
 /// One event of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SseEvent {
@@ -111,6 +116,41 @@
     }
 }
 
+/// Tracks whether the bytes of an event stream so far end inside an event.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_endpoints::sse::EventBoundary;
+///
+/// let mut boundary = EventBoundary::default();
+/// boundary.push(b"id: 7\ndata: a\n");
+/// assert!(boundary.is_inside_event());
+/// boundary.push(b"\n");
+/// assert!(!boundary.is_inside_event());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct EventBoundary {
+    /// The last bytes, as many as the longest separator has.
+    tail: SmallVec<[u8; SEPARATOR_LEN_MAX]>,
+}
+
+impl EventBoundary {
+    /// Appends the next bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        let from = bytes.len().saturating_sub(SEPARATOR_LEN_MAX);
+        let last = &bytes[from..];
+        let surplus = (self.tail.len() + last.len()).saturating_sub(SEPARATOR_LEN_MAX);
+        self.tail.drain(..surplus);
+        self.tail.extend_from_slice(last);
+    }
+
+    /// Returns whether the stream would end inside an event if it ended here.
+    pub fn is_inside_event(&self) -> bool {
+        !self.tail.is_empty() && !SEPARATORS.iter().any(|it| self.tail.ends_with(it))
+    }
+}
+
 /// Returns the `id` field of an event, if it has one.
 pub fn event_id(event: &[u8]) -> Option<&str> {
     let line = event
@@ -161,10 +201,8 @@
 fn event_len(bytes: &[u8], from: usize) -> Option<usize> {
     (from..bytes.len()).find_map(|start| {
         let rest = &bytes[start..];
-        if rest.starts_with(b"\n\n") {
-            return Some(start + 2);
-        }
-        rest.starts_with(b"\r\n\r\n").then_some(start + 4)
+        let separator = SEPARATORS.iter().find(|it| rest.starts_with(it))?;
+        Some(start + separator.len())
     })
 }
 
--- a/crates/celeryknot_endpoints/tests/parsers.rs
+++ b/crates/celeryknot_endpoints/tests/parsers.rs
@@ -4,7 +4,7 @@
 #![allow(clippy::unwrap_used, reason = "a test may panic")]
 
 use celeryknot_endpoints::sse::EVENT_SIZE_MAX_BYTES;
-use celeryknot_endpoints::{LoadReport, SseEvent, SseParser};
+use celeryknot_endpoints::{EventBoundary, EventSplitter, LoadReport, SseEvent, SseParser};
 use proptest::prelude::*;
 
 fn parse_in_chunks(bytes: &[u8], chunk_len: usize) -> Vec<SseEvent> {
@@ -75,3 +75,39 @@
         .count();
     assert_eq!(accepted_chunks, EVENT_SIZE_MAX_BYTES >> 10);
 }
+
+/// Streams of events in each of the line ends, and whether they end inside an event.
+const EVENT_STREAMS: [(&str, bool); 10] = [
+    ("", false),
+    ("data: a\n\n", false),
+    ("data: a\r\n\r\n", false),
+    ("data: a\r\r", false),
+    ("data: a\n\ndata: b\n\n", false),
+    ("d", true),
+    ("data: a\n", true),
+    ("data: a\r\n\r", true),
+    ("data: a\r", true),
+    ("data: a\n\nid: 1\n", true),
+];
+
+#[test]
+fn stream_that_ends_inside_an_event_is_noticed_wherever_it_is_split() {
+    for (text, is_inside_event) in EVENT_STREAMS {
+        for at in 0..=text.len() {
+            let (first, rest) = text.as_bytes().split_at(at);
+            let mut boundary = EventBoundary::default();
+            let mut splitter = EventSplitter::default();
+            for part in [first, rest] {
+                boundary.push(part);
+                splitter.push(part).unwrap();
+                while splitter.next_event().is_some() {}
+            }
+            assert_eq!(boundary.is_inside_event(), is_inside_event, "{text:?} {at}");
+            assert_eq!(
+                splitter.has_partial_event(),
+                is_inside_event,
+                "{text:?} {at}"
+            );
+        }
+    }
+}
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -3,7 +3,7 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind};
-use celeryknot_endpoints::{AnswerError, EventSplitter, sse};
+use celeryknot_endpoints::{AnswerError, BodyFraming, EventSplitter, sse};
 use celeryknot_policy::direct::AttemptFailure;
 use futures_lite::future;
 use http::Response;
@@ -38,6 +38,7 @@
     let relay = StreamRelay {
         forward,
         chunks,
+        framing,
         last_event_id: None,
         events: 0,
     };
@@ -55,6 +56,8 @@
 struct StreamRelay {
     forward: Forward,
     chunks: Sender<Result<Bytes, AnswerError>>,
+    /// How the first endpoint marks the end, which decides the framing to the caller.
+    framing: BodyFraming,
     /// The id of the last forwarded event.
     last_event_id: Option<String>,
     events: u64,
@@ -104,7 +107,7 @@
             let placed = match end {
                 StreamEnd::Complete => {
                     endpoint_response.guard.observe_success();
-                    return None;
+                    return self.unverified_end(endpoint_response.body.framing());
                 }
                 StreamEnd::CallerDisconnected => return None,
                 StreamEnd::Failed(failure) => {
@@ -139,6 +142,13 @@
         }
     }
 
+    /// Returns an error if the stream may be truncated but the caller would take it for complete.
+    fn unverified_end(&self, framing: BodyFraming) -> Option<ErrorKind> {
+        let is_unverified = framing == BodyFraming::CloseDelimited;
+        let can_tell_caller = self.framing == BodyFraming::CloseDelimited;
+        (is_unverified && !can_tell_caller).then_some(ErrorKind::AnswerIncomplete)
+    }
+
     /// Returns whether another endpoint can go on after the last forwarded event.
     ///
     /// Without an event id, it could only start over.
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind, SizeBytes};
 use celeryknot_endpoints::{
-    AnswerBody, BodyFraming, EndpointConnection, ExchangeError, IdleTimeout, PoolEntry, exchange,
+    AnswerBody, EndpointConnection, ExchangeError, IdleTimeout, PoolEntry, ReceivedBody, exchange,
 };
 use celeryknot_policy::direct::{AttemptFailure, Placement};
 use futures_lite::future;
@@ -126,10 +126,10 @@
     call: &Call,
     placement: &Placement,
     guard: &InFlightGuard,
-    mut connection: EndpointConnection,
+    connection: EndpointConnection,
     answer: Response<Incoming>,
 ) -> Result<(response::Parts, AnswerBody), AttemptFailure> {
-    let (head, incoming) = answer.into_parts();
+    let (head, mut received) = ReceivedBody::split(&call.method, answer, connection);
     let answer_head = P::read_answer(&head);
     if let Some(load) = answer_head.load {
         guard.observe_load(load);
@@ -138,7 +138,7 @@
         .keep_alive_ms
         .map(|keep_alive_ms| DurationMs(keep_alive_ms.0.saturating_sub(KEEP_ALIVE_MARGIN.0)));
     if let Some(idle_max) = idle_max {
-        connection.set_idle_max(idle_max);
+        received.connection.set_idle_max(idle_max);
     }
     if let Some(failure) = classify_failure(call, &head, &answer_head) {
         return Err(failure);
@@ -149,14 +149,7 @@
     });
     let idle_timeout_ms = call.deadline - gateway.now();
     let idle_timeout = IdleTimeout::new(gateway.timers.clone(), idle_timeout_ms);
-    let body = AnswerBody::new(
-        incoming,
-        BodyFraming::of(&call.method, &head),
-        connection,
-        pool_entry,
-        ANSWER_SIZE_MAX,
-        idle_timeout,
-    );
+    let body = AnswerBody::new(received, pool_entry, ANSWER_SIZE_MAX, idle_timeout);
     Ok((head, body))
 }
 
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -9,6 +9,7 @@
 use celeryknot_callers::body::read_body;
 use celeryknot_callers::framing::check_framing;
 use celeryknot_callers::head_scanner::AmbiguousFraming;
+use celeryknot_callers::response_end::UnverifiedEnd;
 use celeryknot_core::{
     DurationMs, ErrorKind, MonotonicMs, Refusal, RegionName, TokenCount, ZoneName,
 };
@@ -136,6 +137,9 @@
     let head_ms = gateway.now() - request_log.arrived_at;
     gateway.shared.metrics.observe_first_byte(head_ms);
     *answer.version_mut() = version;
+    if answer.body().framing() == Some(BodyFraming::CloseDelimited) {
+        answer.extensions_mut().insert(UnverifiedEnd);
+    }
     if version != Version::HTTP_2 && gateway.shared.is_draining() {
         // Makes the caller open its next connection to another daemon.
         let close = HeaderValue::from_static("close");
