Serve close-delimited responses in the native daemon

What callers saw: a response with neither a length nor chunks was refused as incomplete (502, execution unknown), and a ticket that got one was spent, though such a response is legal.

Cause: the daemon had no way to pass on that an end is not certain, so it took every such response for a truncated one.

Change: it forwards them with the framing they were received with. The mark goes from the owner of the endpoint to the entry daemon in `celeryknot-body-end`, which the HTTP/2 server of both writes; a daemon of an earlier version doesn't announce that it knows the mark and still gets a refusal. The response stored for a ticket keeps the mark. Small event streams with a length are still buffered, as the announced length no longer depends on what the caller gets.

--- a/crates/celeryknot_endpoints/src/call.rs
+++ b/crates/celeryknot_endpoints/src/call.rs
@@ -14,7 +14,6 @@
 use crate::answer::{AnswerBody, PoolEntry, ReceivedBody};
 use crate::connection::{ConnectionPool, EndpointConnection};
 use crate::exchange::exchange;
-use crate::framing::BodyFraming;
 use crate::idle_timeout::IdleTimeout;
 use crate::load::{LoadReport, parse_load_report};
 use crate::request_body::RequestBody;
@@ -240,10 +239,6 @@
                 load,
             });
         }
-        // A close-delimited response can't be distinguished from a truncated one.
-        if received.framing == BodyFraming::CloseDelimited {
-            return Err(ErrorKind::AnswerIncomplete.into());
-        }
         if received.incoming.size_hint().lower() > self.answer_size_max.0 {
             return Err(ErrorKind::AnswerTooLarge.into());
         }
--- a/crates/celeryknotd/src/traffic/body.rs
+++ b/crates/celeryknotd/src/traffic/body.rs
@@ -56,9 +56,13 @@
 
     /// Returns whether the announced size is small enough to buffer the response completely.
     pub(crate) fn is_small(&self) -> bool {
-        self.size_hint()
-            .exact()
-            .is_some_and(|size_bytes| size_bytes <= BUFFERED_SIZE_MAX.0)
+        let announced_len = match &self.source {
+            AnswerSource::Endpoint(body) => body.body.announced_len(),
+            AnswerSource::Buffered(_) | AnswerSource::Peer(_) | AnswerSource::Relay(_) => {
+                self.size_hint().exact()
+            }
+        };
+        announced_len.is_some_and(|size_bytes| size_bytes <= BUFFERED_SIZE_MAX.0)
     }
 
     pub(crate) fn with_in_flight(mut self, in_flight: CountGuard) -> Self {
--- a/crates/celeryknotd/src/traffic/entry.rs
+++ b/crates/celeryknotd/src/traffic/entry.rs
@@ -8,6 +8,7 @@
 use celeryknot_callers::CallerRequest;
 use celeryknot_callers::problem::problem_response;
 use celeryknot_callers::request::{CHAT_COMPLETIONS_PATH, Target, retain_end_to_end_headers};
+use celeryknot_callers::response_end::UnverifiedEnd;
 use celeryknot_callers::token::has_token;
 use celeryknot_core::{EndpointName, ErrorKind, Refusal, RequestId, ServiceName};
 use celeryknot_operators::metrics::RequestKind;
@@ -252,6 +253,8 @@
         if asks_stream && stream::is_stream(&placed.answer.head) {
             let mut head = placed.answer.head.clone();
             head.headers.remove(CONTENT_LENGTH);
+            // The relay ends the stream only after its last event.
+            head.extensions.remove::<UnverifiedEnd>();
             let body = stream::relay(context, dispatch, placed);
             let answer = Answer { head, body };
             return Ok(finish_answer(context, validated, &endpoint, answer));
--- a/crates/celeryknotd/src/traffic/hop.rs
+++ b/crates/celeryknotd/src/traffic/hop.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use celeryknot_callers::response_end::UnverifiedEnd;
 use celeryknot_core::keyed_hash::{AUTH_CODE_LEN_BYTES, KeyRing};
 use celeryknot_core::{
     DurationMs, ErrorKind, Incarnation, MemberName, MonotonicMs, Refusal, RequestId, ServiceName,
@@ -10,13 +11,16 @@
 };
 use celeryknot_policy::attempt::CallSafety;
 use http::header::CONTENT_LENGTH;
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, response};
 use strum::{Display, EnumString, IntoStaticStr};
 
 use super::requests::{EndpointAttempt, ValidatedRequest, header_value};
 use super::shared::BodyReservation;
 use crate::snapshot::{ServiceSnapshot, Snapshot};
 
+#[cfg(test)]
+mod tests;
+
 /// Carries the [`HopKind`].
 const HOP: &str = "celeryknot-hop";
 const ENDPOINT: &str = "celeryknot-endpoint";
@@ -29,9 +33,10 @@
 const COST_TOKENS: &str = "celeryknot-cost-tokens";
 const ALTERNATIVE_WAIT_MS: &str = "celeryknot-alternative-wait-ms";
 const RETRY_AFTER_MS: &str = "celeryknot-retry-after-ms";
+const ACCEPTS_UNVERIFIED_END: &str = "celeryknot-accepts-unverified-end";
 
 /// Header fields between daemons that must not reach an endpoint.
-const HOP_FIELDS: [&str; 11] = [
+const HOP_FIELDS: [&str; 12] = [
     HOP,
     ENDPOINT,
     TEAM,
@@ -42,6 +47,7 @@
     NEEDS_COMPLETE_ANSWER,
     COST_TOKENS,
     ALTERNATIVE_WAIT_MS,
+    ACCEPTS_UNVERIFIED_END,
     header::PEER_AUTH,
 ];
 
@@ -172,6 +178,7 @@
 }
 
 fn write_service(service: &ServiceSnapshot, headers: &mut HeaderMap) {
+    headers.insert(ACCEPTS_UNVERIFIED_END, HeaderValue::from_static("1"));
     headers.insert(TEAM, header_value(&service.team));
     headers.insert(SERVICE, header_value(&service.name));
 }
@@ -312,6 +319,36 @@
     })
 }
 
+/// Returns whether the sender of a request handles responses with an unverified end.
+pub(crate) fn accepts_unverified_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(ACCEPTS_UNVERIFIED_END)
+}
+
+/// Checks that a peer can tell its caller how certain the end of a response is.
+///
+/// # Errors
+///
+/// `AnswerIncomplete` if the response may have been truncated and the peer, of an earlier version,
+/// would forward it as complete.
+pub(crate) fn check_body_end(
+    head: &response::Parts,
+    accepts_unverified_end: bool,
+) -> Result<(), Refusal> {
+    let has_unverified_end = head.extensions.get::<UnverifiedEnd>().is_some();
+    match has_unverified_end && !accepts_unverified_end {
+        true => Err(Refusal::new(ErrorKind::AnswerIncomplete)),
+        false => Ok(()),
+    }
+}
+
+/// Reads from a peer's response whether it has an unverified end; the HTTP/2 server wrote it.
+pub(crate) fn read_body_end(head: &mut response::Parts) {
+    let end = head.headers.get(header::BODY_END);
+    if end.is_some_and(|value| value == header::BODY_END_UNVERIFIED) {
+        head.extensions.insert(UnverifiedEnd);
+    }
+}
+
 /// Removes hop-by-hop fields and the router's own fields, which an endpoint must not set.
 pub(crate) fn strip_answer(headers: &mut HeaderMap) {
     celeryknot_callers::hop_by_hop::strip(headers);
--- a/crates/celeryknotd/src/traffic/owner.rs
+++ b/crates/celeryknotd/src/traffic/owner.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 
+use celeryknot_callers::response_end::UnverifiedEnd;
 use celeryknot_core::{DurationMs, ErrorKind, Execution, Refusal};
-use celeryknot_endpoints::{Call, CallFailure, CallTimeouts, EndpointResponse, Reuse};
+use celeryknot_endpoints::{BodyFraming, Call, CallFailure, CallTimeouts, EndpointResponse, Reuse};
 use celeryknot_policy::admission::{FinishOutcome, FinishStatus};
 use celeryknot_policy::attempt::CallSafety;
 use http::header::HOST;
@@ -181,9 +182,13 @@
     } else {
         FinishStatus::Succeeded
     };
+    let mut head = answer.head;
+    if answer.body.framing() == BodyFraming::CloseDelimited {
+        head.extensions.insert(UnverifiedEnd);
+    }
     let body = EndpointBody::new(answer.body, permit, clock, sent_at, complete_status);
     Answer {
-        head: answer.head,
+        head,
         body: DaemonBody::new(AnswerSource::Endpoint(Box::new(body))),
     }
 }
--- a/crates/celeryknotd/src/traffic/peer_connection.rs
+++ b/crates/celeryknotd/src/traffic/peer_connection.rs
@@ -319,7 +319,8 @@
     M: Fn() -> Result<(), ErrorKind>,
 {
     let (connection, answer) = send(context, target, request, may_send).await?;
-    let (head, incoming) = answer.into_parts();
+    let (mut head, incoming) = answer.into_parts();
+    hop::read_body_end(&mut head);
     if let Some(refusal) = hop::read_refusal(&head.headers) {
         return Err(refusal);
     }
--- a/crates/celeryknotd/src/traffic/peer_server.rs
+++ b/crates/celeryknotd/src/traffic/peer_server.rs
@@ -34,11 +34,16 @@
     }
     context.shared.metrics.traffic.forwards_in.inc();
     let in_flight = CountGuard::new(&context.shared.in_flight);
+    let accepts_unverified_end = hop::accepts_unverified_end(&head.headers);
     let result = match hop {
         HopKind::Owner => handle_attempt(&context, head, body).await,
         HopKind::Issuer => handle_ticketed_call(&context, head, body).await,
         HopKind::Probe => Err(Refusal::new(ErrorKind::InternalError)),
     };
+    let result = result.and_then(|answer| {
+        hop::check_body_end(&answer.head, accepts_unverified_end)?;
+        Ok(answer)
+    });
     Ok(match result {
         Ok(answer) => forwarded_response(answer, in_flight),
         Err(refusal) => refusal_response(refusal),
--- a/crates/celeryknotd/src/traffic/ticket_actor.rs
+++ b/crates/celeryknotd/src/traffic/ticket_actor.rs
@@ -13,6 +13,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Whether the body may have been truncated before its end.
+    pub(crate) has_unverified_end: bool,
 }
 
 impl StoredAnswer {
--- a/crates/celeryknotd/src/traffic/ticketed.rs
+++ b/crates/celeryknotd/src/traffic/ticketed.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use celeryknot_callers::CallerRequest;
 use celeryknot_callers::problem::problem_response;
+use celeryknot_callers::response_end::UnverifiedEnd;
 use celeryknot_core::{DurationMs, ErrorKind, Execution, Refusal, ServiceName, SizeBytes, header};
 use celeryknot_operators::metrics::RequestKind;
 use celeryknot_policy::ticket::{Claim, Ticket, TicketError};
@@ -354,6 +355,7 @@
         status: head.status,
         headers: head.headers,
         body,
+        has_unverified_end: head.extensions.get::<UnverifiedEnd>().is_some(),
     })
 }
 
@@ -361,6 +363,9 @@
     let mut response = Response::new(DaemonBody::buffered(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
+    if answer.has_unverified_end {
+        response.extensions_mut().insert(UnverifiedEnd);
+    }
     let (head, body) = response.into_parts();
     Answer { head, body }
 }
