Keep a traffic thread running while an endpoint sends without end

What a caller would see: one endpoint that sends informational responses without end stopped the whole traffic thread of a daemon, and with it every other caller; the request itself never ended. Our test hung for ten minutes on it. A stream of small chunks whose caller reads fast held the thread for 25 s against a deadline of 1.5 s.

Cause: the HTTP library loops inside one poll, over informational responses and chunk sizes while bytes arrive, and over the frames of a body while its caller takes them; no timer runs meanwhile.

Change: one poll of a connection to an endpoint reads at most 256 KiB; at most 1 MiB may arrive without a head or data, which ends such a response at once; a response body yields after 64 frames.

--- a/crates/celeryknot_endpoints/src/answer.rs
+++ b/crates/celeryknot_endpoints/src/answer.rs
@@ -15,6 +15,11 @@
 use crate::idle_timeout::IdleTimeout;
 use crate::sse::EventBoundary;
 
+/// Frames after which other tasks of the thread run.
+///
+/// The HTTP library takes frames for as long as there are any and its caller reads them.
+const FRAMES_PER_YIELD: u32 = 64;
+
 /// The reason why a response failed after its head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerError(pub ErrorKind);
@@ -88,6 +93,7 @@
     remaining_bytes: u64,
     idle_timeout: IdleTimeout,
     has_ended: bool,
+    frames_until_yield: u32,
 }
 
 impl AnswerBody {
@@ -113,6 +119,7 @@
             remaining_bytes: size_max.0,
             idle_timeout,
             has_ended: false,
+            frames_until_yield: FRAMES_PER_YIELD,
         }
     }
 
@@ -136,13 +143,16 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let poll = Pin::new(&mut self.incoming).poll_frame(context);
+        let mut poll = Pin::new(&mut self.incoming).poll_frame(context);
         let Some(connection) = &mut self.connection else {
             return poll;
         };
         if poll.is_pending() {
             connection.poll_io(context);
-            return Pin::new(&mut self.incoming).poll_frame(context);
+            poll = Pin::new(&mut self.incoming).poll_frame(context);
+        }
+        if poll.is_ready() {
+            connection.start_part();
         }
         poll
     }
@@ -195,6 +205,12 @@
             return Poll::Ready(None);
         }
         let this = &mut *self;
+        if this.frames_until_yield == 0 {
+            this.frames_until_yield = FRAMES_PER_YIELD;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        this.frames_until_yield -= 1;
         let result = match this.poll_incoming(context) {
             Poll::Pending => match this.idle_timeout.poll(context) {
                 Poll::Pending => return Poll::Pending,
--- a/crates/celeryknot_endpoints/src/connection.rs
+++ b/crates/celeryknot_endpoints/src/connection.rs
@@ -16,6 +16,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
+use crate::read_budget::{BudgetedStream, ReadBudget};
 use crate::request_body::RequestBody;
 
 /// Limit on the idle connections that a thread keeps to one endpoint.
@@ -35,7 +36,8 @@
 pub struct EndpointConnection {
     sender: http1::SendRequest<RequestBody>,
     /// Boxed because a connection is large and moves with each call.
-    connection: Option<Box<http1::Connection<FuturesIo<TcpStream>, RequestBody>>>,
+    connection: Option<Box<http1::Connection<FuturesIo<BudgetedStream>, RequestBody>>>,
+    read_budget: ReadBudget,
     idle_since: Instant,
     idle_max: DurationMs,
 }
@@ -51,6 +53,7 @@
         timeout: DurationMs,
         timers: &Timers,
     ) -> Result<Self, ErrorKind> {
+        let read_budget = ReadBudget::new();
         let connect = async {
             let stream = TcpStream::connect(address)
                 .await
@@ -60,7 +63,10 @@
                 .map_err(|_| ErrorKind::ConnectFailed)?;
             http1::Builder::new()
                 .max_buf_size(HEADER_SIZE_MAX_BYTES)
-                .handshake(FuturesIo::new(stream))
+                .handshake(FuturesIo::new(BudgetedStream::new(
+                    stream,
+                    read_budget.clone(),
+                )))
                 .await
                 .map_err(|_| ErrorKind::ConnectFailed)
         };
@@ -72,6 +78,7 @@
         Ok(Self {
             sender,
             connection: Some(Box::new(connection)),
+            read_budget,
             idle_since: Instant::now(),
             idle_max: IDLE_TIMEOUT_DEFAULT,
         })
@@ -86,11 +93,17 @@
         &mut self.sender
     }
 
+    /// Records that the head or data of a response has arrived, or that a request is sent.
+    pub(crate) fn start_part(&self) {
+        self.read_budget.start_part();
+    }
+
     /// Drives the connection's I/O; afterwards `is_open` returns whether it is still open.
     pub(crate) fn poll_io(&mut self, context: &mut Context<'_>) {
         let Some(connection) = &mut self.connection else {
             return;
         };
+        self.read_budget.start_poll();
         if Pin::new(connection.as_mut()).poll(context).is_ready() {
             self.connection = None;
         }
--- a/crates/celeryknot_endpoints/src/exchange.rs
+++ b/crates/celeryknot_endpoints/src/exchange.rs
@@ -40,6 +40,7 @@
     connection: &mut EndpointConnection,
     request: Request<RequestBody>,
 ) -> Result<Response<Incoming>, ExchangeError> {
+    connection.start_part();
     let response = connection.sender().try_send_request(request);
     let mut response = pin!(response);
     let result = future::poll_fn(|context| {
--- a/crates/celeryknot_endpoints/src/lib.rs
+++ b/crates/celeryknot_endpoints/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod idle_timeout;
 pub mod load;
 pub mod orders;
+mod read_budget;
 pub mod request_body;
 pub mod sse;
 
