--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -5,7 +5,9 @@
 use celeryknot_callers::hop_by_hop;
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal};
 use celeryknot_endpoints::EndpointConnection;
-use celeryknot_policy::direct::{AttemptFailure, AttemptHistory, Placement, PlacementRequest};
+use celeryknot_policy::direct::{
+    AttemptFailure, AttemptHistory, Placement, PlacementRequest, Prompt,
+};
 use futures_lite::future;
 use http::{HeaderName, Response, header};
 use smallvec::SmallVec;
@@ -314,6 +316,7 @@
             endpoint = %placement.endpoint,
             reason = %placement.reason,
             prompt = shared.map(|shared| format!("{:x}", shared.key)),
+            parts = call.head.prompt.as_ref().map(shared_part_ids),
             shared_tokens = shared.map(|shared| shared.tokens.0),
             load = placement.load,
             load_age_ms = placement.load_age_ms.map(|age| age.0),
@@ -459,6 +462,12 @@
     }
 }
 
+/// Returns the ids of the parts that other prompts may share, as the caller sent them.
+fn shared_part_ids(prompt: &Prompt) -> String {
+    let ids = prompt.shared().iter().map(|part| format!("{:x}", part.id));
+    ids.collect::<Vec<_>>().join(",")
+}
+
 /// Builds a streaming response whose bytes are forwarded as they arrive.
 pub(super) fn forward_stream<P: PlatformProtocol>(
     forward: &Forward,
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -2,7 +2,7 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
-use celeryknot_core::{DurationMs, ErrorKind};
+use celeryknot_core::{DurationMs, EndpointName, ErrorKind};
 use celeryknot_endpoints::{AnswerError, BodyFraming, EventSplitter, sse};
 use celeryknot_policy::direct::AttemptFailure;
 use futures_lite::future;
@@ -112,8 +112,8 @@
                 StreamEnd::CallerDisconnected => return None,
                 StreamEnd::Failed(failure) => {
                     endpoint_response.guard.observe_failure(failure);
+                    self.log_break(endpoint_response.guard.endpoint(), failure);
                     drop(endpoint_response);
-                    self.log_break(failure);
                     if !self.can_resume() {
                         return Some(ErrorKind::AnswerIncomplete);
                     }
@@ -123,9 +123,10 @@
                     }
                 }
                 StreamEnd::Replaced(next) => {
+                    let silent = endpoint_response.guard.endpoint();
+                    self.log_break(silent, AttemptFailure::Unanswered);
                     // Cancels the silent attempt before the next one is sent.
                     drop(endpoint_response);
-                    self.log_break(AttemptFailure::Unanswered);
                     *next
                 }
             };
@@ -156,9 +157,10 @@
         self.events == 0 || self.last_event_id.is_some()
     }
 
-    fn log_break(&self, failure: AttemptFailure) {
+    fn log_break(&self, endpoint: &EndpointName, failure: AttemptFailure) {
         tracing::info!(
             request_id = self.forward.call.head.request_id,
+            %endpoint,
             %failure,
             events = self.events,
             last_event_id = self.last_event_id,
