--- a/crates/celeryknot_core/src/error_kind.rs
+++ b/crates/celeryknot_core/src/error_kind.rs
@@ -114,6 +114,8 @@
     EndpointBusy,
     /// No endpoint of the service accepts requests.
     NoEndpoint,
+    /// Engines crash as they begin to answer prompts that share a part with this one.
+    PromptBanned,
     /// The daemon is shutting down.
     Draining,
     /// The daemon has not yet synchronized with the fleet.
@@ -236,6 +238,7 @@
             Self::QueueFull => answer(503, NotRun, Later, Some(1000), "The queue is full"),
             Self::EndpointBusy => answer(503, NotRun, Later, Some(1000), "The endpoint is busy"),
             Self::NoEndpoint => answer(503, NotRun, Later, Some(2000), "No endpoint may take new work"),
+            Self::PromptBanned => answer(503, NotRun, Later, Some(300_000), "Engines crash on a part of this prompt"),
             Self::Draining => answer(503, NotRun, Later, Some(1000), "The daemon is shutting down"),
             Self::NotReady => answer(503, NotRun, Later, Some(1000), "The daemon is not ready"),
             Self::Paused => answer(503, NotRun, Later, Some(1000), "The daemon was paused"),
--- a/crates/celeryknot_gateway/src/control/long_polls.rs
+++ b/crates/celeryknot_gateway/src/control/long_polls.rs
@@ -5,8 +5,8 @@
 use async_channel::Receiver;
 use celeryknot_core::{DurationMs, EndpointTag, Incarnation, MonotonicMs, PromptTag};
 use celeryknot_peers::relay::{
-    InFlightCounts, PendingPoll, RelayHolder, RelayItem, RelayLoad, RelayMember, UpdatesRequest,
-    UpdatesResponse,
+    InFlightCounts, PendingPoll, RelayHolder, RelayItem, RelayLoad, RelayMember, RelayPart,
+    UpdatesRequest, UpdatesResponse,
 };
 
 use super::Publisher;
@@ -102,12 +102,17 @@
         store_age,
     } = state;
     let updates = store_log.after(request.after.map(StoreRevision));
-    let (loads, holders) = encode_updates(now, endpoints.after(now, request.updates_after));
+    let EncodedUpdates {
+        loads,
+        holders,
+        parts,
+    } = encode_updates(now, endpoints.after(now, request.updates_after));
     let is_list_equal = request.members_digest == members.digest();
     let others = members.others(now);
     UpdatesResponse {
         loads,
         holders,
+        parts,
         updates_version: endpoints.version(),
         // A daemon that isn't a reader reports its counts to one, whose subtotal contains them.
         in_flight_subtotal: (request.is_aggregator && members.is_reader(now))
@@ -150,12 +155,20 @@
     tags.zip(message.counts.iter().copied()).collect()
 }
 
-/// Encodes endpoint updates: loads and failures, and holders of prompts.
-pub(super) fn encode_updates(
-    now: MonotonicMs,
-    updates: Vec<EndpointUpdate>,
-) -> (Vec<RelayLoad>, Vec<RelayHolder>) {
-    let (mut loads, mut holders) = (Vec::new(), Vec::new());
+/// Endpoint updates in the form of messages.
+#[derive(Debug, Default)]
+pub(super) struct EncodedUpdates {
+    /// Loads and failures.
+    pub(super) loads: Vec<RelayLoad>,
+    /// Holders of prompts.
+    pub(super) holders: Vec<RelayHolder>,
+    /// Observations of parts of prompts.
+    pub(super) parts: Vec<RelayPart>,
+}
+
+/// Encodes endpoint updates.
+pub(super) fn encode_updates(now: MonotonicMs, updates: Vec<EndpointUpdate>) -> EncodedUpdates {
+    let mut encoded = EncodedUpdates::default();
     for EndpointUpdate {
         endpoint,
         observation,
@@ -169,17 +182,25 @@
             age_ms,
             is_unreachable,
         };
+        let part = |part: PromptTag, is_answered| RelayPart {
+            endpoint: endpoint.0,
+            part: part.0,
+            age_ms,
+            is_answered,
+        };
         match observation {
-            Observation::Load { held } => loads.push(load(held, false)),
-            Observation::Unreachable => loads.push(load(0, true)),
-            Observation::HoldsPrompt { prompt } => holders.push(RelayHolder {
+            Observation::Load { held } => encoded.loads.push(load(held, false)),
+            Observation::Unreachable => encoded.loads.push(load(0, true)),
+            Observation::CrashedOn { part: tag } => encoded.parts.push(part(tag, false)),
+            Observation::Answered { part: tag } => encoded.parts.push(part(tag, true)),
+            Observation::HoldsPrompt { prompt } => encoded.holders.push(RelayHolder {
                 endpoint: endpoint.0,
                 prompt: prompt.0,
                 age_ms,
             }),
         }
     }
-    (loads, holders)
+    encoded
 }
 
 /// Decodes the endpoint updates of a peer.
@@ -187,6 +208,7 @@
     now: MonotonicMs,
     loads: &'a [RelayLoad],
     holders: &'a [RelayHolder],
+    parts: &'a [RelayPart],
 ) -> impl Iterator<Item = EndpointUpdate> + 'a {
     let update = move |endpoint, observation, age_ms| EndpointUpdate {
         endpoint: EndpointTag(endpoint),
@@ -208,7 +230,15 @@
             holder.age_ms,
         )
     });
-    loads.chain(holders)
+    let parts = parts.iter().map(move |it| {
+        let part = PromptTag(it.part);
+        let observation = match it.is_answered {
+            true => Observation::Answered { part },
+            false => Observation::CrashedOn { part },
+        };
+        update(it.endpoint, observation, it.age_ms)
+    });
+    loads.chain(holders).chain(parts)
 }
 
 pub(super) fn encode_member(member: &Member, age: DurationMs) -> RelayMember {
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -5,12 +5,12 @@
 
 use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
 use celeryknot_peers::relay::{
-    PendingPoll, RelayHolder, RelayLoad, UpdatesRequest, UpdatesResponse,
+    PendingPoll, RelayHolder, RelayLoad, RelayPart, UpdatesRequest, UpdatesResponse,
 };
 
 use super::long_polls::{
-    PendingPolls, ReplyState, build_reply, decode_counts, decode_member, decode_updates,
-    encode_counts, encode_member, encode_updates,
+    EncodedUpdates, PendingPolls, ReplyState, build_reply, decode_counts, decode_member,
+    decode_updates, encode_counts, encode_member, encode_updates,
 };
 use crate::endpoint_updates::{EndpointUpdate, EndpointUpdateTable};
 use crate::in_flight::InFlightTable;
@@ -241,7 +241,11 @@
         let now = self.now();
         let is_reader = self.is_reader();
         let updates = self.endpoint_updates.borrow().after(now, cursor.sent);
-        let (loads, holders) = encode_updates(now, updates);
+        let EncodedUpdates {
+            loads,
+            holders,
+            parts,
+        } = encode_updates(now, updates);
         let members = self.members.borrow();
         UpdatesRequest {
             member: Some(encode_member(members.own(), DurationMs(0))),
@@ -251,6 +255,7 @@
             ages: members.ages(now),
             loads,
             holders,
+            parts,
             updates_after: cursor.received,
             in_flight: (reports_own && !is_reader)
                 .then(|| encode_counts(self.in_flight.borrow().own())),
@@ -266,7 +271,7 @@
     /// Applies a peer's reply.
     pub(crate) fn apply_reply<P: PlatformProtocol>(&self, reply: UpdatesResponse) {
         let now = self.now();
-        self.apply_peer_updates(&reply.loads, &reply.holders);
+        self.apply_peer_updates(&reply.loads, &reply.holders, &reply.parts);
         self.apply_in_flight_counts(&reply);
         {
             let mut members = self.members.borrow_mut();
@@ -298,7 +303,8 @@
     /// Accepts a peer's poll; replies immediately if the peer's copy of the store is outdated.
     pub(crate) fn accept_poll(&self, poll: PendingPoll) {
         let now = self.now();
-        self.apply_peer_updates(&poll.request.loads, &poll.request.holders);
+        let request = &poll.request;
+        self.apply_peer_updates(&request.loads, &request.holders, &request.parts);
         {
             let mut members = self.members.borrow_mut();
             let sender = poll.request.member.as_ref();
@@ -367,11 +373,16 @@
     }
 
     /// Stores a peer's endpoint updates and forwards the new ones to the traffic thread.
-    fn apply_peer_updates(&self, loads: &[RelayLoad], holders: &[RelayHolder]) {
+    fn apply_peer_updates(
+        &self,
+        loads: &[RelayLoad],
+        holders: &[RelayHolder],
+        parts: &[RelayPart],
+    ) {
         let now = self.now();
         let updates: Vec<EndpointUpdate> = {
             let mut table = self.endpoint_updates.borrow_mut();
-            let decoded = decode_updates(now, loads, holders);
+            let decoded = decode_updates(now, loads, holders, parts);
             decoded.filter(|update| table.observe(*update)).collect()
         };
         for update in updates {
--- a/crates/celeryknot_gateway/src/endpoint_updates.rs
+++ b/crates/celeryknot_gateway/src/endpoint_updates.rs
@@ -3,7 +3,7 @@
 //! No I/O and no clock. With many daemons, each of them contacts an endpoint too rarely to rely on
 //! its own observations.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use celeryknot_core::{DurationMs, EndpointTag, MonotonicMs, PromptTag};
 
@@ -31,6 +31,16 @@
 /// of its prompt.
 const HOLDERS_PER_MESSAGE_MAX: usize = 64;
 
+/// Lifetime of an update about a part of prompts; a daemon that starts later learns what is banned.
+const PART_TTL: DurationMs = DurationMs(30 * 60_000);
+
+/// Minimum time between two updates about the same part at the same endpoint.
+const PART_UPDATE_INTERVAL_MIN: DurationMs = DurationMs(2_000);
+
+/// Maximum number of updates about parts per message, and stored.
+const PARTS_PER_MESSAGE_MAX: usize = 64;
+const PARTS_STORED_MAX: usize = 1_024;
+
 /// An observation about an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Observation {
@@ -46,6 +56,16 @@
         /// The prompt's shared parts.
         prompt: PromptTag,
     },
+    /// It crashed as it began to answer a prompt with this part.
+    CrashedOn {
+        /// The part.
+        part: PromptTag,
+    },
+    /// Its answer to a prompt with this part got beyond the beginning.
+    Answered {
+        /// The part.
+        part: PromptTag,
+    },
 }
 
 /// An observation with its endpoint and time.
@@ -65,6 +85,14 @@
     Load(EndpointTag),
     Unreachable(EndpointTag),
     HoldsPrompt(EndpointTag, PromptTag),
+    CrashedOn(EndpointTag, PromptTag),
+    Answered(PromptTag),
+}
+
+impl Observation {
+    fn is_about_part(&self) -> bool {
+        matches!(self, Self::CrashedOn { .. } | Self::Answered { .. })
+    }
 }
 
 impl EndpointUpdate {
@@ -73,6 +101,8 @@
             Observation::Load { .. } => UpdateKey::Load(self.endpoint),
             Observation::Unreachable => UpdateKey::Unreachable(self.endpoint),
             Observation::HoldsPrompt { prompt } => UpdateKey::HoldsPrompt(self.endpoint, prompt),
+            Observation::CrashedOn { part } => UpdateKey::CrashedOn(self.endpoint, part),
+            Observation::Answered { part } => UpdateKey::Answered(part),
         }
     }
 
@@ -85,6 +115,9 @@
                 STATE_UPDATE_INTERVAL_MIN.max(per_endpoint.min(STATE_UPDATE_INTERVAL_MAX))
             }
             Observation::HoldsPrompt { .. } => HOLDER_UPDATE_INTERVAL_MIN,
+            Observation::CrashedOn { .. } | Observation::Answered { .. } => {
+                PART_UPDATE_INTERVAL_MIN
+            }
         };
         self.at - previous.at >= interval_min
     }
@@ -93,6 +126,7 @@
         let age_max = match self.observation {
             Observation::Load { .. } | Observation::Unreachable => STATE_TTL,
             Observation::HoldsPrompt { .. } => HOLDER_TTL,
+            Observation::CrashedOn { .. } | Observation::Answered { .. } => PART_TTL,
         };
         now - self.at < age_max
     }
@@ -126,6 +160,8 @@
     version: u64,
     /// Number of endpoints whose loads are known.
     endpoints: usize,
+    /// Versions of the stored updates about parts of prompts, the oldest first.
+    part_versions: BTreeSet<u64>,
 }
 
 impl EndpointUpdateTable {
@@ -138,13 +174,28 @@
         }
         if let Some(old_version) = old_version {
             self.updates.remove(&old_version);
+            self.part_versions.remove(&old_version);
         }
         self.version += 1;
         self.versions.insert(update.update_key(), self.version);
         self.updates.insert(self.version, update);
+        if update.observation.is_about_part() {
+            self.part_versions.insert(self.version);
+            self.limit_parts();
+        }
         true
     }
 
+    /// Removes the oldest updates about parts beyond the limit.
+    fn limit_parts(&mut self) {
+        while self.part_versions.len() > PARTS_STORED_MAX {
+            let oldest = self.part_versions.pop_first();
+            if let Some(removed) = oldest.and_then(|version| self.updates.remove(&version)) {
+                self.versions.remove(&removed.update_key());
+            }
+        }
+    }
+
     /// Returns the version of the latest stored update.
     pub fn version(&self) -> u64 {
         self.version
@@ -152,7 +203,7 @@
 
     /// Returns the unexpired updates after a version, the latest first.
     pub fn after(&self, now: MonotonicMs, version: u64) -> Vec<EndpointUpdate> {
-        let mut holders = 0;
+        let (mut holders, mut parts) = (0, 0);
         let fresh = self
             .updates
             .range(version.saturating_add(1)..)
@@ -162,22 +213,26 @@
         fresh
             .filter(|update| {
                 let is_holder = matches!(update.observation, Observation::HoldsPrompt { .. });
+                let is_about_part = update.observation.is_about_part();
                 holders += usize::from(is_holder);
-                !is_holder || holders <= HOLDERS_PER_MESSAGE_MAX
+                parts += usize::from(is_about_part);
+                (!is_holder || holders <= HOLDERS_PER_MESSAGE_MAX)
+                    && (!is_about_part || parts <= PARTS_PER_MESSAGE_MAX)
             })
             .collect()
     }
 
     /// Removes expired updates.
     pub fn advance(&mut self, now: MonotonicMs) {
-        let versions = &mut self.versions;
+        let (versions, part_versions) = (&mut self.versions, &mut self.part_versions);
         self.endpoints = 0;
-        self.updates.retain(|_, update| {
+        self.updates.retain(|version, update| {
             let is_fresh = update.is_fresh(now);
             let is_load = matches!(update.observation, Observation::Load { .. });
             self.endpoints += usize::from(is_fresh && is_load);
             if !is_fresh {
                 versions.remove(&update.update_key());
+                part_versions.remove(version);
             }
             is_fresh
         });
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -3,6 +3,7 @@
 mod body;
 mod call;
 mod context;
+mod crash_watch;
 mod forward;
 mod resume;
 mod send;
--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -12,6 +12,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 
 use super::context::InFlightGuard;
+use super::crash_watch::AnswerWatch;
 use super::serve::{ANSWERED, RequestLog};
 use crate::count_guard::CountGuard;
 
@@ -25,6 +26,7 @@
         body: Box<AnswerBody>,
         /// Completes at the request's deadline.
         deadline: Pin<Box<Sleep>>,
+        watch: AnswerWatch,
         /// Counts the request as in flight at the endpoint until the body is dropped.
         _guard: InFlightGuard,
     },
@@ -110,14 +112,20 @@
             BodySource::Buffered(bytes) => {
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
-            BodySource::Endpoint { body, deadline, .. } => {
-                match Pin::new(body.as_mut()).poll_frame(context) {
-                    Poll::Pending if deadline.as_mut().poll(context).is_ready() => {
-                        Poll::Ready(Some(Err(AnswerError(ErrorKind::AnswerTimeout))))
-                    }
-                    poll @ (Poll::Ready(_) | Poll::Pending) => poll,
+            BodySource::Endpoint {
+                body,
+                deadline,
+                watch,
+                ..
+            } => match Pin::new(body.as_mut()).poll_frame(context) {
+                Poll::Pending if deadline.as_mut().poll(context).is_ready() => {
+                    Poll::Ready(Some(Err(AnswerError(ErrorKind::AnswerTimeout))))
                 }
-            }
+                poll => {
+                    watch.observe_poll(&poll);
+                    poll
+                }
+            },
             BodySource::Resumable { chunks, .. } => chunks
                 .as_mut()
                 .poll_next(context)
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -19,6 +19,7 @@
 use celeryknot_policy::routing::{RequestLimits, Service};
 use celeryknot_settings::FleetBounds;
 
+use super::crash_watch::CrashTable;
 use super::shutdown::RouteTimes;
 use crate::endpoint_updates::{EndpointUpdate, Observation};
 use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate};
@@ -52,6 +53,8 @@
     /// A signal that is never given while the thread runs.
     pub(crate) never_closed: Signal,
     _never_closed_sender: Sender<Infallible>,
+    /// The suspected and banned parts of prompts.
+    pub(super) crash_table: CrashTable,
     /// Durations of answers, for requests that arrive during a shutdown.
     pub(super) route_times: RefCell<RouteTimes>,
     /// Closed when requests that still wait for an answer must end.
@@ -71,6 +74,8 @@
             Observation::HoldsPrompt { prompt } => {
                 self.pool.observe_holder_from_peer(update.at, prompt, name)
             }
+            // These concern all services.
+            Observation::CrashedOn { .. } | Observation::Answered { .. } => {}
         }
     }
 }
@@ -96,6 +101,7 @@
             connection_timeouts: ConnectionTimeouts::new(&CallerLimits::default()),
             never_closed,
             _never_closed_sender: never_sender,
+            crash_table: CrashTable::default(),
             route_times: RefCell::default(),
             final_answers,
             _final_answers_sender: final_answers_sender,
@@ -126,6 +132,9 @@
         let now = self.now();
         let mut services = self.services.borrow_mut();
         while let Ok(update) = self.peer_updates.try_recv() {
+            if let PeerUpdate::Endpoint(update) = &update {
+                self.apply_part_update(update.at, update.endpoint, &update.observation);
+            }
             for state in services.values_mut() {
                 match &update {
                     PeerUpdate::Endpoint(update) => state.apply_peer_update(update),
@@ -244,7 +253,7 @@
         Ok((placement, guard))
     }
 
-    fn report_to_peers(&self, endpoint: EndpointTag, observation: Observation) {
+    pub(super) fn report_to_peers(&self, endpoint: EndpointTag, observation: Observation) {
         let at = self.now();
         self.send_to_control(TrafficUpdate::Endpoint(EndpointUpdate {
             endpoint,
--- /dev/null
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -0,0 +1,259 @@
+//! Watches answers for engines that crash on a part of a prompt, and refuses banned prompts.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::task::Poll;
+
+use bytes::Bytes;
+use celeryknot_core::id::rendezvous_score;
+use celeryknot_core::{
+    DurationMs, EndpointName, EndpointTag, ErrorKind, MonotonicMs, PromptTag, Refusal, ServiceName,
+};
+use celeryknot_endpoints::{AnswerError, EndpointConnection};
+use celeryknot_policy::direct::{CrashSuspects, CrashVerdict, Placement, Prompt};
+use hyper::body::Frame;
+use smallvec::SmallVec;
+
+use super::context::TrafficThread;
+use crate::endpoint_updates::Observation;
+
+/// Events up to which an answer is at its beginning.
+const BEGINNING_EVENTS_MAX: u32 = 1;
+
+/// Time in which a connection must open for its endpoint to count as running.
+const PROBE_TIMEOUT: DurationMs = DurationMs(400);
+
+/// Maximum number of a prompt's parts that are watched.
+const WATCHED_PARTS_MAX: usize = 16;
+
+/// The tags of the parts that a prompt shares with others.
+type Parts = SmallVec<[PromptTag; 4]>;
+
+/// Returns the tags of the parts that other prompts may share.
+pub(super) fn shared_parts(prompt: Option<&Prompt>) -> Parts {
+    let parts = prompt.map_or(&[][..], Prompt::shared);
+    let tags = parts.iter().map(|part| part.tag());
+    tags.take(WATCHED_PARTS_MAX).collect()
+}
+
+/// The suspected and banned parts known to the traffic thread.
+#[derive(Debug, Default)]
+pub(super) struct CrashTable(RefCell<CrashSuspects>);
+
+impl TrafficThread {
+    /// Refuses a prompt with a banned part, except for the fleet's next trial of that part.
+    pub(super) fn check_prompt(
+        &self,
+        request_id: &str,
+        parts: &[PromptTag],
+    ) -> Result<(), Refusal> {
+        let now = self.now();
+        let mut suspects = self.crash_table.0.borrow_mut();
+        let Some(part) = parts.iter().find(|part| suspects.is_banned(now, **part)) else {
+            return Ok(());
+        };
+        if self.runs_trials_of(*part) && suspects.try_take_trial(now, *part) {
+            tracing::info!(request_id, part = %part, "trying a banned part");
+            return Ok(());
+        }
+        tracing::info!(request_id, part = %part, "prompt has a banned part");
+        Err(Refusal::new(ErrorKind::PromptBanned))
+    }
+
+    /// Returns whether this daemon is the one that tries the part for the whole fleet.
+    fn runs_trials_of(&self, part: PromptTag) -> bool {
+        let view = self.shared.view.load();
+        let score = |name: &str| rendezvous_score(u64::from(part.0), name);
+        let first = view.members.iter().max_by_key(|name| score(name.as_str()));
+        first.is_none_or(|name| *name == self.shared.settings.name)
+    }
+
+    /// Returns whether a prompt whose answer broke off may be sent to another endpoint.
+    ///
+    /// Not if a part of it may have crashed the first one.
+    pub(super) fn may_repeat_prompt(&self, parts: &[PromptTag]) -> bool {
+        let (now, suspects) = (self.now(), self.crash_table.0.borrow());
+        parts.iter().all(|part| suspects.is_sound(now, *part))
+    }
+
+    /// Applies a peer's observation of a part.
+    pub(super) fn apply_part_update(
+        &self,
+        at: MonotonicMs,
+        endpoint: EndpointTag,
+        observation: &Observation,
+    ) {
+        match observation {
+            Observation::CrashedOn { part } => {
+                let verdict = self.record_crash(at, *part, endpoint);
+                if verdict == CrashVerdict::Cleared {
+                    self.report_to_peers(endpoint, Observation::Answered { part: *part });
+                }
+            }
+            Observation::Answered { part } => {
+                self.crash_table.0.borrow_mut().record_progress(at, *part);
+            }
+            Observation::Load { .. }
+            | Observation::Unreachable
+            | Observation::HoldsPrompt { .. } => {}
+        }
+    }
+
+    fn record_crash(
+        &self,
+        at: MonotonicMs,
+        part: PromptTag,
+        endpoint: EndpointTag,
+    ) -> CrashVerdict {
+        let (verdict, banned_count) = {
+            let mut suspects = self.crash_table.0.borrow_mut();
+            let verdict = suspects.record_crash(at, part, endpoint);
+            (verdict, suspects.banned_count(at))
+        };
+        let metrics = &self.shared.metrics;
+        metrics.parts_banned.set(banned_count as i64);
+        match verdict {
+            CrashVerdict::Suspected => metrics.parts_suspected.inc(),
+            CrashVerdict::Banned => {
+                metrics.parts_suspected.inc();
+                tracing::warn!(part = %part, "part banned");
+            }
+            CrashVerdict::Cleared | CrashVerdict::Known => {}
+        }
+        verdict
+    }
+
+    fn record_answered(&self, endpoint: &EndpointName, parts: &[PromptTag]) {
+        let now = self.now();
+        for part in parts {
+            let was_suspected = self.crash_table.0.borrow_mut().record_progress(now, *part);
+            if was_suspected {
+                tracing::info!(part = %part, %endpoint, "part cleared");
+                let endpoint = EndpointTag::new(endpoint);
+                self.report_to_peers(endpoint, Observation::Answered { part: *part });
+            }
+        }
+    }
+}
+
+/// Watches how far the answer of one endpoint gets.
+#[derive(Debug)]
+pub(super) struct AnswerWatch {
+    gateway: Rc<TrafficThread>,
+    request_id: String,
+    service: ServiceName,
+    endpoint: EndpointName,
+    address: SocketAddr,
+    parts: Parts,
+    events: u32,
+}
+
+impl AnswerWatch {
+    pub(super) fn new(
+        gateway: &Rc<TrafficThread>,
+        request_id: &str,
+        service: &ServiceName,
+        placement: &Placement,
+        parts: Parts,
+    ) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            request_id: request_id.to_owned(),
+            service: service.clone(),
+            endpoint: placement.endpoint.clone(),
+            address: placement.address,
+            parts,
+            events: 0,
+        }
+    }
+
+    /// Records the next part of a body that is forwarded as it arrives.
+    pub(super) fn observe_poll(&mut self, poll: &Poll<Option<Result<Frame<Bytes>, AnswerError>>>) {
+        match poll {
+            Poll::Ready(Some(Ok(_))) => self.observe_event(),
+            Poll::Ready(None) => self.observe_end(),
+            Poll::Ready(Some(Err(AnswerError(ErrorKind::AnswerIncomplete)))) => {
+                self.observe_break();
+            }
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+        }
+    }
+
+    /// Records an event of the answer, or data that holds at least one.
+    pub(super) fn observe_event(&mut self) {
+        self.events = self.events.saturating_add(1);
+        if self.events == BEGINNING_EVENTS_MAX + 1 {
+            self.gateway.record_answered(&self.endpoint, &self.parts);
+        }
+    }
+
+    /// Records that the answer is complete.
+    pub(super) fn observe_end(&self) {
+        if self.events <= BEGINNING_EVENTS_MAX {
+            self.gateway.record_answered(&self.endpoint, &self.parts);
+        }
+    }
+
+    /// Records that the answer broke off; if that was at its beginning and its endpoint no longer
+    /// accepts connections, the endpoint crashed under one of the prompt's parts.
+    pub(super) fn observe_break(&self) {
+        if self.events > BEGINNING_EVENTS_MAX {
+            return;
+        }
+        let gateway = Rc::clone(&self.gateway);
+        let now = gateway.now();
+        let suspects = gateway.crash_table.0.borrow();
+        let is_suspect = |part: &PromptTag| !suspects.is_cleared(now, *part);
+        let parts: Parts = self.parts.iter().copied().filter(is_suspect).collect();
+        drop(suspects);
+        if parts.is_empty() || !self.is_expected_to_run() {
+            return;
+        }
+        let confirm = confirm_crash(
+            Rc::clone(&gateway),
+            self.request_id.clone(),
+            self.endpoint.clone(),
+            self.address,
+            parts,
+        );
+        gateway.executor.spawn(confirm).detach();
+    }
+
+    /// Returns whether the endpoint has no reason to end that the platform announces: it is neither
+    /// draining nor in a zone that is out.
+    fn is_expected_to_run(&self) -> bool {
+        let view = self.gateway.shared.view.load();
+        let mut listed = view.endpoints.get(&self.service).into_iter().flatten();
+        listed.any(|it| it.name == self.endpoint && it.accepts_requests)
+    }
+}
+
+async fn confirm_crash(
+    gateway: Rc<TrafficThread>,
+    request_id: String,
+    endpoint: EndpointName,
+    address: SocketAddr,
+    parts: Parts,
+) {
+    let at = gateway.now();
+    let probe = EndpointConnection::open(address, PROBE_TIMEOUT, &gateway.timers).await;
+    if probe.is_ok() {
+        return;
+    }
+    gateway.shared.metrics.crashes_at_beginning.inc();
+    let tag = EndpointTag::new(&endpoint);
+    for part in parts {
+        let verdict = gateway.record_crash(at, part, tag);
+        tracing::info!(
+            request_id,
+            %endpoint,
+            part = %part,
+            ?verdict,
+            "endpoint crashed as it began to answer"
+        );
+        if matches!(verdict, CrashVerdict::Suspected | CrashVerdict::Banned) {
+            gateway.report_to_peers(tag, Observation::CrashedOn { part });
+        }
+    }
+}
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -15,6 +15,7 @@
 use super::body::{BodySource, GatewayBody};
 use super::call::Call;
 use super::context::{InFlightGuard, TrafficThread};
+use super::crash_watch::{AnswerWatch, shared_parts};
 use super::resume;
 use super::send::{AttemptProgress, EndpointResponse, connect, read_buffered, send, with_timeout};
 use super::shutdown::draining_refusal;
@@ -180,7 +181,8 @@
         failure: AttemptFailure,
     ) -> Result<PlacedAttempt, Refusal> {
         self.record_failure(failure);
-        if !self.history.may_retry() || !self.has_retry() {
+        let may_repeat = failure != AttemptFailure::Broken || self.may_repeat_prompt();
+        if !may_repeat || !self.history.may_retry() || !self.has_retry() {
             return Err(self.refuse(failure));
         }
         let placed = self.place().or_else(|_| {
@@ -240,6 +242,12 @@
         None
     }
 
+    /// Returns whether no part of the prompt may have crashed the endpoint that broke off its answer.
+    fn may_repeat_prompt(&self) -> bool {
+        let parts = shared_parts(self.call.head.prompt.as_ref());
+        self.gateway.may_repeat_prompt(&parts)
+    }
+
     fn record_failure(&mut self, failure: AttemptFailure) {
         self.history.record_failure(failure);
         self.progress.may_have_been_sent.set(false);
@@ -289,6 +297,8 @@
         let call = &self.call;
         // Applies a newer view: the endpoints may have changed since the request arrived.
         drop(self.gateway.view());
+        let parts = shared_parts(call.head.prompt.as_ref());
+        self.gateway.check_prompt(&call.head.request_id, &parts)?;
         let shared = call.head.prompt.as_ref().and_then(|it| it.shared_prefix());
         let request = PlacementRequest {
             shared,
@@ -362,7 +372,21 @@
         };
         let end = future::or(async { Ok(sent.await) }, replaced).await;
         match end {
-            Ok(Ok((head, body))) => SendEnd::Head(Box::new(EndpointResponse { head, body, guard })),
+            Ok(Ok((head, body))) => {
+                let watch = AnswerWatch::new(
+                    &gateway,
+                    &call.head.request_id,
+                    &call.service,
+                    &placement,
+                    shared_parts(call.head.prompt.as_ref()),
+                );
+                SendEnd::Head(Box::new(EndpointResponse {
+                    head,
+                    body,
+                    guard,
+                    watch,
+                }))
+            }
             Ok(Err(failure)) => {
                 if failure == AttemptFailure::Unanswered {
                     guard.observe_silence();
@@ -479,6 +503,7 @@
     let source = BodySource::Endpoint {
         body: Box::new(endpoint_response.body),
         deadline: Box::pin(deadline),
+        watch: endpoint_response.watch,
         _guard: endpoint_response.guard,
     };
     let body = GatewayBody::new(source).with_framing(framing);
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -107,11 +107,15 @@
             let placed = match end {
                 StreamEnd::Complete => {
                     endpoint_response.guard.observe_success();
+                    endpoint_response.watch.observe_end();
                     return self.unverified_end(endpoint_response.body.framing());
                 }
                 StreamEnd::CallerDisconnected => return None,
                 StreamEnd::Failed(failure) => {
                     endpoint_response.guard.observe_failure(failure);
+                    if failure == AttemptFailure::Broken {
+                        endpoint_response.watch.observe_break();
+                    }
                     self.log_break(endpoint_response.guard.endpoint(), failure);
                     drop(endpoint_response);
                     if !self.can_resume() {
@@ -188,6 +192,7 @@
                     self.last_event_id = Some(id.to_owned());
                 }
                 self.events += 1;
+                endpoint_response.watch.observe_event();
                 if self.chunks.send(Ok(event)).await.is_err() {
                     return StreamEnd::CallerDisconnected;
                 }
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -15,6 +15,7 @@
 
 use super::call::Call;
 use super::context::{InFlightGuard, TrafficThread};
+use super::crash_watch::AnswerWatch;
 use crate::platform_protocol::{AnswerHead, PlatformProtocol};
 
 /// Timeout for opening a connection to an endpoint.
@@ -45,6 +46,7 @@
     pub(super) head: response::Parts,
     pub(super) body: AnswerBody,
     pub(super) guard: InFlightGuard,
+    pub(super) watch: AnswerWatch,
 }
 
 /// The progress of an attempt, for classifying it when it is abandoned.
@@ -185,6 +187,7 @@
             if error.0 == ErrorKind::AnswerTimeout {
                 return AttemptFailure::Unanswered;
             }
+            endpoint_response.watch.observe_break();
             AttemptFailure::Broken
         })?;
         if let Some(data) = frame.data_ref() {
@@ -194,6 +197,7 @@
             return Err(AttemptFailure::Broken);
         }
     }
+    endpoint_response.watch.observe_end();
     Ok(Bytes::from(buffer))
 }
 
--- a/crates/celeryknot_operators/src/metrics/gateway.rs
+++ b/crates/celeryknot_operators/src/metrics/gateway.rs
@@ -34,6 +34,12 @@
     pub retries_denied: IntCounter,
     /// Streams that resumed at another endpoint.
     pub resumes: IntCounter,
+    /// Answers that broke off at their beginning because their endpoint had crashed.
+    pub crashes_at_beginning: IntCounter,
+    /// Crashes that count against a part of a prompt.
+    pub parts_suspected: IntCounter,
+    /// Banned parts of prompts.
+    pub parts_banned: IntGauge,
     /// Log lines that were dropped because the log consumer was too slow.
     pub log_lines_dropped: IntGauge,
     /// Open caller connections.
@@ -71,6 +77,9 @@
             requests: counter("celeryknot_gateway_requests_total"),
             retries_denied: counter("celeryknot_gateway_sends_denied_total"),
             resumes: counter("celeryknot_gateway_resumes_total"),
+            crashes_at_beginning: counter("celeryknot_gateway_crashes_at_beginning_total"),
+            parts_suspected: counter("celeryknot_gateway_parts_suspected_total"),
+            parts_banned: gauge("celeryknot_gateway_parts_banned"),
             log_lines_dropped: gauge("celeryknot_gateway_log_lines_dropped"),
             connections: gauge("celeryknot_gateway_connections"),
             requests_in_flight: gauge("celeryknot_gateway_requests_in_flight"),
--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -115,6 +115,23 @@
     pub age_ms: u32,
 }
 
+/// What an endpoint's answer says about a part of its prompt.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayPart {
+    /// Hash of the endpoint's name in four bytes.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// Hash of the part in four bytes.
+    #[prost(fixed32, tag = "2")]
+    pub part: u32,
+    /// Milliseconds since the observation.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// Whether the answer got beyond its beginning; otherwise, the endpoint crashed there.
+    #[prost(bool, tag = "4")]
+    pub is_answered: bool,
+}
+
 /// Numbers of requests in flight at endpoints.
 #[derive(Clone, PartialEq, Message)]
 pub struct InFlightCounts {
@@ -159,6 +176,9 @@
     /// Holders of prompts received since its last poll of this peer.
     #[prost(message, repeated, tag = "10")]
     pub holders: Vec<RelayHolder>,
+    /// Observations of parts of prompts received since its last poll of this peer.
+    #[prost(message, repeated, tag = "11")]
+    pub parts: Vec<RelayPart>,
 }
 
 /// The response to a long poll.
@@ -203,6 +223,9 @@
     /// Holders of prompts received since the polling daemon's version.
     #[prost(message, repeated, tag = "13")]
     pub holders: Vec<RelayHolder>,
+    /// Observations of parts of prompts received since the polling daemon's version.
+    #[prost(message, repeated, tag = "14")]
+    pub parts: Vec<RelayPart>,
 }
 
 /// A long poll that waits for its response.
--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -7,6 +7,7 @@
 pub mod answer_times;
 pub mod attempt_history;
 pub mod cold_rate_limit;
+pub mod crash_suspects;
 pub mod endpoint;
 pub mod holders;
 pub mod pool;
@@ -17,6 +18,7 @@
 pub use answer_times::{AnswerTime, AnswerTimes, LongestAnswer};
 pub use attempt_history::{AttemptFailure, AttemptHistory};
 pub use cold_rate_limit::ColdStartBucket;
+pub use crash_suspects::{CrashSuspects, CrashVerdict};
 pub use endpoint::{ListedEndpoint, ReportedLoad};
 pub use holders::PromptHolders;
 pub use pool::{EndpointPool, Placement, PlacementReason, PlacementRequest, PoolLimits};
--- /dev/null
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -0,0 +1,207 @@
+//! Parts of prompts under which engines crash, and which of them are banned.
+//!
+//! No I/O and no clock. An engine that crashes takes all its requests down, sound ones too. Only
+//! requests whose answers had just begun are suspected, by the parts that they share with others. An
+//! answer that gets beyond its beginning clears its parts. A part is banned after crashes of several
+//! engines without an answer that clears it, wherever in the fleet they were seen.
+
+use std::collections::HashMap;
+
+use celeryknot_core::{DurationMs, EndpointTag, MonotonicMs, PromptTag};
+use smallvec::SmallVec;
+
+/// Crashes under a part that ban it.
+pub const CRASHES_TO_BAN: usize = 3;
+
+/// Time for which a crash counts, and for which a ban is remembered after the last one.
+const CRASH_TTL: DurationMs = DurationMs(30 * 60_000);
+
+/// Time after an answer in which crashes under its parts don't count.
+///
+/// Short, as a new version of the engines may crash on a part that earlier ones answered.
+const CLEARED_TTL: DurationMs = DurationMs(10_000);
+
+/// Time for which a part that was answered, and under which nothing crashed since, counts as sound.
+const SOUND_TTL: DurationMs = DurationMs(5 * 60_000);
+
+/// Reports about one endpoint within this time are about the same crash.
+const SAME_CRASH_INTERVAL: DurationMs = DurationMs(2_000);
+
+/// Interval between the requests that test whether a banned part still crashes engines.
+const TRIAL_INTERVAL: DurationMs = DurationMs(5 * 60_000);
+
+/// Limit on the parts that are remembered; the oldest that aren't banned are forgotten first.
+const PARTS_MAX: usize = 4_096;
+
+/// What is known about one part.
+#[derive(Debug, Clone, Default)]
+struct Part {
+    /// Crashes under the part, at most [`CRASHES_TO_BAN`].
+    crashes: SmallVec<[(EndpointTag, MonotonicMs); CRASHES_TO_BAN]>,
+    cleared_at: Option<MonotonicMs>,
+    /// When it was banned or last tried.
+    banned_at: Option<MonotonicMs>,
+    changed_at: MonotonicMs,
+}
+
+/// The result of a reported crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashVerdict {
+    /// An answer has cleared the part.
+    Cleared,
+    /// The crash is known already.
+    Known,
+    /// The part is suspected, or banned already.
+    Suspected,
+    /// The part is banned from now on.
+    Banned,
+}
+
+/// The suspected, banned and cleared parts known to one daemon.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::{EndpointTag, MonotonicMs, PromptTag};
+/// use celeryknot_policy::direct::crash_suspects::{CrashSuspects, CrashVerdict};
+///
+/// let (mut suspects, part) = (CrashSuspects::default(), PromptTag(7));
+/// for (endpoint, at) in [(1, 100), (2, 900)] {
+///     let verdict = suspects.record_crash(MonotonicMs(at), part, EndpointTag(endpoint));
+///     assert_eq!(verdict, CrashVerdict::Suspected);
+/// }
+/// let verdict = suspects.record_crash(MonotonicMs(1_500), part, EndpointTag(3));
+/// assert_eq!(verdict, CrashVerdict::Banned);
+/// assert!(suspects.is_banned(MonotonicMs(1_600), part));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct CrashSuspects {
+    parts: HashMap<PromptTag, Part>,
+}
+
+impl CrashSuspects {
+    /// Records that an endpoint crashed as it began to answer a prompt with the part.
+    pub fn record_crash(
+        &mut self,
+        at: MonotonicMs,
+        part: PromptTag,
+        endpoint: EndpointTag,
+    ) -> CrashVerdict {
+        let part = self.entry(at, part);
+        if part.is_cleared(at) {
+            return CrashVerdict::Cleared;
+        }
+        part.crashes
+            .retain(|(_, crashed_at)| at - *crashed_at < CRASH_TTL);
+        let is_known = part.crashes.iter().any(|(crashed, crashed_at)| {
+            let apart = (at - *crashed_at).max(*crashed_at - at);
+            *crashed == endpoint && apart < SAME_CRASH_INTERVAL
+        });
+        if is_known {
+            return CrashVerdict::Known;
+        }
+        if part.crashes.len() == CRASHES_TO_BAN {
+            part.crashes.remove(0);
+        }
+        part.crashes.push((endpoint, at));
+        if part.crashes.len() < CRASHES_TO_BAN {
+            return CrashVerdict::Suspected;
+        }
+        match part.banned_at.replace(at) {
+            Some(_) => CrashVerdict::Suspected,
+            None => CrashVerdict::Banned,
+        }
+    }
+
+    /// Records that an answer got beyond its beginning; returns whether the part was suspected.
+    pub fn record_progress(&mut self, at: MonotonicMs, part: PromptTag) -> bool {
+        let part = self.entry(at, part);
+        part.cleared_at = part.cleared_at.max(Some(at));
+        let crash_count = part.crashes.len();
+        part.crashes
+            .retain(|(_, crashed_at)| *crashed_at - at >= CLEARED_TTL);
+        if part.crashes.len() < CRASHES_TO_BAN {
+            part.banned_at = None;
+        }
+        part.crashes.len() < crash_count
+    }
+
+    /// Returns whether an answer has cleared the part so recently that crashes don't count.
+    pub fn is_cleared(&self, now: MonotonicMs, part: PromptTag) -> bool {
+        self.parts.get(&part).is_some_and(|it| it.is_cleared(now))
+    }
+
+    /// Returns whether the part was answered, and no engine has crashed under it since.
+    pub fn is_sound(&self, now: MonotonicMs, part: PromptTag) -> bool {
+        self.parts.get(&part).is_some_and(|it| {
+            it.crashes.is_empty() && it.cleared_at.is_some_and(|at| now - at < SOUND_TTL)
+        })
+    }
+
+    /// Returns whether requests with the part are refused.
+    pub fn is_banned(&self, now: MonotonicMs, part: PromptTag) -> bool {
+        self.parts.get(&part).is_some_and(|it| it.is_banned(now))
+    }
+
+    /// Returns whether one request may test whether a banned part still crashes engines.
+    ///
+    /// The caller makes sure that one daemon of the fleet asks.
+    pub fn try_take_trial(&mut self, now: MonotonicMs, part: PromptTag) -> bool {
+        let banned_at = self.parts.get_mut(&part).map(|it| &mut it.banned_at);
+        let Some(Some(banned_at)) = banned_at else {
+            return false;
+        };
+        let is_due = now - *banned_at >= TRIAL_INTERVAL;
+        if is_due {
+            *banned_at = now;
+        }
+        is_due
+    }
+
+    /// Returns the number of banned parts.
+    pub fn banned_count(&self, now: MonotonicMs) -> usize {
+        self.parts.values().filter(|it| it.is_banned(now)).count()
+    }
+
+    /// Returns the number of remembered parts.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Returns whether no part is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    fn entry(&mut self, at: MonotonicMs, part: PromptTag) -> &mut Part {
+        if self.parts.len() >= PARTS_MAX && !self.parts.contains_key(&part) {
+            self.forget_oldest();
+        }
+        let part = self.parts.entry(part).or_default();
+        part.changed_at = part.changed_at.max(at);
+        part
+    }
+
+    /// Forgets an eighth of the parts, so that a full table isn't searched for each new part.
+    fn forget_oldest(&mut self) {
+        let mut order: Vec<(bool, MonotonicMs)> =
+            self.parts.values().map(Part::age_order).collect();
+        order.sort_unstable();
+        let limit = order[PARTS_MAX / 8];
+        self.parts.retain(|_, part| part.age_order() > limit);
+    }
+}
+
+impl Part {
+    fn is_cleared(&self, now: MonotonicMs) -> bool {
+        self.cleared_at.is_some_and(|at| now - at < CLEARED_TTL)
+    }
+
+    fn is_banned(&self, now: MonotonicMs) -> bool {
+        self.banned_at.is_some_and(|at| now - at < CRASH_TTL)
+    }
+
+    fn age_order(&self) -> (bool, MonotonicMs) {
+        (self.banned_at.is_some(), self.changed_at)
+    }
+}
--- a/crates/celeryknot_policy/src/direct/prompt.rs
+++ b/crates/celeryknot_policy/src/direct/prompt.rs
@@ -10,6 +10,9 @@
 /// Maximum number of parts that are parsed; placement ignores the rest.
 const PARTS_MAX: usize = 64;
 
+/// Separates the tags of single parts from those of prefixes.
+const PART_SEED: u64 = 0x7061_7274;
+
 /// One part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -19,6 +22,13 @@
     pub tokens: TokenCount,
 }
 
+impl PromptPart {
+    /// Returns the tag that identifies the part in messages between daemons.
+    pub fn tag(&self) -> PromptTag {
+        PromptTag(xxh3_64_with_seed(&self.id.to_le_bytes(), PART_SEED) as u32)
+    }
+}
+
 /// The parts of one prompt, in order.
 ///
 /// # Examples
--- /dev/null
+++ b/crates/celeryknot_policy/tests/crash_suspects.rs
@@ -0,0 +1,368 @@
+//! Decisions about parts of prompts under which engines crash.
+
+use std::collections::{HashMap, HashSet};
+
+use celeryknot_core::{EndpointTag, MonotonicMs, PromptTag};
+use celeryknot_policy::direct::{CrashSuspects, CrashVerdict};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const PART: PromptTag = PromptTag(7);
+
+/// What happens to [`PART`], at a time in milliseconds.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    CrashAt(u32, u64),
+    AnswerAt(u64),
+}
+
+struct Case {
+    name: &'static str,
+    events: &'static [Event],
+    checked_at_ms: u64,
+    is_banned: bool,
+    is_sound: bool,
+}
+
+use Event::{AnswerAt, CrashAt};
+
+const CASES: [Case; 10] = [
+    Case {
+        name: "three engines",
+        events: &[CrashAt(1, 0), CrashAt(2, 500), CrashAt(3, 900)],
+        checked_at_ms: 1_000,
+        is_banned: true,
+        is_sound: false,
+    },
+    Case {
+        name: "two engines",
+        events: &[CrashAt(1, 0), CrashAt(2, 500)],
+        checked_at_ms: 1_000,
+        is_banned: false,
+        is_sound: false,
+    },
+    Case {
+        name: "one crash, seen by several daemons",
+        events: &[
+            CrashAt(1, 0),
+            CrashAt(1, 30),
+            CrashAt(1, 400),
+            CrashAt(2, 500),
+        ],
+        checked_at_ms: 1_000,
+        is_banned: false,
+        is_sound: false,
+    },
+    Case {
+        name: "one engine again and again, under the same name",
+        events: &[CrashAt(1, 0), CrashAt(1, 5_000), CrashAt(1, 10_000)],
+        checked_at_ms: 11_000,
+        is_banned: true,
+        is_sound: false,
+    },
+    Case {
+        name: "answered between the crashes",
+        events: &[
+            CrashAt(1, 0),
+            CrashAt(2, 500),
+            AnswerAt(600),
+            CrashAt(3, 900),
+        ],
+        checked_at_ms: 1_000,
+        is_banned: false,
+        is_sound: true,
+    },
+    Case {
+        name: "answered long before",
+        events: &[
+            AnswerAt(0),
+            CrashAt(1, 20_000),
+            CrashAt(2, 20_500),
+            CrashAt(3, 21_000),
+        ],
+        checked_at_ms: 22_000,
+        is_banned: true,
+        is_sound: false,
+    },
+    Case {
+        name: "reports that arrive after a later answer",
+        events: &[
+            AnswerAt(5_000),
+            CrashAt(1, 0),
+            CrashAt(2, 500),
+            CrashAt(3, 900),
+        ],
+        checked_at_ms: 6_000,
+        is_banned: false,
+        is_sound: true,
+    },
+    Case {
+        name: "an earlier answer that arrives after the reports",
+        events: &[
+            CrashAt(1, 20_000),
+            CrashAt(2, 20_500),
+            CrashAt(3, 21_000),
+            AnswerAt(100),
+        ],
+        checked_at_ms: 22_000,
+        is_banned: true,
+        is_sound: false,
+    },
+    Case {
+        name: "answered after the ban",
+        events: &[
+            CrashAt(1, 0),
+            CrashAt(2, 500),
+            CrashAt(3, 900),
+            AnswerAt(2_000),
+        ],
+        checked_at_ms: 3_000,
+        is_banned: false,
+        is_sound: true,
+    },
+    Case {
+        name: "long after the last crash",
+        events: &[CrashAt(1, 0), CrashAt(2, 500), CrashAt(3, 900)],
+        checked_at_ms: 31 * 60_000,
+        is_banned: false,
+        is_sound: false,
+    },
+];
+
+#[test]
+fn part_is_banned_after_crashes_of_several_engines_without_an_answer() {
+    for case in CASES {
+        let mut suspects = CrashSuspects::default();
+        for event in case.events {
+            match *event {
+                CrashAt(endpoint, at) => {
+                    suspects.record_crash(MonotonicMs(at), PART, EndpointTag(endpoint));
+                }
+                AnswerAt(at) => {
+                    suspects.record_progress(MonotonicMs(at), PART);
+                }
+            }
+        }
+        let now = MonotonicMs(case.checked_at_ms);
+        assert_eq!(
+            suspects.is_banned(now, PART),
+            case.is_banned,
+            "{}",
+            case.name
+        );
+        assert_eq!(suspects.is_sound(now, PART), case.is_sound, "{}", case.name);
+    }
+}
+
+fn ban(suspects: &mut CrashSuspects, part: PromptTag, at_ms: u64) {
+    for endpoint in 1..=3 {
+        let at = MonotonicMs(at_ms + u64::from(endpoint));
+        suspects.record_crash(at, part, EndpointTag(endpoint));
+    }
+}
+
+#[test]
+fn banned_part_is_tried_once_in_an_interval_however_many_requests_ask() {
+    let mut suspects = CrashSuspects::default();
+    ban(&mut suspects, PART, 0);
+    let trials =
+        (0..20 * 60).filter(|second| suspects.try_take_trial(MonotonicMs(second * 1_000), PART));
+    assert_eq!(trials.count(), 3, "in 20 minutes");
+    assert!(
+        !suspects.try_take_trial(MonotonicMs(0), PromptTag(8)),
+        "not banned"
+    );
+}
+
+#[test]
+fn flood_of_made_up_parts_is_bounded_and_lifts_no_ban() {
+    let mut suspects = CrashSuspects::default();
+    ban(&mut suspects, PART, 0);
+    for part in 100..50_100 {
+        let at = MonotonicMs(1_000 + u64::from(part));
+        suspects.record_crash(at, PromptTag(part), EndpointTag(part % 9));
+        suspects.record_progress(at, PromptTag(part + 100_000));
+    }
+    assert!(suspects.len() <= 4_096, "{} parts", suspects.len());
+    assert!(suspects.is_banned(MonotonicMs(60_000), PART));
+}
+
+/// A fleet whose daemons report to each other with delays, and a part that crashes engines.
+struct Fleet {
+    random: StdRng,
+    daemons: Vec<CrashSuspects>,
+    /// Reports on their way: when they arrive, and at which daemon.
+    reports: Vec<(u64, usize, u64, EndpointTag)>,
+    engines_down_until_ms: Vec<u64>,
+    crashed_at_ms: Vec<u64>,
+    arrivals_at_ms: Vec<u64>,
+}
+
+/// Longest time until a report has reached all daemons: two relays of a poll each.
+const REPORT_DELAY_MAX_MS: u64 = 2_000;
+
+impl Fleet {
+    fn new(seed: u64, daemons: usize, engines: usize) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            daemons: vec![CrashSuspects::default(); daemons],
+            reports: Vec::new(),
+            engines_down_until_ms: vec![0; engines],
+            crashed_at_ms: Vec::new(),
+            arrivals_at_ms: Vec::new(),
+        }
+    }
+
+    fn deliver(&mut self, now_ms: u64) {
+        let daemons = &mut self.daemons;
+        self.reports.retain(|(arrives_at, daemon, at, endpoint)| {
+            if *arrives_at > now_ms {
+                return true;
+            }
+            daemons[*daemon].record_crash(MonotonicMs(*at), PART, *endpoint);
+            false
+        });
+    }
+
+    /// Sends a request with the part through a random daemon; `sees_crash` is whether that one
+    /// notices the crash.
+    fn send(&mut self, now_ms: u64, sees_crash: bool) {
+        let daemon = self.random.random_range(0..self.daemons.len());
+        if self.daemons[daemon].is_banned(MonotonicMs(now_ms), PART) {
+            return;
+        }
+        let up = |until: &u64| *until <= now_ms;
+        let Some(engine) = self.engines_down_until_ms.iter().position(up) else {
+            return;
+        };
+        self.arrivals_at_ms.push(now_ms);
+        self.crashed_at_ms.push(now_ms);
+        self.engines_down_until_ms[engine] = now_ms + 3_000;
+        if !sees_crash {
+            return;
+        }
+        // Each start of an engine has a name of its own.
+        let endpoint = EndpointTag(self.crashed_at_ms.len() as u32);
+        for other in 0..self.daemons.len() {
+            let delay = match other == daemon {
+                true => 10,
+                false => self.random.random_range(50..REPORT_DELAY_MAX_MS),
+            };
+            self.reports.push((now_ms + delay, other, now_ms, endpoint));
+        }
+    }
+
+    /// Returns the requests that reached engines later than 3 s after the fifth crash.
+    fn late_arrivals(&self) -> usize {
+        let Some(fifth_at_ms) = self.crashed_at_ms.get(4) else {
+            return 0;
+        };
+        let arrivals = self.arrivals_at_ms.iter();
+        arrivals.filter(|at| **at > fifth_at_ms + 3_000).count()
+    }
+}
+
+#[test]
+fn fleet_of_any_size_stops_a_part_within_the_bound_of_the_platform() {
+    for daemons in [1, 9, 77] {
+        for (interval_ms, pause_ms) in [(100, 0), (400, 0), (1_500, 0), (400, 30_000)] {
+            for seed in 0..40 {
+                let mut fleet = Fleet::new(seed, daemons, daemons.max(9));
+                for step in 0..2_000 {
+                    // The requests stop for a time and come back.
+                    let pause = if step >= 50 { pause_ms } else { 0 };
+                    let now_ms = step * interval_ms + pause;
+                    fleet.deliver(now_ms);
+                    let sees_crash = fleet.random.random_bool(0.8);
+                    fleet.send(now_ms, sees_crash);
+                    if now_ms > 200_000 {
+                        break;
+                    }
+                }
+                let late = fleet.late_arrivals();
+                assert!(
+                    late <= 3,
+                    "{daemons} daemons, {interval_ms} ms, seed {seed}: {late}"
+                );
+            }
+        }
+    }
+}
+
+/// Time that an answer is at its beginning, and its whole time.
+const BEGINNING_MS: u64 = 120;
+const ANSWER_MS: u64 = 2_000;
+
+/// Returns the sound parts that were in use, and those that were banned at some time, while a part
+/// crashes an engine each 700 ms under batches of `slots` requests.
+fn sound_parts_banned(seed: u64, slots: usize) -> (usize, usize) {
+    const ENGINES: usize = 9;
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut suspects = CrashSuspects::default();
+    // Each request: when it began, and its two shared parts.
+    let mut requests: HashMap<usize, Vec<(u64, [u32; 2])>> = HashMap::new();
+    let (mut used, mut banned) = (HashSet::new(), HashSet::new());
+    for now_ms in (0..60_000).step_by(20) {
+        let now = MonotonicMs(now_ms);
+        for engine in 0..ENGINES {
+            let batch = requests.entry(engine).or_default();
+            batch.retain(|(began_at, _)| now_ms < began_at + ANSWER_MS);
+            for (_, parts) in batch.iter().filter(|(at, _)| now_ms == at + BEGINNING_MS) {
+                for part in parts {
+                    suspects.record_progress(now, PromptTag(*part));
+                }
+            }
+            // Keeps the batch full; half of the second parts are rare.
+            let wanted = slots - batch.len();
+            let starts = wanted.min(slots.div_ceil(100) + usize::from(random.random_bool(0.5)));
+            for _ in 0..starts {
+                let first = random.random_range(0..4);
+                let second = match random.random_bool(0.5) {
+                    true => random.random_range(10..40),
+                    false => random.random_range(100..1_000),
+                };
+                let parts = [first, second];
+                let is_refused = parts
+                    .iter()
+                    .any(|part| suspects.is_banned(now, PromptTag(*part)));
+                used.extend(parts);
+                if is_refused {
+                    banned.extend(
+                        parts
+                            .iter()
+                            .filter(|it| suspects.is_banned(now, PromptTag(**it))),
+                    );
+                    continue;
+                }
+                batch.push((now_ms, parts));
+            }
+        }
+        if now_ms % 700 == 0 {
+            let engine = random.random_range(0..ENGINES);
+            let endpoint = EndpointTag(now_ms as u32);
+            let batch = requests.remove(&engine).unwrap_or_default();
+            let at_beginning = batch.iter().filter(|(at, _)| now_ms < at + BEGINNING_MS);
+            for part in at_beginning.flat_map(|(_, parts)| parts) {
+                let verdict = suspects.record_crash(now, PromptTag(*part), endpoint);
+                if verdict == CrashVerdict::Banned {
+                    banned.insert(*part);
+                }
+            }
+        }
+    }
+    (used.len(), banned.len())
+}
+
+#[test]
+fn sound_prompts_of_the_same_batches_are_not_shut_out() {
+    for slots in [1, 16, 64] {
+        let runs: Vec<_> = (0..20)
+            .map(|seed| sound_parts_banned(seed, slots))
+            .collect();
+        let used: usize = runs.iter().map(|(used, _)| used).sum();
+        let banned: usize = runs.iter().map(|(_, banned)| banned).sum();
+        let rate = banned as f64 / used as f64;
+        println!("{slots} slots: {banned} of {used} sound parts banned ({rate:.5})");
+        assert!(rate < 0.01, "{slots} slots: {rate}");
+    }
+}
--- a/crates/celeryknotd/src/traffic/failure.rs
+++ b/crates/celeryknotd/src/traffic/failure.rs
@@ -72,6 +72,7 @@
             | ErrorKind::HeadersTooLarge
             | ErrorKind::RequestTimeout
             | ErrorKind::DeadlinePast
+            | ErrorKind::PromptBanned
             | ErrorKind::TicketRequired
             | ErrorKind::TicketInvalid
             | ErrorKind::TicketMismatched
