--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -121,7 +121,7 @@
                 Poll::Pending if deadline.as_mut().poll(context).is_ready() => {
                     Poll::Ready(Some(Err(AnswerError(ErrorKind::AnswerTimeout))))
                 }
-                poll => {
+                poll @ (Poll::Ready(_) | Poll::Pending) => {
                     watch.observe_poll(&poll);
                     poll
                 }
