Repeat a prompt whose answer broke off unless its endpoint crashed on it

The check now waits for the probe of the endpoint: only where that refuses connections, and a part isn't known to be sound, is the prompt not sent again.

--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -69,14 +69,6 @@
         first.is_none_or(|name| *name == self.shared.settings.name)
     }
 
-    /// Returns whether a prompt whose answer broke off may be sent to another endpoint.
-    ///
-    /// Not if a part of it may have crashed the first one.
-    pub(super) fn may_repeat_prompt(&self, parts: &[PromptTag]) -> bool {
-        let (now, suspects) = (self.now(), self.crash_table.0.borrow());
-        parts.iter().all(|part| suspects.is_sound(now, *part))
-    }
-
     /// Applies a peer's observation of a part.
     pub(super) fn apply_part_update(
         &self,
@@ -124,6 +116,35 @@
         verdict
     }
 
+    /// Records that an endpoint crashed as it began to answer a prompt with these parts; returns
+    /// whether one of them may have been the reason.
+    fn record_crash_under(
+        &self,
+        at: MonotonicMs,
+        request_id: &str,
+        endpoint: &EndpointName,
+        parts: &[PromptTag],
+    ) -> bool {
+        let is_sound = |part: &PromptTag| self.crash_table.0.borrow().is_sound(at, *part);
+        let are_sound = parts.iter().all(is_sound);
+        self.shared.metrics.crashes_at_beginning.inc();
+        let tag = EndpointTag::new(endpoint);
+        for part in parts {
+            let verdict = self.record_crash(at, *part, tag);
+            tracing::info!(
+                request_id,
+                %endpoint,
+                part = %part,
+                %verdict,
+                "endpoint crashed as it began to answer"
+            );
+            if matches!(verdict, CrashVerdict::Suspected | CrashVerdict::Banned) {
+                self.report_to_peers(tag, Observation::CrashedOn { part: *part });
+            }
+        }
+        !are_sound
+    }
+
     fn record_answered(&self, endpoint: &EndpointName, parts: &[PromptTag]) {
         let now = self.now();
         for part in parts {
@@ -174,7 +195,7 @@
             Poll::Ready(Some(Ok(_))) => self.observe_event(),
             Poll::Ready(None) => self.observe_end(),
             Poll::Ready(Some(Err(AnswerError(ErrorKind::AnswerIncomplete)))) => {
-                self.observe_break();
+                self.gateway.executor.spawn(self.check_break()).detach();
             }
             Poll::Ready(Some(Err(_))) | Poll::Pending => {}
         }
@@ -195,29 +216,26 @@
         }
     }
 
-    /// Records that the answer broke off; if that was at its beginning and its endpoint no longer
-    /// accepts connections, the endpoint crashed under one of the prompt's parts.
-    pub(super) fn observe_break(&self) {
-        if self.events > BEGINNING_EVENTS_MAX {
-            return;
-        }
+    /// Checks whether an answer that broke off did so because its endpoint crashed on the prompt.
+    ///
+    /// That is so at its beginning, if the endpoint no longer accepts connections. Returns whether
+    /// the prompt may crash another endpoint, as not all of its parts are known to be sound.
+    pub(super) fn check_break(&self) -> impl Future<Output = bool> + use<> {
         let gateway = Rc::clone(&self.gateway);
-        let now = gateway.now();
-        let suspects = gateway.crash_table.0.borrow();
-        let is_suspect = |part: &PromptTag| !suspects.is_cleared(now, *part);
-        let parts: Parts = self.parts.iter().copied().filter(is_suspect).collect();
-        drop(suspects);
-        if parts.is_empty() || !self.is_expected_to_run() {
-            return;
+        let (request_id, endpoint) = (self.request_id.clone(), self.endpoint.clone());
+        let (address, parts) = (self.address, self.parts.clone());
+        let may_be_crash = self.events <= BEGINNING_EVENTS_MAX && self.is_expected_to_run();
+        async move {
+            if !may_be_crash || parts.is_empty() {
+                return false;
+            }
+            let at = gateway.now();
+            let probe = EndpointConnection::open(address, PROBE_TIMEOUT, &gateway.timers).await;
+            if probe.is_ok() {
+                return false;
+            }
+            gateway.record_crash_under(at, &request_id, &endpoint, &parts)
         }
-        let confirm = confirm_crash(
-            Rc::clone(&gateway),
-            self.request_id.clone(),
-            self.endpoint.clone(),
-            self.address,
-            parts,
-        );
-        gateway.executor.spawn(confirm).detach();
     }
 
     /// Returns whether the endpoint has no reason to end that the platform announces: it is neither
@@ -228,32 +246,3 @@
         listed.any(|it| it.name == self.endpoint && it.accepts_requests)
     }
 }
-
-async fn confirm_crash(
-    gateway: Rc<TrafficThread>,
-    request_id: String,
-    endpoint: EndpointName,
-    address: SocketAddr,
-    parts: Parts,
-) {
-    let at = gateway.now();
-    let probe = EndpointConnection::open(address, PROBE_TIMEOUT, &gateway.timers).await;
-    if probe.is_ok() {
-        return;
-    }
-    gateway.shared.metrics.crashes_at_beginning.inc();
-    let tag = EndpointTag::new(&endpoint);
-    for part in parts {
-        let verdict = gateway.record_crash(at, part, tag);
-        tracing::info!(
-            request_id,
-            %endpoint,
-            part = %part,
-            ?verdict,
-            "endpoint crashed as it began to answer"
-        );
-        if matches!(verdict, CrashVerdict::Suspected | CrashVerdict::Banned) {
-            gateway.report_to_peers(tag, Observation::CrashedOn { part });
-        }
-    }
-}
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -45,6 +45,8 @@
     /// The tried endpoints that could not be reached.
     unreachable: SmallVec<[EndpointName; 4]>,
     progress: Rc<AttemptProgress>,
+    /// Whether an endpoint crashed on the prompt, which must reach no other one.
+    pub(super) may_crash_endpoints: bool,
 }
 
 /// An attempt that is placed but not sent.
@@ -95,6 +97,7 @@
         silent: SmallVec::new(),
         unreachable: SmallVec::new(),
         progress: Rc::clone(&progress),
+        may_crash_endpoints: false,
     };
     let remaining_ms = forward.remaining_ms();
     let on_deadline = async {
@@ -181,8 +184,7 @@
         failure: AttemptFailure,
     ) -> Result<PlacedAttempt, Refusal> {
         self.record_failure(failure);
-        let may_repeat = failure != AttemptFailure::Broken || self.may_repeat_prompt();
-        if !may_repeat || !self.history.may_retry() || !self.has_retry() {
+        if self.may_crash_endpoints || !self.history.may_retry() || !self.has_retry() {
             return Err(self.refuse(failure));
         }
         let placed = self.place().or_else(|_| {
@@ -242,12 +244,6 @@
         None
     }
 
-    /// Returns whether no part of the prompt may have crashed the endpoint that broke off its answer.
-    fn may_repeat_prompt(&self) -> bool {
-        let parts = shared_parts(self.call.head.prompt.as_ref());
-        self.gateway.may_repeat_prompt(&parts)
-    }
-
     fn record_failure(&mut self, failure: AttemptFailure) {
         self.history.record_failure(failure);
         self.progress.may_have_been_sent.set(false);
@@ -471,11 +467,16 @@
         if self.call.route.kind.is_stream() && status.is_success() {
             return Ok(Answer::Stream(Box::new(endpoint_response)));
         }
-        let bytes = read_buffered(&mut endpoint_response)
-            .await
-            .inspect_err(|failure| {
-                endpoint_response.guard.observe_failure(*failure);
-            })?;
+        let bytes = match read_buffered(&mut endpoint_response).await {
+            Ok(bytes) => bytes,
+            Err(failure) => {
+                endpoint_response.guard.observe_failure(failure);
+                if failure == AttemptFailure::Broken {
+                    self.may_crash_endpoints = endpoint_response.watch.check_break().await;
+                }
+                return Err(failure);
+            }
+        };
         if !status.is_server_error() {
             endpoint_response.guard.observe_success();
         }
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -114,7 +114,8 @@
                 StreamEnd::Failed(failure) => {
                     endpoint_response.guard.observe_failure(failure);
                     if failure == AttemptFailure::Broken {
-                        endpoint_response.watch.observe_break();
+                        let crashed = endpoint_response.watch.check_break();
+                        self.forward.may_crash_endpoints = crashed.await;
                     }
                     self.log_break(endpoint_response.guard.endpoint(), failure);
                     drop(endpoint_response);
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -187,7 +187,6 @@
             if error.0 == ErrorKind::AnswerTimeout {
                 return AttemptFailure::Unanswered;
             }
-            endpoint_response.watch.observe_break();
             AttemptFailure::Broken
         })?;
         if let Some(data) = frame.data_ref() {
--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -9,6 +9,7 @@
 
 use celeryknot_core::{DurationMs, EndpointTag, MonotonicMs, PromptTag};
 use smallvec::SmallVec;
+use strum::Display;
 
 /// Crashes under a part that ban it.
 pub const CRASHES_TO_BAN: usize = 3;
@@ -45,7 +46,8 @@
 }
 
 /// The result of a reported crash.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
 pub enum CrashVerdict {
     /// An answer has cleared the part.
     Cleared,
