Take an endpoint that closes a probe at once for a crashed one

prompt_that_crashed_an_engine_is_sent_to_no_second_one failed once, beside four other tests: a second engine crashed on the prompt. The engine that ends closes its connections before its listening socket, so that the probe right after the first break could still connect, and the engine counted as running. The probe's connection must now stay open for 30 ms.

--- a/crates/celeryknot_endpoints/src/connection.rs
+++ b/crates/celeryknot_endpoints/src/connection.rs
@@ -113,6 +113,22 @@
         self.connection.is_some()
     }
 
+    /// Returns whether the connection stays open for a time.
+    pub async fn stays_open(&mut self, time: DurationMs, timers: &Timers) -> bool {
+        let closed = future::poll_fn(|context| {
+            self.poll_io(context);
+            match self.is_open() {
+                true => Poll::Pending,
+                false => Poll::Ready(false),
+            }
+        });
+        let elapsed = async {
+            timers.after(time).await;
+            true
+        };
+        future::or(closed, elapsed).await
+    }
+
     /// Returns whether the connection can send a request now.
     async fn is_usable(&mut self) -> bool {
         future::poll_fn(|context| {
--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -24,6 +24,9 @@
 /// Time in which a connection must open for its endpoint to count as running.
 const PROBE_TIMEOUT: DurationMs = DurationMs(400);
 
+/// Time for which it must stay open: a process that ends may close its listening socket last.
+const PROBE_OPEN_TIME: DurationMs = DurationMs(30);
+
 /// Maximum number of a prompt's parts that are watched.
 const WATCHED_PARTS_MAX: usize = 16;
 
@@ -230,8 +233,7 @@
                 return false;
             }
             let at = gateway.now();
-            let probe = EndpointConnection::open(address, PROBE_TIMEOUT, &gateway.timers).await;
-            if probe.is_ok() {
+            if is_running(&gateway, address).await {
                 return false;
             }
             gateway.record_crash_under(at, &request_id, &endpoint, &parts)
@@ -246,3 +248,12 @@
         listed.any(|it| it.name == self.endpoint && it.accepts_requests)
     }
 }
+
+/// Returns whether an endpoint accepts a connection and keeps it open.
+async fn is_running(gateway: &TrafficThread, address: SocketAddr) -> bool {
+    let timers = &gateway.timers;
+    match EndpointConnection::open(address, PROBE_TIMEOUT, timers).await {
+        Ok(mut probe) => probe.stays_open(PROBE_OPEN_TIME, timers).await,
+        Err(_) => false,
+    }
+}
