Let engines of the soak answer without a length or chunks

Up to three steps of a run make an engine end its responses with their connection, complete or inside an event; a stream that is cut there must not reach its caller as a whole one. The steps are drawn after the others, so that earlier seeds keep theirs.

--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -297,6 +297,12 @@
                 self.with_behaviour(step, Behaviour::WrongRequestId)
             }
             StepKind::EndpointFull => self.with_behaviour(step, Behaviour::Full),
+            StepKind::EngineUnframed => {
+                self.with_behaviour(&engine_step(step), Behaviour::Unframed);
+            }
+            StepKind::EngineUnframedTruncates => {
+                self.with_behaviour(&engine_step(step), Behaviour::UnframedTruncated);
+            }
         }
         Ok(())
     }
@@ -450,6 +456,14 @@
 }
 
 /// Sends a signal after the delay, unless the process has ended before.
+/// Returns the step with an engine as its target.
+fn engine_step(step: &Step) -> Step {
+    Step {
+        target: step.target % ENGINE_COUNT,
+        ..*step
+    }
+}
+
 fn signal_unless_exited(
     process: &mut DaemonProcess,
     delay: Duration,
--- a/crates/celeryknot_faults/src/soak/plan.rs
+++ b/crates/celeryknot_faults/src/soak/plan.rs
@@ -49,6 +49,10 @@
     StepKind::AddColdEndpoint,
 ];
 
+/// Maximum number of steps of engines with unframed responses, and their kinds.
+const UNFRAMED_STEPS_MAX: usize = 3;
+const UNFRAMED_KINDS: [StepKind; 2] = [StepKind::EngineUnframed, StepKind::EngineUnframedTruncates];
+
 /// Idle timeouts of callers' connections; most are shorter than the longest streams.
 const IDLE_TIMEOUTS_MS: [u64; 5] = [1_000, 1_500, 2_500, 4_000, 10_000];
 
@@ -114,6 +118,10 @@
     EndpointMixesResponses,
     /// An endpoint refuses requests as it is at capacity.
     EndpointFull,
+    /// An engine's responses have neither a length nor chunks.
+    EngineUnframed,
+    /// The same, and they end inside an event.
+    EngineUnframedTruncates,
 }
 
 impl StepKind {
@@ -132,11 +140,14 @@
         )
     }
 
-    /// Returns whether this is part of series of shutdowns only.
+    /// Returns whether this is part of a series only, which is drawn after the other steps.
     const fn is_in_series_only(self) -> bool {
         matches!(
             self,
-            Self::TerminateDaemonTwice | Self::TerminateAndReloadDaemon
+            Self::TerminateDaemonTwice
+                | Self::TerminateAndReloadDaemon
+                | Self::EngineUnframed
+                | Self::EngineUnframedTruncates
         )
     }
 }
@@ -245,8 +256,9 @@
             .collect();
         // Drawn after the steps, so that a seed that failed in the past keeps them.
         let limits = RunLimits::draw(&mut rng);
-        if is_planned {
-            steps.extend(draw_series(&mut rng));
+        match is_planned {
+            true => steps.extend(draw_series(&mut rng)),
+            false => steps.extend(draw_unframed(&mut rng)),
         }
         steps.sort_by_key(|step| step.start_ms);
         Self {
@@ -287,6 +299,18 @@
     steps
 }
 
+/// Draws a series of engines whose responses have neither a length nor chunks.
+fn draw_unframed(rng: &mut impl Rng) -> Vec<Step> {
+    let count = rng.random_range(0..=UNFRAMED_STEPS_MAX);
+    let steps = (0..count).map(|_| Step {
+        kind: UNFRAMED_KINDS[rng.random_range(0..UNFRAMED_KINDS.len())],
+        target: rng.random_range(0..60),
+        start_ms: rng.random_range(300..START_MAX_MS),
+        duration_ms: rng.random_range(300..DURATION_MAX_MS),
+    });
+    steps.collect()
+}
+
 impl fmt::Display for SoakPlan {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let RunLimits {
