--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -49,18 +49,21 @@
     pub(super) fn check_prompt(
         &self,
         request_id: &str,
-        parts: &[PromptTag],
+        prompt: Option<&Prompt>,
     ) -> Result<(), Refusal> {
         let now = self.now();
         let mut suspects = self.crash_table.0.borrow_mut();
-        let Some(part) = parts.iter().find(|part| suspects.is_banned(now, **part)) else {
+        let parts = prompt.map_or(&[][..], Prompt::shared);
+        let mut parts = parts.iter().map(|part| (part.tag(), part.id));
+        let Some((part, id)) = parts.find(|(part, _)| suspects.is_banned(now, *part)) else {
             return Ok(());
         };
-        if self.runs_trials_of(*part) && suspects.try_take_trial(now, *part) {
-            tracing::info!(request_id, part = %part, "trying a banned part");
+        let part_id = format!("{id:x}");
+        if self.runs_trials_of(part) && suspects.try_take_trial(now, part) {
+            tracing::info!(request_id, %part, part_id, "trying a banned part");
             return Ok(());
         }
-        tracing::info!(request_id, part = %part, "prompt has a banned part");
+        tracing::info!(request_id, %part, part_id, "prompt has a banned part");
         Err(Refusal::new(ErrorKind::PromptBanned))
     }
 
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -293,8 +293,8 @@
         let call = &self.call;
         // Applies a newer view: the endpoints may have changed since the request arrived.
         drop(self.gateway.view());
-        let parts = shared_parts(call.head.prompt.as_ref());
-        self.gateway.check_prompt(&call.head.request_id, &parts)?;
+        let prompt = call.head.prompt.as_ref();
+        self.gateway.check_prompt(&call.head.request_id, prompt)?;
         let shared = call.head.prompt.as_ref().and_then(|it| it.shared_prefix());
         let request = PlacementRequest {
             shared,
