--- a/crates/celeryknot_endpoints/src/read_budget.rs
+++ b/crates/celeryknot_endpoints/src/read_budget.rs
@@ -17,19 +17,20 @@
 /// Many times the size of a head and of the library's buffer.
 const READ_BYTES_PER_PART: usize = 1 << 20;
 
+/// The bytes that are left of each limit.
 #[derive(Debug)]
-struct Left {
+struct BytesLeft {
     in_poll: Cell<usize>,
     in_part: Cell<usize>,
 }
 
 /// The bytes that may still be read from a connection.
 #[derive(Debug, Clone)]
-pub(crate) struct ReadBudget(Rc<Left>);
+pub(crate) struct ReadBudget(Rc<BytesLeft>);
 
 impl ReadBudget {
     pub(crate) fn new() -> Self {
-        Self(Rc::new(Left {
+        Self(Rc::new(BytesLeft {
             in_poll: Cell::new(READ_BYTES_PER_POLL),
             in_part: Cell::new(READ_BYTES_PER_PART),
         }))
--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -90,7 +90,7 @@
                 }
             }
             Observation::Answered { part } => {
-                self.crash_table.0.borrow_mut().record_progress(at, *part);
+                self.record_answer(at, *part);
             }
             Observation::Load { .. }
             | Observation::Unreachable
@@ -104,13 +104,13 @@
         part: PromptTag,
         endpoint: EndpointTag,
     ) -> CrashVerdict {
-        let (verdict, banned_count) = {
-            let mut suspects = self.crash_table.0.borrow_mut();
-            let verdict = suspects.record_crash(at, part, endpoint);
-            (verdict, suspects.banned_count(at))
-        };
+        let verdict = self
+            .crash_table
+            .0
+            .borrow_mut()
+            .record_crash(at, part, endpoint);
+        self.update_banned_count();
         let metrics = &self.shared.metrics;
-        metrics.parts_banned.set(banned_count as i64);
         match verdict {
             CrashVerdict::Suspected => metrics.parts_suspected.inc(),
             CrashVerdict::Banned => {
@@ -124,7 +124,7 @@
 
     /// Records that an endpoint crashed as it began to answer a prompt with these parts; returns
     /// whether one of them may have been the reason.
-    fn record_crash_under(
+    fn record_crashed_prompt(
         &self,
         at: MonotonicMs,
         request_id: &str,
@@ -151,11 +151,25 @@
         !are_sound
     }
 
-    fn record_answered(&self, endpoint: &EndpointName, parts: &[PromptTag]) {
+    /// Records an answer to a prompt with the part; returns whether the part was suspected.
+    fn record_answer(&self, at: MonotonicMs, part: PromptTag) -> bool {
+        let was_suspected = self.crash_table.0.borrow_mut().record_answer(at, part);
+        if was_suspected {
+            self.update_banned_count();
+        }
+        was_suspected
+    }
+
+    fn update_banned_count(&self) {
+        let banned_count = self.crash_table.0.borrow().banned_count(self.now());
+        self.shared.metrics.parts_banned.set(banned_count as i64);
+    }
+
+    /// Clears the parts of a prompt that an endpoint answered, here and at the peers.
+    fn clear_parts(&self, endpoint: &EndpointName, parts: &[PromptTag]) {
         let now = self.now();
         for part in parts {
-            let was_suspected = self.crash_table.0.borrow_mut().record_progress(now, *part);
-            if was_suspected {
+            if self.record_answer(now, *part) {
                 tracing::info!(part = %part, %endpoint, "part cleared");
                 let endpoint = EndpointTag::new(endpoint);
                 self.report_to_peers(endpoint, Observation::Answered { part: *part });
@@ -211,14 +225,14 @@
     pub(super) fn observe_event(&mut self) {
         self.events = self.events.saturating_add(1);
         if self.events == BEGINNING_EVENTS_MAX + 1 {
-            self.gateway.record_answered(&self.endpoint, &self.parts);
+            self.gateway.clear_parts(&self.endpoint, &self.parts);
         }
     }
 
     /// Records that the answer is complete.
     pub(super) fn observe_end(&self) {
         if self.events <= BEGINNING_EVENTS_MAX {
-            self.gateway.record_answered(&self.endpoint, &self.parts);
+            self.gateway.clear_parts(&self.endpoint, &self.parts);
         }
     }
 
@@ -239,7 +253,7 @@
             if is_running(&gateway, address).await {
                 return false;
             }
-            gateway.record_crash_under(at, &request_id, &endpoint, &parts)
+            gateway.record_crashed_prompt(at, &request_id, &endpoint, &parts)
         }
     }
 
--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -116,7 +116,7 @@
     }
 
     /// Records that an answer got beyond its beginning; returns whether the part was suspected.
-    pub fn record_progress(&mut self, at: MonotonicMs, part: PromptTag) -> bool {
+    pub fn record_answer(&mut self, at: MonotonicMs, part: PromptTag) -> bool {
         let part = self.entry(at, part);
         part.cleared_at = part.cleared_at.max(Some(at));
         let crash_count = part.crashes.len();
--- a/crates/celeryknot_policy/tests/crash_suspects.rs
+++ b/crates/celeryknot_policy/tests/crash_suspects.rs
@@ -139,7 +139,7 @@
                     suspects.record_crash(MonotonicMs(at), PART, EndpointTag(endpoint));
                 }
                 AnswerAt(at) => {
-                    suspects.record_progress(MonotonicMs(at), PART);
+                    suspects.record_answer(MonotonicMs(at), PART);
                 }
             }
         }
@@ -181,7 +181,7 @@
     for part in 100..50_100 {
         let at = MonotonicMs(1_000 + u64::from(part));
         suspects.record_crash(at, PromptTag(part), EndpointTag(part % 9));
-        suspects.record_progress(at, PromptTag(part + 100_000));
+        suspects.record_answer(at, PromptTag(part + 100_000));
     }
     assert!(suspects.len() <= 4_096, "{} parts", suspects.len());
     assert!(suspects.is_banned(MonotonicMs(60_000), PART));
@@ -309,7 +309,7 @@
             batch.retain(|(began_at, _)| now_ms < began_at + ANSWER_MS);
             for (_, parts) in batch.iter().filter(|(at, _)| now_ms == at + BEGINNING_MS) {
                 for part in parts {
-                    suspects.record_progress(now, PromptTag(*part));
+                    suspects.record_answer(now, PromptTag(*part));
                 }
             }
             // Keeps the batch full; half of the second parts are rare.
--- a/crates/celeryknot_standins/src/raw_caller.rs
+++ b/crates/celeryknot_standins/src/raw_caller.rs
@@ -28,6 +28,30 @@
     Cut,
 }
 
+/// What a caller makes of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Received {
+    /// So many bytes of the body, framed as complete.
+    Complete(usize),
+    /// So many bytes of the body, of which the caller can't know that they are complete.
+    Unverified(usize),
+    /// A response that is visibly broken off.
+    Cut,
+    /// Another status than 200.
+    Refused(u16),
+}
+
+impl From<&RawResponse> for Received {
+    fn from(response: &RawResponse) -> Self {
+        match (response.status, response.end) {
+            (200, ReceivedEnd::Complete) => Self::Complete(response.body.len()),
+            (200, ReceivedEnd::Unverified) => Self::Unverified(response.body.len()),
+            (0 | 200, ReceivedEnd::Cut) => Self::Cut,
+            (status, _) => Self::Refused(status),
+        }
+    }
+}
+
 /// A response as it was received.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RawResponse {
--- a/crates/celeryknotd/tests/answer_framing.rs
+++ b/crates/celeryknotd/tests/answer_framing.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use celeryknot_core::DurationMs;
 use celeryknot_settings::ServiceSettings;
-use celeryknot_standins::raw_caller::{self, RawResponse, ReceivedEnd};
+use celeryknot_standins::raw_caller::{self, RawResponse, Received};
 use celeryknot_standins::raw_endpoint::{
     BodyEnding, RawEndpoint, RawReply, Replies, ReplyEnd, ReplyFraming,
 };
@@ -43,19 +43,7 @@
 /// Index of the daemon that owns the endpoints; callers connect to the first one.
 const OWNERS: [usize; 2] = [0, 1];
 
-/// What a caller of HTTP/1.1 gets.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Received {
-    /// So many bytes of the body, framed as complete.
-    Complete(usize),
-    /// So many bytes of the body, of which the caller can't know that they are complete.
-    Unverified(usize),
-    /// A response that is visibly broken off.
-    Cut,
-    /// A refusal with this status.
-    Refused(u16),
-}
-
+/// A framing, an end, and what a caller of HTTP/1.1 gets.
 struct Case {
     framings: &'static [ReplyFraming],
     ending: BodyEnding,
@@ -217,15 +205,6 @@
     actual == expected || (owner != 0 && expected == Cut && actual == Refused(502))
 }
 
-fn summary(response: &RawResponse) -> Received {
-    match (response.status, response.end) {
-        (200, ReceivedEnd::Complete) => Complete(response.body.len()),
-        (200, ReceivedEnd::Unverified) => Unverified(response.body.len()),
-        (0 | 200, ReceivedEnd::Cut) => Cut,
-        (status, _) => Refused(status),
-    }
-}
-
 #[test]
 fn truncated_response_never_looks_complete_and_an_unframed_one_is_served() {
     let run = |owner: usize, version: Version, method: &Method, path: &str| {
@@ -248,7 +227,7 @@
                     *method != Method::POST || runs == 1,
                     "{framing} ran {runs} times"
                 );
-                let actual = summary(&response);
+                let actual = Received::from(&response);
                 if !is_expected(actual, expected, owner) {
                     failures.push(format!(
                         "owner {owner} {path} {version:?} {framing} {:?}: {actual:?}, \
@@ -295,7 +274,7 @@
             for version in VERSIONS {
                 let booking = request(&Method::POST, "/case-svc/bookings", version)
                     .header("idempotency-key", &ticket);
-                let actual = summary(&fleet.send(booking, "{}"));
+                let actual = Received::from(&fleet.send(booking, "{}"));
                 assert_eq!(
                     actual, expected,
                     "owner {owner} {version:?} {framing} {ending:?}"
@@ -321,11 +300,15 @@
                 fleet.set_reply(&reply(true, framing, CHAT_BODY, Whole));
                 let response = send(version);
                 let whole = as_received(Complete(CHAT_BODY.len()), version, false);
-                assert_eq!(summary(&response), whole, "{owner} {framing} {version:?}");
+                assert_eq!(
+                    Received::from(&response),
+                    whole,
+                    "{owner} {framing} {version:?}"
+                );
                 assert_eq!(response.text(), CHAT_BODY);
                 for at in [10, CHAT_BODY.find("\n\n").unwrap() + 2] {
                     fleet.set_reply(&reply(true, framing, CHAT_BODY, ClosedAt(at)));
-                    let actual = summary(&send(version));
+                    let actual = Received::from(&send(version));
                     assert!(
                         is_expected(actual, Cut, owner),
                         "{owner} {framing} {version:?} {at}: {actual:?}"
