--- a/crates/celeryknot/tests/program.rs
+++ b/crates/celeryknot/tests/program.rs
@@ -239,7 +239,7 @@
     let text = run_in(&root(), &["codes"]).out;
     assert_eq!(
         text.lines().next(),
-        Some("code                  status  execution  retry        after   title")
+        Some("code                  status  execution  retry        after     title")
     );
     let json = run_in(&root(), &["codes", "--format", "json"]).out;
     let codes: Vec<serde_json::Value> = serde_json::from_str(&json).unwrap();
