--- a/crates/celeryknot_callers/src/response_end.rs
+++ b/crates/celeryknot_callers/src/response_end.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use celeryknot_core::header::{BODY_END, BODY_END_UNVERIFIED};
 use http::header::CONNECTION;
-use http::{HeaderName, HeaderValue, Response, Version};
+use http::{Extensions, HeaderName, HeaderValue, Response, Version};
 use hyper::body::{Body, Frame, SizeHint};
 use smol::net::TcpStream;
 use socket2::SockRef;
@@ -19,6 +19,24 @@
 #[derive(Debug, Clone, Copy)]
 pub struct UnverifiedEnd;
 
+impl UnverifiedEnd {
+    /// Returns whether the extensions of a response have the mark.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_callers::response_end::UnverifiedEnd;
+    ///
+    /// let mut extensions = http::Extensions::new();
+    /// assert!(!UnverifiedEnd::is_set(&extensions));
+    /// extensions.insert(UnverifiedEnd);
+    /// assert!(UnverifiedEnd::is_set(&extensions));
+    /// ```
+    pub fn is_set(extensions: &Extensions) -> bool {
+        extensions.get::<Self>().is_some()
+    }
+}
+
 /// Frames a response to a caller of HTTP/1.
 ///
 /// The HTTP library delimits a body by the end of the connection only in responses of version 1.0.
@@ -26,7 +44,7 @@
     mut response: Response<B>,
     stream: &TcpStream,
 ) -> Response<CallerBody<B>> {
-    let is_unverified = response.extensions().get::<UnverifiedEnd>().is_some();
+    let is_unverified = UnverifiedEnd::is_set(response.extensions());
     if is_unverified {
         *response.version_mut() = Version::HTTP_10;
         let close = HeaderValue::from_static("close");
@@ -43,7 +61,7 @@
 
 /// Frames a response to a caller of HTTP/2.
 pub(crate) fn frame_http2<B: Body>(mut response: Response<B>) -> Response<CallerBody<B>> {
-    let is_unverified = response.extensions().get::<UnverifiedEnd>().is_some();
+    let is_unverified = UnverifiedEnd::is_set(response.extensions());
     if is_unverified {
         let unverified = HeaderValue::from_static(BODY_END_UNVERIFIED);
         let name = HeaderName::from_static(BODY_END);
--- a/crates/celeryknot_endpoints/src/answer.rs
+++ b/crates/celeryknot_endpoints/src/answer.rs
@@ -6,14 +6,13 @@
 
 use bytes::Bytes;
 use celeryknot_core::{ErrorKind, SizeBytes};
-use http::header::CONTENT_TYPE;
 use http::{Method, Response, response};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::connection::{ConnectionPool, EndpointConnection};
 use crate::framing::BodyFraming;
 use crate::idle_timeout::IdleTimeout;
-use crate::sse::EventBoundary;
+use crate::sse::{EventBoundary, is_event_stream};
 
 /// Frames after which other tasks of the thread run.
 ///
@@ -62,14 +61,11 @@
         connection: EndpointConnection,
     ) -> (response::Parts, Self) {
         let (head, incoming) = response.into_parts();
-        let content_type = head.headers.get(CONTENT_TYPE);
-        let is_event_stream =
-            content_type.is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
         let framing = BodyFraming::of(method, &head);
         let body = Self {
             incoming,
             framing,
-            is_event_stream,
+            is_event_stream: is_event_stream(&head.headers),
             connection,
         };
         (head, body)
--- a/crates/celeryknot_endpoints/src/sse.rs
+++ b/crates/celeryknot_endpoints/src/sse.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use celeryknot_core::ErrorKind;
+use http::HeaderMap;
+use http::header::CONTENT_TYPE;
 use serde::Deserialize;
 use smallvec::SmallVec;
 
@@ -151,6 +153,24 @@
     }
 }
 
+/// Returns whether the headers of a response announce a stream of events.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_endpoints::sse::is_event_stream;
+///
+/// let mut headers = http::HeaderMap::new();
+/// assert!(!is_event_stream(&headers));
+/// headers.insert("content-type", "text/event-stream; charset=utf-8".parse().unwrap());
+/// assert!(is_event_stream(&headers));
+/// ```
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers
+        .get(CONTENT_TYPE)
+        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
+
 /// Returns the `id` field of an event, if it has one.
 pub fn event_id(event: &[u8]) -> Option<&str> {
     let line = event
--- a/crates/celeryknotd/src/traffic/hop.rs
+++ b/crates/celeryknotd/src/traffic/hop.rs
@@ -334,7 +334,7 @@
     head: &response::Parts,
     accepts_unverified_end: bool,
 ) -> Result<(), Refusal> {
-    let has_unverified_end = head.extensions.get::<UnverifiedEnd>().is_some();
+    let has_unverified_end = UnverifiedEnd::is_set(&head.extensions);
     match has_unverified_end && !accepts_unverified_end {
         true => Err(Refusal::new(ErrorKind::AnswerIncomplete)),
         false => Ok(()),
--- a/crates/celeryknotd/src/traffic/stream.rs
+++ b/crates/celeryknotd/src/traffic/stream.rs
@@ -5,7 +5,7 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal};
-use celeryknot_endpoints::{AnswerError, SseEvent, SseParser, TokenEvent};
+use celeryknot_endpoints::{AnswerError, SseEvent, SseParser, TokenEvent, sse};
 use celeryknot_policy::attempt::AttemptIndex;
 use celeryknot_policy::stream::{StreamCursor, TokenAction};
 use http_body_util::BodyExt;
@@ -181,9 +181,5 @@
 
 /// Returns whether a response is an event stream.
 pub(crate) fn is_stream(head: &http::response::Parts) -> bool {
-    head.status == http::StatusCode::OK
-        && head
-            .headers
-            .get(http::header::CONTENT_TYPE)
-            .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+    head.status == http::StatusCode::OK && sse::is_event_stream(&head.headers)
 }
--- a/crates/celeryknotd/src/traffic/ticketed.rs
+++ b/crates/celeryknotd/src/traffic/ticketed.rs
@@ -355,7 +355,7 @@
         status: head.status,
         headers: head.headers,
         body,
-        has_unverified_end: head.extensions.get::<UnverifiedEnd>().is_some(),
+        has_unverified_end: UnverifiedEnd::is_set(&head.extensions),
     })
 }
 
