Test a read on an idle connection that closes as the read arrives

The suspected cause was the moment between the replica's close and the client's next read. This test fixes that moment: the replica receives the second request and closes without a response.

--- a/crates/celeryknot_platform/tests/client.rs
+++ b/crates/celeryknot_platform/tests/client.rs
@@ -13,12 +13,15 @@
 enum ReplicaBehaviour {
     Responds(&'static str),
     RespondsOnceThenCloses(&'static str),
+    /// Closes the connection on its second request, without a response.
+    RespondsOnceThenDropsRequest(&'static str),
     NeverResponds,
     Fails,
 }
 
 async fn serve_connection(mut stream: TcpStream, behaviour: ReplicaBehaviour) {
     let mut buffer = [0; 4096];
+    let mut response_count = 0;
     loop {
         let Ok(received_bytes) = stream.read(&mut buffer).await else {
             return;
@@ -27,9 +30,10 @@
             return;
         }
         let (status, body) = match behaviour {
-            ReplicaBehaviour::Responds(body) | ReplicaBehaviour::RespondsOnceThenCloses(body) => {
-                ("200 OK", body)
-            }
+            ReplicaBehaviour::RespondsOnceThenDropsRequest(_) if response_count > 0 => return,
+            ReplicaBehaviour::Responds(body)
+            | ReplicaBehaviour::RespondsOnceThenCloses(body)
+            | ReplicaBehaviour::RespondsOnceThenDropsRequest(body) => ("200 OK", body),
             ReplicaBehaviour::NeverResponds => continue,
             ReplicaBehaviour::Fails => ("503 Service Unavailable", "down"),
         };
@@ -38,6 +42,7 @@
         if stream.write_all(response.as_bytes()).await.is_err() {
             return;
         }
+        response_count += 1;
         if matches!(behaviour, ReplicaBehaviour::RespondsOnceThenCloses(_)) {
             return;
         }
@@ -90,6 +95,19 @@
     });
 }
 
+#[test]
+fn idle_connection_that_drops_a_request_is_reopened() {
+    smol::block_on(async {
+        let address =
+            spawn_replica(ReplicaBehaviour::RespondsOnceThenDropsRequest(ONE_VALUE)).await;
+        let mut client = PlatformClient::new(vec![address], 0, Arc::default());
+        for round in 0..3 {
+            let result = client.values(None, DurationMs(0)).await;
+            assert!(result.is_ok(), "round {round}: {result:?}");
+        }
+    });
+}
+
 /// A faulty first replica.
 struct FaultyReplica {
     name: &'static str,
