Retry a platform read on a new connection when an idle one fails

Cause: a replica may close an idle connection just as the client sends its next read on it. The client reported that as a failed read and switched to another replica. Ruled out: a connect error and a timeout, whose errors differ.

Change: a read that fails on a reused connection is sent once more on a new one, within the same timeout. Requests to the platform only read.

--- a/crates/celeryknot_platform/src/client.rs
+++ b/crates/celeryknot_platform/src/client.rs
@@ -186,12 +186,30 @@
         self.rotate();
     }
 
+    /// Sends a request on the idle connection, or else on a new one.
+    ///
+    /// A replica may close an idle connection just as the request is sent. As requests only read,
+    /// one that fails so is sent again on a new connection.
     async fn exchange(&mut self, uri: &str) -> Result<Bytes, PlatformError> {
         let address = self.address().ok_or(PlatformError::NoAddress)?;
-        let mut connection = match self.take_idle_connection().await {
-            Some(idle) => idle,
-            None => connect(address, Arc::clone(&self.meter)).await?,
-        };
+        if let Some(idle) = self.take_idle_connection().await {
+            match self.exchange_on(idle, address, uri).await {
+                Err(PlatformError::Connection(error)) => {
+                    tracing::debug!(%address, %error, "idle connection failed, opening a new one");
+                }
+                result => return result,
+            }
+        }
+        let connection = connect(address, Arc::clone(&self.meter)).await?;
+        self.exchange_on(connection, address, uri).await
+    }
+
+    async fn exchange_on(
+        &mut self,
+        mut connection: Connection,
+        address: SocketAddr,
+        uri: &str,
+    ) -> Result<Bytes, PlatformError> {
         self.calls += 1;
         let request = Request::get(uri)
             .header("host", address.to_string())
