--- a/crates/celeryknot_standins/src/counters.rs
+++ b/crates/celeryknot_standins/src/counters.rs
@@ -39,6 +39,8 @@
     pub cancelled: u64,
     /// Requests that an overloaded cold endpoint failed or slowed down.
     pub overwhelmed: u64,
+    /// Crashes.
+    pub crashes: u64,
     /// Every execution of a booking, in order of arrival.
     pub bookings: Vec<BookingExecution>,
     /// Executed orders with their fencing tokens.
--- a/crates/celeryknot_standins/src/engine.rs
+++ b/crates/celeryknot_standins/src/engine.rs
@@ -9,6 +9,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use celeryknot_core::DurationMs;
@@ -62,10 +63,17 @@
     }
 }
 
+/// Time from a crash until the engine starts again.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+
+/// Pause between the attempts to listen again.
+const LISTEN_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 #[derive(Debug)]
 pub(crate) struct EngineShared {
     state: Mutex<EngineState>,
     wake: Sender<()>,
+    crash: Sender<()>,
 }
 
 impl EngineShared {
@@ -79,13 +87,20 @@
         // A full channel already holds a pending wake-up.
         let _ = self.wake.try_send(());
     }
+
+    /// Ends the engine's process: it closes its connections and refuses new ones for a time.
+    fn crash(&self) {
+        // A full channel already holds a pending crash.
+        let _ = self.crash.try_send(());
+    }
 }
 
 /// A running engine.
 #[derive(Debug)]
 pub struct Engine {
     shared: Arc<EngineShared>,
-    server: Server,
+    address: SocketAddr,
+    server_task: smol::Task<()>,
     step_task: smol::Task<()>,
 }
 
@@ -103,22 +118,37 @@
     /// ```
     pub fn start(options: EngineOptions, address: SocketAddr) -> eyre::Result<Self> {
         let (wake, wake_signal) = async_channel::bounded(1);
+        let (crash, crash_signal) = async_channel::bounded(1);
         let shared = Arc::new(EngineShared {
             state: Mutex::new(EngineState::new(options)),
             wake,
+            crash,
         });
         let server = Server::start(address, Arc::new(EngineApi::new(Arc::clone(&shared))))?;
+        let address = server.address();
+        let server_task = spawn(run_server(server, Arc::clone(&shared), crash_signal));
         let step_task = spawn(run_steps(Arc::clone(&shared), wake_signal));
         Ok(Self {
             shared,
-            server,
+            address,
+            server_task,
             step_task,
         })
     }
 
     /// Returns the listening address.
     pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        self.address
+    }
+
+    /// Makes the engine crash whenever it begins to answer a chat with this text in a message.
+    pub fn crash_on_text(&self, text: &str) {
+        self.shared.state().crash_text = Some(text.to_owned());
+    }
+
+    /// Ends all requests, closes the connections, and refuses new ones for a time.
+    pub fn crash(&self) {
+        self.shared.crash();
     }
 
     /// Returns the number of queued and running requests.
@@ -149,11 +179,30 @@
 
     /// Stops the engine and closes its connections.
     pub async fn stop(self) {
-        self.server.stop().await;
+        self.server_task.cancel().await;
         self.step_task.cancel().await;
     }
 }
 
+/// Keeps the server, and starts it again at the same address after a crash.
+async fn run_server(server: Server, shared: Arc<EngineShared>, crash_signal: Receiver<()>) {
+    let mut server = server;
+    while crash_signal.recv().await.is_ok() {
+        let address = server.address();
+        server.stop().await;
+        shared.state().crash();
+        Timer::after(RESTART_DELAY).await;
+        server = loop {
+            let api = Arc::new(EngineApi::new(Arc::clone(&shared)));
+            match Server::start(address, api) {
+                Ok(server) => break server,
+                // Another socket may hold the port until it closes.
+                Err(_) => Timer::after(LISTEN_RETRY_DELAY).await,
+            };
+        };
+    }
+}
+
 async fn run_steps(shared: Arc<EngineShared>, wake_signal: Receiver<()>) {
     loop {
         let step = shared.state().begin_step();
--- a/crates/celeryknot_standins/src/engine/http_api.rs
+++ b/crates/celeryknot_standins/src/engine/http_api.rs
@@ -11,10 +11,11 @@
 use hyper::body::Incoming;
 use smol::Timer;
 
-use super::EngineShared;
 use super::job::Job;
 use super::state::EngineState;
+use super::{EngineShared, RESTART_DELAY};
 use crate::client::fetch_json;
+use crate::executor::spawn;
 use crate::server::{Aborted, Answer, AnswerBody, BodyChunk, Handler};
 use crate::server::{empty, into_answer, json, json_bytes, query_number, read_json};
 use crate::text::{AnswerText, Token, prompt_tokens};
@@ -24,6 +25,8 @@
 const EVENTS_WAIT_MAX_MS: u64 = 30_000;
 const EVENTS_POLL_INTERVAL: Duration = Duration::from_millis(50);
 const KV_SOURCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Delay from the first event of an answer to the crash that it causes.
+const CRASH_DELAY: Duration = Duration::from_millis(5);
 const TOKEN_HEX_LEN: usize = 8;
 
 pub(super) struct EngineApi {
@@ -107,8 +110,12 @@
             Err(status) => return Ok(empty(status)),
         };
         self.import_kv(&head.headers).await;
-        let (chunks, chunk_receiver) = Job::channel();
+        let (chunks, mut chunk_receiver) = Job::channel();
         let is_stream = chat_request.stream;
+        if self.shared.state().crashes_on(&chat_request.messages) {
+            chunk_receiver =
+                crash_at_first_chunk(chunk_receiver, is_stream, Arc::clone(&self.shared));
+        }
         let (request_id, refusal) = self.enqueue(&head.headers, chat_request, chunks);
         let answer_headers = answer_headers(&self.shared.state(), request_id);
         if let Some(status) = refusal {
@@ -232,6 +239,30 @@
     })
 }
 
+/// Crashes the engine at the first chunk, which is sent before if it isn't the whole answer.
+fn crash_at_first_chunk(
+    chunks: Receiver<BodyChunk>,
+    is_stream: bool,
+    shared: Arc<EngineShared>,
+) -> Receiver<BodyChunk> {
+    let (sender, receiver) = Job::channel();
+    spawn(async move {
+        let Ok(chunk) = chunks.recv().await else {
+            return;
+        };
+        if is_stream {
+            // The router may have disconnected; the engine crashes all the same.
+            let _ = sender.send(chunk).await;
+            Timer::after(CRASH_DELAY).await;
+        }
+        shared.crash();
+        // Keeps the answer open until the server has closed its connection.
+        Timer::after(RESTART_DELAY).await;
+    })
+    .detach();
+    receiver
+}
+
 fn stream_answer(chunks: Receiver<BodyChunk>) -> Answer {
     let mut answer = Response::new(AnswerBody::chunks(chunks));
     answer.headers_mut().insert(
--- a/crates/celeryknot_standins/src/engine/state.rs
+++ b/crates/celeryknot_standins/src/engine/state.rs
@@ -12,7 +12,7 @@
 use super::job::{Job, Progress};
 use super::prefix_cache::PrefixCache;
 use crate::counters::EndpointCounters;
-use crate::text::{AnswerText, Token};
+use crate::text::{AnswerText, Message, Token};
 use crate::wire::{CacheEvent, CacheEventKind, EndpointMode, FencedOrder, Load, Order};
 
 /// Limits the load samples kept for delayed reports.
@@ -37,6 +37,8 @@
     fencing: u64,
     load_history: VecDeque<(Instant, Load)>,
     random: SmallRng,
+    /// Text in a message on which the engine crashes.
+    pub(super) crash_text: Option<String>,
 }
 
 impl EngineState {
@@ -58,6 +60,7 @@
             fencing: 0,
             load_history: VecDeque::new(),
             random: SmallRng::seed_from_u64(options.seed),
+            crash_text: None,
             options,
         };
         state.record_load();
@@ -78,6 +81,27 @@
         self.mode.silent == Some(true)
     }
 
+    /// Returns whether the engine crashes as it begins to answer these messages.
+    pub(super) fn crashes_on(&self, messages: &[Message]) -> bool {
+        let Some(text) = &self.crash_text else {
+            return false;
+        };
+        messages
+            .iter()
+            .any(|message| message.content.contains(text))
+    }
+
+    /// Ends all requests and clears the cache, as the end of the engine's process would.
+    pub(super) fn crash(&mut self) {
+        self.waiting.clear();
+        self.running.clear();
+        for chat in self.cache.clear() {
+            self.events.push(CacheEventKind::Evicted, chat, 0);
+        }
+        self.counters.crashes += 1;
+        self.record_load();
+    }
+
     /// Draws whether a fault of this percentage hits a request.
     pub(super) fn hits_fault(&mut self, percent: Option<u32>) -> bool {
         percent.is_some_and(|percent| self.random.random_range(0..100) < percent)
