Share the table of endpoint updates and the probe with the native daemon

celeryknotd is to exchange reports of crashes as the gateway does, and to check in the same way whether an endpoint runs. The table moves to celeryknot_core, which has no I/O and no clock either, and the probe to celeryknot_endpoints. Both are moved as they are; no logic changes.

--- a/crates/celeryknot_gateway/src/endpoint_updates.rs
+++ b/crates/celeryknot_core/src/endpoint_updates.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use celeryknot_core::{DurationMs, EndpointTag, MonotonicMs, PromptTag};
+use crate::{DurationMs, EndpointTag, MonotonicMs, PromptTag};
 
 /// Lifetime of a load report or of a failure to reach an endpoint.
 const STATE_TTL: DurationMs = DurationMs(2_000);
@@ -138,7 +138,7 @@
 ///
 /// ```
 /// use celeryknot_core::{EndpointTag, MonotonicMs};
-/// use celeryknot_gateway::endpoint_updates::{EndpointUpdate, EndpointUpdateTable, Observation};
+/// use celeryknot_core::endpoint_updates::{EndpointUpdate, EndpointUpdateTable, Observation};
 ///
 /// let mut table = EndpointUpdateTable::default();
 /// let update = |held, at| EndpointUpdate {
--- a/crates/celeryknot_core/src/lib.rs
+++ b/crates/celeryknot_core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backoff;
 pub mod endpoint;
+pub mod endpoint_updates;
 pub mod error_kind;
 pub mod header;
 pub mod id;
--- a/crates/celeryknot_endpoints/src/connection.rs
+++ b/crates/celeryknot_endpoints/src/connection.rs
@@ -28,6 +28,12 @@
 /// Idle time below which a connection is reused without checking its socket.
 const UNCHECKED_IDLE_MAX: Duration = Duration::from_millis(5);
 
+/// Time in which a connection must open for its endpoint to count as running.
+const PROBE_TIMEOUT: DurationMs = DurationMs(400);
+
+/// Time for which it must stay open: a process that ends may close its listening socket last.
+const PROBE_OPEN_TIME: DurationMs = DurationMs(30);
+
 /// Largest header block of a response.
 const HEADER_SIZE_MAX_BYTES: usize = 64 << 10;
 
@@ -114,7 +120,7 @@
     }
 
     /// Returns whether the connection stays open for a time.
-    pub async fn stays_open(&mut self, time: DurationMs, timers: &Timers) -> bool {
+    async fn stays_open(&mut self, time: DurationMs, timers: &Timers) -> bool {
         let closed = future::poll_fn(|context| {
             self.poll_io(context);
             match self.is_open() {
@@ -140,6 +146,14 @@
     }
 }
 
+/// Returns whether an endpoint accepts a connection and keeps it open.
+pub async fn is_running(address: SocketAddr, timers: &Timers) -> bool {
+    match EndpointConnection::open(address, PROBE_TIMEOUT, timers).await {
+        Ok(mut probe) => probe.stays_open(PROBE_OPEN_TIME, timers).await,
+        Err(_) => false,
+    }
+}
+
 /// A thread's pool of idle connections.
 #[derive(Debug, Clone, Default)]
 pub struct ConnectionPool {
--- a/crates/celeryknot_endpoints/src/lib.rs
+++ b/crates/celeryknot_endpoints/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use answer::{AnswerBody, AnswerError, PoolEntry, ReceivedBody};
 pub use call::{Call, CallFailure, CallTimeouts, EndpointResponse, Reuse};
-pub use connection::{ConnectionPool, EndpointConnection};
+pub use connection::{ConnectionPool, EndpointConnection, is_running};
 pub use exchange::{ExchangeError, exchange};
 pub use framing::BodyFraming;
 pub use idle_timeout::IdleTimeout;
--- a/crates/celeryknot_gateway/src/control/long_polls.rs
+++ b/crates/celeryknot_gateway/src/control/long_polls.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use async_channel::Receiver;
+use celeryknot_core::endpoint_updates::{EndpointUpdate, EndpointUpdateTable, Observation};
 use celeryknot_core::{DurationMs, EndpointTag, Incarnation, MonotonicMs, PromptTag};
 use celeryknot_peers::relay::{
     InFlightCounts, PendingPoll, RelayHolder, RelayItem, RelayLoad, RelayMember, RelayPart,
@@ -10,7 +11,6 @@
 };
 
 use super::Publisher;
-use crate::endpoint_updates::{EndpointUpdate, EndpointUpdateTable, Observation};
 use crate::in_flight::{Counts, InFlightTable};
 use crate::members::{Member, MemberTable};
 use crate::platform_protocol::StoreRevision;
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::sync::Arc;
 
+use celeryknot_core::endpoint_updates::{EndpointUpdate, EndpointUpdateTable};
 use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
 use celeryknot_peers::relay::{
     PendingPoll, RelayHolder, RelayLoad, RelayPart, UpdatesRequest, UpdatesResponse,
@@ -12,7 +13,6 @@
     EncodedUpdates, PendingPolls, ReplyState, build_reply, decode_counts, decode_member,
     decode_updates, encode_counts, encode_member, encode_updates,
 };
-use crate::endpoint_updates::{EndpointUpdate, EndpointUpdateTable};
 use crate::in_flight::InFlightTable;
 use crate::members::{Member, MemberTable};
 use crate::platform_protocol::{PlatformProtocol, StoreRevision};
--- a/crates/celeryknot_gateway/src/lib.rs
+++ b/crates/celeryknot_gateway/src/lib.rs
@@ -7,7 +7,6 @@
 mod control;
 pub mod count_guard;
 pub mod daemon;
-pub mod endpoint_updates;
 pub mod in_flight;
 pub mod listeners;
 mod logs;
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -7,11 +7,11 @@
 
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
+use celeryknot_core::endpoint_updates::EndpointUpdate;
 use celeryknot_core::{DurationMs, EndpointTag, MonotonicMs};
 use celeryknot_operators::GatewayMetrics;
 use celeryknot_settings::{FleetBounds, GatewaySettings};
 
-use crate::endpoint_updates::EndpointUpdate;
 use crate::in_flight::Counts;
 use crate::logs;
 use crate::view::View;
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -9,6 +9,7 @@
 use arc_swap::Guard;
 use async_channel::{Receiver, Sender};
 use celeryknot_callers::{CallerLimits, ConnectionTimeouts, ThreadExecutor};
+use celeryknot_core::endpoint_updates::{EndpointUpdate, Observation};
 use celeryknot_core::{EndpointName, EndpointTag, MonotonicMs, Refusal, ServiceName, Timers};
 use celeryknot_endpoints::ConnectionPool;
 use celeryknot_policy::direct::cold_rate_limit::ColdRateLimit;
@@ -21,7 +22,6 @@
 
 use super::crash_watch::CrashTable;
 use super::shutdown::RouteTimes;
-use crate::endpoint_updates::{EndpointUpdate, Observation};
 use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate};
 use crate::view::View;
 
--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -6,27 +6,21 @@
 use std::task::Poll;
 
 use bytes::Bytes;
+use celeryknot_core::endpoint_updates::Observation;
 use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{
-    DurationMs, EndpointName, EndpointTag, ErrorKind, MonotonicMs, PromptTag, Refusal, ServiceName,
+    EndpointName, EndpointTag, ErrorKind, MonotonicMs, PromptTag, Refusal, ServiceName,
 };
-use celeryknot_endpoints::{AnswerError, EndpointConnection};
+use celeryknot_endpoints::{AnswerError, is_running};
 use celeryknot_policy::direct::{CrashSuspects, CrashVerdict, Placement, Prompt};
 use hyper::body::Frame;
 use smallvec::SmallVec;
 
 use super::context::TrafficThread;
-use crate::endpoint_updates::Observation;
 
 /// Events up to which an answer is at its beginning.
 const BEGINNING_EVENTS_MAX: u32 = 1;
 
-/// Time in which a connection must open for its endpoint to count as running.
-const PROBE_TIMEOUT: DurationMs = DurationMs(400);
-
-/// Time for which it must stay open: a process that ends may close its listening socket last.
-const PROBE_OPEN_TIME: DurationMs = DurationMs(30);
-
 /// Maximum number of a prompt's parts that are watched.
 const WATCHED_PARTS_MAX: usize = 16;
 
@@ -250,7 +244,7 @@
                 return false;
             }
             let at = gateway.now();
-            if is_running(&gateway, address).await {
+            if is_running(address, &gateway.timers).await {
                 return false;
             }
             gateway.record_crashed_prompt(at, &request_id, &endpoint, &parts)
@@ -265,12 +259,3 @@
         listed.any(|it| it.name == self.endpoint && it.accepts_requests)
     }
 }
-
-/// Returns whether an endpoint accepts a connection and keeps it open.
-async fn is_running(gateway: &TrafficThread, address: SocketAddr) -> bool {
-    let timers = &gateway.timers;
-    match EndpointConnection::open(address, PROBE_TIMEOUT, timers).await {
-        Ok(mut probe) => probe.stays_open(PROBE_OPEN_TIME, timers).await,
-        Err(_) => false,
-    }
-}
