--- a/crates/celeryknot_core/src/endpoint_updates.rs
+++ b/crates/celeryknot_core/src/endpoint_updates.rs
@@ -196,6 +196,16 @@
         }
     }
 
+    /// Returns the number of stored updates.
+    pub fn len(&self) -> usize {
+        self.updates.len()
+    }
+
+    /// Returns whether no update is stored.
+    pub fn is_empty(&self) -> bool {
+        self.updates.is_empty()
+    }
+
     /// Returns the version of the latest stored update.
     pub fn version(&self) -> u64 {
         self.version
