Forget parts without crashes before suspected ones

A table of parts that is full of answered parts forgot the oldest, also those under which engines had just crashed, so that many chats with parts of their own could delay a ban without end. Parts without crashes are now forgotten first. flood_of_answered_parts_hides_no_suspected_one failed before (verdict suspected after the third crash) and passes now.

--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -31,7 +31,8 @@
 /// Interval between the requests that test whether a banned part still crashes engines.
 const TRIAL_INTERVAL: DurationMs = DurationMs(5 * 60_000);
 
-/// Limit on the parts that are remembered; the oldest that aren't banned are forgotten first.
+/// Limit on the parts that are remembered; those without crashes are forgotten first, then those
+/// that aren't banned, the oldest of each first.
 const PARTS_MAX: usize = 4_096;
 
 /// What is known about one part.
@@ -186,8 +187,7 @@
 
     /// Forgets an eighth of the parts, so that a full table isn't searched for each new part.
     fn forget_oldest(&mut self) {
-        let mut order: Vec<(bool, MonotonicMs)> =
-            self.parts.values().map(Part::age_order).collect();
+        let mut order: Vec<_> = self.parts.values().map(Part::age_order).collect();
         order.sort_unstable();
         let limit = order[PARTS_MAX / 8];
         self.parts.retain(|_, part| part.age_order() > limit);
@@ -203,7 +203,8 @@
         self.banned_at.is_some_and(|at| now - at < CRASH_TTL)
     }
 
-    fn age_order(&self) -> (bool, MonotonicMs) {
-        (self.banned_at.is_some(), self.changed_at)
+    fn age_order(&self) -> (bool, bool, MonotonicMs) {
+        let is_banned = self.banned_at.is_some();
+        (is_banned, !self.crashes.is_empty(), self.changed_at)
     }
 }
--- a/crates/celeryknot_policy/tests/crash_suspects.rs
+++ b/crates/celeryknot_policy/tests/crash_suspects.rs
@@ -174,6 +174,18 @@
     );
 }
 
+#[test]
+fn flood_of_answered_parts_hides_no_suspected_one() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_crash(MonotonicMs(0), PART, EndpointTag(1));
+    suspects.record_crash(MonotonicMs(10), PART, EndpointTag(2));
+    for part in 100..20_000 {
+        suspects.record_answer(MonotonicMs(20), PromptTag(part));
+    }
+    let verdict = suspects.record_crash(MonotonicMs(30), PART, EndpointTag(3));
+    assert_eq!(verdict, CrashVerdict::Banned);
+}
+
 #[test]
 fn flood_of_made_up_parts_is_bounded_and_lifts_no_ban() {
     let mut suspects = CrashSuspects::default();
