--- a/crates/celeryknot_gateway/tests/control.rs
+++ b/crates/celeryknot_gateway/tests/control.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeSet;
 
-use celeryknot_core::{DurationMs, EndpointTag, Incarnation, MonotonicMs, PromptTag};
+use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
 use celeryknot_gateway::members::{Member, MemberTable, READER_COUNT};
 use celeryknot_gateway::platform_protocol::{EndpointRecord, StoreRecord, StoreRevision};
 use celeryknot_gateway::relay_log::{RawItem, RelayLog};
