Test streams on peer connections that were opened at the same time

Traced: after the connection to the owner broke, four streams opened new ones at the same time. Each replaces the one before in the table. When the next silence came, the streams on the connection in the table were broken after 0.8 s by the missing answer to a ping; one on a replaced connection (head at 3.461 s, silence at about 3.53 s) had nothing for 7 s, until its caller gave up. Ruled out: the retry budget (no retry was denied), a second silence of the hedge, queueing at the owner (253 ms).

--- a/crates/celeryknotd/tests/silent_connections.rs
+++ b/crates/celeryknotd/tests/silent_connections.rs
@@ -156,6 +156,39 @@
     );
 }
 
+/// Each of the streams opens a connection to the peer, as there is none yet; one of them is kept
+/// for later requests.
+#[test]
+fn streams_that_open_connections_at_once_detect_silent_ones() {
+    let setup = Setup::start();
+    let peer_proxy = setup.proxies.last().unwrap();
+    let options = CallerOptions::default().timeout_ms(CALLER_TIMEOUT);
+    let caller = Caller::new(options);
+    let target = setup.fleet.target(0, MODEL_SERVICE);
+    let outcomes: Vec<_> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..2 * CALLER_COUNT)
+            .map(|index| {
+                let (caller, target) = (&caller, &target);
+                scope.spawn(move || {
+                    let chat = format!("chat-{index}");
+                    let request = chat_request(&format!("file {index}"), true);
+                    smol::block_on(caller.chat(target, &chat, None, &request))
+                })
+            })
+            .collect();
+        // The streams have begun, and last at least this time again.
+        std::thread::sleep(Duration::from_millis(120));
+        peer_proxy.apply(Fault::SilentDrop);
+        threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap())
+            .collect()
+    });
+    for outcome in outcomes {
+        assert!(matches!(outcome, Outcome::Completed(_)), "{outcome:?}");
+    }
+}
+
 #[test]
 fn booking_uses_a_live_connection_after_others_go_silent() {
     let setup = Setup::start();
