Keep the sender of a peer connection while a response is received

Cause: hyper pings a connection only while it is in use, and counts the handles to it to tell. The sender is one of them. Requests that find no connection to a peer open one each, and each replaces the one before in the table; a replaced connection loses its last sender once the head of its response has arrived. With a single stream left it then counts as idle and is never pinged, so that a silent failure goes unnoticed until the idle timeout of the owner plus a margin (11 s by default). Callers saw a stream that stopped and no end.

Change: the body of a response holds the sender until it ends.

--- a/crates/celeryknotd/src/traffic/body.rs
+++ b/crates/celeryknotd/src/traffic/body.rs
@@ -8,10 +8,11 @@
 use async_channel::Receiver;
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, SizeBytes};
-use celeryknot_endpoints::{AnswerBody, AnswerError, IdleTimeout};
+use celeryknot_endpoints::{AnswerBody, AnswerError, IdleTimeout, RequestBody};
 use celeryknot_policy::admission::{FinishOutcome, FinishStatus};
 use futures_lite::Stream;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::client::conn::http2::SendRequest;
 
 use super::failure::Failure;
 use super::permit::Permit;
@@ -207,6 +208,8 @@
 #[derive(Debug)]
 pub(crate) struct PeerBody {
     incoming: Incoming,
+    /// A connection without a sender counts as idle, and is not pinged, while it has one stream.
+    _sender: SendRequest<RequestBody>,
     last_received: LastReceived,
     idle_timer: IdleTimeout,
     has_failed: bool,
@@ -215,11 +218,13 @@
 impl PeerBody {
     pub(crate) fn new(
         incoming: Incoming,
+        sender: SendRequest<RequestBody>,
         last_received: LastReceived,
         idle_timer: IdleTimeout,
     ) -> Self {
         Self {
             incoming,
+            _sender: sender,
             last_received,
             idle_timer,
             has_failed: false,
--- a/crates/celeryknotd/src/traffic/peer_connection.rs
+++ b/crates/celeryknotd/src/traffic/peer_connection.rs
@@ -325,7 +325,11 @@
         return Err(refusal);
     }
     let idle_timer = IdleTimeout::new(context.timers.clone(), target.idle_timeout);
-    let body = PeerBody::new(incoming, connection.last_received.clone(), idle_timer);
+    let PeerConnection {
+        sender,
+        last_received,
+    } = connection;
+    let body = PeerBody::new(incoming, sender, last_received, idle_timer);
     Ok(Answer {
         head,
         body: DaemonBody::new(AnswerSource::Peer(Box::new(body))),
