Exchange updates about parts of prompts between native daemons

The native daemon is to ban parts on which engines crash. Each daemon sees few crashes, so they are pooled: an update names the part, the endpoint, whether it crashed or answered, and its age, about 18 bytes. Earlier builds ignore the message.

--- a/crates/celeryknot_fleet/src/byte_budget.rs
+++ b/crates/celeryknot_fleet/src/byte_budget.rs
@@ -32,6 +32,8 @@
     Values,
     /// The instance list and requests for it.
     Instances,
+    /// Updates about parts of prompts that crash engines.
+    PartUpdates,
     /// Reads and watches of the platform.
     Platform,
     /// Orders to engines.
@@ -61,9 +63,12 @@
     fn priority(self) -> Priority {
         match self {
             Self::Heartbeat => Priority::Critical,
-            Self::Members | Self::Values | Self::Instances | Self::Platform | Self::Orders => {
-                Priority::High
-            }
+            Self::Members
+            | Self::Values
+            | Self::Instances
+            | Self::PartUpdates
+            | Self::Platform
+            | Self::Orders => Priority::High,
             Self::Summaries | Self::Probes => Priority::Normal,
             Self::Refreshes => Priority::Low,
         }
--- a/crates/celeryknot_fleet/src/fleet.rs
+++ b/crates/celeryknot_fleet/src/fleet.rs
@@ -1,12 +1,14 @@
 //! One daemon's state of the fleet, which turns events into actions.
 
 mod exchange;
+mod parts;
 mod publish;
 mod read;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use celeryknot_core::endpoint_updates::{EndpointUpdate, EndpointUpdateTable};
 use celeryknot_core::{
     EndpointName, EndpointSummary, Incarnation, MemberName, MonotonicMs, Revision,
 };
@@ -60,6 +62,9 @@
     pending_members: BTreeSet<MemberName>,
     next_heartbeat_at: MonotonicMs,
     next_summaries_at: MonotonicMs,
+    /// Version up to which the updates about parts were sent.
+    part_updates_sent: u64,
+    next_part_refresh_at: MonotonicMs,
     /// Digests from the peer's latest heartbeat.
     peer_digest: Option<PeerDigest>,
 }
@@ -92,6 +97,9 @@
     values: SettingsStore,
     list: InstanceList,
     summaries: Summaries,
+    part_updates: EndpointUpdateTable,
+    /// Updates from peers that the daemon has not taken yet.
+    received_part_updates: Vec<EndpointUpdate>,
     budget: ByteBudget,
     readiness: Readiness,
     links: BTreeMap<MemberName, NeighbourLink>,
@@ -124,6 +132,8 @@
             values: SettingsStore::new(config.validate),
             list: InstanceList::default(),
             summaries: Summaries::default(),
+            part_updates: EndpointUpdateTable::default(),
+            received_part_updates: Vec::new(),
             budget: ByteBudget::new(timing.control_bytes_per_s, now),
             readiness: Readiness::new(now, timing.readiness_timeout),
             links: BTreeMap::new(),
@@ -248,6 +258,7 @@
         let link = self.links.entry(member.clone()).or_default();
         link.needs_info = true;
         link.next_heartbeat_at = now;
+        link.next_part_refresh_at = now;
     }
 
     /// Discards state that may be stale after a stall of this process.
--- a/crates/celeryknot_fleet/src/fleet/exchange.rs
+++ b/crates/celeryknot_fleet/src/fleet/exchange.rs
@@ -47,6 +47,7 @@
             Message::Refreshes(batches) => {
                 self.receive_summaries(now, from, incarnation, &batches, UpdateKind::Refresh);
             }
+            Message::PartUpdates(updates) => self.receive_part_updates(now, &updates),
         }
     }
 
--- a/crates/celeryknot_fleet/src/message.rs
+++ b/crates/celeryknot_fleet/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between daemons.
 
-use celeryknot_core::{DurationMs, Incarnation, MemberName, Revision};
+use celeryknot_core::{DurationMs, EndpointTag, Incarnation, MemberName, PromptTag, Revision};
 
 use crate::byte_budget::ControlKind;
 use crate::instance_list::{InstanceKey, ListChange, ListPage};
@@ -74,6 +74,19 @@
     pub after: Option<InstanceKey>,
 }
 
+/// An update about a part of prompts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartUpdate {
+    /// The part.
+    pub part: PromptTag,
+    /// The endpoint that crashed on the part, or answered it.
+    pub endpoint: EndpointTag,
+    /// Whether the endpoint answered; otherwise it crashed.
+    pub is_answer: bool,
+    /// The time since then.
+    pub age: DurationMs,
+}
+
 /// A message between daemons.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Message {
@@ -95,11 +108,16 @@
     Summaries(Vec<SummaryBatch>),
     /// Unchanged summaries of endpoints, sent again.
     Refreshes(Vec<SummaryBatch>),
+    /// Updates about parts of prompts.
+    PartUpdates(Vec<PartUpdate>),
 }
 
 /// Framing overhead of a message in its stream.
 pub const FRAME_SIZE_BYTES: usize = 20;
 
+/// Approximate size of an update about a part of prompts.
+const PART_UPDATE_SIZE_BYTES: usize = 18;
+
 impl Message {
     /// Returns the kind of traffic that the message is counted as.
     pub fn kind(&self) -> ControlKind {
@@ -110,6 +128,7 @@
             Self::ListChanges(_) | Self::ListPage(_) | Self::PullList(_) => ControlKind::Instances,
             Self::Summaries(_) => ControlKind::Summaries,
             Self::Refreshes(_) => ControlKind::Refreshes,
+            Self::PartUpdates(_) => ControlKind::PartUpdates,
         }
     }
 
@@ -135,6 +154,7 @@
             Self::Summaries(batches) | Self::Refreshes(batches) => {
                 batches.iter().map(SummaryBatch::size_bytes).sum()
             }
+            Self::PartUpdates(updates) => updates.len() * PART_UPDATE_SIZE_BYTES,
         };
         content + FRAME_SIZE_BYTES
     }
--- a/crates/celeryknot_peers/src/wire.rs
+++ b/crates/celeryknot_peers/src/wire.rs
@@ -18,7 +18,10 @@
     #[prost(uint64, tag = "2")]
     pub sequence: u64,
     /// The message.
-    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(
+        oneof = "Body",
+        tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+    )]
     pub body: Option<Body>,
 }
 
@@ -64,6 +67,9 @@
     /// States of endpoints, resent periodically.
     #[prost(message, tag = "15")]
     Refreshes(Summaries),
+    /// Updates about parts of prompts.
+    #[prost(message, tag = "16")]
+    PartUpdates(PartUpdates),
 }
 
 /// The first message of the side that opens the stream.
@@ -385,3 +391,28 @@
     #[prost(message, repeated, tag = "1")]
     pub batches: Vec<SummaryBatch>,
 }
+
+/// An update about a part of prompts.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartUpdate {
+    /// The tag of the part.
+    #[prost(fixed32, tag = "1")]
+    pub part: u32,
+    /// The tag of the endpoint.
+    #[prost(fixed32, tag = "2")]
+    pub endpoint: u32,
+    /// Whether the endpoint answered the part; otherwise it crashed on it.
+    #[prost(bool, tag = "3")]
+    pub is_answer: bool,
+    /// Milliseconds since then.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+}
+
+/// Updates about parts of prompts, the latest first.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartUpdates {
+    /// The updates.
+    #[prost(message, repeated, tag = "1")]
+    pub updates: Vec<PartUpdate>,
+}
--- a/crates/celeryknot_peers/src/wire/convert.rs
+++ b/crates/celeryknot_peers/src/wire/convert.rs
@@ -3,7 +3,9 @@
 use std::fmt;
 use std::sync::Arc;
 
-use celeryknot_core::{DurationMs, EndpointCondition, EndpointSummary, Incarnation, Revision};
+use celeryknot_core::{
+    DurationMs, EndpointCondition, EndpointSummary, EndpointTag, Incarnation, PromptTag, Revision,
+};
 use celeryknot_fleet::instance_list as fleet_list;
 use celeryknot_fleet::message as fleet_message;
 use celeryknot_fleet::settings_store::{BUCKET_COUNT, ValueRecord};
@@ -329,6 +331,28 @@
     }
 }
 
+impl From<&fleet_message::PartUpdate> for super::PartUpdate {
+    fn from(update: &fleet_message::PartUpdate) -> Self {
+        Self {
+            part: update.part.0,
+            endpoint: update.endpoint.0,
+            is_answer: update.is_answer,
+            age_ms: update.age.0,
+        }
+    }
+}
+
+impl From<&super::PartUpdate> for fleet_message::PartUpdate {
+    fn from(update: &super::PartUpdate) -> Self {
+        Self {
+            part: PromptTag(update.part),
+            endpoint: EndpointTag(update.endpoint),
+            is_answer: update.is_answer,
+            age: DurationMs(update.age_ms),
+        }
+    }
+}
+
 fn convert_all<'a, A, B: From<&'a A>>(items: &'a [A]) -> Vec<B> {
     items.iter().map(Into::into).collect()
 }
@@ -374,6 +398,9 @@
             Message::Refreshes(batches) => Self::Refreshes(super::Summaries {
                 batches: convert_all(batches),
             }),
+            Message::PartUpdates(updates) => Self::PartUpdates(super::PartUpdates {
+                updates: convert_all(updates),
+            }),
         }
     }
 }
@@ -411,6 +438,7 @@
             })),
             Body::Summaries(summaries) => Ok(Self::Summaries(try_convert_all(&summaries.batches)?)),
             Body::Refreshes(summaries) => Ok(Self::Refreshes(try_convert_all(&summaries.batches)?)),
+            Body::PartUpdates(updates) => Ok(Self::PartUpdates(convert_all(&updates.updates))),
         }
     }
 }
--- a/crates/celeryknot_peers/tests/wire.rs
+++ b/crates/celeryknot_peers/tests/wire.rs
@@ -1,9 +1,11 @@
 //! Round trips of messages over the wire format, and their estimated sizes.
 
-use celeryknot_core::{DurationMs, EndpointCondition, EndpointSummary, Incarnation, Revision};
+use celeryknot_core::{
+    DurationMs, EndpointCondition, EndpointSummary, EndpointTag, Incarnation, PromptTag, Revision,
+};
 use celeryknot_fleet::instance_list::{InstanceKey, ListChange, ListPage};
 use celeryknot_fleet::message::{
-    FRAME_SIZE_BYTES, Heartbeat, ListPull, MemberUpdate, ValuePage, ValuePull,
+    FRAME_SIZE_BYTES, Heartbeat, ListPull, MemberUpdate, PartUpdate, ValuePage, ValuePull,
 };
 use celeryknot_fleet::settings_store::ValueRecord;
 use celeryknot_fleet::summaries::{EndpointHash, Origin, SummaryBatch, SummaryEntry};
@@ -54,6 +56,15 @@
     })
 }
 
+fn part_update(is_answer: bool, age_ms: u64) -> PartUpdate {
+    PartUpdate {
+        part: PromptTag(u32::MAX),
+        endpoint: EndpointTag(7),
+        is_answer,
+        age: DurationMs(age_ms),
+    }
+}
+
 fn batch(origin: Option<Origin>, count: u32) -> SummaryBatch {
     let entry = |index| SummaryEntry {
         endpoint: EndpointHash(0xffff_0000 + index),
@@ -159,6 +170,10 @@
             Message::Summaries(vec![batch(origin(), 40), batch(None, 2)]),
         ),
         case("refreshes", Message::Refreshes(vec![batch(origin(), 2)])),
+        case(
+            "updates about parts",
+            Message::PartUpdates(vec![part_update(false, 0), part_update(true, 1_800_000)]),
+        ),
     ]
 }
 
