Share the check of a prompt and the choice of the daemon that tries it

celeryknotd is to refuse banned prompts and try them again as the gateway does. Both decisions move beside the table of suspects, where they need no clock and no network; crashing_prompts of the gateway passes as before.

--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -7,12 +7,13 @@
 
 use bytes::Bytes;
 use celeryknot_core::endpoint_updates::Observation;
-use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{
     EndpointName, EndpointTag, ErrorKind, MonotonicMs, PromptTag, Refusal, ServiceName,
 };
 use celeryknot_endpoints::{AnswerError, is_running};
-use celeryknot_policy::direct::{CrashSuspects, CrashVerdict, Placement, Prompt};
+use celeryknot_policy::direct::{
+    CrashSuspects, CrashVerdict, Placement, Prompt, PromptVerdict, runs_trials_of,
+};
 use hyper::body::Frame;
 use smallvec::SmallVec;
 
@@ -45,28 +46,29 @@
         request_id: &str,
         prompt: Option<&Prompt>,
     ) -> Result<(), Refusal> {
-        let now = self.now();
-        let mut suspects = self.crash_table.0.borrow_mut();
         let parts = prompt.map_or(&[][..], Prompt::shared);
-        let mut parts = parts.iter().map(|part| (part.tag(), part.id));
-        let Some((part, id)) = parts.find(|(part, _)| suspects.is_banned(now, *part)) else {
-            return Ok(());
+        let tags: Parts = parts.iter().map(|part| part.tag()).collect();
+        let runs_trials = |part| {
+            let view = self.shared.view.load();
+            runs_trials_of(part, &self.shared.settings.name, &view.members)
+        };
+        let mut suspects = self.crash_table.0.borrow_mut();
+        let verdict = suspects.check(self.now(), &tags, runs_trials);
+        let part_id = |part| {
+            let found = parts.iter().find(|it| it.tag() == part);
+            found.map_or_else(String::new, |it| format!("{:x}", it.id))
         };
-        let part_id = format!("{id:x}");
-        if self.runs_trials_of(part) && suspects.try_take_trial(now, part) {
-            tracing::info!(request_id, %part, part_id, "trying a banned part");
-            return Ok(());
+        match verdict {
+            PromptVerdict::Allowed => Ok(()),
+            PromptVerdict::Trial(part) => {
+                tracing::info!(request_id, %part, part_id = part_id(part), "trying a banned part");
+                Ok(())
+            }
+            PromptVerdict::Banned(part) => {
+                tracing::info!(request_id, %part, part_id = part_id(part), "prompt has a banned part");
+                Err(Refusal::new(ErrorKind::PromptBanned))
+            }
         }
-        tracing::info!(request_id, %part, part_id, "prompt has a banned part");
-        Err(Refusal::new(ErrorKind::PromptBanned))
-    }
-
-    /// Returns whether this daemon is the one that tries the part for the whole fleet.
-    fn runs_trials_of(&self, part: PromptTag) -> bool {
-        let view = self.shared.view.load();
-        let score = |name: &str| rendezvous_score(u64::from(part.0), name);
-        let first = view.members.iter().max_by_key(|name| score(name.as_str()));
-        first.is_none_or(|name| *name == self.shared.settings.name)
     }
 
     /// Applies a peer's observation of a part.
--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -7,7 +7,8 @@
 
 use std::collections::HashMap;
 
-use celeryknot_core::{DurationMs, EndpointTag, MonotonicMs, PromptTag};
+use celeryknot_core::id::rendezvous_score;
+use celeryknot_core::{DurationMs, EndpointTag, MemberName, MonotonicMs, PromptTag};
 use smallvec::SmallVec;
 use strum::Display;
 
@@ -60,6 +61,40 @@
     Banned,
 }
 
+/// Whether a prompt may be sent to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PromptVerdict {
+    /// It has no banned part.
+    Allowed,
+    /// It is the fleet's next trial of this banned part.
+    Trial(PromptTag),
+    /// It has this banned part.
+    Banned(PromptTag),
+}
+
+/// Returns whether a daemon is the one that tries a banned part for the whole fleet.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::{MemberName, PromptTag};
+/// use celeryknot_policy::direct::crash_suspects::runs_trials_of;
+///
+/// let members: Vec<MemberName> = vec!["entry-1".parse()?, "entry-2".parse()?];
+/// let runs_trials = |own| runs_trials_of(PromptTag(7), own, &members);
+/// assert_ne!(runs_trials(&members[0]), runs_trials(&members[1]));
+/// # Ok::<(), celeryknot_core::IdError>(())
+/// ```
+pub fn runs_trials_of<'a>(
+    part: PromptTag,
+    own_name: &MemberName,
+    members: impl IntoIterator<Item = &'a MemberName>,
+) -> bool {
+    let score = |name: &MemberName| rendezvous_score(u64::from(part.0), name.as_str());
+    let first = members.into_iter().max_by_key(|name| score(name));
+    first.is_none_or(|name| name == own_name)
+}
+
 /// The suspected, banned and cleared parts known to one daemon.
 ///
 /// # Examples
@@ -141,6 +176,25 @@
         })
     }
 
+    /// Checks a prompt with these parts before it is sent to an endpoint.
+    ///
+    /// `runs_trials` returns whether this daemon tries a part for the whole fleet.
+    pub fn check(
+        &mut self,
+        now: MonotonicMs,
+        parts: &[PromptTag],
+        runs_trials: impl FnOnce(PromptTag) -> bool,
+    ) -> PromptVerdict {
+        let banned = parts.iter().find(|part| self.is_banned(now, **part));
+        match banned {
+            None => PromptVerdict::Allowed,
+            Some(part) if runs_trials(*part) && self.try_take_trial(now, *part) => {
+                PromptVerdict::Trial(*part)
+            }
+            Some(part) => PromptVerdict::Banned(*part),
+        }
+    }
+
     /// Returns whether requests with the part are refused.
     pub fn is_banned(&self, now: MonotonicMs, part: PromptTag) -> bool {
         self.parts.get(&part).is_some_and(|it| it.is_banned(now))
