Send the time of the answer with which a report is contradicted

Cause: a daemon that has an answer for a part tells its peers when one of them reports an earlier crash, and stamped that with its own time. It processes reports with its next request, at times much later, and then cleared crashes that came after the answer.

Change: the contradiction carries the time of the answer.

--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -254,7 +254,16 @@
     }
 
     pub(super) fn report_to_peers(&self, endpoint: EndpointTag, observation: Observation) {
-        let at = self.now();
+        self.send_update(self.now(), endpoint, observation);
+    }
+
+    /// Sends peers an observation made at the given time.
+    pub(super) fn send_update(
+        &self,
+        at: MonotonicMs,
+        endpoint: EndpointTag,
+        observation: Observation,
+    ) {
         self.send_to_control(TrafficUpdate::Endpoint(EndpointUpdate {
             endpoint,
             observation,
--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -81,8 +81,9 @@
         match observation {
             Observation::CrashedOn { part } => {
                 let verdict = self.record_crash(at, *part, endpoint);
-                if verdict == CrashVerdict::Cleared {
-                    self.report_to_peers(endpoint, Observation::Answered { part: *part });
+                let answered_at = self.crash_table.0.borrow().cleared_at(*part);
+                if let (CrashVerdict::Cleared, Some(at)) = (verdict, answered_at) {
+                    self.send_update(at, endpoint, Observation::Answered { part: *part });
                 }
             }
             Observation::Answered { part } => {
--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -164,9 +164,9 @@
         part.crashes.len() < crash_count
     }
 
-    /// Returns whether an answer has cleared the part so recently that crashes don't count.
-    pub fn is_cleared(&self, now: MonotonicMs, part: PromptTag) -> bool {
-        self.parts.get(&part).is_some_and(|it| it.is_cleared(now))
+    /// Returns the time of the latest answer that cleared the part.
+    pub fn cleared_at(&self, part: PromptTag) -> Option<MonotonicMs> {
+        self.parts.get(&part)?.cleared_at
     }
 
     /// Returns whether the part was answered, and no engine has crashed under it since.
