Start the gateway's clock at an hour

Cause: times of reports are the receiver's time less the age of the report, and a process clock started at zero, so that all that was older than the process became as old as its start. A daemon that starts later put an answer and the crashes after it at the same time, took the crashes for cleared, and told all peers so, which lifted the ban. It also handed on a crash with an age that was too low, which its peers counted as another crash of that endpoint: one crash and two starts banned a sound part.

Change: the clock starts at MonotonicMs::PROCESS_START, an hour, above the 30 minutes for which reports are kept. The two places that took zero for the start use it.

--- a/crates/celeryknot_core/src/time.rs
+++ b/crates/celeryknot_core/src/time.rs
@@ -28,6 +28,14 @@
 #[serde(transparent)]
 pub struct MonotonicMs(pub u64);
 
+impl MonotonicMs {
+    /// The time at which the clock of a process starts.
+    ///
+    /// An hour, so that a process that has just started can represent the times of what its peers
+    /// report from before.
+    pub const PROCESS_START: Self = Self(3_600_000);
+}
+
 impl fmt::Display for MonotonicMs {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}ms", self.0)
--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use async_channel::Sender;
-use celeryknot_core::DurationMs;
+use celeryknot_core::{DurationMs, MonotonicMs};
 use celeryknot_operators::GatewayMetrics;
 use celeryknot_settings::GatewaySettings;
 use eyre::WrapErr;
@@ -80,7 +80,7 @@
             }),
             traffic_updates: async_channel::bounded(UPDATE_QUEUE_LEN_MAX),
             peer_updates,
-            store_read_at_ms: AtomicU64::new(0),
+            store_read_at_ms: AtomicU64::new(MonotonicMs::PROCESS_START.0),
             is_store_unreachable: AtomicBool::new(false),
             connections_end_at_ms: AtomicU64::new(NOT_DRAINING),
             drain_connections: drain_connections_signal,
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -82,8 +82,7 @@
 
 impl Shared {
     pub(crate) fn now(&self) -> MonotonicMs {
-        let elapsed_ms = self.started_at.elapsed().as_millis();
-        MonotonicMs(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
+        MonotonicMs::PROCESS_START + DurationMs::from(self.started_at.elapsed())
     }
 
     /// Records when the store was read; earlier times are ignored.
@@ -98,7 +97,7 @@
 
     /// Returns whether the first configuration is likely to arrive within moments.
     pub(crate) fn expects_configuration(&self) -> bool {
-        let has_just_started = self.now() < MonotonicMs(FIRST_CONFIGURATION_WAIT.0);
+        let has_just_started = self.now() - MonotonicMs::PROCESS_START < FIRST_CONFIGURATION_WAIT;
         has_just_started && !self.is_store_unreachable.load(Ordering::Acquire)
     }
 
