Start the native daemon's clocks at an hour too

Reports about parts of prompts are to carry ages between native daemons, as they do between gateways, where clocks that started at zero changed the order of what was older than the process. The control thread and its orders use the daemon's Clock, which starts at MonotonicMs::PROCESS_START.

--- a/crates/celeryknotd/src/clock.rs
+++ b/crates/celeryknotd/src/clock.rs
@@ -2,16 +2,16 @@
 
 use std::time::Instant;
 
-use celeryknot_core::MonotonicMs;
+use celeryknot_core::{DurationMs, MonotonicMs};
 
-/// A millisecond clock that starts at zero; copies share their start time.
+/// A millisecond clock that starts at [`MonotonicMs::PROCESS_START`]; copies share their start time.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     start: Instant,
 }
 
 impl Clock {
-    /// Starts a clock at zero.
+    /// Starts a clock.
     ///
     /// # Examples
     ///
@@ -27,9 +27,8 @@
         }
     }
 
-    /// Returns the time since the clock started.
+    /// Returns the current time.
     pub fn now(&self) -> MonotonicMs {
-        let elapsed_ms = self.start.elapsed().as_millis();
-        MonotonicMs(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
+        MonotonicMs::PROCESS_START + DurationMs::from(self.start.elapsed())
     }
 }
--- a/crates/celeryknotd/src/control/actor.rs
+++ b/crates/celeryknotd/src/control/actor.rs
@@ -19,6 +19,7 @@
 use super::orders::OrderDispatcher;
 use super::platform::{self, PlatformEvent, WatchState};
 use super::{Command, Subscribers, convert, publish, status, validate_value};
+use crate::clock::Clock;
 use crate::event::TrafficEvent;
 use crate::snapshot::Snapshot;
 
@@ -91,7 +92,7 @@
     platform_events: Receiver<PlatformEvent>,
     inputs: Inputs,
     outputs: Outputs,
-    started_at: Instant,
+    clock: Clock,
     last_tick_at: MonotonicMs,
     next_tick_at: Instant,
     published_version: Option<u64>,
@@ -129,8 +130,8 @@
         )?;
         let watch_state = Rc::new(WatchState::default());
         let platform_events = platform::start_tasks(executor, &settings, &watch_state);
-        let started_at = Instant::now();
-        let now = MonotonicMs(0);
+        let clock = Clock::start();
+        let now = clock.now();
         let fleet = Fleet::new(fleet_config(settings, own_incarnation), now);
         Ok(Self {
             fleet,
@@ -141,8 +142,8 @@
             platform_events,
             inputs,
             outputs,
-            started_at,
-            orders: OrderDispatcher::new(Rc::clone(executor), started_at),
+            clock,
+            orders: OrderDispatcher::new(Rc::clone(executor), clock),
             last_tick_at: now,
             next_tick_at: Instant::now(),
             published_version: None,
@@ -154,7 +155,7 @@
     }
 
     fn now(&self) -> MonotonicMs {
-        MonotonicMs(DurationMs::from(self.started_at.elapsed()).0)
+        self.clock.now()
     }
 
     async fn serve(mut self) {
--- a/crates/celeryknotd/src/control/orders.rs
+++ b/crates/celeryknotd/src/control/orders.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
 
 use async_channel::{Receiver, Sender};
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, MonotonicMs, ServiceName};
@@ -18,6 +17,7 @@
 use smol::LocalExecutor;
 
 use super::active_settings::ActiveSettings;
+use crate::clock::Clock;
 
 /// Interval between checks of the rollouts.
 const CHECK_PERIOD: DurationMs = DurationMs(500);
@@ -46,7 +46,7 @@
 pub(super) struct OrderDispatcher {
     orders: Orders,
     executor: Rc<LocalExecutor<'static>>,
-    started_at: Instant,
+    clock: Clock,
     events: Receiver<EngineEvent>,
     sender: Sender<EngineEvent>,
     next_check_at: MonotonicMs,
@@ -56,13 +56,13 @@
 }
 
 impl OrderDispatcher {
-    /// Creates a dispatcher whose timestamps are relative to `started_at`.
-    pub(super) fn new(executor: Rc<LocalExecutor<'static>>, started_at: Instant) -> Self {
+    /// Creates a dispatcher whose timestamps are of the given clock.
+    pub(super) fn new(executor: Rc<LocalExecutor<'static>>, clock: Clock) -> Self {
         let (sender, events) = async_channel::bounded(EVENT_QUEUE_LEN_MAX);
         Self {
             orders: Orders::new(OrdersConfig::default()),
             executor,
-            started_at,
+            clock,
             events,
             sender,
             next_check_at: MonotonicMs(0),
@@ -159,7 +159,7 @@
             "an engine is ordered to load a version"
         );
         let counts = Rc::clone(&self.counts);
-        let task = send_order(order, self.started_at, self.sender.clone(), counts);
+        let task = send_order(order, self.clock, self.sender.clone(), counts);
         self.executor.spawn(task).detach();
     }
 }
@@ -178,7 +178,7 @@
 
 async fn send_order(
     order: Order,
-    started_at: Instant,
+    clock: Clock,
     events: Sender<EngineEvent>,
     counts: Rc<Cell<OrderCounts>>,
 ) {
@@ -191,7 +191,7 @@
         },
     };
     let check_lease = || {
-        let now = MonotonicMs(DurationMs::from(started_at.elapsed()).0);
+        let now = clock.now();
         if now < order.send_before {
             Ok(())
         } else {
