Ban prompts with parts that crash engines in the native daemon

Change: the daemon at which a chat enters tags its messages (the first and last eight). An answer that breaks before its second event, or before its head, at an engine that then accepts no connection, counts as a crash under these parts; an answer beyond its first event clears them. The decision is the gateway's (CrashSuspects); one table a daemon is shared by its threads, and the control thread exchanges what counts. A chat with a banned part is refused at once (prompt-banned, not run). A chat that crashed an engine as its answer began is sent to no second one, unless all its shared parts are known to be sound; before an answer has begun, anything at the engine may be the reason, and it takes a second crash.

--- a/crates/celeryknot_callers/src/request.rs
+++ b/crates/celeryknot_callers/src/request.rs
@@ -1,13 +1,15 @@
 //! Parsing of a caller's request, independent of the settings.
 
 use celeryknot_core::{
-    CustomerName, DurationMs, ErrorKind, ModelName, RequestId, ServiceName, TokenCount, header,
+    CustomerName, DurationMs, ErrorKind, ModelName, PromptTag, RequestId, ServiceName, TokenCount,
+    header,
 };
 use http::header::AsHeaderName;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::Deserialize;
-use serde::de::IgnoredAny;
+use serde_json::value::RawValue;
+use smallvec::SmallVec;
 
 use crate::framing::check_framing;
 use crate::head_scanner::AmbiguousFraming;
@@ -279,16 +281,23 @@
     pub answer_tokens_max: Option<TokenCount>,
     /// The estimated tokens of the prompt.
     pub prompt_tokens: TokenCount,
+    /// The tags of the first and the last messages, at most [`TAGGED_MESSAGES_MAX`].
+    pub message_tags: SmallVec<[PromptTag; 4]>,
 }
 
+/// Limit on the tagged messages of a chat: prompts share their first messages with others, and the
+/// last ones with their own repetitions.
+pub const TAGGED_MESSAGES_MAX: usize = 16;
+
 #[derive(Deserialize)]
-struct ChatCompletionPayload {
+struct ChatCompletionPayload<'a> {
     model: Option<String>,
     #[serde(default)]
     stream: Option<bool>,
     max_tokens: Option<u32>,
     max_completion_tokens: Option<u32>,
-    messages: Vec<IgnoredAny>,
+    #[serde(borrow)]
+    messages: Vec<&'a RawValue>,
 }
 
 impl ChatCompletion {
@@ -328,6 +337,17 @@
                 .or(payload.max_tokens)
                 .map(TokenCount),
             prompt_tokens: TokenCount(prompt_tokens),
+            message_tags: message_tags(&payload.messages),
         })
     }
 }
+
+fn message_tags(messages: &[&RawValue]) -> SmallVec<[PromptTag; 4]> {
+    let half = TAGGED_MESSAGES_MAX / 2;
+    let untagged = half..messages.len().saturating_sub(half).max(half);
+    let tagged = messages.iter().enumerate();
+    tagged
+        .filter(|(index, _)| !untagged.contains(index))
+        .map(|(_, message)| PromptTag::new(message.get().as_bytes()))
+        .collect()
+}
--- a/crates/celeryknot_core/src/id.rs
+++ b/crates/celeryknot_core/src/id.rs
@@ -282,6 +282,22 @@
     PromptTag, u32, 8, "prompt tag"
 );
 
+impl PromptTag {
+    /// Returns the tag of a part with this content.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::PromptTag;
+    ///
+    /// assert_eq!(PromptTag::new(b"a part"), PromptTag::new(b"a part"));
+    /// assert_ne!(PromptTag::new(b"a part"), PromptTag::new(b"another"));
+    /// ```
+    pub fn new(content: &[u8]) -> Self {
+        Self(xxh3_64(content) as u32)
+    }
+}
+
 impl EndpointTag {
     /// Returns the tag of an endpoint.
     ///
--- a/crates/celeryknot_operators/src/metrics/traffic.rs
+++ b/crates/celeryknot_operators/src/metrics/traffic.rs
@@ -65,6 +65,12 @@
     pub hedges: IntCounter,
     /// Resumed streams.
     pub resumes: IntCounter,
+    /// Answers that failed at their beginning because their endpoint had crashed.
+    pub crashes_at_beginning: IntCounter,
+    /// Crashes by part of a prompt that count against the part.
+    pub parts_suspected: IntCounter,
+    /// Parts of prompts that are banned.
+    pub parts_banned: IntGauge,
     /// Requests forwarded to a peer.
     pub forwards_out: IntCounter,
     /// Requests forwarded by a peer.
@@ -105,6 +111,12 @@
             endpoint_queued: register_gauge_vec(registry, "celeryknot_endpoint_queued"),
             hedges: register_counter(registry, "celeryknot_hedges_total"),
             resumes: register_counter(registry, "celeryknot_resumes_total"),
+            crashes_at_beginning: register_counter(
+                registry,
+                "celeryknot_crashes_at_beginning_total",
+            ),
+            parts_suspected: register_counter(registry, "celeryknot_parts_suspected_total"),
+            parts_banned: register_gauge(registry, "celeryknot_parts_banned"),
             forwards_out: forwards.with_label_values(&["out"]),
             forwards_in: forwards.with_label_values(&["in"]),
             tickets_issued: register_counter(registry, "celeryknot_tickets_issued_total"),
--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -164,6 +164,14 @@
         part.crashes.len() < crash_count
     }
 
+    /// Returns whether an engine has crashed under the part, and no answer has cleared it since.
+    pub fn is_suspected(&self, now: MonotonicMs, part: PromptTag) -> bool {
+        let is_recent = |(_, at): &(EndpointTag, MonotonicMs)| now - *at < CRASH_TTL;
+        self.parts
+            .get(&part)
+            .is_some_and(|it| it.crashes.iter().any(is_recent))
+    }
+
     /// Returns the time of the latest answer that cleared the part.
     pub fn cleared_at(&self, part: PromptTag) -> Option<MonotonicMs> {
         self.parts.get(&part)?.cleared_at
--- a/crates/celeryknotd/src/control/actor.rs
+++ b/crates/celeryknotd/src/control/actor.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
+use celeryknot_core::endpoint_updates::EndpointUpdate;
 use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
 use celeryknot_fleet::{Action, ControlKind, Fleet, FleetConfig, FleetTiming, MemberInfo};
 use celeryknot_operators::ControlStatus;
@@ -21,6 +22,7 @@
 use super::{Command, Subscribers, convert, publish, status, validate_value};
 use crate::clock::Clock;
 use crate::event::TrafficEvent;
+use crate::prompt_guard::PromptGuard;
 use crate::snapshot::Snapshot;
 
 /// Interval between ticks of the fleet's state machines.
@@ -42,6 +44,7 @@
 pub(super) struct Outputs {
     pub(super) snapshot: Arc<ArcSwap<Snapshot>>,
     pub(super) status: Arc<ArcSwap<ControlStatus>>,
+    pub(super) prompt_guard: Arc<PromptGuard>,
     pub(super) subscribers: Arc<Subscribers>,
 }
 
@@ -272,7 +275,20 @@
                 from,
                 incarnation,
                 message,
-            } => self.fleet.receive(now, &from, incarnation, message),
+            } => {
+                self.fleet.receive(now, &from, incarnation, message);
+                self.apply_part_updates(now);
+            }
+        }
+    }
+
+    /// Applies what peers reported about parts of prompts.
+    fn apply_part_updates(&mut self, now: MonotonicMs) {
+        for update in self.fleet.take_part_updates() {
+            let answered = self.outputs.prompt_guard.apply(now, &update);
+            if let Some(answered) = answered {
+                self.fleet.observe_part(now, answered);
+            }
         }
     }
 
@@ -307,6 +323,17 @@
             TrafficEvent::PeerUnreachable { member } => {
                 self.fleet.report_unreachable(now, &member);
             }
+            TrafficEvent::PartObserved {
+                endpoint,
+                observation,
+            } => {
+                let update = EndpointUpdate {
+                    endpoint,
+                    observation,
+                    at: now,
+                };
+                self.fleet.observe_part(now, update);
+            }
             TrafficEvent::LoadPolled { size_bytes } => {
                 let size_bytes = usize::try_from(size_bytes).unwrap_or(usize::MAX);
                 self.fleet
--- a/crates/celeryknotd/src/control/mod.rs
+++ b/crates/celeryknotd/src/control/mod.rs
@@ -21,6 +21,7 @@
 use eyre::WrapErr;
 
 use crate::event::TrafficEvent;
+use crate::prompt_guard::PromptGuard;
 use crate::snapshot::Snapshot;
 
 pub use validate::validate_value;
@@ -66,6 +67,8 @@
     pub snapshot: Arc<ArcSwap<Snapshot>>,
     /// The status for operators.
     pub status: Arc<ArcSwap<ControlStatus>>,
+    /// The parts of prompts that are banned.
+    pub prompt_guard: Arc<PromptGuard>,
     subscribers: Arc<Subscribers>,
     commands: Sender<Command>,
     thread: Option<JoinHandle<()>>,
@@ -115,10 +118,12 @@
     let initial = publish::empty_snapshot(&settings, own_incarnation);
     let snapshot = Arc::new(ArcSwap::from_pointee(initial));
     let status = Arc::new(ArcSwap::from_pointee(ControlStatus::default()));
+    let prompt_guard = Arc::<PromptGuard>::default();
     let subscribers = Arc::new(Subscribers::default());
     let outputs = actor::Outputs {
         snapshot: Arc::clone(&snapshot),
         status: Arc::clone(&status),
+        prompt_guard: Arc::clone(&prompt_guard),
         subscribers: Arc::clone(&subscribers),
     };
     let inputs = actor::Inputs {
@@ -137,6 +142,7 @@
     Ok(ControlHandle {
         snapshot,
         status,
+        prompt_guard,
         subscribers,
         commands,
         thread: Some(thread),
--- a/crates/celeryknotd/src/event.rs
+++ b/crates/celeryknotd/src/event.rs
@@ -1,6 +1,7 @@
 //! Events from traffic threads to the control thread.
 
-use celeryknot_core::{EndpointName, EndpointSummary, MemberName};
+use celeryknot_core::endpoint_updates::Observation;
+use celeryknot_core::{EndpointName, EndpointSummary, EndpointTag, MemberName};
 
 /// An event from a traffic thread to the control thread.
 #[derive(Debug, Clone, PartialEq)]
@@ -17,6 +18,13 @@
         /// The peer.
         member: MemberName,
     },
+    /// An endpoint crashed on a part of a prompt, or answered one that was suspected.
+    PartObserved {
+        /// The endpoint.
+        endpoint: EndpointTag,
+        /// What it did.
+        observation: Observation,
+    },
     /// An endpoint was polled for its load; its bytes count as control traffic.
     LoadPolled {
         /// Bytes of the poll and its response.
--- a/crates/celeryknotd/src/feed.rs
+++ b/crates/celeryknotd/src/feed.rs
@@ -7,6 +7,7 @@
 use celeryknot_operators::ControlStatus;
 
 use crate::event::TrafficEvent;
+use crate::prompt_guard::PromptGuard;
 use crate::snapshot::Snapshot;
 
 /// Maximum number of events queued for the control thread.
@@ -19,6 +20,8 @@
     pub snapshot: Arc<ArcSwap<Snapshot>>,
     /// The status of the control thread, for operators.
     pub status: Arc<ArcSwap<ControlStatus>>,
+    /// The parts of prompts that are banned.
+    pub prompt_guard: Arc<PromptGuard>,
 }
 
 impl FleetFeed {
@@ -27,6 +30,7 @@
         Self {
             snapshot: Arc::new(ArcSwap::from_pointee(snapshot)),
             status: Arc::new(ArcSwap::from_pointee(ControlStatus::default())),
+            prompt_guard: Arc::default(),
         }
     }
 }
--- a/crates/celeryknotd/src/lib.rs
+++ b/crates/celeryknotd/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod feed;
 pub mod listeners;
 mod operators;
+pub mod prompt_guard;
 pub mod run;
 pub mod snapshot;
 mod traffic;
--- a/crates/celeryknotd/src/traffic/chat.rs
+++ b/crates/celeryknotd/src/traffic/chat.rs
@@ -52,6 +52,7 @@
         cost,
         affinity,
         is_stream: completion.stream,
+        parts: completion.message_tags,
     })
 }
 
--- a/crates/celeryknotd/src/traffic/entry.rs
+++ b/crates/celeryknotd/src/traffic/entry.rs
@@ -224,6 +224,7 @@
     }
     let validated = Rc::new(validated);
     let dispatch = Dispatch::new(Rc::clone(context), Rc::clone(&validated));
+    dispatch.check_prompt()?;
     run_dispatch(context, dispatch, &validated).await
 }
 
@@ -278,6 +279,9 @@
         Ok(collected) => {
             let bytes = collected.to_bytes();
             dispatch.record_complete(placed.attempt);
+            if placed.answer.head.status.is_success() {
+                dispatch.record_sound_answer(&placed.endpoint);
+            }
             if dispatch.is_chat()
                 && let Some(usage) = chat::read_usage(&bytes)
             {
@@ -289,7 +293,9 @@
             }))
         }
         Err(error) => {
-            dispatch.record_broken_answer(placed.attempt, &placed.endpoint, error.0)?;
+            dispatch
+                .record_broken_answer(placed.attempt, &placed.endpoint, error.0, true)
+                .await?;
             Ok(None)
         }
     }
--- a/crates/celeryknotd/src/traffic/requests.rs
+++ b/crates/celeryknotd/src/traffic/requests.rs
@@ -15,6 +15,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request};
 
 use super::shared::BodyReservation;
+use crate::prompt_guard::PromptParts;
 use crate::snapshot::{EndpointSnapshot, ServiceSnapshot};
 
 /// Parsed properties of a chat completion.
@@ -24,6 +25,8 @@
     pub(crate) cost: ChatCost,
     pub(crate) affinity: Option<AffinityValue>,
     pub(crate) is_stream: bool,
+    /// The tags of the messages; the last one is the part that other prompts don't share.
+    pub(crate) parts: PromptParts,
 }
 
 /// Checked request that is ready for placement.
--- a/crates/celeryknotd/src/traffic/stream.rs
+++ b/crates/celeryknotd/src/traffic/stream.rs
@@ -21,6 +21,9 @@
 /// Limits the resumptions of one stream.
 const RESUMES_MAX: u32 = 4;
 
+/// Events up to which an answer is at its beginning.
+const BEGINNING_EVENTS_MAX: u32 = 1;
+
 /// Delay that lets the connection write the last event before the body is aborted.
 const ABORT_DELAY: DurationMs = DurationMs(50);
 
@@ -35,6 +38,8 @@
         dispatch,
         cursor: StreamCursor::new(),
         last_token: None,
+        endpoint: placed.endpoint.clone(),
+        events: 0,
         chunks,
         shared: Arc::clone(&context.shared),
     };
@@ -58,6 +63,9 @@
     dispatch: Dispatch,
     cursor: StreamCursor,
     last_token: Option<TokenEvent>,
+    /// The endpoint of the current answer, and the events received from it.
+    endpoint: EndpointName,
+    events: u32,
     chunks: Sender<Result<Bytes, AnswerError>>,
     shared: Arc<Shared>,
 }
@@ -66,19 +74,25 @@
     async fn run(mut self, first: PlacedAnswer) {
         let mut placed = first;
         loop {
-            let endpoint = placed.endpoint.clone();
             let attempt = placed.attempt;
+            self.endpoint = placed.endpoint;
+            self.events = 0;
             let mut end = self.relay_answer(placed.answer.body).await;
             if matches!(end, RelayEnd::Broken(_)) && self.has_last_token() {
                 // Only the `[DONE]` marker is missing.
                 end = self.finish().await;
             }
             let kind = match end {
-                RelayEnd::Complete => return self.record_complete(attempt, &endpoint),
+                RelayEnd::Complete => return self.record_complete(attempt),
                 RelayEnd::CallerGone => return,
                 RelayEnd::Broken(kind) => kind,
             };
-            if let Err(refusal) = self.dispatch.record_broken_answer(attempt, &endpoint, kind) {
+            let is_at_beginning = self.events <= BEGINNING_EVENTS_MAX;
+            let may_resume = self
+                .dispatch
+                .record_broken_answer(attempt, &self.endpoint, kind, is_at_beginning)
+                .await;
+            if let Err(refusal) = may_resume {
                 return self.abort(refusal).await;
             }
             placed = match self.resume(kind).await {
@@ -92,10 +106,13 @@
         self.last_token.as_ref().is_some_and(TokenEvent::is_last)
     }
 
-    fn record_complete(&mut self, attempt: AttemptIndex, endpoint: &EndpointName) {
+    fn record_complete(&mut self, attempt: AttemptIndex) {
         self.dispatch.record_complete(attempt);
+        if self.events <= BEGINNING_EVENTS_MAX {
+            self.dispatch.record_sound_answer(&self.endpoint);
+        }
         if let Some(usage) = self.last_token.as_ref().and_then(|token| token.usage) {
-            self.dispatch.record_chat_usage(endpoint, usage);
+            self.dispatch.record_chat_usage(&self.endpoint, usage);
         }
     }
 
@@ -137,6 +154,10 @@
             SseEvent::Done => return Some(self.finish().await),
             SseEvent::Data { raw, token } => (raw, token),
         };
+        self.events = self.events.saturating_add(1);
+        if self.events == BEGINNING_EVENTS_MAX + 1 {
+            self.dispatch.record_sound_answer(&self.endpoint);
+        }
         if let Some(token) = token {
             match self.cursor.accept(token.token_index) {
                 TokenAction::Pass => self.last_token = Some(token),
