Crash engines in the soak, by signal and by a part of prompts

The soak had no engine that crashes. Two promises are checked: a part that has crashed five engines reaches at most three requests later than 3 s after that (unless all daemons were killed, which know of it alone), and no other prompt is refused for a banned part, though it shares its first part with the bad one.

--- a/crates/celeryknot_faults/src/soak/check.rs
+++ b/crates/celeryknot_faults/src/soak/check.rs
@@ -3,13 +3,16 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
+use celeryknot_core::ErrorKind;
 use celeryknot_kinrin_standins::engine::Arrival;
 use celeryknot_kinrin_standins::site::CUSTOMER;
 use serde::Serialize;
 use strum::{Display, EnumIter, IntoStaticStr};
 
 use super::callers::{RequestKind, RequestRecord};
-use super::fleet::{COLD_MAX_PER_S, CONFIGURATION_DELAY_MAX, DRAIN_TIME, RETRY_ALLOWANCE};
+use super::fleet::{
+    BAD_PART, COLD_MAX_PER_S, CONFIGURATION_DELAY_MAX, DRAIN_TIME, RETRY_ALLOWANCE,
+};
 use super::observations::{Observations, Shutdown};
 use super::plan::SoakPlan;
 
@@ -27,6 +30,12 @@
 /// Share of the grace time after SIGTERM, in eighths, from which a daemon may cut these answers.
 const CUT_MIN_EIGHTHS: u32 = 7;
 
+/// Requests with a part that has crashed [`CRASHES_MAX`] engines that may reach engines later than
+/// [`CRASH_REACTION_TIME`] after that.
+const CRASHES_MAX: usize = 5;
+const REQUESTS_AFTER_CRASHES_MAX: usize = 3;
+const CRASH_REACTION_TIME: Duration = Duration::from_millis(3_000);
+
 /// Status codes which guarantee that the request has not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -70,6 +79,10 @@
     RetryBudget,
     /// A cold engine receives no more requests than its rate limit allows.
     ColdBound,
+    /// A part of prompts that crashed five engines reaches few more, unless all daemons are killed.
+    CrashesBounded,
+    /// A prompt is refused for a banned part only if engines crash on it.
+    SoundPromptsServed,
 }
 
 /// A promise that did not hold.
@@ -128,6 +141,9 @@
     check_retry_budget(&mut checker, observations, &arrivals_by_id);
     check_rollbacks(&mut checker, observations);
     check_cold_engines(&mut checker, observations);
+    if !plan.kills_all() {
+        check_crashes(&mut checker, observations);
+    }
     if plan.is_planned_work() {
         check_drained_endpoints(&mut checker, observations);
     }
@@ -160,6 +176,12 @@
 }
 
 fn check_response(checker: &mut Checker, request: &RequestRecord, observations: &Observations) {
+    if let Some(response) = &request.response {
+        let is_banned = response.body.contains(ErrorKind::PromptBanned.code());
+        checker.check(Promise::SoundPromptsServed, !is_banned, || {
+            format!("{} {}: {}", request.call.kind, request.id, response.body)
+        });
+    }
     let Some(response) = request.response.as_ref().filter(|it| it.status == 200) else {
         return;
     };
@@ -355,6 +377,25 @@
     }
 }
 
+fn check_crashes(checker: &mut Checker, observations: &Observations) {
+    let has_bad_part = |arrival: &&Arrival| {
+        let prompt = arrival.head.header("prefix-hash").unwrap_or_default();
+        arrival.is_run && prompt.contains(&format!("{BAD_PART}:"))
+    };
+    let arrivals = observations.arrivals.iter().flat_map(|(_, all)| all);
+    let mut times: Vec<Instant> = arrivals.filter(has_bad_part).map(|it| it.at).collect();
+    times.sort_unstable();
+    let Some(last_crash_at) = times.get(CRASHES_MAX - 1).copied() else {
+        return;
+    };
+    let is_late = |at: &&Instant| **at > last_crash_at + CRASH_REACTION_TIME;
+    let late = times.iter().filter(is_late).count();
+    let holds = late <= REQUESTS_AFTER_CRASHES_MAX;
+    checker.check(Promise::CrashesBounded, holds, || {
+        format!("{late} of {} requests with the part were late", times.len())
+    });
+}
+
 fn check_drained_endpoints(checker: &mut Checker, observations: &Observations) {
     let ids: BTreeSet<&str> = observations
         .requests
--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -55,6 +55,10 @@
 pub const EVENT_INTERVAL: Duration = Duration::from_millis(25);
 /// What endpoints do unless a step says otherwise.
 const NORMAL_BEHAVIOUR: Behaviour = Behaviour::StreamByTokens(EVENT_INTERVAL);
+/// A part under which every engine crashes; its prompts share the first part with sound ones.
+pub const BAD_PART: &str = "bad";
+/// Time between two prompts with this part.
+const BAD_PROMPT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time limit for a started daemon to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -303,6 +307,10 @@
             StepKind::EngineUnframedTruncates => {
                 self.with_behaviour(&engine_step(step), Behaviour::UnframedTruncated);
             }
+            StepKind::EngineCrash => {
+                lock(&self.slots[step.target % ENGINE_COUNT]).engine.crash();
+            }
+            StepKind::BadPrompts => self.send_bad_prompts(step),
         }
         Ok(())
     }
@@ -436,6 +444,26 @@
         engine.set_default_behaviour(NORMAL_BEHAVIOUR);
     }
 
+    /// Sends prompts with a part under which engines crash to the daemons in turn.
+    fn send_bad_prompts(&self, step: &Step) {
+        let until = Instant::now() + step.duration();
+        for number in step.target.. {
+            if Instant::now() >= until {
+                return;
+            }
+            let request = TestRequest::new("POST", "/draft/1")
+                .prompt()
+                .with(
+                    "Prefix-Hash",
+                    &format!("a1:300,{BAD_PART}:150,{number:x}:50"),
+                )
+                .body(b"a letter");
+            // A daemon may be down; the checks count what reaches engines.
+            let _ = request.try_run(self.callers_address(number % DAEMON_COUNT));
+            std::thread::sleep(BAD_PROMPT_INTERVAL);
+        }
+    }
+
     /// Returns the observations of the run, including the callers' requests.
     pub fn observations(&self, started_at: Instant, requests: Vec<RequestRecord>) -> Observations {
         let operator = lock(&self.operator);
@@ -455,7 +483,6 @@
     }
 }
 
-/// Sends a signal after the delay, unless the process has ended before.
 /// Returns the step with an engine as its target.
 fn engine_step(step: &Step) -> Step {
     Step {
@@ -464,6 +491,7 @@
     }
 }
 
+/// Sends a signal after the delay, unless the process has ended before.
 fn signal_unless_exited(
     process: &mut DaemonProcess,
     delay: Duration,
@@ -478,6 +506,7 @@
 fn start_endpoint(id: &str) -> eyre::Result<(Engine, FaultProxy)> {
     let engine = Engine::start(id);
     engine.set_default_behaviour(NORMAL_BEHAVIOUR);
+    engine.crash_on_part(BAD_PART);
     let proxy = FaultProxy::start_on_loopback(engine.address)?;
     Ok((engine, proxy))
 }
--- a/crates/celeryknot_faults/src/soak/plan.rs
+++ b/crates/celeryknot_faults/src/soak/plan.rs
@@ -53,6 +53,10 @@
 const UNFRAMED_STEPS_MAX: usize = 3;
 const UNFRAMED_KINDS: [StepKind; 2] = [StepKind::EngineUnframed, StepKind::EngineUnframedTruncates];
 
+/// Maximum number of steps that crash engines, and their kinds.
+const CRASH_STEPS_MAX: usize = 4;
+const CRASH_KINDS: [StepKind; 2] = [StepKind::EngineCrash, StepKind::BadPrompts];
+
 /// Idle timeouts of callers' connections; most are shorter than the longest streams.
 const IDLE_TIMEOUTS_MS: [u64; 5] = [1_000, 1_500, 2_500, 4_000, 10_000];
 
@@ -122,6 +126,10 @@
     EngineUnframed,
     /// The same, and they end inside an event.
     EngineUnframedTruncates,
+    /// An engine crashes and starts again.
+    EngineCrash,
+    /// Prompts with a part under which every engine crashes.
+    BadPrompts,
 }
 
 impl StepKind {
@@ -148,6 +156,8 @@
                 | Self::TerminateAndReloadDaemon
                 | Self::EngineUnframed
                 | Self::EngineUnframedTruncates
+                | Self::EngineCrash
+                | Self::BadPrompts
         )
     }
 }
@@ -258,7 +268,14 @@
         let limits = RunLimits::draw(&mut rng);
         match is_planned {
             true => steps.extend(draw_series(&mut rng)),
-            false => steps.extend(draw_unframed(&mut rng)),
+            false => {
+                steps.extend(draw_engine_steps(
+                    &mut rng,
+                    &UNFRAMED_KINDS,
+                    UNFRAMED_STEPS_MAX,
+                ));
+                steps.extend(draw_engine_steps(&mut rng, &CRASH_KINDS, CRASH_STEPS_MAX));
+            }
         }
         steps.sort_by_key(|step| step.start_ms);
         Self {
@@ -268,6 +285,11 @@
         }
     }
 
+    /// Returns whether all daemons are killed at once, and with them what only they know.
+    pub fn kills_all(&self) -> bool {
+        self.steps.iter().any(|step| step.kind == StepKind::KillAll)
+    }
+
     /// Returns whether all steps are planned work of operators.
     pub fn is_planned_work(&self) -> bool {
         self.steps.iter().all(|step| step.kind.is_planned())
@@ -299,11 +321,11 @@
     steps
 }
 
-/// Draws a series of engines whose responses have neither a length nor chunks.
-fn draw_unframed(rng: &mut impl Rng) -> Vec<Step> {
-    let count = rng.random_range(0..=UNFRAMED_STEPS_MAX);
+/// Draws a series of steps of the given kinds that affect engines.
+fn draw_engine_steps(rng: &mut impl Rng, kinds: &[StepKind], count_max: usize) -> Vec<Step> {
+    let count = rng.random_range(0..=count_max);
     let steps = (0..count).map(|_| Step {
-        kind: UNFRAMED_KINDS[rng.random_range(0..UNFRAMED_KINDS.len())],
+        kind: kinds[rng.random_range(0..kinds.len())],
         target: rng.random_range(0..60),
         start_ms: rng.random_range(300..START_MAX_MS),
         duration_ms: rng.random_range(300..DURATION_MAX_MS),
--- a/crates/celeryknot_faults/tests/soak_check.rs
+++ b/crates/celeryknot_faults/tests/soak_check.rs
@@ -6,6 +6,7 @@
 use celeryknot_faults::plan::Seed;
 use celeryknot_faults::soak::callers::{Answer, Call, RequestKind, RequestRecord};
 use celeryknot_faults::soak::check::{Promise, check};
+use celeryknot_faults::soak::fleet::BAD_PART;
 use celeryknot_faults::soak::observations::{Observations, Shutdown, Withdrawal};
 use celeryknot_faults::soak::plan::{RunLimits, SoakPlan, Step, StepKind};
 use celeryknot_kinrin_standins::engine::Arrival;
@@ -94,6 +95,19 @@
     }
 }
 
+/// Returns arrivals of prompts with the part on which engines crash, and of some 3.1 s later.
+fn bad_prompts(at: Instant, crashes: usize, late: usize) -> Observations {
+    let times = std::iter::repeat_n(at, crashes)
+        .chain(std::iter::repeat_n(at + Duration::from_millis(3_100), late));
+    let arrivals = times.map(|at| {
+        let mut arrival = arrival(at, CUSTOMER);
+        let prompt = format!("a1:300,{BAD_PART}:150,c3:50");
+        arrival.head.headers.push(("prefix-hash".into(), prompt));
+        arrival
+    });
+    observations(Vec::new(), arrivals.collect())
+}
+
 fn events(ids: &[usize]) -> String {
     ids.iter()
         .map(|id| format!("id: {id}\ndata: x\n\n"))
@@ -107,7 +121,7 @@
     observations: fn(Instant) -> Observations,
 }
 
-const CASES: [Case; 26] = [
+const CASES: [Case; 29] = [
     Case {
         name: "a booking that ran once",
         broken: None,
@@ -357,6 +371,24 @@
             observations
         },
     },
+    Case {
+        name: "four requests with a part long after it crashed five engines",
+        broken: Some(Promise::CrashesBounded),
+        observations: |at| bad_prompts(at, 5, 4),
+    },
+    Case {
+        name: "three requests with a part long after it crashed five engines",
+        broken: None,
+        observations: |at| bad_prompts(at, 5, 3),
+    },
+    Case {
+        name: "a sound prompt that is refused for a banned part",
+        broken: Some(Promise::SoundPromptsServed),
+        observations: |at| {
+            let refused = request(RequestKind::Chat, at, 503, "{\"error\":\"prompt-banned\"}");
+            observations(vec![refused], Vec::new())
+        },
+    },
 ];
 
 fn planned_work() -> SoakPlan {
