Count a crash before the head against chats that are not streamed alone

A streamed chat whose connection ends before its head may wait behind the one that crashed the engine; the gateway doesn't count it, and neither does the native daemon now. A chat that isn't streamed has no other beginning.

--- a/crates/celeryknot_policy/tests/crash_suspects.rs
+++ b/crates/celeryknot_policy/tests/crash_suspects.rs
@@ -398,13 +398,21 @@
     }
 }
 
-/// Time that an answer is at its beginning, and its whole time.
-const BEGINNING_MS: u64 = 120;
+/// Time of a whole answer.
 const ANSWER_MS: u64 = 2_000;
 
+/// How requests are suspected with the one that crashed their engine.
+struct BatchCase {
+    name: &'static str,
+    /// Time after which an answer is beyond its beginning.
+    beginning_ms: u64,
+    /// Time after which another part crashes engines, if a ban stops the one before.
+    bad_part_interval_ms: Option<u64>,
+}
+
 /// Returns the sound parts that were in use, and those that were banned at some time, while a part
 /// crashes an engine each 700 ms under batches of `slots` requests.
-fn sound_parts_banned(seed: u64, slots: usize) -> (usize, usize) {
+fn sound_parts_banned(case: &BatchCase, seed: u64, slots: usize) -> (usize, usize) {
     const ENGINES: usize = 9;
     let mut random = StdRng::seed_from_u64(seed);
     let mut suspects = CrashSuspects::default();
@@ -416,7 +424,10 @@
         for engine in 0..ENGINES {
             let batch = requests.entry(engine).or_default();
             batch.retain(|(began_at, _)| now_ms < began_at + ANSWER_MS);
-            for (_, parts) in batch.iter().filter(|(at, _)| now_ms == at + BEGINNING_MS) {
+            for (_, parts) in batch
+                .iter()
+                .filter(|(at, _)| now_ms == at + case.beginning_ms)
+            {
                 for part in parts {
                     suspects.record_answer(now, PromptTag(*part));
                 }
@@ -446,11 +457,20 @@
                 batch.push((now_ms, parts));
             }
         }
-        if now_ms % 700 == 0 {
+        let bad_part = case
+            .bad_part_interval_ms
+            .map(|interval_ms| PromptTag(90_000 + (now_ms / interval_ms) as u32));
+        let is_stopped = bad_part.is_some_and(|part| suspects.is_banned(now, part));
+        if now_ms % 700 == 0 && !is_stopped {
             let engine = random.random_range(0..ENGINES);
             let endpoint = EndpointTag(now_ms as u32);
             let batch = requests.remove(&engine).unwrap_or_default();
-            let at_beginning = batch.iter().filter(|(at, _)| now_ms < at + BEGINNING_MS);
+            if let Some(part) = bad_part {
+                suspects.record_crash(now, part, endpoint);
+            }
+            let at_beginning = batch
+                .iter()
+                .filter(|(at, _)| now_ms < at + case.beginning_ms);
             for part in at_beginning.flat_map(|(_, parts)| parts) {
                 let verdict = suspects.record_crash(now, PromptTag(*part), endpoint);
                 if verdict == CrashVerdict::Banned {
@@ -464,14 +484,30 @@
 
 #[test]
 fn sound_prompts_of_the_same_batches_are_not_shut_out() {
-    for slots in [1, 16, 64] {
+    let cases = [
+        BatchCase {
+            name: "streams, a part that no ban stops",
+            beginning_ms: 120,
+            bad_part_interval_ms: None,
+        },
+        BatchCase {
+            name: "answers that begin with their end, a new bad part each ten seconds",
+            beginning_ms: ANSWER_MS - 20,
+            bad_part_interval_ms: Some(10_000),
+        },
+    ];
+    for (case, slots) in cases
+        .iter()
+        .flat_map(|case| [1, 16, 64].map(|slots| (case, slots)))
+    {
+        let name = case.name;
         let runs: Vec<_> = (0..20)
-            .map(|seed| sound_parts_banned(seed, slots))
+            .map(|seed| sound_parts_banned(case, seed, slots))
             .collect();
         let used: usize = runs.iter().map(|(used, _)| used).sum();
         let banned: usize = runs.iter().map(|(_, banned)| banned).sum();
         let rate = banned as f64 / used as f64;
-        println!("{slots} slots: {banned} of {used} sound parts banned ({rate:.5})");
-        assert!(rate < 0.01, "{slots} slots: {rate}");
+        println!("{name}, {slots} slots: {banned} of {used} sound parts banned ({rate:.5})");
+        assert!(rate < 0.01, "{name}, {slots} slots: {rate}");
     }
 }
--- a/crates/celeryknotd/src/traffic/dispatch.rs
+++ b/crates/celeryknotd/src/traffic/dispatch.rs
@@ -138,12 +138,15 @@
     /// whether the prompt may crash another one.
     ///
     /// An endpoint that no longer accepts connections has crashed, unless it was expected to end.
-    /// Before an answer has begun, any request at the endpoint may be the reason; then it takes a
-    /// second crash to keep the prompt from further endpoints.
+    /// An answer that is not streamed begins with its end. Until then, any request at the endpoint
+    /// may be the reason, and it takes a second crash to keep the prompt from further endpoints.
     async fn check_crash(&self, name: &EndpointName, has_begun: bool) {
         let (Some(chat), Some(address)) = (&self.request.chat, self.expected_address(name)) else {
             return;
         };
+        if chat.is_stream && !has_begun {
+            return;
+        }
         if is_running(address, &self.context.timers).await {
             return;
         }
