Test that a draining engine's end bans no message of native chats

Three engines end while they drain, each as it begins to answer a chat with the same messages: the chats are resumed and complete, and the messages are not banned.

--- a/crates/celeryknotd/tests/crashing_prompts.rs
+++ b/crates/celeryknotd/tests/crashing_prompts.rs
@@ -8,6 +8,7 @@
 
 use celeryknot_core::Execution;
 use celeryknot_standins::caller::{Completed, Refused};
+use celeryknot_standins::executor::spawn;
 use celeryknot_standins::text::Message;
 use celeryknot_standins::wire::{ChatRequest, EndpointMode};
 use celeryknot_standins::{Caller, CallerOptions, Engine, Outcome};
@@ -23,6 +24,9 @@
 const REQUESTS_AFTER_MAX: u64 = 3;
 const CONTACT: Duration = Duration::from_millis(3_000);
 
+/// Factor by which engines are slow while a test changes the fleet.
+const SLOW: f64 = 200.0;
+
 /// The message on which engines crash, and messages that sound chats share.
 const BAD: &str = "a message that crashes engines";
 const SYSTEM: &str = "answer briefly";
@@ -59,6 +63,16 @@
     }
 
     fn send_to(&mut self, daemon: usize, shared: &[&str], stream: bool) -> Outcome<Completed> {
+        smol::block_on(self.next_call(daemon, shared, stream))
+    }
+
+    /// Returns the call of a new chat.
+    fn next_call(
+        &mut self,
+        daemon: usize,
+        shared: &[&str],
+        stream: bool,
+    ) -> impl Future<Output = Outcome<Completed>> + Send + use<> {
         self.sent_count += 1;
         let own = format!("question {}", self.sent_count);
         let texts = shared.iter().copied().chain([own.as_str()]);
@@ -75,7 +89,23 @@
         };
         let target = self.live.target(daemon, MODEL_SERVICE);
         let chat = format!("chat-{}", self.sent_count);
-        smol::block_on(self.caller.chat(&target, &chat, None, &request))
+        let caller = self.caller.clone();
+        async move { caller.chat(&target, &chat, None, &request).await }
+    }
+
+    /// Sets the factor by which all engines take longer.
+    fn set_slow_factor(&self, slow_factor: f64) {
+        for engine in &self.live.engines {
+            engine.set_mode(EndpointMode {
+                slow_factor: Some(slow_factor),
+                ..EndpointMode::default()
+            });
+        }
+    }
+
+    fn busy_engine(&self) -> Option<usize> {
+        let mut engines = self.live.engines.iter();
+        engines.position(|engine| engine.in_flight() > 0)
     }
 
     /// Sends requests until this many engines have crashed.
@@ -173,6 +203,34 @@
     fleet.assert_not_banned(&[SYSTEM, SOUND]);
 }
 
+#[test]
+fn engine_that_ends_while_it_drains_bans_no_message() {
+    let mut fleet = CrashingFleet::start();
+    fleet.crash_on("no message");
+    for _ in 0..CRASHES_TO_BAN {
+        fleet.set_slow_factor(SLOW);
+        let call = spawn(fleet.next_call(0, &[SYSTEM, SOUND], true));
+        wait_until("the chat is at an engine", || fleet.busy_engine().is_some());
+        let engine = fleet.busy_engine().unwrap();
+        fleet.live.draining_engines.push(engine);
+        fleet.live.publish();
+        let name = format!("engine-{engine}").parse().unwrap();
+        wait_until("the engine drains at all daemons", || {
+            let mut daemons = fleet.live.daemons.iter().flatten();
+            daemons.all(|daemon| {
+                let snapshot = daemon.snapshot();
+                let mut listed = snapshot.services.values().flat_map(|it| &it.endpoints);
+                listed.any(|it| it.name == name && !it.accepts_requests)
+            })
+        });
+        fleet.live.engines[engine].crash();
+        fleet.set_slow_factor(1.0);
+        let outcome = smol::block_on(call);
+        assert!(matches!(outcome, Outcome::Completed(_)), "{outcome:?}");
+    }
+    fleet.assert_not_banned(&[SYSTEM, SOUND]);
+}
+
 #[test]
 fn daemon_that_starts_later_learns_which_message_is_banned() {
     let mut fleet = CrashingFleet::start();
--- a/crates/celeryknotd/tests/live/mod.rs
+++ b/crates/celeryknotd/tests/live/mod.rs
@@ -44,6 +44,8 @@
     pub(crate) engines: Vec<Engine>,
     pub(crate) services: Vec<Service>,
     pub(crate) daemons: Vec<Option<Daemon>>,
+    /// Indices of the engines that drain.
+    pub(crate) draining_engines: Vec<usize>,
     next_index: usize,
 }
 
@@ -66,6 +68,7 @@
                 .map(|_| Service::start(ServiceOptions::default(), LOOPBACK).unwrap())
                 .collect(),
             daemons: Vec::new(),
+            draining_engines: Vec::new(),
             next_index: 0,
         };
         for _ in 0..daemons {
@@ -103,9 +106,9 @@
             })
         });
         let engines = self.engines.iter().map(Engine::address);
-        let engines = endpoints(MODEL_SERVICE, "engine", engines);
+        let engines = endpoints(MODEL_SERVICE, "engine", engines, &self.draining_engines);
         let services = self.services.iter().map(Service::address);
-        let services = endpoints(PLAIN_SERVICE, "service", services);
+        let services = endpoints(PLAIN_SERVICE, "service", services, &[]);
         self.platform
             .put_instances(daemons.chain(engines).chain(services).collect());
     }
@@ -155,6 +158,7 @@
     service: &'static str,
     prefix: &'static str,
     addresses: impl Iterator<Item = std::net::SocketAddr>,
+    draining: &[usize],
 ) -> impl Iterator<Item = Instance> {
     addresses.enumerate().map(move |(index, address)| {
         Instance::Endpoint(EndpointInstance {
@@ -162,7 +166,10 @@
             service: service.parse().unwrap(),
             zone: ZONES[index % ZONES.len()].parse().unwrap(),
             address,
-            state: InstanceState::Live,
+            state: match draining.contains(&index) {
+                true => InstanceState::Leaving,
+                false => InstanceState::Live,
+            },
             fencing: Fencing::Refuses,
         })
     })
