Cut answers at their beginning in the test of engines that still run

With the probe taken out, the test passed all the same: its answers were cut after half of 20 tokens, beyond their beginning. They now have two tokens; without the probe the messages are banned, with it they are not.

--- a/crates/celeryknotd/tests/crashing_prompts.rs
+++ b/crates/celeryknotd/tests/crashing_prompts.rs
@@ -40,6 +40,8 @@
     live: LiveFleet,
     caller: Caller,
     sent_count: usize,
+    /// Limit on the tokens of an answer.
+    answer_tokens_max: u32,
 }
 
 impl CrashingFleet {
@@ -48,6 +50,7 @@
             live: LiveFleet::start(DAEMON_COUNT, ENGINE_COUNT, 0),
             caller: Caller::new(CallerOptions::default()),
             sent_count: 0,
+            answer_tokens_max: 20,
         };
         fleet.crash_on(BAD);
         fleet
@@ -88,7 +91,7 @@
                 })
                 .collect(),
             stream,
-            max_tokens: Some(20),
+            max_tokens: Some(self.answer_tokens_max),
         };
         let target = self.live.target(daemon, MODEL_SERVICE);
         let chat = format!("chat-{}", self.sent_count);
@@ -190,6 +193,8 @@
 fn answer_cut_by_an_engine_that_still_runs_bans_no_message() {
     let mut fleet = CrashingFleet::start();
     fleet.crash_on("no message");
+    // An answer is cut in its middle: here after its first token, still at its beginning.
+    fleet.answer_tokens_max = 2;
     let set_truncation = |engines: &[Engine], percent| {
         for engine in engines {
             engine.set_mode(EndpointMode {
