--- a/crates/celeryknotd/tests/crashing_prompts.rs
+++ b/crates/celeryknotd/tests/crashing_prompts.rs
@@ -189,6 +189,21 @@
     }
 }
 
+#[test]
+fn chat_with_its_own_bad_message_crashes_two_engines_at_most() {
+    let mut fleet = CrashingFleet::start();
+    fleet.send(&[SYSTEM], true);
+    fleet.crash_on("question");
+    for sent_count in 1..=2 {
+        let crashes_before = fleet.crash_count();
+        fleet.send(&[SYSTEM], true);
+        let crashes = fleet.crash_count() - crashes_before;
+        assert!(crashes <= 2, "{crashes} crashes of request {sent_count}");
+        // Time for the engines to start again.
+        std::thread::sleep(CONTACT);
+    }
+}
+
 #[test]
 fn answer_cut_by_an_engine_that_still_runs_bans_no_message() {
     let mut fleet = CrashingFleet::start();
