Keep a native chat from a third engine whatever its bad message is

Cause: a chat whose answer broke at its beginning as the engine crashed was resumed if all messages that it shares were known to be sound. Its own last message was counted, but banned only after three crashes.

Change: a chat is kept from further engines as well once one of its messages, the last one too, was suspected before.

--- a/crates/celeryknotd/src/prompt_guard.rs
+++ b/crates/celeryknotd/src/prompt_guard.rs
@@ -18,9 +18,8 @@
 pub struct CrashFinding {
     /// The parts against which the crash counts.
     pub counted: PromptParts,
-    /// Whether the prompt may crash another endpoint: not all of its shared parts are known to be
-    /// sound.
-    pub may_crash_another: bool,
+    /// Whether not all of its shared parts are known to be sound.
+    pub has_unproven_part: bool,
     /// Whether another endpoint has crashed under one of its parts before.
     pub is_repeated: bool,
 }
@@ -84,7 +83,7 @@
         let mut suspects = self.suspects();
         let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let mut finding = CrashFinding {
-            may_crash_another: !shared.iter().all(|part| suspects.is_sound(now, *part)),
+            has_unproven_part: !shared.iter().all(|part| suspects.is_sound(now, *part)),
             is_repeated: parts.iter().any(|part| suspects.is_suspected(now, *part)),
             ..CrashFinding::default()
         };
--- a/crates/celeryknotd/src/traffic/dispatch.rs
+++ b/crates/celeryknotd/src/traffic/dispatch.rs
@@ -157,11 +157,7 @@
         for part in finding.counted {
             self.report_part(name, Observation::CrashedOn { part });
         }
-        let may_crash_another = match has_begun {
-            true => finding.may_crash_another,
-            false => finding.is_repeated,
-        };
-        if may_crash_another {
+        if finding.is_repeated || (has_begun && finding.has_unproven_part) {
             self.may_crash_another.set(true);
         }
     }
