Test that a recent answer elsewhere keeps a crash from counting

Without them, three crashes at one daemon ban a message that another one has just seen answered (503); with them it is sent.

--- a/crates/celeryknotd/tests/crashing_prompts.rs
+++ b/crates/celeryknotd/tests/crashing_prompts.rs
@@ -292,3 +292,18 @@
         fleet.assert_not_banned(&shared);
     }
 }
+
+#[test]
+fn recent_answer_at_another_daemon_keeps_crashes_from_counting() {
+    let mut fleet = CrashingFleet::start();
+    let shared = [SYSTEM, BAD];
+    for _ in 0..CRASHES_TO_BAN {
+        fleet.crash_on("no message");
+        let outcome = fleet.send_to(1, &shared, true);
+        assert!(matches!(outcome, Outcome::Completed(_)), "{outcome:?}");
+        fleet.crash_on(BAD);
+        fleet.send_to(0, &shared, true);
+        std::thread::sleep(CONTACT);
+    }
+    fleet.assert_not_banned(&shared);
+}
