Parse the parts of a prompt in one place of the stand-ins

The stand-in engine, the soak's check and a test each took the header with a prompt's parts apart, and the soak named the platform's header outside platform/. Message::shared_parts and TestRequest::prompt_parts serve all; the texts sent are the same.

--- a/crates/celeryknot_faults/src/soak/check.rs
+++ b/crates/celeryknot_faults/src/soak/check.rs
@@ -379,8 +379,7 @@
 
 fn check_crashes(checker: &mut Checker, observations: &Observations) {
     let has_bad_part = |arrival: &&Arrival| {
-        let prompt = arrival.head.header("prefix-hash").unwrap_or_default();
-        arrival.is_run && prompt.contains(&format!("{BAD_PART}:"))
+        arrival.is_run && arrival.head.shared_parts().any(|part| part == BAD_PART)
     };
     let arrivals = observations.arrivals.iter().flat_map(|(_, all)| all);
     let mut times: Vec<Instant> = arrivals.filter(has_bad_part).map(|it| it.at).collect();
--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -453,10 +453,7 @@
             }
             let request = TestRequest::new("POST", "/draft/1")
                 .prompt()
-                .with(
-                    "Prefix-Hash",
-                    &format!("a1:300,{BAD_PART}:150,{number:x}:50"),
-                )
+                .prompt_parts(&format!("a1:300,{BAD_PART}:150,{number:x}:50"))
                 .body(b"a letter");
             // A daemon may be down; the checks count what reaches engines.
             let _ = request.try_run(self.callers_address(number % DAEMON_COUNT));
--- a/crates/celeryknot_faults/tests/soak_check.rs
+++ b/crates/celeryknot_faults/tests/soak_check.rs
@@ -10,7 +10,7 @@
 use celeryknot_faults::soak::observations::{Observations, Shutdown, Withdrawal};
 use celeryknot_faults::soak::plan::{RunLimits, SoakPlan, Step, StepKind};
 use celeryknot_kinrin_standins::engine::Arrival;
-use celeryknot_kinrin_standins::http::Message;
+use celeryknot_kinrin_standins::http::{Message, PROMPT_PARTS};
 use celeryknot_kinrin_standins::site::CUSTOMER;
 use strum::IntoEnumIterator;
 
@@ -102,7 +102,7 @@
     let arrivals = times.map(|at| {
         let mut arrival = arrival(at, CUSTOMER);
         let prompt = format!("a1:300,{BAD_PART}:150,c3:50");
-        arrival.head.headers.push(("prefix-hash".into(), prompt));
+        arrival.head.headers.push((PROMPT_PARTS.into(), prompt));
         arrival
     });
     observations(Vec::new(), arrivals.collect())
