Use one clock in the gateway and the native daemon

The gateway computed the time from an Instant as celeryknotd's Clock does. The Clock moves to celeryknot_gateway, beside CountGuard, and serves both.

--- a/crates/celeryknotd/src/clock.rs
+++ b/crates/celeryknot_gateway/src/clock.rs
@@ -1,4 +1,4 @@
-//! The daemon's monotonic clock.
+//! The monotonic clock of a daemon.
 
 use std::time::Instant;
 
@@ -16,7 +16,7 @@
     /// # Examples
     ///
     /// ```
-    /// use celeryknotd::clock::Clock;
+    /// use celeryknot_gateway::clock::Clock;
     ///
     /// let clock = Clock::start();
     /// assert!(clock.now() <= clock.now());
--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -14,6 +14,7 @@
 use eyre::WrapErr;
 use strum::{Display, EnumIter, IntoStaticStr};
 
+use crate::clock::Clock;
 use crate::control::{ControlSockets, run_control};
 use crate::listeners::Listeners;
 use crate::platform_protocol::PlatformProtocol;
@@ -72,7 +73,7 @@
         let shared = Arc::new(Shared {
             bounds: ArcSwap::from_pointee(settings.bounds.clone()),
             settings,
-            started_at: Instant::now(),
+            clock: Clock::start(),
             metrics: GatewayMetrics::new(),
             view: ArcSwap::from_pointee(View {
                 members,
--- a/crates/celeryknot_gateway/src/lib.rs
+++ b/crates/celeryknot_gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! thread reads the view, places requests and forwards responses. A [`PlatformProtocol`] implements
 //! the platform's wire formats.
 
+pub mod clock;
 mod control;
 pub mod count_guard;
 pub mod daemon;
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
@@ -12,6 +11,7 @@
 use celeryknot_operators::GatewayMetrics;
 use celeryknot_settings::{FleetBounds, GatewaySettings};
 
+use crate::clock::Clock;
 use crate::in_flight::Counts;
 use crate::logs;
 use crate::view::View;
@@ -61,7 +61,7 @@
     pub(crate) settings: GatewaySettings,
     /// The active bounds; a reload replaces them.
     pub(crate) bounds: ArcSwap<FleetBounds>,
-    pub(crate) started_at: Instant,
+    pub(crate) clock: Clock,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) view: ArcSwap<View>,
     /// Updates from the traffic thread to the control thread.
@@ -82,7 +82,7 @@
 
 impl Shared {
     pub(crate) fn now(&self) -> MonotonicMs {
-        MonotonicMs::PROCESS_START + DurationMs::from(self.started_at.elapsed())
+        self.clock.now()
     }
 
     /// Records when the store was read; earlier times are ignored.
--- a/crates/celeryknotd/src/control/orders.rs
+++ b/crates/celeryknotd/src/control/orders.rs
@@ -13,11 +13,11 @@
     ControlKind, EngineReport, FencingNumber, Fleet, FleetView, Order, Orders, OrdersConfig,
     Rollout, RolloutState,
 };
+use celeryknot_gateway::clock::Clock;
 use celeryknot_operators::OrderCounts;
 use smol::LocalExecutor;
 
 use super::active_settings::ActiveSettings;
-use crate::clock::Clock;
 
 /// Interval between checks of the rollouts.
 const CHECK_PERIOD: DurationMs = DurationMs(500);
--- a/crates/celeryknotd/src/daemon.rs
+++ b/crates/celeryknotd/src/daemon.rs
@@ -9,11 +9,11 @@
 
 use async_channel::{Receiver, Sender};
 use celeryknot_core::Incarnation;
+use celeryknot_gateway::clock::Clock;
 use celeryknot_operators::Metrics;
 use celeryknot_settings::DaemonSettings;
 use eyre::WrapErr;
 
-use crate::clock::Clock;
 use crate::control::{self, ControlHandle};
 use crate::event::TrafficEvent;
 use crate::feed::{FleetFeed, event_channel};
--- a/crates/celeryknotd/src/lib.rs
+++ b/crates/celeryknotd/src/lib.rs
@@ -1,6 +1,5 @@
 //! The daemon: a control thread, traffic threads, and the wiring between the crates.
 
-pub mod clock;
 pub mod control;
 pub mod daemon;
 pub mod event;
--- a/crates/celeryknotd/src/prompt_guard.rs
+++ b/crates/celeryknotd/src/prompt_guard.rs
@@ -5,11 +5,10 @@
 
 use celeryknot_core::endpoint_updates::{EndpointUpdate, Observation};
 use celeryknot_core::{EndpointName, EndpointTag, MonotonicMs, PromptTag, RequestId};
+use celeryknot_gateway::clock::Clock;
 use celeryknot_policy::direct::{CrashSuspects, CrashVerdict, PromptVerdict};
 use smallvec::SmallVec;
 
-use crate::clock::Clock;
-
 /// The tags of the parts of a prompt; the last one is the part that other prompts don't share.
 pub type PromptParts = SmallVec<[PromptTag; 4]>;
 
--- a/crates/celeryknotd/src/traffic/body.rs
+++ b/crates/celeryknotd/src/traffic/body.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, SizeBytes};
 use celeryknot_endpoints::{AnswerBody, AnswerError, IdleTimeout, RequestBody};
+use celeryknot_gateway::clock::Clock;
 use celeryknot_policy::admission::{FinishOutcome, FinishStatus};
 use futures_lite::Stream;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -17,7 +18,6 @@
 use super::failure::Failure;
 use super::permit::Permit;
 use super::shared::CountGuard;
-use crate::clock::Clock;
 
 /// Limits the responses that are buffered completely before their head is forwarded, so that a
 /// broken one can be retried or refused with its error kind.
--- a/crates/celeryknotd/src/traffic/shared.rs
+++ b/crates/celeryknotd/src/traffic/shared.rs
@@ -6,13 +6,13 @@
 
 use async_channel::{Receiver, Sender};
 use celeryknot_core::{EndpointName, Incarnation, RequestId, SizeBytes};
+use celeryknot_gateway::clock::Clock;
 pub(crate) use celeryknot_gateway::count_guard::CountGuard;
 use celeryknot_operators::Metrics;
 use celeryknot_settings::DaemonSettings;
 
 use super::permit::AdmissionMessage;
 use super::ticket_actor::TicketMessage;
-use crate::clock::Clock;
 use crate::event::TrafficEvent;
 use crate::feed::FleetFeed;
 
