Share what a crash and a peer's update change in the table of parts

The gateway and the native daemon each had the steps by which a crashed prompt and a peer's update change the table of suspected parts, with small differences of form. CrashSuspects::record_crashed_prompt and apply hold them now; what is left at the two is logging, metrics and sending. The control thread of the native daemon uses the guard's clock, so that no times are converted between two clocks.

--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -133,7 +133,7 @@
         let mut services = self.services.borrow_mut();
         while let Ok(update) = self.peer_updates.try_recv() {
             if let PeerUpdate::Endpoint(update) = &update {
-                self.apply_part_update(update.at, update.endpoint, &update.observation);
+                self.apply_part_update(update);
             }
             for state in services.values_mut() {
                 match &update {
@@ -254,21 +254,16 @@
     }
 
     pub(super) fn report_to_peers(&self, endpoint: EndpointTag, observation: Observation) {
-        self.send_update(self.now(), endpoint, observation);
-    }
-
-    /// Sends peers an observation made at the given time.
-    pub(super) fn send_update(
-        &self,
-        at: MonotonicMs,
-        endpoint: EndpointTag,
-        observation: Observation,
-    ) {
-        self.send_to_control(TrafficUpdate::Endpoint(EndpointUpdate {
+        self.send_update(EndpointUpdate {
             endpoint,
             observation,
-            at,
-        }));
+            at: self.now(),
+        });
+    }
+
+    /// Sends an update to peers.
+    pub(super) fn send_update(&self, update: EndpointUpdate) {
+        self.send_to_control(TrafficUpdate::Endpoint(update));
     }
 
     fn send_to_control(&self, update: TrafficUpdate) {
--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -6,7 +6,7 @@
 use std::task::Poll;
 
 use bytes::Bytes;
-use celeryknot_core::endpoint_updates::Observation;
+use celeryknot_core::endpoint_updates::{EndpointUpdate, Observation};
 use celeryknot_core::{
     EndpointName, EndpointTag, ErrorKind, MonotonicMs, PromptTag, Refusal, ServiceName,
 };
@@ -71,52 +71,27 @@
         }
     }
 
-    /// Applies a peer's observation of a part.
-    pub(super) fn apply_part_update(
-        &self,
-        at: MonotonicMs,
-        endpoint: EndpointTag,
-        observation: &Observation,
-    ) {
-        match observation {
-            Observation::CrashedOn { part } => {
-                let verdict = self.record_crash(at, *part, endpoint);
-                let answered_at = self.crash_table.0.borrow().cleared_at(*part);
-                if let (CrashVerdict::Cleared, Some(at)) = (verdict, answered_at) {
-                    self.send_update(at, endpoint, Observation::Answered { part: *part });
-                }
-            }
-            Observation::Answered { part } => {
-                self.record_answer(at, *part);
-            }
-            Observation::Load { .. }
-            | Observation::Unreachable
-            | Observation::HoldsPrompt { .. } => {}
+    /// Applies a peer's update, if it is about a part.
+    pub(super) fn apply_part_update(&self, update: &EndpointUpdate) {
+        let applied = self.crash_table.0.borrow_mut().apply(update);
+        if let Some((part, verdict)) = applied.crash {
+            self.count_verdict(part, verdict);
+        }
+        if let Some(answered) = applied.contradiction {
+            self.send_update(answered);
+        }
+        if applied.crash.is_some() || applied.has_cleared {
+            self.update_banned_count();
         }
     }
 
-    fn record_crash(
-        &self,
-        at: MonotonicMs,
-        part: PromptTag,
-        endpoint: EndpointTag,
-    ) -> CrashVerdict {
-        let verdict = self
-            .crash_table
-            .0
-            .borrow_mut()
-            .record_crash(at, part, endpoint);
-        self.update_banned_count();
-        let metrics = &self.shared.metrics;
-        match verdict {
-            CrashVerdict::Suspected => metrics.parts_suspected.inc(),
-            CrashVerdict::Banned => {
-                metrics.parts_suspected.inc();
-                tracing::warn!(part = %part, "part banned");
-            }
-            CrashVerdict::Cleared | CrashVerdict::Known => {}
+    fn count_verdict(&self, part: PromptTag, verdict: CrashVerdict) {
+        if verdict.counts() {
+            self.shared.metrics.parts_suspected.inc();
+        }
+        if verdict == CrashVerdict::Banned {
+            tracing::warn!(%part, "part banned");
         }
-        verdict
     }
 
     /// Records that an endpoint crashed as it began to answer a prompt with these parts; returns
@@ -128,24 +103,26 @@
         endpoint: &EndpointName,
         parts: &[PromptTag],
     ) -> bool {
-        let is_sound = |part: &PromptTag| self.crash_table.0.borrow().is_sound(at, *part);
-        let are_sound = parts.iter().all(is_sound);
         self.shared.metrics.crashes_at_beginning.inc();
         let tag = EndpointTag::new(endpoint);
-        for part in parts {
-            let verdict = self.record_crash(at, *part, tag);
+        let mut suspects = self.crash_table.0.borrow_mut();
+        let finding = suspects.record_crashed_prompt(at, tag, parts, None);
+        drop(suspects);
+        for (part, verdict) in finding.verdicts {
+            self.count_verdict(part, verdict);
             tracing::info!(
                 request_id,
                 %endpoint,
-                part = %part,
+                %part,
                 %verdict,
                 "endpoint crashed as it began to answer"
             );
-            if matches!(verdict, CrashVerdict::Suspected | CrashVerdict::Banned) {
-                self.report_to_peers(tag, Observation::CrashedOn { part: *part });
+            if verdict.counts() {
+                self.report_to_peers(tag, Observation::CrashedOn { part });
             }
         }
-        !are_sound
+        self.update_banned_count();
+        finding.has_unproven_part
     }
 
     /// Records an answer to a prompt with the part; returns whether the part was suspected.
--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -18,7 +18,9 @@
 pub use answer_times::{AnswerTime, AnswerTimes, LongestAnswer};
 pub use attempt_history::{AttemptFailure, AttemptHistory};
 pub use cold_rate_limit::ColdStartBucket;
-pub use crash_suspects::{CrashSuspects, CrashVerdict, PromptVerdict, runs_trials_of};
+pub use crash_suspects::{
+    AppliedUpdate, CrashFinding, CrashSuspects, CrashVerdict, PromptVerdict, runs_trials_of,
+};
 pub use endpoint::{ListedEndpoint, ReportedLoad};
 pub use holders::PromptHolders;
 pub use pool::{EndpointPool, Placement, PlacementReason, PlacementRequest, PoolLimits};
--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 
+use celeryknot_core::endpoint_updates::{EndpointUpdate, Observation};
 use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{DurationMs, EndpointTag, MemberName, MonotonicMs, PromptTag};
 use smallvec::SmallVec;
@@ -61,6 +62,38 @@
     Banned,
 }
 
+impl CrashVerdict {
+    /// Returns whether the crash counts against the part.
+    pub const fn counts(self) -> bool {
+        match self {
+            Self::Suspected | Self::Banned => true,
+            Self::Cleared | Self::Known => false,
+        }
+    }
+}
+
+/// What a crash under a prompt shows.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CrashFinding {
+    /// The verdict on each part.
+    pub verdicts: SmallVec<[(PromptTag, CrashVerdict); 4]>,
+    /// Whether not all shared parts are known to be sound.
+    pub has_unproven_part: bool,
+    /// Whether another endpoint has crashed under one of the parts before.
+    pub is_repeated: bool,
+}
+
+/// What a peer's update has changed.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AppliedUpdate {
+    /// The part of a reported crash, and the verdict on it.
+    pub crash: Option<(PromptTag, CrashVerdict)>,
+    /// Whether a reported answer cleared a suspected part.
+    pub has_cleared: bool,
+    /// The answer that contradicts a reported crash.
+    pub contradiction: Option<EndpointUpdate>,
+}
+
 /// Whether a prompt may be sent to an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PromptVerdict {
@@ -151,6 +184,54 @@
         }
     }
 
+    /// Records that an endpoint crashed before or as it began to answer a prompt with these shared
+    /// parts and one of its own, if that counts.
+    pub fn record_crashed_prompt(
+        &mut self,
+        at: MonotonicMs,
+        endpoint: EndpointTag,
+        shared: &[PromptTag],
+        own: Option<PromptTag>,
+    ) -> CrashFinding {
+        let parts = || shared.iter().copied().chain(own);
+        CrashFinding {
+            has_unproven_part: !shared.iter().all(|part| self.is_sound(at, *part)),
+            is_repeated: parts().any(|part| self.is_suspected(at, part)),
+            verdicts: parts()
+                .map(|part| (part, self.record_crash(at, part, endpoint)))
+                .collect(),
+        }
+    }
+
+    /// Applies a peer's update.
+    pub fn apply(&mut self, update: &EndpointUpdate) -> AppliedUpdate {
+        match update.observation {
+            Observation::CrashedOn { part } => {
+                let verdict = self.record_crash(update.at, part, update.endpoint);
+                let answered_at = match verdict {
+                    CrashVerdict::Cleared => self.cleared_at(part),
+                    CrashVerdict::Known | CrashVerdict::Suspected | CrashVerdict::Banned => None,
+                };
+                AppliedUpdate {
+                    crash: Some((part, verdict)),
+                    contradiction: answered_at.map(|at| EndpointUpdate {
+                        endpoint: update.endpoint,
+                        observation: Observation::Answered { part },
+                        at,
+                    }),
+                    ..AppliedUpdate::default()
+                }
+            }
+            Observation::Answered { part } => AppliedUpdate {
+                has_cleared: self.record_answer(update.at, part),
+                ..AppliedUpdate::default()
+            },
+            Observation::Load { .. }
+            | Observation::Unreachable
+            | Observation::HoldsPrompt { .. } => AppliedUpdate::default(),
+        }
+    }
+
     /// Records that an answer got beyond its beginning; returns whether the part was suspected.
     pub fn record_answer(&mut self, at: MonotonicMs, part: PromptTag) -> bool {
         let part = self.entry(at, part);
@@ -165,7 +246,7 @@
     }
 
     /// Returns whether an engine has crashed under the part, and no answer has cleared it since.
-    pub fn is_suspected(&self, now: MonotonicMs, part: PromptTag) -> bool {
+    fn is_suspected(&self, now: MonotonicMs, part: PromptTag) -> bool {
         let is_recent = |(_, at): &(EndpointTag, MonotonicMs)| now - *at < CRASH_TTL;
         self.parts
             .get(&part)
@@ -173,7 +254,7 @@
     }
 
     /// Returns the time of the latest answer that cleared the part.
-    pub fn cleared_at(&self, part: PromptTag) -> Option<MonotonicMs> {
+    fn cleared_at(&self, part: PromptTag) -> Option<MonotonicMs> {
         self.parts.get(&part)?.cleared_at
     }
 
--- a/crates/celeryknotd/src/control/actor.rs
+++ b/crates/celeryknotd/src/control/actor.rs
@@ -133,7 +133,7 @@
         )?;
         let watch_state = Rc::new(WatchState::default());
         let platform_events = platform::start_tasks(executor, &settings, &watch_state);
-        let clock = Clock::start();
+        let clock = outputs.prompt_guard.clock();
         let now = clock.now();
         let fleet = Fleet::new(fleet_config(settings, own_incarnation), now);
         Ok(Self {
@@ -285,8 +285,7 @@
     /// Applies what peers reported about parts of prompts.
     fn apply_part_updates(&mut self, now: MonotonicMs) {
         for update in self.fleet.take_part_updates() {
-            let answered = self.outputs.prompt_guard.apply(now, &update);
-            if let Some(answered) = answered {
+            if let Some(answered) = self.outputs.prompt_guard.apply(&update) {
                 self.fleet.observe_part(now, answered);
             }
         }
--- a/crates/celeryknotd/src/prompt_guard.rs
+++ b/crates/celeryknotd/src/prompt_guard.rs
@@ -3,26 +3,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use celeryknot_core::endpoint_updates::{EndpointUpdate, Observation};
-use celeryknot_core::{EndpointName, EndpointTag, MonotonicMs, PromptTag, RequestId};
+use celeryknot_core::endpoint_updates::EndpointUpdate;
+use celeryknot_core::{EndpointName, EndpointTag, PromptTag, RequestId};
 use celeryknot_gateway::clock::Clock;
-use celeryknot_policy::direct::{CrashSuspects, CrashVerdict, PromptVerdict};
+use celeryknot_policy::direct::{CrashFinding, CrashSuspects, CrashVerdict, PromptVerdict};
 use smallvec::SmallVec;
 
 /// The tags of the parts of a prompt; the last one is the part that other prompts don't share.
 pub type PromptParts = SmallVec<[PromptTag; 4]>;
 
-/// What a crash under a prompt shows.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct CrashFinding {
-    /// The parts against which the crash counts.
-    pub counted: PromptParts,
-    /// Whether not all of its shared parts are known to be sound.
-    pub has_unproven_part: bool,
-    /// Whether another endpoint has crashed under one of its parts before.
-    pub is_repeated: bool,
-}
-
 /// The suspected and banned parts of prompts that a daemon knows.
 ///
 /// # Examples
@@ -77,17 +66,14 @@
         endpoint: &EndpointName,
         parts: &[PromptTag],
     ) -> CrashFinding {
-        let now = self.clock.now();
-        let tag = EndpointTag::new(endpoint);
-        let mut suspects = self.suspects();
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        let mut finding = CrashFinding {
-            has_unproven_part: !shared.iter().all(|part| suspects.is_sound(now, *part)),
-            is_repeated: parts.iter().any(|part| suspects.is_suspected(now, *part)),
-            ..CrashFinding::default()
+        let (shared, own) = match parts.split_last() {
+            Some((own, shared)) => (shared, Some(*own)),
+            None => (&[][..], None),
         };
-        for part in parts {
-            let verdict = suspects.record_crash(now, *part, tag);
+        let (now, tag) = (self.clock.now(), EndpointTag::new(endpoint));
+        let finding = self.suspects().record_crashed_prompt(now, tag, shared, own);
+        for (part, verdict) in &finding.verdicts {
+            self.count_verdict(*part, *verdict);
             tracing::info!(
                 %request_id,
                 %endpoint,
@@ -95,9 +81,6 @@
                 %verdict,
                 "endpoint crashed as it began to answer"
             );
-            if self.count_verdict(*part, verdict) {
-                finding.counted.push(*part);
-            }
         }
         finding
     }
@@ -118,48 +101,26 @@
     }
 
     /// Applies a peer's update; returns the answer that contradicts it, if there is one.
-    ///
-    /// The times are of the clock of `update_now`.
-    pub fn apply(
-        &self,
-        update_now: MonotonicMs,
-        update: &EndpointUpdate,
-    ) -> Option<EndpointUpdate> {
-        let now = self.clock.now();
-        let at = MonotonicMs(now.0.saturating_sub((update_now - update.at).0));
-        let mut suspects = self.suspects();
-        match update.observation {
-            Observation::CrashedOn { part } => {
-                let verdict = suspects.record_crash(at, part, update.endpoint);
-                self.count_verdict(part, verdict);
-                let cleared_at = suspects.cleared_at(part);
-                cleared_at
-                    .filter(|_| verdict == CrashVerdict::Cleared)
-                    .map(|cleared_at| EndpointUpdate {
-                        endpoint: update.endpoint,
-                        observation: Observation::Answered { part },
-                        at: MonotonicMs(update_now.0.saturating_sub((now - cleared_at).0)),
-                    })
-            }
-            Observation::Answered { part } => {
-                suspects.record_answer(at, part);
-                None
-            }
-            Observation::Load { .. }
-            | Observation::Unreachable
-            | Observation::HoldsPrompt { .. } => None,
+    pub fn apply(&self, update: &EndpointUpdate) -> Option<EndpointUpdate> {
+        let applied = self.suspects().apply(update);
+        if let Some((part, verdict)) = applied.crash {
+            self.count_verdict(part, verdict);
         }
+        applied.contradiction
     }
 
-    /// Counts a crash; returns whether it counts against the part.
-    fn count_verdict(&self, part: PromptTag, verdict: CrashVerdict) -> bool {
-        match verdict {
-            CrashVerdict::Cleared | CrashVerdict::Known => return false,
-            CrashVerdict::Suspected => {}
-            CrashVerdict::Banned => tracing::warn!(%part, "part banned"),
+    fn count_verdict(&self, part: PromptTag, verdict: CrashVerdict) {
+        if verdict.counts() {
+            self.suspected_count.fetch_add(1, Ordering::Relaxed);
+        }
+        if verdict == CrashVerdict::Banned {
+            tracing::warn!(%part, "part banned");
         }
-        self.suspected_count.fetch_add(1, Ordering::Relaxed);
-        true
+    }
+
+    /// Returns the clock that the times of updates are of.
+    pub(crate) fn clock(&self) -> Clock {
+        self.clock
     }
 
     /// Returns the number of banned parts.
--- a/crates/celeryknotd/src/traffic/dispatch/crash_check.rs
+++ b/crates/celeryknotd/src/traffic/dispatch/crash_check.rs
@@ -59,8 +59,10 @@
         shared.metrics.traffic.crashes_at_beginning.inc();
         let guard = &shared.feed.prompt_guard;
         let finding = guard.record_crash(self.request.id, name, &chat.parts);
-        for part in finding.counted {
-            self.report_part(name, Observation::CrashedOn { part });
+        for (part, verdict) in finding.verdicts {
+            if verdict.counts() {
+                self.report_part(name, Observation::CrashedOn { part });
+            }
         }
         if finding.is_repeated || (has_begun && finding.has_unproven_part) {
             self.may_crash_another.set(true);
