--- a/crates/celeryknot_fleet/src/fleet/parts.rs
+++ b/crates/celeryknot_fleet/src/fleet/parts.rs
@@ -36,7 +36,6 @@
     /// Sends each neighbour the updates that it may not have; what exceeds the budget waits for
     /// the next tick.
     pub(super) fn send_part_updates(&mut self, now: MonotonicMs) {
-        self.part_updates.advance(now);
         if self.part_updates.is_empty() {
             return;
         }
