Log the age of the copy of the store and the sequence of entries

What callers saw: nothing changes for them.

Change: the lines on changes of the configuration and of endpoints carry copy_age_ms and sequence; a daemon logs when its copy becomes stale and when it is recent again, and counts the former in celeryknot_gateway_stale_copies_total. No decision depends on it.

--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -53,6 +53,8 @@
     members: RefCell<MemberTable>,
     /// The published list's version, and whether it was settled.
     published_members: Cell<Option<(u64, bool)>>,
+    /// Age of the copy of the store when it was last found stale; `None` while it is recent.
+    stale_copy_age: Cell<Option<DurationMs>>,
     endpoint_updates: RefCell<EndpointUpdateTable>,
     in_flight: RefCell<InFlightTable>,
     pending_polls: RefCell<PendingPolls>,
@@ -75,6 +77,7 @@
             active_configuration: RefCell::default(),
             members: RefCell::new(members),
             published_members: Cell::default(),
+            stale_copy_age: Cell::default(),
             endpoint_updates: RefCell::default(),
             in_flight: RefCell::default(),
             pending_polls: RefCell::default(),
@@ -200,6 +203,7 @@
         self.in_flight.borrow_mut().advance(now);
         self.send_own_total(now);
         self.publish_members();
+        self.observe_copy_age();
         self.pending_polls
             .borrow_mut()
             .answer_expired(now, |request| self.reply_to(request));
@@ -213,12 +217,36 @@
         }
     }
 
+    /// Logs when the copy of the store becomes stale, and when it is recent again.
+    fn observe_copy_age(&self) {
+        let age = self.shared.store_age();
+        if age > STORE_AGE_MAX {
+            let revision = self.position().unwrap_or_default();
+            if self.stale_copy_age.replace(Some(age)).is_none() {
+                self.shared.metrics.stale_copies.inc();
+                tracing::warn!(
+                    copy_age_ms = age.0,
+                    revision = revision.number,
+                    is_reader = self.is_reader(),
+                    "the copy of the store is stale"
+                );
+            }
+        } else if let Some(age) = self.stale_copy_age.take() {
+            tracing::info!(copy_age_ms = age.0, "the copy of the store is recent again");
+        }
+    }
+
     fn publish(&self, source: UpdateSource, at: StoreRevision, changes: &[StateChange]) {
         if changes.is_empty() {
             return;
         }
+        let origin = ChangeOrigin {
+            source,
+            at,
+            copy_age: self.shared.store_age(),
+        };
         for change in changes {
-            log_change(source, at, change);
+            log_change(origin, change);
         }
         let state = self.state.borrow();
         let previous = self.shared.view.load();
@@ -426,13 +454,28 @@
     }
 }
 
-fn log_change(source: UpdateSource, at: StoreRevision, change: &StateChange) {
-    let (era, revision) = (at.era.0, at.number);
+/// Where changes came from, for the logs.
+#[derive(Debug, Clone, Copy)]
+struct ChangeOrigin {
+    source: UpdateSource,
+    at: StoreRevision,
+    /// Age of the copy of the store before the changes.
+    copy_age: DurationMs,
+}
+
+fn log_change(origin: ChangeOrigin, change: &StateChange) {
+    let ChangeOrigin {
+        source,
+        at,
+        copy_age,
+    } = origin;
+    let (era, revision, copy_age_ms) = (at.era.0, at.number, copy_age.0);
     match change {
         StateChange::Configuration { version, limits } => tracing::info!(
             %source,
             era,
             revision,
+            copy_age_ms,
             version,
             header_timeout_ms = limits.header_timeout_ms.0,
             idle_timeout_ms = limits.idle_timeout_ms.0,
@@ -442,6 +485,8 @@
             %source,
             era,
             revision,
+            copy_age_ms,
+            sequence = record.sequence,
             endpoint = %record.name,
             service = %record.service,
             address = %record.address,
--- a/crates/celeryknot_gateway/src/platform_protocol.rs
+++ b/crates/celeryknot_gateway/src/platform_protocol.rs
@@ -80,6 +80,8 @@
     pub service: ServiceName,
     /// Its start time, by its own clock.
     pub started_at_ms: Option<u64>,
+    /// Number of the report in its incarnation; increases with each one.
+    pub sequence: u64,
     /// The address on which it accepts requests.
     pub address: SocketAddr,
     /// Its availability zone.
--- a/crates/celeryknot_gateway/tests/control.rs
+++ b/crates/celeryknot_gateway/tests/control.rs
@@ -322,6 +322,7 @@
         name: name.parse().unwrap(),
         service: "desk".parse().unwrap(),
         started_at_ms: Some(1),
+        sequence: 1,
         address: "10.0.0.1:80".parse().unwrap(),
         zone: "hkd-a".parse().unwrap(),
         slots: 6,
--- a/crates/celeryknot_gateway/tests/store_eras.rs
+++ b/crates/celeryknot_gateway/tests/store_eras.rs
@@ -200,6 +200,7 @@
         name: "i-1".parse().unwrap(),
         service: "desk".parse().unwrap(),
         started_at_ms: Some(started_at_ms),
+        sequence: 1,
         address: "10.0.0.1:80".parse().unwrap(),
         zone: "hkd-a".parse().unwrap(),
         slots: 6,
--- a/crates/celeryknot_operators/src/metrics/gateway.rs
+++ b/crates/celeryknot_operators/src/metrics/gateway.rs
@@ -64,6 +64,8 @@
     pub members: IntGauge,
     /// Time since any daemon last read the store.
     pub store_age_ms: IntGauge,
+    /// Times that the copy of the store became older than a daemon waits for peers.
+    pub stale_copies: IntCounter,
     /// The version of the active configuration; 0 if there is none.
     pub configuration_version: IntGauge,
     /// Calls of the platform's store, by outcome.
@@ -102,6 +104,7 @@
             reader: gauge("celeryknot_gateway_reader"),
             members: gauge("celeryknot_gateway_members"),
             store_age_ms: gauge("celeryknot_gateway_store_age_ms"),
+            stale_copies: counter("celeryknot_gateway_stale_copies_total"),
             configuration_version: gauge("celeryknot_gateway_configuration_version"),
             store_calls: counters("celeryknot_gateway_store_calls_total"),
             registry,
