Decide polls and calls of the store without I/O

Change: StoreCalls decides when and how the store is called, PeerSchedule whom a daemon polls; the loops only do what they say. Constants, delays and the order of calls stay as they were.

--- a/crates/celeryknot_core/src/time.rs
+++ b/crates/celeryknot_core/src/time.rs
@@ -88,6 +88,14 @@
     }
 }
 
+impl Add for DurationMs {
+    type Output = DurationMs;
+
+    fn add(self, other: DurationMs) -> DurationMs {
+        DurationMs(self.0.saturating_add(other.0))
+    }
+}
+
 impl fmt::Display for DurationMs {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}ms", self.0)
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -13,17 +13,14 @@
 };
 use crate::in_flight::InFlightTable;
 use crate::members::{Member, MemberTable};
+use crate::peer_schedule::{PeerSchedule, PollContext, PollStep};
 use crate::platform_protocol::{PlatformProtocol, StoreEra, StoreRevision};
 use crate::relay_log::{RawItem, RelayLog};
 use crate::shared::{PeerUpdate, Shared, TrafficUpdate};
+use crate::store_calls::{COPY_AGE_MAX, must_read_store};
 use crate::store_state::{StateChange, StoreState};
 use crate::view::View;
 
-/// Age of the store state beyond which a daemon that is not a reader reads the store itself.
-///
-/// A reader's watch and a poll of that reader take 2.5 s together when nothing changes.
-const STORE_AGE_MAX: DurationMs = DurationMs(3_000);
-
 /// Age of the store state that counts as a store outage, during which entries may expire.
 const STORE_OUTAGE_AGE: DurationMs = DurationMs(4_000);
 
@@ -95,7 +92,7 @@
 
     /// Returns whether this daemon must read the store itself.
     pub(crate) fn must_read_store(&self) -> bool {
-        self.is_reader() || self.shared.store_age() > STORE_AGE_MAX
+        must_read_store(self.is_reader(), self.shared.store_age())
     }
 
     pub(crate) fn is_reader(&self) -> bool {
@@ -116,8 +113,14 @@
             .sum()
     }
 
-    pub(crate) fn poll_targets(&self, shuffle_key: u64) -> Vec<Member> {
-        self.members.borrow().poll_targets(self.now(), shuffle_key)
+    /// Returns the next step of a schedule of polls.
+    pub(crate) fn next_poll(&self, schedule: &mut PeerSchedule) -> PollStep {
+        schedule.next_step(PollContext {
+            now: self.now(),
+            members: &self.members.borrow(),
+            seeds: &self.shared.settings.seeds,
+            has_copy: self.position().is_some(),
+        })
     }
 
     pub(crate) fn note_unresponsive(&self, address: std::net::SocketAddr) {
@@ -220,7 +223,7 @@
     /// Logs when the copy of the store becomes stale, and when it is recent again.
     fn observe_copy_age(&self) {
         let age = self.shared.store_age();
-        if age > STORE_AGE_MAX {
+        if age > COPY_AGE_MAX {
             let revision = self.position().unwrap_or_default();
             if self.stale_copy_age.replace(Some(age)).is_none() {
                 self.shared.metrics.stale_copies.inc();
--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use celeryknot_core::{Backoff, DurationMs};
+use celeryknot_core::DurationMs;
 use celeryknot_platform::{ByteMeter, PlatformClient, PlatformError};
 use http::{Response, StatusCode};
 
@@ -15,15 +15,7 @@
 use crate::platform_protocol::{DecodeError, PlatformProtocol, StoreEra, StorePage, StoreRevision};
 use crate::relay_log::RawItem;
 use crate::shared::Shared;
-
-/// Longest wait of one watch.
-///
-/// A connection may go silent without a reset. The next watch must then deliver updates before the
-/// instance counts as connected again, three seconds later.
-const WATCH_WAIT: DurationMs = DurationMs(2_000);
-
-/// Time beyond the wait after which a silent store counts as unreachable.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(400);
+use crate::store_calls::{CallOutcome, ROLE_CHECK_INTERVAL, StoreCall, StoreCalls, StoreWatch};
 
 /// Timeout for one page of a listing.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -33,25 +25,6 @@
 /// The subsequent watch needs the history since the first page, and the store keeps 20 s of it.
 const LISTING_TTL: Duration = Duration::from_secs(10);
 
-/// Shortest and longest delay between two watches, which batches changes that arrive together.
-///
-/// The same change completes all readers' watches. With randomized delays, one reader watches again
-/// early and relays the next change to the others, which then query the store less often.
-const BATCH_DELAY_MIN_MS: u64 = 50;
-const BATCH_DELAY_MAX_MS: u64 = 400;
-
-/// Delay after the first listing, in which a newly started daemon discovers existing readers.
-const FIRST_WATCH_DELAY: Duration = Duration::from_millis(600);
-
-/// Interval between checks whether this daemon must read the store.
-const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-const BACKOFF_MIN: DurationMs = DurationMs(50);
-const BACKOFF_MAX: DurationMs = DurationMs(400);
-
-/// Longest additional backoff of a daemon that is not a reader.
-const FOLLOWER_BACKOFF_MAX: DurationMs = DurationMs(2_000);
-
 /// Watches the store until the thread ends.
 pub(super) async fn watch_store<P: PlatformProtocol>(
     shared: Arc<Shared>,
@@ -59,47 +32,34 @@
 ) {
     let addresses = shared.settings.store_addresses.clone();
     let mut client = PlatformClient::new(addresses, 0, Arc::new(ByteMeter::default()));
-    let mut backoff = Backoff::new(BACKOFF_MIN, BACKOFF_MAX);
-    let mut must_list = false;
-    let mut has_read = false;
+    let mut calls = StoreCalls::default();
     let mut listing = Listing::default();
     let mut is_failing = false;
     loop {
         if !publisher.must_read_store() {
-            smol::Timer::after(ROLE_CHECK_INTERVAL).await;
+            smol::Timer::after(ROLE_CHECK_INTERVAL.as_std()).await;
             continue;
         }
-        let result = match publisher.position().filter(|_| !must_list) {
-            None => list_store::<P>(&mut client, &publisher, &mut listing, must_list).await,
-            Some(after) => watch_changes::<P>(&mut client, &publisher, after).await,
-        };
-        let outcome = match &result {
-            Ok(ReadEnd::Restored(_)) => "restored",
-            Ok(ReadEnd::Complete(_) | ReadEnd::SentByPeer) => "answered",
-            Err(PlatformError::Status(StatusCode::GONE)) => "history-dropped",
-            Err(_) => "failed",
+        let result = match calls.next_call(publisher.position()) {
+            StoreCall::List { must_finish } => {
+                list_store::<P>(&mut client, &publisher, &mut listing, must_finish).await
+            }
+            StoreCall::Watch(watch) => watch_changes::<P>(&mut client, &publisher, watch).await,
         };
-        shared.metrics.count_store_call(outcome);
-        let has_failed = outcome == "failed";
+        let outcome = outcome_of(&result);
+        shared.metrics.count_store_call(outcome.into());
         shared
             .is_store_unreachable
-            .store(has_failed, Ordering::Release);
+            .store(outcome == CallOutcome::Failed, Ordering::Release);
         match result {
             Ok(ReadEnd::SentByPeer) => {
                 tracing::debug!("a peer sent the complete store; stopped the listing");
             }
             Ok(ReadEnd::Restored(era)) => {
                 tracing::warn!(era = era.0, "the store was restored; listing it again");
-                must_list = true;
                 listing = Listing::default();
-                // All readers see it at once, and replicas may be of different eras for a while.
-                let delay = backoff.next_delay(rand::random());
-                smol::Timer::after(delay.as_std()).await;
             }
             Ok(ReadEnd::Complete(at)) => {
-                let is_first = !has_read;
-                (has_read, must_list) = (true, false);
-                backoff.reset();
                 publisher.note_store_read(DurationMs(0));
                 if std::mem::take(&mut is_failing) {
                     tracing::info!(
@@ -108,16 +68,9 @@
                         "the store can be read again"
                     );
                 }
-                let batch_delay_ms = rand::random_range(BATCH_DELAY_MIN_MS..BATCH_DELAY_MAX_MS);
-                let delay = match is_first {
-                    true => FIRST_WATCH_DELAY,
-                    false => Duration::from_millis(batch_delay_ms),
-                };
-                smol::Timer::after(delay).await;
             }
             Err(PlatformError::Status(StatusCode::GONE)) => {
                 tracing::info!("the store has dropped its history; listing it again");
-                must_list = true;
                 listing = Listing::default();
             }
             Err(error) => {
@@ -125,15 +78,10 @@
                 if !std::mem::replace(&mut is_failing, true) {
                     tracing::warn!(%error, "the store can't be read");
                 }
-                let delay = backoff.next_delay(rand::random());
-                smol::Timer::after(delay.as_std()).await;
-                if !publisher.is_reader() {
-                    // The readers retry; all daemons together must not overload the store.
-                    let delay_ms = rand::random_range(0..FOLLOWER_BACKOFF_MAX.0);
-                    smol::Timer::after(DurationMs(delay_ms).as_std()).await;
-                }
             }
         }
+        let delay = calls.finish(outcome, publisher.is_reader(), rand::random());
+        smol::Timer::after(delay.as_std()).await;
     }
 }
 
@@ -147,6 +95,16 @@
     Restored(StoreEra),
 }
 
+fn outcome_of(result: &Result<ReadEnd, PlatformError>) -> CallOutcome {
+    match result {
+        Ok(ReadEnd::Complete(_)) => CallOutcome::Answered,
+        Ok(ReadEnd::SentByPeer) => CallOutcome::SentByPeer,
+        Ok(ReadEnd::Restored(_)) => CallOutcome::Restored,
+        Err(PlatformError::Status(StatusCode::GONE)) => CallOutcome::HistoryDropped,
+        Err(_) => CallOutcome::Failed,
+    }
+}
+
 /// The pages read so far in a listing.
 #[derive(Debug, Default)]
 struct Listing {
@@ -196,11 +154,11 @@
 async fn watch_changes<P: PlatformProtocol>(
     client: &mut PlatformClient,
     publisher: &Publisher,
-    after: StoreRevision,
+    watch: StoreWatch,
 ) -> Result<ReadEnd, PlatformError> {
-    let uri = P::watch_uri(after, WATCH_WAIT);
-    let timeout = WATCH_WAIT.as_std() + RESPONSE_MARGIN;
-    let response = client.fetch(&uri, timeout).await?;
+    let after = watch.after;
+    let uri = P::watch_uri(after, watch.wait_ms);
+    let response = client.fetch(&uri, watch.timeout_ms.as_std()).await?;
     let page = read_page::<P>(&response, P::read_watch, publisher)?;
     if page.at.era > after.era {
         // Changes since a revision that means something else in this era.
--- /dev/null
+++ b/crates/celeryknot_gateway/src/store_calls.rs
@@ -0,0 +1,176 @@
+//! When a daemon calls the platform's store, and what it asks for.
+//!
+//! No I/O and no clock: what is known and the random numbers are arguments.
+
+use celeryknot_core::{Backoff, DurationMs};
+use strum::{Display, EnumIter, IntoStaticStr};
+
+use crate::platform_protocol::StoreRevision;
+
+/// Age of the copy of the store beyond which a daemon that is not a reader reads the store itself.
+///
+/// A reader's watch and a poll of that reader take 2.5 s together when nothing changes.
+pub const COPY_AGE_MAX: DurationMs = DurationMs(3_000);
+
+/// Longest wait of one watch.
+///
+/// A connection may go silent without a reset. The next watch must then deliver updates before the
+/// instance counts as connected again, three seconds later.
+const WATCH_WAIT: DurationMs = DurationMs(2_000);
+
+/// Time beyond the wait after which a silent store counts as unreachable.
+const RESPONSE_MARGIN: DurationMs = DurationMs(400);
+
+/// Shortest and longest delay between two watches, which batches changes that arrive together.
+///
+/// The same change completes all readers' watches. With randomized delays, one reader watches again
+/// early and relays the next change to the others, which then query the store less often.
+const BATCH_DELAY_MIN: DurationMs = DurationMs(50);
+const BATCH_DELAY_MAX: DurationMs = DurationMs(400);
+
+/// Delay after the first listing, in which a newly started daemon discovers existing readers.
+const FIRST_WATCH_DELAY: DurationMs = DurationMs(600);
+
+/// Interval between checks whether this daemon must read the store.
+pub const ROLE_CHECK_INTERVAL: DurationMs = DurationMs(100);
+
+const BACKOFF_MIN: DurationMs = DurationMs(50);
+const BACKOFF_MAX: DurationMs = DurationMs(400);
+
+/// Longest additional backoff of a daemon that is not a reader.
+const FOLLOWER_BACKOFF_MAX: DurationMs = DurationMs(2_000);
+
+/// A call of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreCall {
+    /// Reads everything.
+    List {
+        /// Whether it must be complete even if a peer sends the complete store meanwhile.
+        must_finish: bool,
+    },
+    /// Waits for changes.
+    Watch(StoreWatch),
+}
+
+/// A call that waits for changes after a revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoreWatch {
+    /// The revision.
+    pub after: StoreRevision,
+    /// How long the store may wait for a change.
+    pub wait_ms: DurationMs,
+    /// How long the response may take.
+    pub timeout_ms: DurationMs,
+}
+
+/// How a call of the store ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum CallOutcome {
+    /// The store responded.
+    Answered,
+    /// A peer sent the complete store before the listing ended.
+    #[strum(serialize = "answered")]
+    SentByPeer,
+    /// The store is in a later era than the daemon's copy, or than the listing's first page.
+    Restored,
+    /// The store no longer has the history that the watch needs.
+    HistoryDropped,
+    /// The store didn't respond, or refused.
+    Failed,
+}
+
+/// The state of a daemon's calls of the store.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_gateway::store_calls::{CallOutcome, StoreCall, StoreCalls};
+///
+/// let mut calls = StoreCalls::default();
+/// assert_eq!(calls.next_call(None), StoreCall::List { must_finish: false });
+/// calls.finish(CallOutcome::Answered, true, 0);
+/// let after = Some(7.into());
+/// assert!(matches!(calls.next_call(after), StoreCall::Watch(_)));
+/// calls.finish(CallOutcome::HistoryDropped, true, 0);
+/// assert_eq!(calls.next_call(after), StoreCall::List { must_finish: true });
+/// ```
+#[derive(Debug)]
+pub struct StoreCalls {
+    backoff: Backoff,
+    must_list: bool,
+    has_read: bool,
+}
+
+impl Default for StoreCalls {
+    fn default() -> Self {
+        Self {
+            backoff: Backoff::new(BACKOFF_MIN, BACKOFF_MAX),
+            must_list: false,
+            has_read: false,
+        }
+    }
+}
+
+impl StoreCalls {
+    /// Returns the next call of a daemon whose copy of the store is at a revision.
+    pub fn next_call(&self, position: Option<StoreRevision>) -> StoreCall {
+        match position.filter(|_| !self.must_list) {
+            None => StoreCall::List {
+                must_finish: self.must_list,
+            },
+            Some(after) => StoreCall::Watch(StoreWatch {
+                after,
+                wait_ms: WATCH_WAIT,
+                timeout_ms: WATCH_WAIT + RESPONSE_MARGIN,
+            }),
+        }
+    }
+
+    /// Records the end of a call; returns the delay until the next one.
+    pub fn finish(&mut self, outcome: CallOutcome, is_reader: bool, random: u64) -> DurationMs {
+        match outcome {
+            CallOutcome::Answered => {
+                let is_first = !self.has_read;
+                (self.has_read, self.must_list) = (true, false);
+                self.backoff.reset();
+                match is_first {
+                    true => FIRST_WATCH_DELAY,
+                    false => draw_delay(BATCH_DELAY_MIN, BATCH_DELAY_MAX, random),
+                }
+            }
+            CallOutcome::SentByPeer => DurationMs(0),
+            CallOutcome::Restored => {
+                self.must_list = true;
+                // All readers see it at once, and replicas may be of different eras for a while.
+                self.backoff.next_delay(random)
+            }
+            CallOutcome::HistoryDropped => {
+                self.must_list = true;
+                DurationMs(0)
+            }
+            CallOutcome::Failed => {
+                let delay = self.backoff.next_delay(random);
+                match is_reader {
+                    true => delay,
+                    // The readers retry; all daemons together must not overload the store.
+                    false => {
+                        let random = random.rotate_left(u64::BITS / 2);
+                        delay + draw_delay(DurationMs(0), FOLLOWER_BACKOFF_MAX, random)
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Returns whether a daemon must read the store itself.
+pub fn must_read_store(is_reader: bool, copy_age: DurationMs) -> bool {
+    is_reader || copy_age > COPY_AGE_MAX
+}
+
+fn draw_delay(min: DurationMs, max: DurationMs, random: u64) -> DurationMs {
+    let range_ms = u128::from(max.0 - min.0);
+    let drawn_ms = (u128::from(random) * range_ms) >> u64::BITS;
+    min + DurationMs(u64::try_from(drawn_ms).unwrap_or(0))
+}
--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -39,7 +39,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time beyond the requested wait after which a poll times out.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
+pub const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Maximum number of polls queued for the receiver of [`listen`].
 const PENDING_CALLS_MAX: usize = 512;
