Exchange the ages of heartbeats without copying names

Each poll copied and sorted the names of all daemons on both sides, and ranked readers by hashing each name again. The table is sorted already; the scores are kept with the entries. The ages that go out are the same (daemons_with_equal_member_lists_exchange_ages).

--- a/crates/celeryknot_gateway/src/members.rs
+++ b/crates/celeryknot_gateway/src/members.rs
@@ -55,6 +55,8 @@
 #[derive(Debug, Clone)]
 struct Entry {
     member: Member,
+    /// Score in the ranking of readers.
+    reader_score: u64,
     last_heartbeat_at: MonotonicMs,
     backoff_until: MonotonicMs,
 }
@@ -158,6 +160,7 @@
                 self.version += 1;
                 self.last_addition_at = now;
                 let entry = Entry {
+                    reader_score: reader_score(&member),
                     member: member.clone(),
                     last_heartbeat_at,
                     backoff_until: MonotonicMs(0),
@@ -223,14 +226,8 @@
             .values()
             .filter(|it| self.is_responsive(now, it));
         let mut ranking: Vec<(&Member, u64)> = responsive
-            .map(|entry| &entry.member)
-            .chain([&self.own])
-            .map(|member| {
-                (
-                    member,
-                    rendezvous_score(READER_RANKING_KEY, member.name.as_str()),
-                )
-            })
+            .map(|entry| (&entry.member, entry.reader_score))
+            .chain([(&self.own, reader_score(&self.own))])
             .collect();
         ranking.sort_by_key(|(member, score)| Reverse((member.cores_percent, *score)));
         let mut rounds: BTreeMap<&ZoneName, usize> = BTreeMap::new();
@@ -283,25 +280,28 @@
 
     /// Returns the encoded heartbeat ages of all daemons, in the order of their names.
     pub fn ages(&self, now: MonotonicMs) -> Vec<u8> {
-        self.names()
-            .iter()
-            .map(|name| match self.entries.get(name) {
-                Some(entry) => encode_age(now - entry.last_heartbeat_at),
-                None => 0,
-            })
-            .collect()
+        let mut ages: Vec<u8> = self
+            .entries
+            .values()
+            .map(|entry| encode_age(now - entry.last_heartbeat_at))
+            .collect();
+        ages.insert(self.own_index(), 0);
+        ages
+    }
+
+    /// Returns the index of this daemon in the sorted names of all.
+    fn own_index(&self) -> usize {
+        self.entries.range(..&self.own.name).count()
     }
 
     /// Stores the ages that a daemon with the same digest reports.
     pub fn observe_ages(&mut self, now: MonotonicMs, ages: &[u8]) {
-        let names = self.names();
-        if names.len() != ages.len() {
+        if ages.len() != self.entries.len() + 1 {
             return;
         }
-        for (name, code) in names.iter().zip(ages) {
-            let Some(entry) = self.entries.get_mut(name) else {
-                continue;
-            };
+        let (before, after) = ages.split_at(self.own_index());
+        let of_others = before.iter().chain(&after[1..]);
+        for (entry, code) in self.entries.values_mut().zip(of_others) {
             // Encoding rounds up, so that an age does not decrease while it circulates.
             let age_ms = u64::from(*code) * AGE_UNIT_MS;
             let last_heartbeat_at = MonotonicMs(now.0.saturating_sub(age_ms));
@@ -310,6 +310,10 @@
     }
 }
 
+fn reader_score(member: &Member) -> u64 {
+    rendezvous_score(READER_RANKING_KEY, member.name.as_str())
+}
+
 fn encode_age(age: DurationMs) -> u8 {
     u8::try_from(age.0.div_ceil(AGE_UNIT_MS)).unwrap_or(u8::MAX)
 }
