Read the store before the readers' copy is as old as the bound

Cause: a daemon that isn't a reader helped itself once its copy was 3,000 ms old, which is the whole bound. Readers that answer polls but lose the store are not replaced before that. A shorter age was no choice: all readers' watches end with the same change and then wait 2 s side by side, so that sound copies are up to 2.9 s old.

Change: readers end their watches one after the other, by rank, a sixth of the wait apart, and only a change delays the next watch. Sound copies are then at most 0.5 s and two polls old, and a daemon reads the store itself beyond that (1,000 ms with 77 daemons, 1,300 with 9, 1,400 with 300 and 600 endpoints).

Without the shorter age the first test fails, without the order of the ranks the second.

--- a/crates/celeryknot_gateway/src/control/peer_polls.rs
+++ b/crates/celeryknot_gateway/src/control/peer_polls.rs
@@ -7,7 +7,7 @@
 
 use super::Publisher;
 use super::publisher::UpdateCursor;
-use crate::peer_schedule::{PeerSchedule, PollStep, poll_wait, retry_delay};
+use crate::peer_schedule::{PeerSchedule, PollStep, retry_delay};
 use crate::platform_protocol::PlatformProtocol;
 
 /// Polls the peer at a rank of the poll targets in a loop.
@@ -35,8 +35,8 @@
                 UpdatesClient::new(&executor, address)
             }
         };
-        let wait = poll_wait(publisher.member_count(), publisher.endpoint_count());
-        let request = publisher.poll_request(wait, &cursor, schedule.reports_own());
+        let request =
+            publisher.poll_request(publisher.poll_wait(), &cursor, schedule.reports_own());
         let sent = publisher.update_version();
         match peer_client.poll(request).await {
             Ok(reply) => {
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -13,11 +13,11 @@
 };
 use crate::in_flight::InFlightTable;
 use crate::members::{Member, MemberTable};
-use crate::peer_schedule::{PeerSchedule, PollContext, PollStep};
+use crate::peer_schedule::{PeerSchedule, PollContext, PollStep, poll_wait};
 use crate::platform_protocol::{PlatformProtocol, StoreEra, StoreRevision};
 use crate::relay_log::{RawItem, RelayLog};
 use crate::shared::{PeerUpdate, Shared, TrafficUpdate};
-use crate::store_calls::{COPY_AGE_MAX, must_read_store};
+use crate::store_calls::{copy_age_max, must_read_store};
 use crate::store_state::{StateChange, StoreState};
 use crate::view::View;
 
@@ -92,25 +92,22 @@
 
     /// Returns whether this daemon must read the store itself.
     pub(crate) fn must_read_store(&self) -> bool {
-        must_read_store(self.is_reader(), self.shared.store_age())
+        must_read_store(self.is_reader(), self.shared.store_age(), self.poll_wait())
     }
 
     pub(crate) fn is_reader(&self) -> bool {
         self.members.borrow().is_reader(self.now())
     }
 
-    pub(crate) fn member_count(&self) -> usize {
-        self.members.borrow().names().len()
+    pub(crate) fn reader_rank(&self) -> Option<usize> {
+        self.members.borrow().reader_rank(self.now())
     }
 
-    pub(crate) fn endpoint_count(&self) -> usize {
-        self.shared
-            .view
-            .load()
-            .endpoints
-            .values()
-            .map(Vec::len)
-            .sum()
+    /// Returns how long peers may wait for updates before they reply to this daemon without any.
+    pub(crate) fn poll_wait(&self) -> DurationMs {
+        let view = self.shared.view.load();
+        let endpoints = view.endpoints.values().map(Vec::len).sum();
+        poll_wait(view.members.len(), endpoints)
     }
 
     /// Returns the next step of a schedule of polls.
@@ -223,7 +220,7 @@
     /// Logs when the copy of the store becomes stale, and when it is recent again.
     fn observe_copy_age(&self) {
         let age = self.shared.store_age();
-        if age > COPY_AGE_MAX {
+        if age > copy_age_max(self.poll_wait()) {
             let revision = self.position().unwrap_or_default();
             if self.stale_copy_age.replace(Some(age)).is_none() {
                 self.shared.metrics.stale_copies.inc();
--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -40,7 +40,7 @@
             smol::Timer::after(ROLE_CHECK_INTERVAL.as_std()).await;
             continue;
         }
-        let result = match calls.next_call(publisher.position()) {
+        let result = match calls.next_call(publisher.position(), publisher.reader_rank()) {
             StoreCall::List { must_finish } => {
                 list_store::<P>(&mut client, &publisher, &mut listing, must_finish).await
             }
@@ -59,7 +59,7 @@
                 tracing::warn!(era = era.0, "the store was restored; listing it again");
                 listing = Listing::default();
             }
-            Ok(ReadEnd::Complete(at)) => {
+            Ok(ReadEnd::Complete { at, .. }) => {
                 publisher.note_store_read(DurationMs(0));
                 if std::mem::take(&mut is_failing) {
                     tracing::info!(
@@ -80,15 +80,20 @@
                 }
             }
         }
-        let delay = calls.finish(outcome, publisher.is_reader(), rand::random());
+        let delay = calls.finish(outcome, publisher.reader_rank(), rand::random());
         smol::Timer::after(delay.as_std()).await;
     }
 }
 
 /// How a call of the store, or a listing, ended.
 enum ReadEnd {
-    /// What it returned is applied, up to a revision.
-    Complete(StoreRevision),
+    /// What it returned is applied.
+    Complete {
+        /// The revision of the copy.
+        at: StoreRevision,
+        /// Whether it returned items.
+        has_changes: bool,
+    },
     /// A peer sent the complete store before the listing ended.
     SentByPeer,
     /// The store is in a later era than the daemon's copy, or than the listing's first page.
@@ -97,7 +102,9 @@
 
 fn outcome_of(result: &Result<ReadEnd, PlatformError>) -> CallOutcome {
     match result {
-        Ok(ReadEnd::Complete(_)) => CallOutcome::Answered,
+        Ok(ReadEnd::Complete { has_changes, .. }) => CallOutcome::Answered {
+            has_changes: *has_changes,
+        },
         Ok(ReadEnd::SentByPeer) => CallOutcome::SentByPeer,
         Ok(ReadEnd::Restored(_)) => CallOutcome::Restored,
         Err(PlatformError::Status(StatusCode::GONE)) => CallOutcome::HistoryDropped,
@@ -146,7 +153,10 @@
         if !page.has_more {
             let items = std::mem::take(listing).items;
             publisher.apply_items::<P>(UpdateSource::Store, at, true, items);
-            return Ok(ReadEnd::Complete(at));
+            return Ok(ReadEnd::Complete {
+                at,
+                has_changes: true,
+            });
         }
     }
 }
@@ -164,8 +174,12 @@
         // Changes since a revision that means something else in this era.
         return Ok(ReadEnd::Restored(page.at.era));
     }
+    let has_changes = !page.items.is_empty();
     publisher.apply_items::<P>(UpdateSource::Store, page.at, false, page.items);
-    Ok(ReadEnd::Complete(page.at.max(after)))
+    Ok(ReadEnd::Complete {
+        at: page.at.max(after),
+        has_changes,
+    })
 }
 
 /// Decodes a response; one of an earlier era than the daemon's copy is an error.
--- a/crates/celeryknot_gateway/src/members.rs
+++ b/crates/celeryknot_gateway/src/members.rs
@@ -212,8 +212,13 @@
 
     /// Returns whether this daemon reads the store for the others.
     pub fn is_reader(&self, now: MonotonicMs) -> bool {
-        let readers = self.reader_ranking(now).into_iter().take(READER_COUNT);
-        readers.into_iter().any(|member| *member == self.own)
+        self.reader_rank(now).is_some()
+    }
+
+    /// Returns this daemon's rank among the readers; `None` if it isn't one.
+    pub fn reader_rank(&self, now: MonotonicMs) -> Option<usize> {
+        let mut readers = self.reader_ranking(now).into_iter().take(READER_COUNT);
+        readers.position(|member| *member == self.own)
     }
 
     /// Returns the responsive daemons, including this one, ranked by priority as a reader.
--- a/crates/celeryknot_gateway/src/store_calls.rs
+++ b/crates/celeryknot_gateway/src/store_calls.rs
@@ -3,14 +3,19 @@
 //! No I/O and no clock: what is known and the random numbers are arguments.
 
 use celeryknot_core::{Backoff, DurationMs};
-use strum::{Display, EnumIter, IntoStaticStr};
+use strum::{Display, IntoStaticStr};
 
+use crate::members::READER_COUNT;
 use crate::platform_protocol::StoreRevision;
 
-/// Age of the copy of the store beyond which a daemon that is not a reader reads the store itself.
+/// Age of a follower's copy of the store, beyond two polls, that is no sign of failed readers.
 ///
-/// A reader's watch and a poll of that reader take 2.5 s together when nothing changes.
-pub const COPY_AGE_MAX: DurationMs = DurationMs(3_000);
+/// The readers' watches end one after the other, a sixth of [`WATCH_WAIT`] apart; replies to polls
+/// are up to 50 ms late.
+const READ_INTERVAL_MAX: DurationMs = DurationMs(500);
+
+/// Shortest age of its copy at which a daemon that is not a reader reads the store itself.
+const COPY_AGE_MAX_MIN: DurationMs = DurationMs(1_000);
 
 /// Longest wait of one watch.
 ///
@@ -64,11 +69,14 @@
 }
 
 /// How a call of the store ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumIter, IntoStaticStr)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum CallOutcome {
     /// The store responded.
-    Answered,
+    Answered {
+        /// Whether there were changes.
+        has_changes: bool,
+    },
     /// A peer sent the complete store before the listing ended.
     #[strum(serialize = "answered")]
     SentByPeer,
@@ -88,18 +96,21 @@
 /// use celeryknot_gateway::store_calls::{CallOutcome, StoreCall, StoreCalls};
 ///
 /// let mut calls = StoreCalls::default();
-/// assert_eq!(calls.next_call(None), StoreCall::List { must_finish: false });
-/// calls.finish(CallOutcome::Answered, true, 0);
+/// let rank = Some(0);
+/// assert_eq!(calls.next_call(None, rank), StoreCall::List { must_finish: false });
+/// calls.finish(CallOutcome::Answered { has_changes: true }, rank, 0);
 /// let after = Some(7.into());
-/// assert!(matches!(calls.next_call(after), StoreCall::Watch(_)));
-/// calls.finish(CallOutcome::HistoryDropped, true, 0);
-/// assert_eq!(calls.next_call(after), StoreCall::List { must_finish: true });
+/// assert!(matches!(calls.next_call(after, rank), StoreCall::Watch(_)));
+/// calls.finish(CallOutcome::HistoryDropped, rank, 0);
+/// assert_eq!(calls.next_call(after, rank), StoreCall::List { must_finish: true });
 /// ```
 #[derive(Debug)]
 pub struct StoreCalls {
     backoff: Backoff,
     must_list: bool,
     has_read: bool,
+    /// The delay since the last call, if that ended for all readers at once.
+    delay_in_step: Option<DurationMs>,
 }
 
 impl Default for StoreCalls {
@@ -108,36 +119,64 @@
             backoff: Backoff::new(BACKOFF_MIN, BACKOFF_MAX),
             must_list: false,
             has_read: false,
+            delay_in_step: Some(DurationMs(0)),
         }
     }
 }
 
 impl StoreCalls {
     /// Returns the next call of a daemon whose copy of the store is at a revision.
-    pub fn next_call(&self, position: Option<StoreRevision>) -> StoreCall {
+    pub fn next_call(
+        &self,
+        position: Option<StoreRevision>,
+        reader_rank: Option<usize>,
+    ) -> StoreCall {
         match position.filter(|_| !self.must_list) {
             None => StoreCall::List {
                 must_finish: self.must_list,
             },
-            Some(after) => StoreCall::Watch(StoreWatch {
-                after,
-                wait_ms: WATCH_WAIT,
-                timeout_ms: WATCH_WAIT + RESPONSE_MARGIN,
-            }),
+            Some(after) => {
+                let wait_ms = self.watch_wait(reader_rank);
+                StoreCall::Watch(StoreWatch {
+                    after,
+                    wait_ms,
+                    timeout_ms: wait_ms + RESPONSE_MARGIN,
+                })
+            }
         }
     }
 
+    /// Returns how long the next watch may wait.
+    ///
+    /// A change ends the watches of all readers at once. Each rank then waits for another part of
+    /// the longest wait, so that some reader confirms its copy often while nothing changes.
+    fn watch_wait(&self, reader_rank: Option<usize>) -> DurationMs {
+        let (Some(rank), Some(delay)) = (reader_rank, self.delay_in_step) else {
+            return WATCH_WAIT;
+        };
+        let parts = (rank as u64 + 1).min(READER_COUNT as u64);
+        let end_ms = WATCH_WAIT.0 * parts / READER_COUNT as u64;
+        DurationMs(end_ms.saturating_sub(delay.0))
+    }
+
     /// Records the end of a call; returns the delay until the next one.
-    pub fn finish(&mut self, outcome: CallOutcome, is_reader: bool, random: u64) -> DurationMs {
+    pub fn finish(
+        &mut self,
+        outcome: CallOutcome,
+        reader_rank: Option<usize>,
+        random: u64,
+    ) -> DurationMs {
         match outcome {
-            CallOutcome::Answered => {
+            CallOutcome::Answered { has_changes } => {
                 let is_first = !self.has_read;
                 (self.has_read, self.must_list) = (true, false);
                 self.backoff.reset();
-                match is_first {
-                    true => FIRST_WATCH_DELAY,
-                    false => draw_delay(BATCH_DELAY_MIN, BATCH_DELAY_MAX, random),
-                }
+                self.delay_in_step = match (is_first, has_changes) {
+                    (true, _) => Some(FIRST_WATCH_DELAY),
+                    (false, true) => Some(draw_delay(BATCH_DELAY_MIN, BATCH_DELAY_MAX, random)),
+                    (false, false) => None,
+                };
+                self.delay_in_step.unwrap_or_default()
             }
             CallOutcome::SentByPeer => DurationMs(0),
             CallOutcome::Restored => {
@@ -151,10 +190,10 @@
             }
             CallOutcome::Failed => {
                 let delay = self.backoff.next_delay(random);
-                match is_reader {
-                    true => delay,
+                match reader_rank {
+                    Some(_) => delay,
                     // The readers retry; all daemons together must not overload the store.
-                    false => {
+                    None => {
                         let random = random.rotate_left(u64::BITS / 2);
                         delay + draw_delay(DurationMs(0), FOLLOWER_BACKOFF_MAX, random)
                     }
@@ -164,9 +203,27 @@
     }
 }
 
+/// Returns the age of its copy beyond which a daemon doesn't rely on the readers.
+///
+/// A reader's copy is confirmed by its own reads and those of the others, which it polls; so two
+/// polls lie between a read and this daemon.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_core::DurationMs;
+/// use celeryknot_gateway::store_calls::copy_age_max;
+///
+/// assert_eq!(copy_age_max(DurationMs(100)), DurationMs(1_000));
+/// assert_eq!(copy_age_max(DurationMs(450)), DurationMs(1_400));
+/// ```
+pub fn copy_age_max(poll_wait: DurationMs) -> DurationMs {
+    (READ_INTERVAL_MAX + poll_wait + poll_wait).max(COPY_AGE_MAX_MIN)
+}
+
 /// Returns whether a daemon must read the store itself.
-pub fn must_read_store(is_reader: bool, copy_age: DurationMs) -> bool {
-    is_reader || copy_age > COPY_AGE_MAX
+pub fn must_read_store(is_reader: bool, copy_age: DurationMs, poll_wait: DurationMs) -> bool {
+    is_reader || copy_age > copy_age_max(poll_wait)
 }
 
 fn draw_delay(min: DurationMs, max: DurationMs, random: u64) -> DurationMs {
--- a/crates/celeryknot_gateway/tests/simulation/mod.rs
+++ b/crates/celeryknot_gateway/tests/simulation/mod.rs
@@ -147,6 +147,8 @@
     confirmed_at: MonotonicMs,
     calls: StoreCalls,
     call: Option<u64>,
+    /// The revision after which its last watch waits for changes.
+    watched_after: StoreRevision,
     schedules: Vec<PeerSchedule>,
     /// The poll in progress on each schedule.
     polls: Vec<Option<u64>>,
@@ -222,6 +224,7 @@
                     confirmed_at: now,
                     calls: StoreCalls::default(),
                     call: None,
+                    watched_after: store_at,
                     schedules: (0..READER_COUNT).map(PeerSchedule::new).collect(),
                     polls: vec![None; READER_COUNT],
                     pending: Vec::new(),
@@ -384,16 +387,19 @@
 
     fn decide_call(&mut self, daemon: usize) {
         let now = self.now;
+        let wait = poll_wait(self.size.daemons, self.size.endpoints);
         let state = &mut self.daemons[daemon];
-        let is_reader = state.members.is_reader(now);
-        if !must_read_store(is_reader, now - state.confirmed_at) {
+        let reader_rank = state.members.reader_rank(now);
+        if !must_read_store(reader_rank.is_some(), now - state.confirmed_at, wait) {
             self.schedule(ROLE_CHECK_INTERVAL, Event::DecideCall { daemon });
             return;
         }
-        let StoreCall::Watch(watch) = state.calls.next_call(Some(state.position)) else {
+        let StoreCall::Watch(watch) = state.calls.next_call(Some(state.position), reader_rank)
+        else {
             unreachable!("the store keeps its history and its era");
         };
         state.store_call_count += 1;
+        state.watched_after = watch.after;
         let call = self.new_id();
         self.daemons[daemon].call = Some(call);
         let request = Event::StoreReceives {
@@ -455,11 +461,13 @@
             return;
         }
         let outcome = match at {
-            Some(_) => CallOutcome::Answered,
+            Some(at) => CallOutcome::Answered {
+                has_changes: at > state.watched_after,
+            },
             None => CallOutcome::Failed,
         };
-        let is_reader = state.members.is_reader(now);
-        let delay = state.calls.finish(outcome, is_reader, random);
+        let reader_rank = state.members.reader_rank(now);
+        let delay = state.calls.finish(outcome, reader_rank, random);
         if let Some(at) = at {
             state.confirmed_at = now;
             self.advance_copy(daemon, at);
