Open a connection to the store after a second without calls

Cause: a daemon that isn't a reader keeps the connection to the store that it opened at its start.

Change: after a second without calls the connection is closed and a new one is opened for the next call.

--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -15,7 +15,9 @@
 use crate::platform_protocol::{DecodeError, PlatformProtocol, StoreEra, StorePage, StoreRevision};
 use crate::relay_log::RawItem;
 use crate::shared::Shared;
-use crate::store_calls::{CallOutcome, ROLE_CHECK_INTERVAL, StoreCall, StoreCalls, StoreWatch};
+use crate::store_calls::{
+    CallOutcome, ROLE_CHECK_INTERVAL, StoreCall, StoreCalls, StoreWatch, must_reconnect,
+};
 
 /// Timeout for one page of a listing.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -35,17 +37,22 @@
     let mut calls = StoreCalls::default();
     let mut listing = Listing::default();
     let mut is_failing = false;
+    let mut last_call_ended_at = Instant::now();
     loop {
         if !publisher.must_read_store() {
             smol::Timer::after(ROLE_CHECK_INTERVAL.as_std()).await;
             continue;
         }
+        if must_reconnect(last_call_ended_at.elapsed().into()) {
+            client.disconnect();
+        }
         let result = match calls.next_call(publisher.position(), publisher.reader_rank()) {
             StoreCall::List { must_finish } => {
                 list_store::<P>(&mut client, &publisher, &mut listing, must_finish).await
             }
             StoreCall::Watch(watch) => watch_changes::<P>(&mut client, &publisher, watch).await,
         };
+        last_call_ended_at = Instant::now();
         let outcome = outcome_of(&result);
         shared.metrics.count_store_call(outcome.into());
         shared
--- a/crates/celeryknot_gateway/src/store_calls.rs
+++ b/crates/celeryknot_gateway/src/store_calls.rs
@@ -36,6 +36,9 @@
 /// Delay after the first listing, in which a newly started daemon discovers existing readers.
 const FIRST_WATCH_DELAY: DurationMs = DurationMs(600);
 
+/// Time without a call after which a connection may have gone silent unnoticed.
+const CONNECTION_IDLE_MAX: DurationMs = DurationMs(1_000);
+
 /// Interval between checks whether this daemon must read the store.
 pub const ROLE_CHECK_INTERVAL: DurationMs = DurationMs(100);
 
@@ -226,6 +229,11 @@
     is_reader || copy_age > copy_age_max(poll_wait)
 }
 
+/// Returns whether a call needs a new connection, after the time since the last call.
+pub fn must_reconnect(idle_time: DurationMs) -> bool {
+    idle_time > CONNECTION_IDLE_MAX
+}
+
 fn draw_delay(min: DurationMs, max: DurationMs, random: u64) -> DurationMs {
     let range_ms = u128::from(max.0 - min.0);
     let drawn_ms = (u128::from(random) * range_ms) >> u64::BITS;
--- a/crates/celeryknot_gateway/tests/copy_age.rs
+++ b/crates/celeryknot_gateway/tests/copy_age.rs
@@ -44,6 +44,8 @@
     faulty_daemons: usize,
     /// Times of changes after the start of the fault.
     changes_ms: &'static [u64],
+    /// Whether idle connections to the store go silent when the fault begins.
+    are_connections_silent: bool,
     /// Number of runs with different phases.
     seeds: u64,
 }
@@ -61,6 +63,7 @@
         fault: Some(fault),
         faulty_daemons,
         changes_ms,
+        are_connections_silent: false,
         seeds: if size.daemons < 100 { 2 } else { 1 },
     }
 }
@@ -160,6 +163,9 @@
             until: fault_at + FAULT_TIME,
         });
     }
+    if case.are_connections_silent {
+        simulation.silence_idle_connections(fault_at);
+    }
     for at_ms in case.changes_ms {
         simulation.write_at(fault_at + DurationMs(*at_ms));
     }
@@ -182,6 +188,21 @@
     assert!(late.is_empty(), "{late:#?}");
 }
 
+/// A daemon that isn't a reader has not used its connection to the store since its start.
+#[test]
+fn change_reaches_daemons_whose_idle_connections_to_the_store_are_silent() {
+    for size in [SMALL, GROWN] {
+        let mut case = case("silent", size, Fault::CutOffFromStore, 6, JUST_AFTER);
+        case.are_connections_silent = true;
+        let outcome = run(&case, 1);
+        assert!(
+            outcome.slowest <= ARRIVAL_TIME_MAX,
+            "{} daemons: {outcome:?}",
+            size.daemons
+        );
+    }
+}
+
 #[test]
 fn only_readers_call_the_store_while_nothing_fails() {
     for size in [SMALL, GROWN, LARGE] {
@@ -191,6 +212,7 @@
             fault: None,
             faulty_daemons: 0,
             changes_ms: &[500, 3_000],
+            are_connections_silent: false,
             seeds: 1,
         };
         let outcome = run(&case, 1);
--- a/crates/celeryknot_gateway/tests/simulation/mod.rs
+++ b/crates/celeryknot_gateway/tests/simulation/mod.rs
@@ -14,7 +14,7 @@
 };
 use celeryknot_gateway::platform_protocol::StoreRevision;
 use celeryknot_gateway::store_calls::{
-    CallOutcome, ROLE_CHECK_INTERVAL, StoreCall, StoreCalls, must_read_store,
+    CallOutcome, ROLE_CHECK_INTERVAL, StoreCall, StoreCalls, must_read_store, must_reconnect,
 };
 use celeryknot_peers::relay::RESPONSE_MARGIN;
 use rand::rngs::SmallRng;
@@ -154,10 +154,18 @@
     polls: Vec<Option<u64>>,
     pending: Vec<Poll>,
     store_call_count: u64,
+    /// When its connection to the store was opened, and last used.
+    connection: Option<Connection>,
     /// When each revision arrived.
     arrivals: BTreeMap<StoreRevision, MonotonicMs>,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Connection {
+    opened_at: MonotonicMs,
+    used_at: MonotonicMs,
+}
+
 struct PendingWatch {
     daemon: usize,
     call: u64,
@@ -176,6 +184,8 @@
     writes: BTreeMap<StoreRevision, MonotonicMs>,
     store_at: StoreRevision,
     watches: Vec<PendingWatch>,
+    /// Connections that were opened before and are idle then are silent from then on.
+    silenced_at: Option<MonotonicMs>,
     random: SmallRng,
 }
 
@@ -229,6 +239,10 @@
                     polls: vec![None; READER_COUNT],
                     pending: Vec::new(),
                     store_call_count: 0,
+                    connection: Some(Connection {
+                        opened_at: now,
+                        used_at: now,
+                    }),
                     arrivals: BTreeMap::new(),
                 }
             })
@@ -244,6 +258,7 @@
             writes: BTreeMap::new(),
             store_at,
             watches: Vec::new(),
+            silenced_at: None,
             random: SmallRng::seed_from_u64(seed),
         };
         for daemon in 0..size.daemons {
@@ -272,6 +287,11 @@
         self.disturbances.push(disturbance);
     }
 
+    /// Lets all connections to the store that are idle at a time go silent.
+    pub fn silence_idle_connections(&mut self, at: MonotonicMs) {
+        self.silenced_at = Some(at);
+    }
+
     /// Lets the store acknowledge a change at a time.
     pub fn write_at(&mut self, at: MonotonicMs) {
         self.schedule(at - self.now, Event::Write);
@@ -402,13 +422,16 @@
         state.watched_after = watch.after;
         let call = self.new_id();
         self.daemons[daemon].call = Some(call);
+        let is_silent = self.use_connection(daemon);
         let request = Event::StoreReceives {
             daemon,
             call,
             after: watch.after,
             wait: watch.wait_ms,
         };
-        self.schedule(STORE_LATENCY, request);
+        if !is_silent {
+            self.schedule(STORE_LATENCY, request);
+        }
         let timeout = Event::CallEnds {
             daemon,
             call,
@@ -417,6 +440,23 @@
         self.schedule(watch.timeout_ms, timeout);
     }
 
+    /// Returns whether the connection on which a daemon sends a call is silent.
+    fn use_connection(&mut self, daemon: usize) -> bool {
+        let now = self.now;
+        let state = &mut self.daemons[daemon];
+        let is_usable = |it: &Connection| !must_reconnect(now - it.used_at);
+        let mut connection = state.connection.filter(is_usable).unwrap_or(Connection {
+            opened_at: now,
+            used_at: now,
+        });
+        let is_silent = self
+            .silenced_at
+            .is_some_and(|at| connection.opened_at < at && connection.used_at <= at && at <= now);
+        connection.used_at = now;
+        state.connection = Some(connection);
+        is_silent
+    }
+
     fn is_cut_off_from_store(&self, daemon: usize) -> bool {
         let faults = [Fault::CutOff, Fault::CutOffFromStore];
         self.has_fault(daemon, &faults).is_some()
@@ -460,6 +500,10 @@
         if state.call.take_if(|it| *it == call).is_none() {
             return;
         }
+        state.connection = match at {
+            Some(_) => state.connection.map(|it| Connection { used_at: now, ..it }),
+            None => None,
+        };
         let outcome = match at {
             Some(at) => CallOutcome::Answered {
                 has_changes: at > state.watched_after,
--- a/crates/celeryknot_platform/src/client.rs
+++ b/crates/celeryknot_platform/src/client.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Closes the idle connection, so that the next request opens one.
+    pub fn disconnect(&mut self) {
+        self.connection = None;
+    }
+
     /// Switches to the replica with the given index, modulo the number of replicas.
     pub fn select(&mut self, index: usize) {
         let index = index.checked_rem(self.addresses.len()).unwrap_or(0);
