Order the reports in an endpoint's entry by incarnation and sequence

Cause: an entry was ordered by the store's revision alone. A write whose response was lost may be completed seconds later, after the next one: a ready report then undid a draining one, or brought a departed endpoint back.

Change: a report of the same incarnation with a lower sequence, and one of an earlier incarnation that does not go on reporting, change nothing.

Measured: late_report_of_an_endpoint_does_not_undo_a_later_one failed before at its second case.

--- a/crates/celeryknot_gateway/src/store_state.rs
+++ b/crates/celeryknot_gateway/src/store_state.rs
@@ -44,6 +44,45 @@
     cold_until: Option<MonotonicMs>,
     /// Its removal, if that may be due to an outage or a restored store.
     removal: Option<Removal>,
+    /// The last report that was ignored as one of an earlier incarnation.
+    ignored_report: Option<ReportId>,
+}
+
+/// Identifies a report of an endpoint about itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ReportId {
+    started_at_ms: Option<u64>,
+    sequence: u64,
+}
+
+impl ReportId {
+    fn of(record: &EndpointRecord) -> Self {
+        Self {
+            started_at_ms: record.started_at_ms,
+            sequence: record.sequence,
+        }
+    }
+
+    /// Returns whether this is an earlier report of the same incarnation.
+    fn is_earlier_than(self, other: Self) -> bool {
+        self.started_at_ms == other.started_at_ms && self.sequence < other.sequence
+    }
+}
+
+impl EndpointEntry {
+    /// Returns whether a report was made before the one in the entry: the store may complete a write
+    /// after a later one.
+    ///
+    /// The clock of an endpoint may have been set back before it restarted; it then goes on
+    /// reporting, which an earlier incarnation does not.
+    fn is_late(&mut self, record: &EndpointRecord) -> bool {
+        let report = ReportId::of(record);
+        if report.started_at_ms >= self.record.started_at_ms {
+            return report.is_earlier_than(ReportId::of(&self.record));
+        }
+        let previous = self.ignored_report.replace(report);
+        !previous.is_some_and(|previous| previous.is_earlier_than(report))
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -57,7 +96,7 @@
 /// An endpoint that was removed, and that a restored store may show again.
 #[derive(Debug, Clone)]
 struct Departure {
-    started_at_ms: Option<u64>,
+    last_report: ReportId,
     removal: Removal,
     /// The revision under which a restored store shows it.
     shown_revision: Option<StoreRevision>,
@@ -67,8 +106,12 @@
     /// Returns whether an entry is one of before the departure; the first one that a restored store
     /// shows is.
     fn is_earlier(&mut self, revision: StoreRevision, record: &EndpointRecord) -> bool {
+        let report = ReportId::of(record);
+        if report.is_earlier_than(self.last_report) {
+            return true;
+        }
         let is_restored = revision.era > self.removal.era;
-        if !is_restored || record.started_at_ms != self.started_at_ms {
+        if !is_restored || record.started_at_ms != self.last_report.started_at_ms {
             return false;
         }
         // A change within the era is the endpoint's own.
@@ -169,6 +212,12 @@
             entry.removal = None;
             return None;
         }
+        if let Some(entry) = self.endpoints.get_mut(key)
+            && entry.is_late(&record)
+        {
+            (entry.revision, entry.removal) = (revision, None);
+            return None;
+        }
         if let Some(departure) = self.departures.get_mut(key) {
             if departure.is_earlier(revision, &record) {
                 return None;
@@ -190,6 +239,7 @@
             revision,
             cold_until,
             removal: None,
+            ignored_report: None,
         };
         self.endpoints.insert(key.to_owned(), entry);
         Some(StateChange::Endpoint(record))
@@ -220,7 +270,7 @@
 
     fn record_departure(&mut self, key: &str, record: &EndpointRecord, removal: Removal) {
         let departure = Departure {
-            started_at_ms: record.started_at_ms,
+            last_report: ReportId::of(record),
             removal,
             shown_revision: None,
         };
--- a/crates/celeryknot_gateway/tests/control.rs
+++ b/crates/celeryknot_gateway/tests/control.rs
@@ -439,3 +439,98 @@
     assert!(offer(&mut state, 9, 4).is_some());
     assert_eq!(state.table().map(|table| table.version()), Some(9));
 }
+
+/// A report in the entry of an endpoint: its start, number and whether it drains; `None` removes
+/// the entry.
+type Report = Option<(Option<u64>, u64, bool)>;
+
+struct ReportCase {
+    name: &'static str,
+    reports: &'static [Report],
+    /// Whether the endpoint is listed and accepts requests.
+    accepts_requests: Option<bool>,
+}
+
+/// The store may complete a write seconds after a later one.
+#[test]
+fn late_report_of_an_endpoint_does_not_undo_a_later_one() {
+    let cases = [
+        ReportCase {
+            name: "ready, then draining",
+            reports: &[Some((Some(5), 8, false)), Some((Some(5), 9, true))],
+            accepts_requests: Some(false),
+        },
+        ReportCase {
+            name: "the ready report is written last",
+            reports: &[Some((Some(5), 9, true)), Some((Some(5), 8, false))],
+            accepts_requests: Some(false),
+        },
+        ReportCase {
+            name: "ready again in a later report",
+            reports: &[Some((Some(5), 9, true)), Some((Some(5), 10, false))],
+            accepts_requests: Some(true),
+        },
+        ReportCase {
+            name: "a later report under a number that was ignored before",
+            reports: &[
+                Some((Some(5), 9, true)),
+                Some((Some(5), 7, false)),
+                Some((Some(5), 8, false)),
+            ],
+            accepts_requests: Some(false),
+        },
+        ReportCase {
+            name: "another incarnation counts anew",
+            reports: &[Some((Some(5), 9, true)), Some((Some(6), 1, false))],
+            accepts_requests: Some(true),
+        },
+        ReportCase {
+            name: "an earlier incarnation is written last",
+            reports: &[Some((Some(6), 1, true)), Some((Some(5), 9, false))],
+            accepts_requests: Some(false),
+        },
+        ReportCase {
+            name: "an incarnation with an earlier clock goes on reporting",
+            reports: &[
+                Some((Some(6), 9, true)),
+                Some((Some(5), 1, false)),
+                Some((Some(5), 2, false)),
+            ],
+            accepts_requests: Some(true),
+        },
+        ReportCase {
+            name: "an entry without a start is written last",
+            reports: &[Some((Some(6), 1, true)), Some((None, 9, false))],
+            accepts_requests: Some(false),
+        },
+        ReportCase {
+            name: "an earlier report is written after the endpoint has left",
+            reports: &[Some((Some(5), 9, true)), None, Some((Some(5), 8, false))],
+            accepts_requests: None,
+        },
+        ReportCase {
+            name: "the entry lapsed, and the endpoint goes on reporting",
+            reports: &[Some((Some(5), 9, false)), None, Some((Some(5), 10, false))],
+            accepts_requests: Some(true),
+        },
+    ];
+    for case in cases {
+        let mut state = StoreState::default();
+        for (report, number) in case.reports.iter().zip(2..) {
+            let record = report.map(|(started_at_ms, sequence, is_draining)| {
+                StoreRecord::Endpoint(EndpointRecord {
+                    started_at_ms,
+                    sequence,
+                    is_draining,
+                    ..record("i-1")
+                })
+            });
+            let revision = StoreRevision::from(number);
+            state.apply(MonotonicMs(1_000), "servers/i-1", revision, record);
+        }
+        let endpoints = state.endpoints();
+        let mut listed = endpoints.values().flatten();
+        let accepts_requests = listed.next().map(|it| it.accepts_requests);
+        assert_eq!(accepts_requests, case.accepts_requests, "{}", case.name);
+    }
+}
