Keep what an endpoint stated while its entry is absent

What callers saw: requests reached endpoints that had stated that they leave (DRAIN), if their entry lapsed in the store and came back.

Cause: an endpoint that was delisted and listed again got a new state, also within one incarnation.

One without a known start gets a new state, as before.

The case "leaving, then gone and registered anew" expected that the endpoint accepts requests again. That was wrong: the rule on what endpoints state is excused by a restart of the endpoint or the daemon, not by an absence of the entry. It is replaced by four cases, of which two failed before.

--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -146,6 +146,15 @@
         self.listed = listed;
     }
 
+    /// Returns the state to restore if the endpoint is listed again; requests that were in flight
+    /// when it was delisted are no longer counted.
+    pub(crate) fn departed(&self) -> Self {
+        Self {
+            in_flight: 0,
+            ..self.clone()
+        }
+    }
+
     /// Records the load that the endpoint reported to this daemon or a peer.
     pub(crate) fn observe_load(&mut self, at: MonotonicMs, requests: u32) {
         self.last_response_at = self.last_response_at.max(Some(at));
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -18,7 +18,7 @@
 use strum::{Display, EnumIter, IntoStaticStr};
 
 use super::attempt_history::AttemptFailure;
-use super::endpoint::{EndpointState, ListedEndpoint, ReportedLoad};
+use super::endpoint::{EndpointState, ListedEndpoint, PAUSE_MAX, ReportedLoad};
 use super::holders::PromptHolders;
 use super::prompt::SharedPrefix;
 use super::rate_admission::RefusedRequests;
@@ -53,6 +53,9 @@
 /// Less than the three heartbeats of 1.2 s after which the platform delists a crashed endpoint.
 const DELISTED_SILENCE_MAX: DurationMs = DurationMs(3_000);
 
+/// Time for which the state of a delisted endpoint is kept; it covers the longest pause.
+const DEPARTED_TTL: DurationMs = PAUSE_MAX;
+
 /// Time for which an endpoint counts as a holder of a prompt that was sent to it.
 ///
 /// If the prompt has been evicted since, fetching a copy fails, which costs little.
@@ -143,6 +146,7 @@
     pub(super) endpoints: BTreeMap<EndpointName, EndpointState>,
     holders: PromptHolders,
     delisted: SmallVec<[DelistedEndpoint; 4]>,
+    departed: BTreeMap<EndpointName, DepartedEndpoint>,
     pub(super) refused_requests: RefusedRequests,
 }
 
@@ -154,6 +158,13 @@
     serving_until: MonotonicMs,
 }
 
+/// A delisted endpoint, whose incarnation may be listed again.
+#[derive(Debug, Clone)]
+struct DepartedEndpoint {
+    state: EndpointState,
+    at: MonotonicMs,
+}
+
 struct Candidate {
     name: EndpointName,
     load: u32,
@@ -214,6 +225,7 @@
             endpoints: BTreeMap::new(),
             holders: PromptHolders::default(),
             delisted: SmallVec::new(),
+            departed: BTreeMap::new(),
             refused_requests: RefusedRequests::default(),
         }
     }
@@ -228,7 +240,10 @@
         let mut previous = std::mem::take(&mut self.endpoints);
         for endpoint in listed {
             let name = endpoint.name.clone();
-            let state = match previous.remove(&name) {
+            let known = previous
+                .remove(&name)
+                .or_else(|| self.take_departed(&endpoint));
+            let state = match known {
                 Some(mut state) => {
                     state.relist(now, endpoint);
                     state
@@ -237,9 +252,26 @@
             };
             self.endpoints.insert(name, state);
         }
+        self.departed
+            .retain(|_, departed| now - departed.at < DEPARTED_TTL);
+        for (name, state) in &previous {
+            let departed = DepartedEndpoint {
+                state: state.departed(),
+                at: now,
+            };
+            self.departed.insert(name.clone(), departed);
+        }
         self.track_delisted(now, previous);
     }
 
+    /// Returns the state of an endpoint that is listed again, if it is the same incarnation.
+    fn take_departed(&mut self, endpoint: &ListedEndpoint) -> Option<EndpointState> {
+        let departed = self.departed.remove(&endpoint.name)?;
+        let started_at_ms = departed.state.listed.started_at_ms;
+        let is_same = started_at_ms.is_some() && started_at_ms == endpoint.started_at_ms;
+        is_same.then_some(departed.state)
+    }
+
     fn track_delisted(&mut self, now: MonotonicMs, removed: BTreeMap<EndpointName, EndpointState>) {
         let serving_until = now + self.limits.drain_ms;
         let still_serving = removed
--- a/crates/celeryknot_policy/tests/endpoint_statements.rs
+++ b/crates/celeryknot_policy/tests/endpoint_statements.rs
@@ -101,13 +101,43 @@
         accepts_requests: true,
     },
     Case {
-        name: "leaving, then gone and registered anew",
+        name: "leaving, and listed again after an absence",
         events: &[
             (100, Leaving(50)),
             (3_000, Delisted),
             (9_000, Listed(1, true)),
         ],
         checked_at_ms: 9_000,
+        accepts_requests: false,
+    },
+    Case {
+        name: "leaving, then absent, then restarted under its name",
+        events: &[
+            (100, Leaving(50)),
+            (3_000, Delisted),
+            (9_000, Listed(2, true)),
+        ],
+        checked_at_ms: 9_000,
+        accepts_requests: true,
+    },
+    Case {
+        name: "in a pause, and listed again after an absence",
+        events: &[
+            (100, Pause(50, PAUSE)),
+            (200, Delisted),
+            (1_000, Listed(1, true)),
+        ],
+        checked_at_ms: 5_099,
+        accepts_requests: false,
+    },
+    Case {
+        name: "after a pause with an absence",
+        events: &[
+            (100, Pause(50, PAUSE)),
+            (200, Delisted),
+            (1_000, Listed(1, true)),
+        ],
+        checked_at_ms: 5_100,
         accepts_requests: true,
     },
     Case {
