Resume streams only at the software version that began them

Cause: a broken or silent stream went on at any endpoint of its service. No code read the version in an endpoint's entry.

Change: entries carry the version into the placement. Once an event is forwarded, retries, the replacement of a silent attempt and further resumptions are placed at endpoints of that version alone. Before the first event any version may take over. An entry without a version is invalid, like one that lacks another field. The version stands in the log lines of placements and listings.

--- a/crates/celeryknot_core/src/lib.rs
+++ b/crates/celeryknot_core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod id;
 pub mod keyed_hash;
 pub mod quantity;
+mod software_version;
 pub mod time;
 pub mod timers;
 
@@ -23,5 +24,6 @@
     TeamName, ZoneName,
 };
 pub use quantity::{QuantityError, RatePerS, SizeBytes, TokenCount};
+pub use software_version::{SoftwareVersion, SoftwareVersionError};
 pub use time::{DurationMs, MonotonicMs};
 pub use timers::Timers;
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -491,6 +491,7 @@
             service = %record.service,
             address = %record.address,
             zone = %record.zone,
+            version = %record.version,
             is_leaving = record.is_draining,
             cold_ms = record.cold_remaining_ms.0,
             "endpoint listed"
--- a/crates/celeryknot_gateway/src/platform_protocol.rs
+++ b/crates/celeryknot_gateway/src/platform_protocol.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use celeryknot_core::{
-    CustomerName, DurationMs, EndpointName, ErrorKind, Refusal, ServiceName, TokenCount, ZoneName,
+    CustomerName, DurationMs, EndpointName, ErrorKind, Refusal, ServiceName, SoftwareVersion,
+    TokenCount, ZoneName,
 };
 use celeryknot_endpoints::RateLimitField;
 use celeryknot_policy::direct::{Prompt, ReportedLoad};
@@ -86,6 +87,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// Requests that it processes concurrently.
     pub slots: u32,
     /// Whether it is draining.
--- a/crates/celeryknot_gateway/src/store_state.rs
+++ b/crates/celeryknot_gateway/src/store_state.rs
@@ -327,6 +327,7 @@
                 started_at_ms: record.started_at_ms,
                 address: record.address,
                 zone: record.zone.clone(),
+                version: record.version.clone(),
                 slots: record.slots,
                 accepts_requests: !record.is_draining && !is_zone_evacuated,
                 cold_until: entry.cold_until,
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use celeryknot_callers::hop_by_hop;
-use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal, SuspectTag};
+use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal, SoftwareVersion, SuspectTag};
 use celeryknot_endpoints::EndpointConnection;
 use celeryknot_policy::direct::{
     AttemptFailure, AttemptHistory, Placement, PlacementRequest, Prompt,
@@ -43,6 +43,8 @@
     pub(super) call: Rc<Call>,
     history: AttemptHistory,
     tried: SmallVec<[EndpointName; 4]>,
+    /// The version of the endpoint that the caller has events from.
+    version: Option<SoftwareVersion>,
     /// The tried endpoints whose attempts were canceled for their silence alone.
     silent: SmallVec<[EndpointName; 4]>,
     /// The tried endpoints that could not be reached.
@@ -99,6 +101,7 @@
         gateway: Rc::clone(gateway),
         call: Rc::new(call),
         tried: SmallVec::new(),
+        version: None,
         silent: SmallVec::new(),
         unreachable: SmallVec::new(),
         progress: Rc::clone(&progress),
@@ -137,6 +140,13 @@
         self.call.deadline - self.gateway.now()
     }
 
+    /// Lets only endpoints of a version go on with the stream, as the caller has events of it.
+    pub(super) fn bind_version(&mut self, version: &SoftwareVersion) {
+        if self.version.is_none() {
+            self.version = Some(version.clone());
+        }
+    }
+
     /// Builds the refusal of a request whose deadline, or whose daemon's time, has passed.
     fn refuse_unanswered(&self) -> Refusal {
         if self.history.may_have_run() || self.progress.may_have_been_sent.get() {
@@ -340,6 +350,7 @@
             shared,
             draw: rand::random(),
             allowed_zones: call.allowed_zones.as_deref(),
+            version: self.version.as_ref(),
             tried: &self.tried,
             wait_max_ms,
             suspect: self.gateway.is_suspected(call.tag).then_some(call.tag),
@@ -363,6 +374,7 @@
             configuration = call.configuration_version,
             send = self.history.failed_attempts() + 1,
             endpoint = %placement.endpoint,
+            version = %placement.version,
             reason = %placement.reason,
             prompt = shared.map(|shared| format!("{:x}", shared.key)),
             parts = call.head.prompt.as_ref().map(shared_part_ids),
@@ -423,6 +435,7 @@
                 body,
                 guard,
                 watch,
+                version: placement.version,
             })),
             Ok(Err(failure)) => {
                 if failure == AttemptFailure::Unanswered
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 
 use bytes::Bytes;
-use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, SizeBytes};
+use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, SizeBytes, SoftwareVersion};
 use celeryknot_endpoints::{
     AnswerBody, EndpointConnection, ExchangeError, IdleTimeout, PoolEntry, RateLimitField,
     ReceivedBody, exchange,
@@ -49,6 +49,8 @@
     pub(super) body: AnswerBody,
     pub(super) guard: InFlightGuard,
     pub(super) watch: AnswerWatch,
+    /// The version of the endpoint's software, as listed when the request was placed.
+    pub(super) version: SoftwareVersion,
 }
 
 /// The progress of an attempt, for classifying it when it is abandoned.
--- a/crates/celeryknot_gateway/tests/control.rs
+++ b/crates/celeryknot_gateway/tests/control.rs
@@ -325,6 +325,7 @@
         sequence: 1,
         address: "10.0.0.1:80".parse().unwrap(),
         zone: "hkd-a".parse().unwrap(),
+        version: "v1".parse().unwrap(),
         slots: 6,
         is_draining: false,
         cold_remaining_ms: DurationMs(0),
--- a/crates/celeryknot_gateway/tests/store_eras.rs
+++ b/crates/celeryknot_gateway/tests/store_eras.rs
@@ -203,6 +203,7 @@
         sequence: 1,
         address: "10.0.0.1:80".parse().unwrap(),
         zone: "hkd-a".parse().unwrap(),
+        version: "v1".parse().unwrap(),
         slots: 6,
         is_draining,
         cold_remaining_ms: DurationMs(cold_ms),
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use celeryknot_core::{DurationMs, EndpointName, MonotonicMs, ZoneName};
+use celeryknot_core::{DurationMs, EndpointName, MonotonicMs, SoftwareVersion, ZoneName};
 
 use crate::rate_limit::{RateChange, RateGate, RateStatement, TokenBucket};
 
@@ -57,6 +57,8 @@
     pub address: SocketAddr,
     /// The endpoint's availability zone.
     pub zone: ZoneName,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether it accepts requests: it is not draining and its zone is in service.
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -11,8 +11,8 @@
 
 use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{
-    DurationMs, EndpointName, MemberName, MonotonicMs, PromptTag, Refusal, RequestTag, TokenCount,
-    ZoneName,
+    DurationMs, EndpointName, MemberName, MonotonicMs, PromptTag, Refusal, RequestTag,
+    SoftwareVersion, TokenCount, ZoneName,
 };
 use smallvec::SmallVec;
 use strum::{Display, EnumIter, IntoStaticStr};
@@ -89,6 +89,8 @@
     pub draw: f64,
     /// The zones whose endpoints may run the request; `None` if all may.
     pub allowed_zones: Option<&'a [ZoneName]>,
+    /// The version of the software that must run the request; `None` if any may.
+    pub version: Option<&'a SoftwareVersion>,
     /// Endpoints at which this request has already failed.
     pub tried: &'a [EndpointName],
     /// The request's tag, if endpoints may have crashed on it; such requests are kept apart.
@@ -118,6 +120,8 @@
     pub endpoint: EndpointName,
     /// Address that accepts requests.
     pub address: SocketAddr,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// Why it was chosen.
     pub reason: PlacementReason,
     /// Estimated number of requests at the endpoint.
@@ -331,6 +335,7 @@
         state.in_flight += 1;
         Ok(Placement {
             address: state.listed.address,
+            version: state.listed.version.clone(),
             endpoint: name,
             reason,
             load,
@@ -378,6 +383,9 @@
             && request
                 .allowed_zones
                 .is_none_or(|zones| zones.contains(zone))
+            && request
+                .version
+                .is_none_or(|version| *version == state.listed.version)
             && !request.tried.contains(name)
     }
 
--- a/crates/celeryknot_policy/tests/direct.rs
+++ b/crates/celeryknot_policy/tests/direct.rs
@@ -35,6 +35,7 @@
         started_at_ms: Some(1),
         address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
         zone: "hkd-a".parse().unwrap(),
+        version: "v1".parse().unwrap(),
         slots: 64,
         accepts_requests: true,
         cold_until: None,
@@ -78,6 +79,7 @@
         allowed_zones: None,
         tried: &[],
         suspect: None,
+        version: None,
         wait_max_ms: DurationMs(0),
     }
 }
--- a/crates/celeryknot_policy/tests/endpoint_statements.rs
+++ b/crates/celeryknot_policy/tests/endpoint_statements.rs
@@ -20,6 +20,7 @@
         started_at_ms: Some(started_at_ms),
         address: "10.0.0.1:80".parse().unwrap(),
         zone: "hkd-a".parse().unwrap(),
+        version: "v1".parse().unwrap(),
         slots: 64,
         accepts_requests,
         cold_until: None,
@@ -47,6 +48,7 @@
         allowed_zones: None,
         tried: &[],
         suspect: None,
+        version: None,
         wait_max_ms: DurationMs(400),
     }
 }
--- a/crates/celeryknot_policy/tests/rate_limits.rs
+++ b/crates/celeryknot_policy/tests/rate_limits.rs
@@ -46,6 +46,7 @@
         started_at_ms: Some(1),
         address: format!("10.0.0.{}:80", number + 1).parse().unwrap(),
         zone: "hkd-a".parse().unwrap(),
+        version: "v1".parse().unwrap(),
         slots: 64,
         accepts_requests: true,
         cold_until: None,
@@ -199,6 +200,7 @@
             allowed_zones: None,
             tried: &[],
             suspect: None,
+            version: None,
             wait_max_ms: DurationMs(300),
         };
         let placement = match self.pools[daemon].place(MonotonicMs(self.now), &request) {
@@ -448,6 +450,7 @@
         allowed_zones: None,
         tried: &[],
         suspect: None,
+        version: None,
         wait_max_ms: DurationMs(wait_max_ms),
     }
 }
