Take streams up only at the software version that began them

Cause: a daemon that gets a take-up knew nothing of the stream; Resumes was not read.

Change: a daemon remembers for a minute which version wrote the first event of a stream, by service, customer and the attempt that the caller names in Resumes, also along a chain of take-ups. While a service has had several versions within 30 s, daemons tell each other, through the updates that they relay. A stream without a record goes on only if its service is known to have had one version for the route's timeout and 5 s; daemons that start learn that from peers that have observed longer, and a daemon whose copy of the store was older than 3 s begins to observe anew. Otherwise the take-up is refused at once, not run, as stream-version-unknown (503).

--- a/crates/celeryknot_core/src/endpoint_updates.rs
+++ b/crates/celeryknot_core/src/endpoint_updates.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::{DurationMs, EndpointTag, MonotonicMs, PromptTag, RatePerS, SuspectTag};
+use crate::{DurationMs, EndpointTag, MonotonicMs, PromptTag, RatePerS, RequestTag, SuspectTag};
 
 /// Lifetime of a load report or of a failure to reach an endpoint.
 const STATE_TTL: DurationMs = DurationMs(2_000);
@@ -55,6 +55,12 @@
 /// Minimum time between two updates that state the same.
 const LEAVING_UPDATE_INTERVAL_MIN: DurationMs = DurationMs(10_000);
 
+/// Lifetime of an update about the beginning of a stream; longer than callers take streams up.
+const STREAM_TTL: DurationMs = DurationMs(30_000);
+
+/// Maximum number of streams per message; a caller that takes an omitted one up may be refused.
+const STREAMS_PER_MESSAGE_MAX: usize = 128;
+
 /// An observation about an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Observation {
@@ -74,6 +80,11 @@
     /// It stated that it is leaving. The time of the observation is that at which the request was
     /// sent that it answered, so that it isn't taken for a later incarnation's.
     Leaving,
+    /// It wrote the first event of a stream.
+    BeganStream {
+        /// The stream.
+        stream: RequestTag,
+    },
     /// A prompt was sent to it.
     HoldsPrompt {
         /// The prompt's shared parts.
@@ -109,6 +120,7 @@
     Unreachable(EndpointTag),
     RateLimit(EndpointTag),
     Leaving(EndpointTag),
+    BeganStream(RequestTag),
     HoldsPrompt(EndpointTag, PromptTag),
     CrashedOn(EndpointTag, SuspectTag),
     Answered(SuspectTag),
@@ -127,6 +139,7 @@
             Observation::Unreachable => UpdateKey::Unreachable(self.endpoint),
             Observation::RateLimit { .. } => UpdateKey::RateLimit(self.endpoint),
             Observation::Leaving => UpdateKey::Leaving(self.endpoint),
+            Observation::BeganStream { stream } => UpdateKey::BeganStream(stream),
             Observation::HoldsPrompt { prompt } => UpdateKey::HoldsPrompt(self.endpoint, prompt),
             Observation::CrashedOn { suspect } => UpdateKey::CrashedOn(self.endpoint, suspect),
             Observation::Answered { suspect } => UpdateKey::Answered(suspect),
@@ -146,6 +159,7 @@
             }
             Observation::RateLimit { .. } => STATE_UPDATE_INTERVAL_MIN,
             Observation::Leaving => LEAVING_UPDATE_INTERVAL_MIN,
+            Observation::BeganStream { .. } => STREAM_TTL,
             Observation::HoldsPrompt { .. } => HOLDER_UPDATE_INTERVAL_MIN,
             Observation::CrashedOn { .. } | Observation::Answered { .. } => {
                 SUSPECT_UPDATE_INTERVAL_MIN
@@ -159,6 +173,7 @@
             Observation::Load { .. } | Observation::Unreachable => STATE_TTL,
             Observation::RateLimit { .. } => RATE_LIMIT_TTL,
             Observation::Leaving => LEAVING_TTL,
+            Observation::BeganStream { .. } => STREAM_TTL,
             Observation::HoldsPrompt { .. } => HOLDER_TTL,
             Observation::CrashedOn { .. } | Observation::Answered { .. } => SUSPECT_TTL,
         };
@@ -247,7 +262,7 @@
 
     /// Returns the unexpired updates after a version, the latest first.
     pub fn after(&self, now: MonotonicMs, version: u64) -> Vec<EndpointUpdate> {
-        let (mut holders, mut suspects) = (0, 0);
+        let (mut holders, mut suspects, mut streams) = (0, 0, 0);
         let fresh = self
             .updates
             .range(version.saturating_add(1)..)
@@ -259,8 +274,11 @@
                 let is_holder = matches!(update.observation, Observation::HoldsPrompt { .. });
                 let is_about_suspect = update.observation.is_about_suspect();
                 holders += usize::from(is_holder);
+                let is_stream = matches!(update.observation, Observation::BeganStream { .. });
                 suspects += usize::from(is_about_suspect);
-                (!is_holder || holders <= HOLDERS_PER_MESSAGE_MAX)
+                streams += usize::from(is_stream);
+                (!is_stream || streams <= STREAMS_PER_MESSAGE_MAX)
+                    && (!is_holder || holders <= HOLDERS_PER_MESSAGE_MAX)
                     && (!is_about_suspect || suspects <= SUSPECTS_PER_MESSAGE_MAX)
             })
             .collect()
--- a/crates/celeryknot_fleet/src/fleet/suspects.rs
+++ b/crates/celeryknot_fleet/src/fleet/suspects.rs
@@ -72,6 +72,7 @@
         Observation::Load { .. }
         | Observation::Unreachable
         | Observation::Leaving
+        | Observation::BeganStream { .. }
         | Observation::RateLimit { .. }
         | Observation::HoldsPrompt { .. } => return None,
     };
--- a/crates/celeryknot_fleet/tests/suspect_updates.rs
+++ b/crates/celeryknot_fleet/tests/suspect_updates.rs
@@ -150,6 +150,7 @@
                     Observation::Load { .. }
                     | Observation::Unreachable
                     | Observation::Leaving
+                    | Observation::BeganStream { .. }
                     | Observation::RateLimit { .. }
                     | Observation::HoldsPrompt { .. } => panic!("{update:?}"),
                 }
--- a/crates/celeryknot_gateway/src/control/long_polls.rs
+++ b/crates/celeryknot_gateway/src/control/long_polls.rs
@@ -5,13 +5,17 @@
 use async_channel::Receiver;
 use celeryknot_core::endpoint_updates::{EndpointUpdate, EndpointUpdateTable, Observation};
 use celeryknot_core::{
-    DurationMs, EndpointTag, Incarnation, MonotonicMs, PromptTag, RatePerS, RequestTag, SuspectTag,
+    DurationMs, EndpointTag, Incarnation, MonotonicMs, PromptTag, RatePerS, RequestTag,
+    ServiceName, SuspectTag,
 };
 use celeryknot_peers::relay::{
     InFlightCounts, PendingPoll, RelayHolder, RelayItem, RelayLoad, RelayMember, RelayPart,
-    RelayRateLimit, RelayRequest, UpdatesRequest, UpdatesResponse,
+    RelayRateLimit, RelayRequest, RelayStream, RelayVersion, RelayVersions, UpdatesRequest,
+    UpdatesResponse,
 };
 
+use celeryknot_policy::direct::{ListedVersion, ListedVersions};
+
 use super::Publisher;
 use crate::in_flight::{Counts, InFlightTable};
 use crate::members::{Member, MemberTable};
@@ -92,6 +96,7 @@
     pub(super) endpoints: &'a EndpointUpdateTable,
     pub(super) in_flight: &'a InFlightTable,
     pub(super) store_age: DurationMs,
+    pub(super) versions: &'a ListedVersions,
 }
 
 /// Returns the revision of the store that the sender of a poll has.
@@ -114,6 +119,7 @@
         endpoints,
         in_flight,
         store_age,
+        versions,
     } = state;
     let updates = store_log.after(revision_of(request, store_log.at()));
     let EncodedUpdates {
@@ -122,6 +128,7 @@
         parts,
         rate_limits,
         requests,
+        streams,
     } = encode_updates(now, endpoints.after(now, request.updates_after));
     let is_list_equal = request.members_digest == members.digest();
     let others = members.others(now);
@@ -131,6 +138,11 @@
         parts,
         rate_limits,
         requests,
+        streams,
+        versions: request
+            .wants_versions
+            .then(|| encode_versions(now, versions))
+            .flatten(),
         updates_version: endpoints.version(),
         // A daemon that isn't a reader reports its counts to one, whose subtotal contains them.
         in_flight_subtotal: (request.is_aggregator && members.is_reader(now))
@@ -187,6 +199,8 @@
     pub(super) rate_limits: Vec<RelayRateLimit>,
     /// Observations of requests.
     pub(super) requests: Vec<RelayRequest>,
+    /// Streams that began.
+    pub(super) streams: Vec<RelayStream>,
 }
 
 /// Encodes endpoint updates.
@@ -234,6 +248,11 @@
             }),
             Observation::CrashedOn { suspect } => push_suspect(suspect, false),
             Observation::Answered { suspect } => push_suspect(suspect, true),
+            Observation::BeganStream { stream } => encoded.streams.push(RelayStream {
+                endpoint: endpoint.0,
+                stream: stream.0,
+                age_ms,
+            }),
             Observation::HoldsPrompt { prompt } => encoded.holders.push(RelayHolder {
                 endpoint: endpoint.0,
                 prompt: prompt.0,
@@ -252,6 +271,7 @@
     parts: &'a [RelayPart],
     rate_limits: &'a [RelayRateLimit],
     requests: &'a [RelayRequest],
+    streams: &'a [RelayStream],
 }
 
 impl<'a> From<&'a UpdatesRequest> for ReceivedUpdates<'a> {
@@ -262,6 +282,7 @@
             parts: &message.parts,
             rate_limits: &message.rate_limits,
             requests: &message.requests,
+            streams: &message.streams,
         }
     }
 }
@@ -274,6 +295,7 @@
             parts: &message.parts,
             rate_limits: &message.rate_limits,
             requests: &message.requests,
+            streams: &message.streams,
         }
     }
 }
@@ -317,8 +339,56 @@
         let observation = Observation::RateLimit { rate };
         Some(update(it.endpoint, observation, it.age_ms))
     });
+    let streams = received.streams.iter().map(move |it| {
+        let stream = RequestTag(it.stream);
+        update(it.endpoint, Observation::BeganStream { stream }, it.age_ms)
+    });
     let suspects = parts.chain(requests);
-    loads.chain(holders).chain(suspects).chain(rate_limits)
+    loads
+        .chain(streams)
+        .chain(holders)
+        .chain(suspects)
+        .chain(rate_limits)
+}
+
+/// Encodes the software versions that the daemon has observed, if it has.
+fn encode_versions(now: MonotonicMs, versions: &ListedVersions) -> Option<RelayVersions> {
+    let observed_since = versions.observed_since()?;
+    Some(RelayVersions {
+        observed_ms: (now - observed_since).0,
+        versions: versions
+            .iter()
+            .map(|(service, listed)| RelayVersion {
+                service: service.to_string(),
+                version: listed.version.to_string(),
+                unlisted_ms: listed.unlisted_at.map(|at| (now - at).0),
+            })
+            .collect(),
+    })
+}
+
+/// Decodes the software versions of a peer; `None` if one of them is malformed.
+pub(super) fn decode_versions(
+    now: MonotonicMs,
+    versions: &[RelayVersion],
+) -> Option<Vec<(ServiceName, ListedVersion)>> {
+    let decode = |it: &RelayVersion| {
+        let listed = ListedVersion {
+            version: it.version.parse().ok()?,
+            unlisted_at: it.unlisted_ms.map(|age_ms| before(now, age_ms)),
+        };
+        Some((it.service.parse().ok()?, listed))
+    };
+    let decoded: Option<Vec<_>> = versions.iter().map(decode).collect();
+    if decoded.is_none() {
+        tracing::warn!("a peer sent malformed software versions");
+    }
+    decoded
+}
+
+/// Returns the time that was some milliseconds ago.
+pub(super) fn before(now: MonotonicMs, age_ms: u64) -> MonotonicMs {
+    MonotonicMs(now.0.saturating_sub(age_ms))
 }
 
 fn observe_suspect(suspect: SuspectTag, is_answered: bool) -> Observation {
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -5,11 +5,12 @@
 
 use celeryknot_core::endpoint_updates::{EndpointUpdate, EndpointUpdateTable};
 use celeryknot_core::{DurationMs, Incarnation, MonotonicMs};
-use celeryknot_peers::relay::{PendingPoll, UpdatesRequest, UpdatesResponse};
+use celeryknot_peers::relay::{PendingPoll, RelayVersions, UpdatesRequest, UpdatesResponse};
+use celeryknot_policy::direct::ListedVersions;
 
 use super::long_polls::{
-    EncodedUpdates, PendingPolls, ReceivedUpdates, ReplyState, build_reply, decode_counts,
-    decode_member, decode_updates, encode_counts, encode_member, encode_updates,
+    EncodedUpdates, PendingPolls, ReceivedUpdates, ReplyState, before, build_reply, decode_counts,
+    decode_member, decode_updates, decode_versions, encode_counts, encode_member, encode_updates,
 };
 use crate::in_flight::InFlightTable;
 use crate::members::{Member, MemberTable};
@@ -19,11 +20,14 @@
 use crate::shared::{PeerUpdate, Shared, TrafficUpdate};
 use crate::store_calls::{copy_age_max, must_read_store};
 use crate::store_state::{StateChange, StoreState};
-use crate::view::View;
+use crate::view::{COPY_GAP_MIN, View};
 
 /// Age of the store state that counts as a store outage, during which entries may expire.
 const STORE_OUTAGE_AGE: DurationMs = DurationMs(4_000);
 
+/// Time for which the software versions have been observed that is enough for any stream.
+const OBSERVATION_ENOUGH: DurationMs = DurationMs(120_000);
+
 /// The origin of an update, for the logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -54,6 +58,8 @@
     stale_copy_age: Cell<Option<DurationMs>>,
     endpoint_updates: RefCell<EndpointUpdateTable>,
     in_flight: RefCell<InFlightTable>,
+    /// The software versions of all services, also in the view.
+    versions: RefCell<Arc<ListedVersions>>,
     pending_polls: RefCell<PendingPolls>,
 }
 
@@ -77,6 +83,7 @@
             stale_copy_age: Cell::default(),
             endpoint_updates: RefCell::default(),
             in_flight: RefCell::default(),
+            versions: RefCell::default(),
             pending_polls: RefCell::default(),
         }
     }
@@ -220,6 +227,10 @@
     /// Logs when the copy of the store becomes stale, and when it is recent again.
     fn observe_copy_age(&self) {
         let age = self.shared.store_age();
+        if age > COPY_GAP_MIN {
+            let now = self.now();
+            self.change_versions(|versions| versions.restart(now));
+        }
         if age > copy_age_max(self.poll_wait()) {
             let revision = self.position().unwrap_or_default();
             if self.stale_copy_age.replace(Some(age)).is_none() {
@@ -249,11 +260,19 @@
             log_change(origin, change);
         }
         let state = self.state.borrow();
+        let endpoints = state.endpoints();
+        let mut versions = self.versions.borrow_mut();
+        let listed = endpoints.iter().flat_map(|(service, listed)| {
+            let versions = listed.iter().map(|it| &it.version);
+            versions.map(move |version| (service, version))
+        });
+        Arc::make_mut(&mut versions).observe(self.now(), listed);
         let previous = self.shared.view.load();
         self.shared.view.store(Arc::new(View {
             version: previous.version + 1,
             table: state.table().cloned(),
-            endpoints: state.endpoints(),
+            endpoints,
+            versions: Arc::clone(&versions),
             members: previous.members.clone(),
             are_members_settled: previous.are_members_settled,
         }));
@@ -309,6 +328,7 @@
             parts,
             rate_limits,
             requests,
+            streams,
         } = encode_updates(now, updates);
         let members = self.members.borrow();
         UpdatesRequest {
@@ -323,6 +343,8 @@
             parts,
             rate_limits,
             requests,
+            streams,
+            wants_versions: self.wants_versions(now),
             updates_after: cursor.received,
             in_flight: (reports_own && !is_reader)
                 .then(|| encode_counts(self.in_flight.borrow().own())),
@@ -350,6 +372,11 @@
                 members.observe_ages(now, &reply.ages);
             }
         }
+        if let Some(versions) = &reply.versions
+            && DurationMs(u64::from(reply.store_age_ms)) <= COPY_GAP_MIN
+        {
+            self.merge_versions(now, versions);
+        }
         if let Some(at) = reply.at {
             self.note_store_read(DurationMs(u64::from(reply.store_age_ms)));
             let era = StoreEra(reply.era);
@@ -368,6 +395,31 @@
         self.publish_members();
     }
 
+    /// Returns whether peers may know software versions of before this daemon's first list.
+    fn wants_versions(&self, now: MonotonicMs) -> bool {
+        let observed_since = self.versions.borrow().observed_since();
+        observed_since.is_some_and(|since| now - since < OBSERVATION_ENOUGH)
+    }
+
+    fn merge_versions(&self, now: MonotonicMs, received: &RelayVersions) {
+        let Some(decoded) = decode_versions(now, &received.versions) else {
+            return;
+        };
+        let observed_since = before(now, received.observed_ms);
+        self.change_versions(|versions| versions.merge(now, observed_since, decoded));
+    }
+
+    /// Changes the software versions, and publishes them.
+    fn change_versions(&self, change: impl FnOnce(&mut ListedVersions)) {
+        let mut versions = self.versions.borrow_mut();
+        change(Arc::make_mut(&mut versions));
+        let previous = self.shared.view.load();
+        self.shared.view.store(Arc::new(View {
+            versions: Arc::clone(&versions),
+            ..View::clone(&previous)
+        }));
+    }
+
     /// Accepts a peer's poll; replies immediately if the peer's copy of the store is outdated.
     pub(crate) fn accept_poll(&self, poll: PendingPoll) {
         let now = self.now();
@@ -405,6 +457,7 @@
             endpoints: &self.endpoint_updates.borrow(),
             in_flight: &self.in_flight.borrow(),
             store_age: self.shared.store_age(),
+            versions: &self.versions.borrow(),
         };
         build_reply(state, request)
     }
--- a/crates/celeryknot_gateway/src/platform_protocol.rs
+++ b/crates/celeryknot_gateway/src/platform_protocol.rs
@@ -162,6 +162,15 @@
     pub prompt: Option<Prompt>,
     /// Upper bound on the answer's size, if the caller declares one.
     pub output_tokens_max: Option<TokenCount>,
+    /// The stream that the request takes up, if the caller has events of it.
+    pub taken_up: Option<TakenUpStream>,
+}
+
+/// A stream that broke off, and that a caller takes up after the last event that it has.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct TakenUpStream {
+    /// The caller's id of the attempt that brought the first event, if it names one.
+    pub first_request_id: Option<String>,
 }
 
 /// The router's additions to the head of a request that it sends to an endpoint.
--- a/crates/celeryknot_gateway/src/traffic/call.rs
+++ b/crates/celeryknot_gateway/src/traffic/call.rs
@@ -7,11 +7,11 @@
 use celeryknot_core::{CustomerName, DurationMs, MonotonicMs, RequestTag, ServiceName, ZoneName};
 use celeryknot_endpoints::RequestBody;
 use celeryknot_policy::direct::{Placement, Prompt};
-use celeryknot_policy::routing::Route;
+use celeryknot_policy::routing::{Route, RouteKind};
 use http::{HeaderMap, Method, Request, Uri, header};
 use smallvec::SmallVec;
 
-use crate::platform_protocol::{AttemptHead, CallerRequestHead, PlatformProtocol};
+use crate::platform_protocol::{AttemptHead, CallerRequestHead, PlatformProtocol, TakenUpStream};
 
 /// A validated caller's request with its complete body.
 #[derive(Debug)]
@@ -61,6 +61,22 @@
         Self { body, tag, ..self }
     }
 
+    /// Returns the stream that the caller takes up, if endpoints can go on with it.
+    pub(crate) fn taken_up(&self) -> Option<&TakenUpStream> {
+        let taken_up = self.head.taken_up.as_ref();
+        taken_up.filter(|_| self.route.kind == RouteKind::ResumableStream)
+    }
+
+    /// Returns the tag of the stream that begins with an attempt of the caller.
+    pub(crate) fn stream_tag(&self, first_request_id: &str) -> RequestTag {
+        let customer = self.customer.as_ref().map_or("", |it| it.as_str());
+        RequestTag::new(&[
+            self.service.as_str().as_bytes(),
+            customer.as_bytes(),
+            first_request_id.as_bytes(),
+        ])
+    }
+
     /// Builds the request to an endpoint.
     pub(crate) fn request<P: PlatformProtocol>(
         &self,
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -11,23 +11,26 @@
 use celeryknot_callers::{CallerLimits, ConnectionTimeouts, ThreadExecutor};
 use celeryknot_core::endpoint_updates::{EndpointUpdate, Observation};
 use celeryknot_core::{
-    DurationMs, EndpointName, EndpointTag, MonotonicMs, RatePerS, Refusal, ServiceName, Timers,
+    DurationMs, EndpointName, EndpointTag, ErrorKind, MonotonicMs, RatePerS, Refusal, RequestTag,
+    ServiceName, SoftwareVersion, Timers,
 };
 use celeryknot_endpoints::ConnectionPool;
 use celeryknot_policy::direct::endpoint::PAUSE_MAX;
 use celeryknot_policy::direct::{
     AttemptFailure, EndpointPool, Placement, PlacementRequest, PoolLimits, ReportedLoad,
-    RetryBounds, RetryShare,
+    RetryBounds, RetryShare, StreamVersions,
 };
 use celeryknot_policy::rate_limit::{FleetRateLimit, RateChange, RateStatement};
 use celeryknot_policy::routing::{RequestLimits, Service};
 use celeryknot_settings::FleetBounds;
 
+use super::call::Call;
 use super::crash_watch::CrashTable;
 use super::shutdown::RouteTimes;
+use crate::platform_protocol::TakenUpStream;
 use crate::rate_log::log_rate_change;
 use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate};
-use crate::view::View;
+use crate::view::{COPY_GAP_MIN, View};
 
 /// Minimum number of daemons that share the fleet's bounds, since some may not be known yet.
 const MEMBER_COUNT_MIN: usize = 12;
@@ -35,12 +38,21 @@
 /// Length of the windows in which requests to a cold endpoint are counted.
 const COLD_WINDOW: DurationMs = DurationMs(1_000);
 
+/// Time beyond its route's timeout for which a stream may be as old when a caller takes it up: other
+/// daemons learn late that its endpoint was delisted.
+const STREAM_AGE_MARGIN: DurationMs = DurationMs(5_000);
+
+/// Time for which a service counts as one with several versions after it had them.
+const MIXED_WINDOW: DurationMs = DurationMs(30_000);
+
 /// This daemon's state of one service.
 #[derive(Debug)]
 struct ServiceState {
     pool: EndpointPool,
     retries: RetryShare,
     tags: HashMap<EndpointTag, EndpointName>,
+    /// The versions that began the streams of this daemon, and those that peers told of.
+    streams: StreamVersions,
 }
 
 /// The state of the traffic thread.
@@ -92,6 +104,11 @@
                     log_leaving(name, None);
                 }
             }
+            Observation::BeganStream { stream } => {
+                if let Some(version) = self.pool.version_of(name) {
+                    self.streams.record(now, stream, version);
+                }
+            }
             Observation::HoldsPrompt { prompt } => {
                 self.pool.observe_holder_from_peer(update.at, prompt, name)
             }
@@ -198,6 +215,7 @@
                     pool: EndpointPool::new(limits.clone()),
                     retries: RetryShare::new(retries),
                     tags: HashMap::new(),
+                    streams: StreamVersions::default(),
                 });
             state.pool.set_limits(limits);
             state.retries.set_bounds(retries);
@@ -250,6 +268,58 @@
         state.is_some_and(|state| state.retries.try_take(self.now()))
     }
 
+    /// Returns the only software version at which a stream that a caller takes up may go on.
+    pub(super) fn find_stream_version(
+        &self,
+        call: &Call,
+        taken_up: &TakenUpStream,
+    ) -> Result<SoftwareVersion, Refusal> {
+        let view = self.view();
+        let now = self.now();
+        let services = self.services.borrow();
+        let recorded = taken_up.first_request_id.as_deref().and_then(|id| {
+            let state = services.get(&call.service)?;
+            state.streams.find(now, call.stream_tag(id))
+        });
+        let window = call.route.timeout_ms + STREAM_AGE_MARGIN;
+        let sole_version = || {
+            let is_copy_recent = self.shared.store_age() <= COPY_GAP_MIN;
+            let versions = is_copy_recent.then_some(&view.versions)?;
+            versions.sole_version(now, &call.service, window)
+        };
+        let version = recorded.or_else(sole_version);
+        tracing::info!(
+            request_id = call.head.request_id,
+            first_request_id = taken_up.first_request_id,
+            version = version.map(tracing::field::display),
+            is_recorded = recorded.is_some(),
+            "stream taken up"
+        );
+        version
+            .cloned()
+            .ok_or_else(|| Refusal::new(ErrorKind::StreamVersionUnknown))
+    }
+
+    /// Records the software version that wrote the first event of a stream; tells peers while the
+    /// service has several versions.
+    pub(super) fn record_stream(
+        &self,
+        service: &ServiceName,
+        stream: RequestTag,
+        endpoint: &EndpointName,
+        version: &SoftwareVersion,
+    ) {
+        let now = self.now();
+        if let Some(state) = self.services.borrow_mut().get_mut(service) {
+            state.streams.record(now, stream, version);
+        }
+        let view = self.shared.view.load();
+        if view.versions.is_mixed(now, service, MIXED_WINDOW) {
+            let endpoint = EndpointTag::new(endpoint);
+            self.report_to_peers(endpoint, Observation::BeganStream { stream });
+        }
+    }
+
     /// Returns whether an endpoint accepts requests, by the current view.
     pub(crate) fn accepts_requests(&self, service: &ServiceName, endpoint: &EndpointName) -> bool {
         drop(self.view());
@@ -274,7 +344,7 @@
         request: &PlacementRequest<'_>,
     ) -> Result<(Placement, InFlightGuard), Refusal> {
         let mut services = self.services.borrow_mut();
-        let no_endpoint = || Refusal::new(celeryknot_core::ErrorKind::NoEndpoint);
+        let no_endpoint = || Refusal::new(ErrorKind::NoEndpoint);
         let state = services.get_mut(service).ok_or_else(no_endpoint)?;
         let placement = state.pool.place(self.now(), request)?;
         let endpoint = EndpointTag::new(&placement.endpoint);
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -45,6 +45,7 @@
     tried: SmallVec<[EndpointName; 4]>,
     /// The version of the endpoint that the caller has events from.
     version: Option<SoftwareVersion>,
+    is_version_recorded: bool,
     /// The tried endpoints whose attempts were canceled for their silence alone.
     silent: SmallVec<[EndpointName; 4]>,
     /// The tried endpoints that could not be reached.
@@ -102,12 +103,17 @@
         call: Rc::new(call),
         tried: SmallVec::new(),
         version: None,
+        is_version_recorded: false,
         silent: SmallVec::new(),
         unreachable: SmallVec::new(),
         progress: Rc::clone(&progress),
         may_crash_endpoints: false,
         trial: None,
     };
+    if let Some(taken_up) = forward.call.taken_up() {
+        let version = gateway.find_stream_version(&forward.call, taken_up)?;
+        forward.version = Some(version);
+    }
     let remaining_ms = forward.remaining_ms();
     let on_deadline = async {
         gateway.timers.after(remaining_ms).await;
@@ -140,10 +146,22 @@
         self.call.deadline - self.gateway.now()
     }
 
-    /// Lets only endpoints of a version go on with the stream, as the caller has events of it.
-    pub(super) fn bind_version(&mut self, version: &SoftwareVersion) {
-        if self.version.is_none() {
-            self.version = Some(version.clone());
+    /// Lets only endpoints of the version of this one go on with the stream, in this answer and when
+    /// the caller takes it up, as the caller has events of it.
+    pub(super) fn bind_version(&mut self, endpoint: &EndpointName, version: &SoftwareVersion) {
+        if std::mem::replace(&mut self.is_version_recorded, true) {
+            return;
+        }
+        self.version.get_or_insert_with(|| version.clone());
+        let first_request_id = match self.call.taken_up() {
+            Some(taken_up) => taken_up.first_request_id.as_deref(),
+            None => Some(self.call.head.request_id.as_str()),
+        };
+        if let Some(first_request_id) = first_request_id {
+            let stream = self.call.stream_tag(first_request_id);
+            let service = &self.call.service;
+            self.gateway
+                .record_stream(service, stream, endpoint, version);
         }
     }
 
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -193,7 +193,9 @@
                     self.last_event_id = Some(id.to_owned());
                 }
                 self.events += 1;
-                self.forward.bind_version(&endpoint_response.version);
+                let endpoint = endpoint_response.guard.endpoint();
+                self.forward
+                    .bind_version(endpoint, &endpoint_response.version);
                 endpoint_response.watch.observe_event();
                 if self.chunks.send(Ok(event)).await.is_err() {
                     return StreamEnd::CallerDisconnected;
--- a/crates/celeryknot_gateway/src/view.rs
+++ b/crates/celeryknot_gateway/src/view.rs
@@ -3,10 +3,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use celeryknot_core::{MemberName, ServiceName};
-use celeryknot_policy::direct::ListedEndpoint;
+use celeryknot_core::{DurationMs, MemberName, ServiceName};
+use celeryknot_policy::direct::{ListedEndpoint, ListedVersions};
 use celeryknot_policy::routing::RoutingTable;
 
+/// Age of the copy of the store from which on changes of versions may have been missed.
+pub(crate) const COPY_GAP_MIN: DurationMs = DurationMs(3_000);
+
 /// A snapshot of the platform.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -16,6 +19,8 @@
     pub table: Option<Arc<RoutingTable>>,
     /// The endpoints of each service.
     pub endpoints: HashMap<ServiceName, Vec<ListedEndpoint>>,
+    /// The software versions of all services.
+    pub versions: Arc<ListedVersions>,
     /// The daemons that may be running, including this one.
     pub members: Vec<MemberName>,
     /// Whether these are likely to be all daemons.
--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -167,6 +167,45 @@
     pub age_ms: u32,
 }
 
+/// A stream whose first event an endpoint wrote.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayStream {
+    /// Hash of the endpoint's name in four bytes.
+    #[prost(fixed32, tag = "1")]
+    pub endpoint: u32,
+    /// Hash of the stream in eight bytes.
+    #[prost(fixed64, tag = "2")]
+    pub stream: u64,
+    /// Milliseconds since the event.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
+/// A software version of a service.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayVersion {
+    /// The service's name.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The version.
+    #[prost(string, tag = "2")]
+    pub version: String,
+    /// Milliseconds since its last endpoint was delisted; absent while it has one.
+    #[prost(uint64, optional, tag = "3")]
+    pub unlisted_ms: Option<u64>,
+}
+
+/// The software versions that a daemon has observed.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayVersions {
+    /// Milliseconds for which it has observed all changes.
+    #[prost(uint64, tag = "1")]
+    pub observed_ms: u64,
+    /// The versions.
+    #[prost(message, repeated, tag = "2")]
+    pub versions: Vec<RelayVersion>,
+}
+
 /// Numbers of requests in flight at endpoints.
 #[derive(Clone, PartialEq, Message)]
 pub struct InFlightCounts {
@@ -223,6 +262,12 @@
     /// The era of the store's revision that it has.
     #[prost(uint64, tag = "14")]
     pub after_era: u64,
+    /// Streams that began since its last poll of this peer.
+    #[prost(message, repeated, tag = "15")]
+    pub streams: Vec<RelayStream>,
+    /// Whether it needs the software versions that the receiver has observed.
+    #[prost(bool, tag = "16")]
+    pub wants_versions: bool,
 }
 
 /// The response to a long poll.
@@ -279,6 +324,12 @@
     /// The era of the store's revision that it has, and of all items.
     #[prost(uint64, tag = "17")]
     pub era: u64,
+    /// Streams that began since the polling daemon's version.
+    #[prost(message, repeated, tag = "18")]
+    pub streams: Vec<RelayStream>,
+    /// The software versions that it has observed, if the polling daemon wants them.
+    #[prost(message, optional, tag = "19")]
+    pub versions: Option<RelayVersions>,
 }
 
 /// A long poll that waits for its response.
--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -14,6 +14,7 @@
 mod rate_admission;
 pub mod retry_share;
 pub mod shutdown_admission;
+pub mod software_versions;
 
 pub use answer_times::{AnswerTime, AnswerTimes, LongestAnswer};
 pub use attempt_history::{AttemptFailure, AttemptHistory};
@@ -26,3 +27,4 @@
 pub use prompt::{Prompt, PromptPart, SharedPrefix};
 pub use retry_share::{RetryBounds, RetryShare};
 pub use shutdown_admission::{ShutdownAdmission, ShutdownPhase};
+pub use software_versions::{ListedVersion, ListedVersions, StreamVersions};
--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -268,6 +268,7 @@
             Observation::Load { .. }
             | Observation::Unreachable
             | Observation::Leaving
+            | Observation::BeganStream { .. }
             | Observation::RateLimit { .. }
             | Observation::HoldsPrompt { .. } => AppliedUpdate::default(),
         }
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -683,6 +683,12 @@
         }
     }
 
+    /// Returns the version of an endpoint's software, if it is listed.
+    pub fn version_of(&self, endpoint: &EndpointName) -> Option<&SoftwareVersion> {
+        let state = self.endpoints.get(endpoint)?;
+        Some(&state.listed.version)
+    }
+
     /// Returns the number of requests that this daemon has in flight at an endpoint.
     pub fn in_flight(&self, endpoint: &EndpointName) -> u32 {
         self.endpoints
--- a/crates/celeryknotd/src/traffic/failure.rs
+++ b/crates/celeryknotd/src/traffic/failure.rs
@@ -75,6 +75,7 @@
             | ErrorKind::DeadlinePast
             | ErrorKind::PromptBanned
             | ErrorKind::RequestBanned
+            | ErrorKind::StreamVersionUnknown
             | ErrorKind::TicketRequired
             | ErrorKind::TicketInvalid
             | ErrorKind::TicketMismatched
