Take no refusal without a request id on a reused connection for the answer

What callers saw elsewhere (a report of other operators): clients were told 'not run, try again' for requests that an engine had run, or such a request ran at a second engine. It can happen here.

Cause: a 421 or a refusal (Not-Executed) without the echoed id was believed on any connection. An engine that writes an earlier refusal once more on a kept connection thus refused the next request.

Change: on a connection that has carried an earlier request, a refusal without the id is of an unknown outcome: 502 for a booking, and no second endpoint. The native daemon requires the id in every response of a service unless its settings say otherwise.

--- a/crates/celeryknot_endpoints/src/connection.rs
+++ b/crates/celeryknot_endpoints/src/connection.rs
@@ -44,6 +44,8 @@
     /// Boxed because a connection is large and moves with each call.
     connection: Option<Box<http1::Connection<FuturesIo<BudgetedStream>, RequestBody>>>,
     read_budget: ReadBudget,
+    /// Number of requests sent on it.
+    requests: u32,
     idle_since: Instant,
     idle_max: DurationMs,
 }
@@ -85,6 +87,7 @@
             sender,
             connection: Some(Box::new(connection)),
             read_budget,
+            requests: 0,
             idle_since: Instant::now(),
             idle_max: IDLE_TIMEOUT_DEFAULT,
         })
@@ -95,6 +98,17 @@
         self.idle_max = idle_max;
     }
 
+    /// Returns whether an earlier request was sent on the connection, so that what arrives without a
+    /// request id may belong to that.
+    pub fn is_reused(&self) -> bool {
+        self.requests > 1
+    }
+
+    /// Counts a request that is sent on the connection.
+    pub(crate) fn count_request(&mut self) {
+        self.requests = self.requests.saturating_add(1);
+    }
+
     pub(crate) fn sender(&mut self) -> &mut http1::SendRequest<RequestBody> {
         &mut self.sender
     }
--- a/crates/celeryknot_endpoints/src/exchange.rs
+++ b/crates/celeryknot_endpoints/src/exchange.rs
@@ -42,6 +42,7 @@
     request: Request<RequestBody>,
 ) -> Result<Response<Incoming>, ExchangeError> {
     connection.start_part();
+    connection.count_request();
     let response = connection.sender().try_send_request(request);
     let mut response = pin!(response);
     let result = future::poll_fn(|context| {
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -137,6 +137,7 @@
     answer: Response<Incoming>,
     sent_at: MonotonicMs,
 ) -> Result<(response::Parts, AnswerBody), AttemptFailure> {
+    let is_reused = connection.is_reused();
     let (head, mut received) = ReceivedBody::split(&call.method, answer, connection);
     let answer_head = P::read_answer(&head);
     if let Some(load) = answer_head.load {
@@ -153,7 +154,7 @@
     if let Some(idle_max) = idle_max {
         received.connection.set_idle_max(idle_max);
     }
-    if let Some(failure) = classify_failure(call, &head, &answer_head) {
+    if let Some(failure) = classify_failure(call, &head, &answer_head, is_reused) {
         return Err(failure);
     }
     let pool_entry = Some(PoolEntry {
@@ -218,12 +219,17 @@
 }
 
 /// Returns the failure that a response represents, or `None` if it can be the final response.
+///
+/// A refusal without an id that arrives on a reused connection may be an earlier one, written again.
 fn classify_failure(
     call: &Call,
     head: &response::Parts,
     answer_head: &AnswerHead,
+    is_reused: bool,
 ) -> Option<AttemptFailure> {
-    if is_mismatched(call, answer_head) {
+    let is_refusal = answer_head.is_misdirected || answer_head.is_not_executed;
+    let is_unassigned = is_refusal && is_reused && answer_head.request_id.is_none();
+    if is_mismatched(call, answer_head) || is_unassigned {
         return Some(AttemptFailure::Mismatched);
     }
     if answer_head.is_misdirected {
