Read the other items of a page that has an odd one, and bound what is logged of it

What callers saw elsewhere (a report of other operators): one odd entry of another writer ended the machines that read the list, or they stopped following it.

Cause here: an item with a key or revision of another type, or a key that is not UTF-8, made the whole page unreadable, so that daemons could neither list nor watch the store while it stood there. Values were read one by one and ended nothing (deep nesting, numbers too large, ports out of range), but up to 1 MB of them went into a log line.

Change: items are read one by one; those that can't be read are counted in one line. Keys and reasons in log lines have 120 characters at most.

--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -203,5 +203,9 @@
         return Err(PlatformError::Body(reason));
     }
     let page = decode(response.body()).map_err(body_error)?;
+    if page.unreadable_items > 0 {
+        let items = page.unreadable_items;
+        tracing::warn!(items, "the store has items that can't be read");
+    }
     Ok(page.in_era(era))
 }
--- a/crates/celeryknot_gateway/src/platform_protocol.rs
+++ b/crates/celeryknot_gateway/src/platform_protocol.rs
@@ -117,6 +117,8 @@
 pub struct StorePage {
     /// The items.
     pub items: Vec<RawItem>,
+    /// Number of further items, which can't be read.
+    pub unreadable_items: usize,
     /// Whether the listing continues after the last item.
     pub has_more: bool,
     /// The store's revision.
--- a/crates/celeryknot_gateway/src/store_state.rs
+++ b/crates/celeryknot_gateway/src/store_state.rs
@@ -30,6 +30,9 @@
 /// Time for which removed endpoints are remembered; longer than a copy of the store is old.
 const DEPARTURE_TTL: DurationMs = DurationMs(60_000);
 
+/// Maximum number of characters of a key or reason in the logs, as other writers choose them.
+const LOGGED_CHARS_MAX: usize = 120;
+
 /// When, and in which era, something was removed from the store.
 #[derive(Debug, Clone, Copy)]
 struct Removal {
@@ -139,9 +142,9 @@
     ZoneRestored(ZoneName),
     /// An item is invalid.
     Invalid {
-        /// The item's key.
+        /// The item's key, shortened.
         key: String,
-        /// The reason.
+        /// The reason, shortened.
         reason: String,
     },
 }
@@ -191,8 +194,8 @@
             StoreRecord::Invalid(reason) => {
                 self.endpoints.remove(key);
                 Some(StateChange::Invalid {
-                    key: key.to_owned(),
-                    reason,
+                    key: shorten(key),
+                    reason: shorten(&reason),
                 })
             }
             StoreRecord::Unrelated => None,
@@ -338,3 +341,9 @@
         services
     }
 }
+
+/// Returns the first characters of a text.
+fn shorten(text: &str) -> String {
+    let end = text.char_indices().nth(LOGGED_CHARS_MAX);
+    text[..end.map_or(text.len(), |(at, _)| at)].to_owned()
+}
