Let a poll of a peer time out by silence, not by the time of its response

Cause: the response to a poll had to be complete within the wait and 500 ms. At 10 Mbit/s that is some 700 kB, less beside requests; a larger change failed again and again and marked each reader as unresponsive, until the daemon read the store itself.

Change: a poll times out when nothing has arrived for 500 ms, or after 10 s.

--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -6,9 +6,11 @@
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use celeryknot_platform::{ByteMeter, MeteredStream};
 use eyre::{WrapErr, bail};
 use futures_lite::future;
 use http::uri::PathAndQuery;
@@ -38,9 +40,12 @@
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time beyond the requested wait after which a poll times out.
+/// Time beyond the requested wait, and between two parts of a response, after which a poll times out.
 pub const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest time of a poll whose response keeps arriving.
+const RESPONSE_TIME_MAX: Duration = Duration::from_secs(10);
+
 /// Maximum number of polls queued for the receiver of [`listen`].
 const PENDING_CALLS_MAX: usize = 512;
 
@@ -442,6 +447,7 @@
 pub struct UpdatesClient {
     address: SocketAddr,
     spawner: LocalSpawner,
+    meter: Arc<ByteMeter>,
     client: Option<tonic::client::Grpc<Http2Channel>>,
 }
 
@@ -451,6 +457,7 @@
         Self {
             address,
             spawner: LocalSpawner(Rc::downgrade(executor)),
+            meter: Arc::default(),
             client: None,
         }
     }
@@ -460,7 +467,8 @@
         self.address
     }
 
-    /// Polls for updates; the timeout is the request's wait plus a margin.
+    /// Polls for updates; times out after the request's wait plus a margin, or later as long as the
+    /// response keeps arriving.
     ///
     /// # Errors
     ///
@@ -495,14 +503,17 @@
                 .wrap_err("the poll of the peer failed")?;
             Ok(reply.into_inner())
         };
-        future::or(poll, fail_after(timeout)).await
+        future::or(poll, fail_when_silent(Arc::clone(&self.meter), timeout)).await
     }
 
     async fn open(&self) -> eyre::Result<tonic::client::Grpc<Http2Channel>> {
         let socket = TcpStream::connect(self.address).await?;
         socket.set_nodelay(true)?;
         let (sender, connection) = client_http2::Builder::new(self.spawner.clone())
-            .handshake(FuturesIo::new(socket))
+            .handshake(FuturesIo::new(MeteredStream::new(
+                socket,
+                Arc::clone(&self.meter),
+            )))
             .await?;
         self.spawner.spawn(async move {
             if let Err(error) = connection.await {
@@ -521,6 +532,20 @@
     }
 }
 
+/// Fails when nothing was received for a time, at the latest after [`RESPONSE_TIME_MAX`].
+async fn fail_when_silent<T>(meter: Arc<ByteMeter>, timeout: Duration) -> eyre::Result<T> {
+    let silence = async {
+        let mut received = meter.received();
+        Timer::after(timeout).await;
+        while meter.received() != received {
+            received = meter.received();
+            Timer::after(RESPONSE_MARGIN).await;
+        }
+        fail_after(Duration::ZERO).await
+    };
+    future::or(silence, fail_after(RESPONSE_TIME_MAX)).await
+}
+
 async fn fail_after<T>(timeout: Duration) -> eyre::Result<T> {
     Timer::after(timeout).await;
     bail!("the peer did not respond in time")
