Relay a copy of the store as large as one that a daemon reads

A daemon that was to get a larger copy from a peer never got one, with a line of log for each poll.

Change: messages have the limit of the responses that a daemon reads from the store (64 MiB).

--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use celeryknot_platform::client::RESPONSE_SIZE_MAX_BYTES;
 use celeryknot_platform::{ByteMeter, MeteredStream};
 use eyre::{WrapErr, bail};
 use futures_lite::future;
@@ -34,8 +35,8 @@
 /// The path of the call.
 const UPDATES_PATH: PathAndQuery = PathAndQuery::from_static("/celeryknot.peers.v1.Relay/News");
 
-/// Maximum size of a message: the store's largest value, and as much again for everything else.
-const MESSAGE_SIZE_MAX_BYTES: usize = 3 << 20;
+/// Maximum size of a message: whatever a daemon accepts from the store, it can relay.
+const MESSAGE_SIZE_MAX_BYTES: usize = RESPONSE_SIZE_MAX_BYTES.0 as usize;
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
