Wait a moment after a watch that ended without changes

Found on reading the diff: a store that ends a watch at once would have been called without a pause since the watches end by rank.

--- a/crates/celeryknot_gateway/src/store_calls.rs
+++ b/crates/celeryknot_gateway/src/store_calls.rs
@@ -179,7 +179,8 @@
                     (false, true) => Some(draw_delay(BATCH_DELAY_MIN, BATCH_DELAY_MAX, random)),
                     (false, false) => None,
                 };
-                self.delay_in_step.unwrap_or_default()
+                // The store may end a watch at once.
+                self.delay_in_step.unwrap_or(BATCH_DELAY_MIN)
             }
             CallOutcome::SentByPeer => DurationMs(0),
             CallOutcome::Restored => {
