Observe software versions anew when the copy of the store is read after a gap

Found on reading the diff: the observation began anew at the next tick after the gap, up to 50 ms after requests could rely on it, and each reply of a peer published the view again. It now begins anew before the read is recorded, and only changes are published.

--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -191,6 +191,10 @@
 
     /// Records that a daemon, this one or another, read the store `age` ago.
     pub(crate) fn note_store_read(&self, age: DurationMs) {
+        if self.shared.store_age() > COPY_GAP_MIN {
+            let now = self.now();
+            self.change_versions(|versions| versions.restart(now));
+        }
         let at = MonotonicMs(self.now().0.saturating_sub(age.0));
         self.shared.note_store_read(at);
     }
@@ -227,10 +231,6 @@
     /// Logs when the copy of the store becomes stale, and when it is recent again.
     fn observe_copy_age(&self) {
         let age = self.shared.store_age();
-        if age > COPY_GAP_MIN {
-            let now = self.now();
-            self.change_versions(|versions| versions.restart(now));
-        }
         if age > copy_age_max(self.poll_wait()) {
             let revision = self.position().unwrap_or_default();
             if self.stale_copy_age.replace(Some(age)).is_none() {
@@ -412,7 +412,12 @@
     /// Changes the software versions, and publishes them.
     fn change_versions(&self, change: impl FnOnce(&mut ListedVersions)) {
         let mut versions = self.versions.borrow_mut();
-        change(Arc::make_mut(&mut versions));
+        let mut changed = ListedVersions::clone(&versions);
+        change(&mut changed);
+        if changed == **versions {
+            return;
+        }
+        *versions = Arc::new(changed);
         let previous = self.shared.view.load();
         self.shared.view.store(Arc::new(View {
             versions: Arc::clone(&versions),
@@ -512,7 +517,7 @@
 struct ChangeOrigin {
     source: UpdateSource,
     at: StoreRevision,
-    /// Age of the copy of the store before the changes.
+    /// Time since the last known read of the store when the changes were applied.
     copy_age: DurationMs,
 }
 
--- a/crates/celeryknot_policy/src/direct/software_versions.rs
+++ b/crates/celeryknot_policy/src/direct/software_versions.rs
@@ -41,7 +41,7 @@
 /// assert!(versions.sole_version(MonotonicMs(9_000), &service, window).is_some());
 /// # Ok::<(), Box<dyn std::error::Error>>(())
 /// ```
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ListedVersions {
     observed_since: Option<MonotonicMs>,
     services: HashMap<ServiceName, SmallVec<[ListedVersion; 2]>>,
