--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -635,7 +635,7 @@
     }
 
     /// Records that an endpoint asked this daemon for no requests for a time, in an answer to a request
-    /// sent then; at most [`PAUSE_MAX`](super::endpoint::PAUSE_MAX).
+    /// sent then; at most [`PAUSE_MAX`].
     pub fn observe_pause(
         &mut self,
         now: MonotonicMs,
