--- a/crates/celeryknot_core/src/error_kind.rs
+++ b/crates/celeryknot_core/src/error_kind.rs
@@ -121,7 +121,7 @@
     /// Endpoints crash when they run this request.
     RequestBanned,
     /// The software version that began the stream is not known.
-    StreamVersionUnknown,
+    VersionUnknown,
     /// The daemon is shutting down.
     Draining,
     /// The daemon has not yet synchronized with the fleet.
@@ -247,7 +247,7 @@
             Self::RateLimited => answer(503, NotRun, Later, Some(1000), "The endpoints have reached their rate limits"),
             Self::PromptBanned => answer(503, NotRun, Later, Some(300_000), "Engines crash on a part of this prompt"),
             Self::RequestBanned => answer(503, NotRun, Later, Some(300_000), "Endpoints crash when they run this request"),
-            Self::StreamVersionUnknown => answer(503, NotRun, Later, Some(1000), "The software version that began this stream is not known"),
+            Self::VersionUnknown => answer(503, NotRun, Later, Some(1000), "The software version that began this stream is not known"),
             Self::Draining => answer(503, NotRun, Later, Some(1000), "The daemon is shutting down"),
             Self::NotReady => answer(503, NotRun, Later, Some(1000), "The daemon is not ready"),
             Self::Paused => answer(503, NotRun, Later, Some(1000), "The daemon was paused"),
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -297,7 +297,7 @@
         );
         version
             .cloned()
-            .ok_or_else(|| Refusal::new(ErrorKind::StreamVersionUnknown))
+            .ok_or_else(|| Refusal::new(ErrorKind::VersionUnknown))
     }
 
     /// Records the software version that wrote the first event of a stream; tells peers while the
--- a/crates/celeryknotd/src/traffic/failure.rs
+++ b/crates/celeryknotd/src/traffic/failure.rs
@@ -75,7 +75,7 @@
             | ErrorKind::DeadlinePast
             | ErrorKind::PromptBanned
             | ErrorKind::RequestBanned
-            | ErrorKind::StreamVersionUnknown
+            | ErrorKind::VersionUnknown
             | ErrorKind::TicketRequired
             | ErrorKind::TicketInvalid
             | ErrorKind::TicketMismatched
