Tell peers of streams until their version is certainly the only one, and poll often meanwhile

Cause: small fleets poll every 400 ms, longer than most streams last, so that a killed daemon's streams were unknown. Also, the streams of daemons that had started lately were told to nobody while one version served, though their peers could not be certain of it yet.

Change: a daemon tells peers of a stream unless its version is certainly the only one, and polls with the shortest wait while a service had several versions, or may have had, within 30 s.

Measured: stream_is_known_to_peers_before_its_version_is_certain_to_be_the_only_one fails without the first part (503).

--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -28,6 +28,9 @@
 /// Time for which the software versions have been observed that is enough for any stream.
 const OBSERVATION_ENOUGH: DurationMs = DurationMs(120_000);
 
+/// Time without several versions of a service after which peers need not know of streams.
+const SETTLED_WINDOW: DurationMs = DurationMs(30_000);
+
 /// The origin of an update, for the logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -114,7 +117,12 @@
     pub(crate) fn poll_wait(&self) -> DurationMs {
         let view = self.shared.view.load();
         let endpoints = view.endpoints.values().map(Vec::len).sum();
-        poll_wait(view.members.len(), endpoints)
+        // Streams are short, and peers must know which version began them.
+        let daemons = match view.versions.is_settled(self.now(), SETTLED_WINDOW) {
+            true => view.members.len(),
+            false => usize::MAX,
+        };
+        poll_wait(daemons, endpoints)
     }
 
     /// Returns the next step of a schedule of polls.
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -42,9 +42,6 @@
 /// daemons learn late that its endpoint was delisted.
 const STREAM_AGE_MARGIN: DurationMs = DurationMs(5_000);
 
-/// Time for which a service counts as one with several versions after it had them.
-const MIXED_WINDOW: DurationMs = DurationMs(30_000);
-
 /// This daemon's state of one service.
 #[derive(Debug)]
 struct ServiceState {
@@ -281,7 +278,7 @@
             let state = services.get(&call.service)?;
             state.streams.find(now, call.stream_tag(id))
         });
-        let window = call.route.timeout_ms + STREAM_AGE_MARGIN;
+        let window = stream_age_max(call);
         let sole_version = || {
             let is_copy_recent = self.shared.store_age() <= COPY_GAP_MIN;
             let versions = is_copy_recent.then_some(&view.versions)?;
@@ -300,21 +297,25 @@
             .ok_or_else(|| Refusal::new(ErrorKind::VersionUnknown))
     }
 
-    /// Records the software version that wrote the first event of a stream; tells peers while the
-    /// service has several versions.
+    /// Records the software version that wrote the first event of a stream; tells peers unless it is
+    /// certainly the only one of the service.
     pub(super) fn record_stream(
         &self,
-        service: &ServiceName,
+        call: &Call,
         stream: RequestTag,
         endpoint: &EndpointName,
         version: &SoftwareVersion,
     ) {
         let now = self.now();
+        let service = &call.service;
         if let Some(state) = self.services.borrow_mut().get_mut(service) {
             state.streams.record(now, stream, version);
         }
         let view = self.shared.view.load();
-        if view.versions.is_mixed(now, service, MIXED_WINDOW) {
+        let sole_version = view
+            .versions
+            .sole_version(now, service, stream_age_max(call));
+        if sole_version.is_none() {
             let endpoint = EndpointTag::new(endpoint);
             self.report_to_peers(endpoint, Observation::BeganStream { stream });
         }
@@ -391,6 +392,11 @@
     }
 }
 
+/// Returns the longest time since the beginning of a stream that a caller takes up.
+fn stream_age_max(call: &Call) -> DurationMs {
+    call.route.timeout_ms + STREAM_AGE_MARGIN
+}
+
 fn build_caller_limits(limits: RequestLimits) -> CallerLimits {
     CallerLimits::builder()
         .header_size_max_bytes(limits.header_size_max_bytes)
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -159,9 +159,8 @@
         };
         if let Some(first_request_id) = first_request_id {
             let stream = self.call.stream_tag(first_request_id);
-            let service = &self.call.service;
             self.gateway
-                .record_stream(service, stream, endpoint, version);
+                .record_stream(&self.call, stream, endpoint, version);
         }
     }
 
--- a/crates/celeryknot_policy/src/direct/software_versions.rs
+++ b/crates/celeryknot_policy/src/direct/software_versions.rs
@@ -149,9 +149,19 @@
             .map(|it| &it.version)
     }
 
-    /// Returns whether a service had several versions within a time.
-    pub fn is_mixed(&self, now: MonotonicMs, service: &ServiceName, window: DurationMs) -> bool {
-        self.listed_within(now, service, window).nth(1).is_some()
+    /// Returns whether each service certainly had one version at most within a time.
+    pub fn is_settled(&self, now: MonotonicMs, window: DurationMs) -> bool {
+        self.is_observed(now, window)
+            && self
+                .services
+                .keys()
+                .all(|service| self.listed_within(now, service, window).nth(1).is_none())
+    }
+
+    /// Returns whether all changes within a time are known.
+    fn is_observed(&self, now: MonotonicMs, window: DurationMs) -> bool {
+        self.observed_since
+            .is_some_and(|since| now - since >= window)
     }
 
     /// Returns the only version that a service had within a time, if that is certain.
@@ -161,9 +171,7 @@
         service: &ServiceName,
         window: DurationMs,
     ) -> Option<&SoftwareVersion> {
-        let is_observed = self
-            .observed_since
-            .is_some_and(|since| now - since >= window);
+        let is_observed = self.is_observed(now, window);
         let mut versions = self.listed_within(now, service, window);
         let sole = versions.next().filter(|_| is_observed)?;
         versions.next().is_none().then_some(sole)
