Tell peers an address for attempts that they can't make themselves

A setting ([addresses] hop), a field of the members that daemons exchange, and the peers in the view of the traffic thread. A daemon of an earlier version relays members without the field; what is known of the same incarnation is kept then.

--- a/crates/celeryknot_gateway/src/control/long_polls.rs
+++ b/crates/celeryknot_gateway/src/control/long_polls.rs
@@ -414,6 +414,9 @@
         address: member.address.to_string(),
         incarnation: member.incarnation.0,
         cores_percent: member.cores_percent,
+        hop_address: member
+            .hop_address
+            .map_or_else(String::new, |it| it.to_string()),
         age_ms: age_ms(age),
     }
 }
@@ -427,6 +430,10 @@
             address: message.address.parse().ok()?,
             incarnation: Incarnation(message.incarnation),
             cores_percent: message.cores_percent,
+            hop_address: match message.hop_address.as_str() {
+                "" => None,
+                address => Some(address.parse().ok()?),
+            },
         })
     };
     let member = decode();
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -75,6 +75,7 @@
             address: settings.peers_address,
             incarnation: Incarnation(rand::random()),
             cores_percent: (settings.cores * 100.0).round() as u32,
+            hop_address: settings.hop_address,
         });
         Self {
             shared,
@@ -282,6 +283,7 @@
             endpoints,
             versions: Arc::clone(&versions),
             members: previous.members.clone(),
+            peers: Arc::clone(&previous.peers),
             are_members_settled: previous.are_members_settled,
         }));
     }
@@ -296,6 +298,7 @@
         }
         let previous = self.shared.view.load();
         let names = members.names();
+        let peers = members.others(now).map(|(member, _)| member.clone());
         tracing::info!(
             daemons = names.len(),
             is_reader = members.is_reader(now),
@@ -305,6 +308,7 @@
         self.shared.view.store(Arc::new(View {
             version: previous.version + 1,
             members: names,
+            peers: peers.collect(),
             are_members_settled,
             ..View::clone(&previous)
         }));
--- a/crates/celeryknot_gateway/src/members.rs
+++ b/crates/celeryknot_gateway/src/members.rs
@@ -50,6 +50,8 @@
     pub incarnation: Incarnation,
     /// Processor cores that it may use, in hundredths.
     pub cores_percent: u32,
+    /// Its address for attempts that other daemons can't make themselves, if it makes any.
+    pub hop_address: Option<SocketAddr>,
 }
 
 #[derive(Debug, Clone)]
@@ -85,6 +87,7 @@
     ///     address: "10.1.0.40:8229".parse()?,
     ///     incarnation: Incarnation(1),
     ///     cores_percent: 25,
+    ///     hop_address: None,
     /// };
     /// let table = MemberTable::new(own);
     /// assert!(table.is_reader(MonotonicMs(0)), "no other daemon is known");
@@ -104,7 +107,7 @@
         &self.own
     }
 
-    /// Returns a version that increases when a daemon is added or removed.
+    /// Returns a version that increases when a daemon is added, changed or removed.
     pub fn version(&self) -> u64 {
         self.version
     }
@@ -126,6 +129,7 @@
     ///         address: "10.1.0.40:8229".parse()?,
     ///         incarnation: Incarnation(1),
     ///         cores_percent: 25,
+    ///         hop_address: None,
     ///     })
     /// };
     /// let mut table = MemberTable::new(member("edge-1")?);
@@ -149,8 +153,18 @@
         let last_heartbeat_at = MonotonicMs(now.0.saturating_sub(age.0));
         match self.entries.get_mut(&member.name) {
             Some(entry) if last_heartbeat_at > entry.last_heartbeat_at => {
+                let known = &entry.member;
+                let member = match member.incarnation == known.incarnation {
+                    // Daemons of earlier versions relay members without this address.
+                    true => Member {
+                        hop_address: member.hop_address.or(known.hop_address),
+                        ..member
+                    },
+                    false => member,
+                };
                 if entry.member != member {
                     entry.backoff_until = MonotonicMs(0);
+                    self.version += 1;
                 }
                 entry.member = member;
                 entry.last_heartbeat_at = last_heartbeat_at;
--- a/crates/celeryknot_gateway/src/peer_schedule.rs
+++ b/crates/celeryknot_gateway/src/peer_schedule.rs
@@ -83,6 +83,7 @@
 ///     address: "10.1.0.40:8229".parse()?,
 ///     incarnation: Incarnation(1),
 ///     cores_percent: 25,
+///     hop_address: None,
 /// };
 /// let seeds = ["10.1.0.41:8229".parse()?];
 /// let context = PollContext {
--- a/crates/celeryknot_gateway/src/view.rs
+++ b/crates/celeryknot_gateway/src/view.rs
@@ -7,6 +7,8 @@
 use celeryknot_policy::direct::{ListedEndpoint, ListedVersions};
 use celeryknot_policy::routing::RoutingTable;
 
+use crate::members::Member;
+
 /// Age of the copy of the store from which on changes of versions may have been missed.
 pub(crate) const COPY_GAP_MIN: DurationMs = DurationMs(3_000);
 
@@ -23,6 +25,8 @@
     pub versions: Arc<ListedVersions>,
     /// The daemons that may be running, including this one.
     pub members: Vec<MemberName>,
+    /// The other daemons that may be running.
+    pub peers: Arc<[Member]>,
     /// Whether these are likely to be all daemons.
     pub are_members_settled: bool,
 }
--- a/crates/celeryknot_gateway/tests/control.rs
+++ b/crates/celeryknot_gateway/tests/control.rs
@@ -24,6 +24,7 @@
             .unwrap(),
         incarnation: Incarnation(1),
         cores_percent: 12,
+        hop_address: None,
     }
 }
 
@@ -82,6 +83,7 @@
     for case in cases {
         let of = |number| Member {
             cores_percent: (case.cores_percent)(number),
+            hop_address: None,
             ..member(number)
         };
         let readers: Vec<Member> = (0..case.daemons)
--- a/crates/celeryknot_gateway/tests/simulation/mod.rs
+++ b/crates/celeryknot_gateway/tests/simulation/mod.rs
@@ -210,6 +210,7 @@
         address,
         incarnation: Incarnation(number as u64 + 1),
         cores_percent: if number < STRONG_DAEMONS { 50 } else { 12 },
+        hop_address: None,
     }
 }
 
--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -74,6 +74,9 @@
     /// Processor cores available to it, in hundredths.
     #[prost(uint32, tag = "6")]
     pub cores_percent: u32,
+    /// Its address for attempts that other daemons can't make themselves; empty if it has none.
+    #[prost(string, tag = "7")]
+    pub hop_address: String,
 }
 
 /// One item of the store, or its removal.
--- a/crates/celeryknot_settings/src/gateway.rs
+++ b/crates/celeryknot_settings/src/gateway.rs
@@ -65,6 +65,8 @@
     pub readiness_address: SocketAddr,
     /// `[addresses] peers`: listen address for other daemons.
     pub peers_address: SocketAddr,
+    /// `[addresses] hop`: listen address for attempts that other daemons can't make themselves.
+    pub hop_address: Option<SocketAddr>,
     /// `[addresses] operators`: listen address for metrics.
     pub operators_address: Option<SocketAddr>,
     /// `[store] addresses`: replicas of the platform's store, tried in order.
@@ -102,6 +104,7 @@
                 callers_address: any_port,
                 readiness_address: any_port,
                 peers_address: any_port,
+                hop_address: Some(any_port),
                 operators_address: None,
                 store_addresses: Vec::new(),
                 seeds: Vec::new(),
@@ -144,6 +147,7 @@
             callers_address: fields.get("addresses", "callers"),
             readiness_address: fields.get("addresses", "readiness"),
             peers_address: fields.get("addresses", "peers"),
+            hop_address: fields.optional("addresses", "hop"),
             operators_address: fields.optional("addresses", "operators"),
             store_addresses: fields.list("store", "addresses"),
             seeds: fields.list("members", "seeds"),
@@ -175,6 +179,7 @@
         callers_address: SocketAddr,
         readiness_address: SocketAddr,
         peers_address: SocketAddr,
+        hop_address: Option<SocketAddr>,
         operators_address: Option<SocketAddr>,
         store_addresses: Vec<SocketAddr>,
         seeds: Vec<SocketAddr>,
