Have another daemon make attempts at endpoints that this one can't reach

Cause: a gateway knew one way to an endpoint, its own.

Change: while no connection to an endpoint opens, its attempts are sent to a peer, which sends the request once and passes the response on. Placement, attempts, retry budget, shares of rates and counts in flight stay with the daemon that the request came to, so that prompts don't move. What the endpoint states is read by both. Refusals of the hop say what was not sent; a hop that breaks is of unknown outcome. An endpoint is reported as unreachable only when a peer that reaches others of its service can't connect either; failures before the path broke no longer eject it. Probes end the detour.

--- a/crates/celeryknot_core/src/header.rs
+++ b/crates/celeryknot_core/src/header.rs
@@ -26,6 +26,14 @@
 pub const EXECUTION: &str = "celeryknot-execution";
 /// Carries the stable code of a refusal between daemons.
 pub const REFUSAL: &str = "celeryknot-refusal";
+/// Carries the kind of a request between daemons.
+pub const HOP: &str = "celeryknot-hop";
+/// Names the endpoint that a request between daemons is for.
+pub const ENDPOINT: &str = "celeryknot-endpoint";
+/// Names the service of that endpoint.
+pub const SERVICE: &str = "celeryknot-service";
+/// States on a response between daemons that its endpoint sent it on a reused connection.
+pub const REUSED_CONNECTION: &str = "celeryknot-reused-connection";
 /// States on a response over HTTP/2 that its end is not known to be its complete end.
 pub const BODY_END: &str = "celeryknot-body-end";
 /// The value of [`BODY_END`].
--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -19,7 +19,7 @@
 use crate::listeners::Listeners;
 use crate::platform_protocol::PlatformProtocol;
 use crate::shared::{NOT_DRAINING, Shared, UPDATE_QUEUE_LEN_MAX};
-use crate::traffic::run_traffic;
+use crate::traffic::{TrafficSockets, run_traffic};
 use crate::view::View;
 
 /// Time for the balancer to notice that the daemon is draining; callers are still served.
@@ -104,8 +104,12 @@
         gateway.spawn("control", move || {
             run_control::<P>(control_shared, sockets, control_stop);
         })?;
+        let sockets = TrafficSockets {
+            callers: listeners.callers,
+            hop: listeners.hop,
+        };
         gateway.spawn("traffic", move || {
-            run_traffic::<P>(shared, listeners.callers, updates, stop_signal);
+            run_traffic::<P>(shared, sockets, updates, stop_signal);
         })?;
         Ok(gateway)
     }
--- a/crates/celeryknot_gateway/src/listeners.rs
+++ b/crates/celeryknot_gateway/src/listeners.rs
@@ -15,6 +15,7 @@
     pub(crate) callers: TcpListener,
     pub(crate) readiness: TcpListener,
     pub(crate) peers: TcpListener,
+    pub(crate) hop: Option<TcpListener>,
     pub(crate) operators: Option<TcpListener>,
 }
 
@@ -25,14 +26,16 @@
             callers: bind(&mut settings.callers_address)?,
             readiness: bind(&mut settings.readiness_address)?,
             peers: bind(&mut settings.peers_address)?,
-            operators: match &mut settings.operators_address {
-                Some(address) => Some(bind(address)?),
-                None => None,
-            },
+            hop: bind_optional(&mut settings.hop_address)?,
+            operators: bind_optional(&mut settings.operators_address)?,
         })
     }
 }
 
+fn bind_optional(address: &mut Option<SocketAddr>) -> eyre::Result<Option<TcpListener>> {
+    address.as_mut().map(bind).transpose()
+}
+
 /// Binds a non-blocking listening socket and replaces `address` with the bound one.
 ///
 /// # Errors
--- a/crates/celeryknot_gateway/src/platform_protocol.rs
+++ b/crates/celeryknot_gateway/src/platform_protocol.rs
@@ -271,6 +271,9 @@
     /// Removes fields that callers must not set, and adds the router's fields.
     fn write_attempt_headers(headers: &mut HeaderMap, attempt: &AttemptHead<'_>);
 
+    /// Replaces the time left in the head of a request to an endpoint.
+    fn write_deadline(headers: &mut HeaderMap, remaining_ms: DurationMs);
+
     /// Decodes the head of an endpoint's response.
     fn read_answer(head: &response::Parts) -> AnswerHead;
 
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -5,6 +5,8 @@
 mod context;
 mod crash_watch;
 mod forward;
+mod hop;
+mod paths;
 mod resume;
 mod send;
 mod serve;
@@ -15,6 +17,7 @@
 use std::sync::Arc;
 
 use async_channel::Receiver;
+use celeryknot_callers::CallerLimits;
 use celeryknot_callers::executor::ThreadRuntime;
 use celeryknot_callers::server::{ConnectionContext, is_connection_timeout, serve_connection};
 use celeryknot_core::DurationMs;
@@ -35,10 +38,17 @@
 /// Interval between checks for idle connections.
 const IDLE_CHECK_INTERVAL: DurationMs = DurationMs(500);
 
+/// The sockets that the traffic thread listens on.
+#[derive(Debug)]
+pub(crate) struct TrafficSockets {
+    pub(crate) callers: TcpListener,
+    pub(crate) hop: Option<TcpListener>,
+}
+
 /// Runs the traffic thread until `stop` is signaled.
 pub(crate) fn run_traffic<P: PlatformProtocol>(
     shared: Arc<Shared>,
-    callers: TcpListener,
+    listeners: TrafficSockets,
     peer_updates: Receiver<PeerUpdate>,
     stop: Signal,
 ) {
@@ -47,8 +57,12 @@
     let gateway = TrafficThread::new(shared, executor.clone(), peer_updates);
     smol::block_on(runtime.run(async {
         executor.spawn(tick(Rc::clone(&gateway))).detach();
-        let accept = accept::<P>(Rc::clone(&gateway), callers);
-        executor.spawn(accept).detach();
+        let callers = accept(Rc::clone(&gateway), listeners.callers, serve_caller::<P>);
+        executor.spawn(callers).detach();
+        if let Some(hop) = listeners.hop {
+            let peers = accept(Rc::clone(&gateway), hop, serve_peer::<P>);
+            executor.spawn(peers).detach();
+        }
         while stop.recv().await.is_ok() {}
     }));
 }
@@ -60,6 +74,7 @@
         let now = gateway.now();
         gateway.timers.advance(now);
         gateway.signal_final_answers();
+        gateway.start_due_probes();
         if now - checked_at >= IDLE_CHECK_INTERVAL {
             checked_at = now;
             gateway.connections.close_idle();
@@ -68,19 +83,21 @@
     }
 }
 
-async fn accept<P: PlatformProtocol>(gateway: Rc<TrafficThread>, listener: TcpListener) {
+async fn accept(
+    gateway: Rc<TrafficThread>,
+    listener: TcpListener,
+    serve: impl Fn(&Rc<TrafficThread>, TcpStream, SocketAddr),
+) {
     let listener = match Async::new(listener) {
         Ok(listener) => listener,
         Err(error) => {
-            tracing::error!(%error, "the callers' listener can't be used");
+            tracing::error!(%error, "a listener can't be used");
             return;
         }
     };
     loop {
         match listener.accept().await {
-            Ok((stream, caller)) => {
-                serve_caller::<P>(&gateway, TcpStream::from(stream), caller);
-            }
+            Ok((stream, client)) => serve(&gateway, TcpStream::from(stream), client),
             // Accepting fails while no file descriptor is available; others may be released.
             Err(error) => {
                 tracing::warn!(%error, "failed to accept a connection");
@@ -102,17 +119,7 @@
         return;
     };
     let gateway = Rc::clone(gateway);
-    let connection = ConnectionContext {
-        executor: gateway.executor.clone(),
-        timers: gateway.timers.clone(),
-        limits: gateway.caller_limits(),
-        timeouts: gateway.connection_timeouts.clone(),
-        shutdown: match gateway.shared.drain_connections.is_closed() {
-            // A connection opened after the signal closes after its first response.
-            true => gateway.never_closed.clone(),
-            false => gateway.shared.drain_connections.clone(),
-        },
-    };
+    let connection = connection_context(&gateway, gateway.caller_limits());
     let executor = gateway.executor.clone();
     let serve = async move {
         let handler =
@@ -129,3 +136,44 @@
     };
     executor.spawn(serve).detach();
 }
+
+fn connection_context(gateway: &TrafficThread, limits: CallerLimits) -> ConnectionContext {
+    ConnectionContext {
+        executor: gateway.executor.clone(),
+        timers: gateway.timers.clone(),
+        limits,
+        timeouts: gateway.connection_timeouts.clone(),
+        shutdown: match gateway.shared.drain_connections.is_closed() {
+            // A connection opened after the signal closes after its first response.
+            true => gateway.never_closed.clone(),
+            false => gateway.shared.drain_connections.clone(),
+        },
+    }
+}
+
+/// Serves a connection of a daemon that can't reach endpoints itself; closes any other one.
+fn serve_peer<P: PlatformProtocol>(
+    gateway: &Rc<TrafficThread>,
+    stream: TcpStream,
+    peer: SocketAddr,
+) {
+    let view = gateway.shared.view.load();
+    let mut peers = view.peers.iter();
+    if !peers.any(|known| known.address.ip() == peer.ip()) {
+        tracing::warn!(%peer, "closed a connection of an unknown peer");
+        return;
+    }
+    // Shutdown waits for attempts of peers as for requests of callers.
+    let count_guard = CountGuard::new(&gateway.shared.connections);
+    let gateway = Rc::clone(gateway);
+    let connection = connection_context(&gateway, gateway.peer_limits());
+    let executor = gateway.executor.clone();
+    let serve = async move {
+        let handler = move |request| hop::serve_attempt::<P>(Rc::clone(&gateway), peer, request);
+        if let Err(error) = serve_connection(stream, &connection, handler).await {
+            tracing::debug!(%peer, %error, "connection of a peer ended");
+        }
+        drop(count_guard);
+    };
+    executor.spawn(serve).detach();
+}
--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -26,10 +26,16 @@
         body: Box<AnswerBody>,
         /// Completes at the request's deadline.
         deadline: Pin<Box<Sleep>>,
-        watch: AnswerWatch,
+        watch: Box<AnswerWatch>,
         /// Counts the request as in flight at the endpoint until the body is dropped.
         _guard: InFlightGuard,
     },
+    /// The response to an attempt for another daemon.
+    Hop {
+        body: Box<AnswerBody>,
+        /// Completes at the request's deadline.
+        deadline: Pin<Box<Sleep>>,
+    },
     /// A task that resumes a broken stream at another endpoint.
     Resumable {
         chunks: Pin<Box<Receiver<Result<Bytes, AnswerError>>>>,
@@ -44,6 +50,8 @@
     /// How the endpoint marked the end of the body; `None` for a response of this daemon.
     framing: Option<BodyFraming>,
     in_flight: Option<CountGuard>,
+    /// Counts an attempt for another daemon.
+    hop: Option<CountGuard>,
     request_log: Option<RequestLog>,
 }
 
@@ -53,6 +61,7 @@
             source,
             framing: None,
             in_flight: None,
+            hop: None,
             request_log: None,
         }
     }
@@ -82,6 +91,18 @@
         self
     }
 
+    /// Holds the in-flight count until the body is dropped.
+    pub(super) fn hold_in_flight(mut self, in_flight: CountGuard) -> Self {
+        self.in_flight = Some(in_flight);
+        self
+    }
+
+    /// Holds the count of attempts for other daemons until the body is dropped.
+    pub(super) fn hold_hop(mut self, hop: CountGuard) -> Self {
+        self.hop = Some(hop);
+        self
+    }
+
     /// Holds the in-flight count until a refusal is sent; writes the log line now.
     pub(super) fn hold_until_sent(
         mut self,
@@ -100,6 +121,22 @@
     }
 }
 
+type FramePoll = Poll<Option<Result<Frame<Bytes>, AnswerError>>>;
+
+/// Polls a body, which fails at the deadline; returns whether it did.
+fn poll_until(
+    body: &mut AnswerBody,
+    deadline: &mut Pin<Box<Sleep>>,
+    context: &mut Context<'_>,
+) -> (FramePoll, bool) {
+    let poll = Pin::new(body).poll_frame(context);
+    if poll.is_pending() && deadline.as_mut().poll(context).is_ready() {
+        let timed_out = AnswerError(ErrorKind::AnswerTimeout);
+        return (Poll::Ready(Some(Err(timed_out))), true);
+    }
+    (poll, false)
+}
+
 impl Body for GatewayBody {
     type Data = Bytes;
     type Error = AnswerError;
@@ -117,15 +154,14 @@
                 deadline,
                 watch,
                 ..
-            } => match Pin::new(body.as_mut()).poll_frame(context) {
-                Poll::Pending if deadline.as_mut().poll(context).is_ready() => {
-                    Poll::Ready(Some(Err(AnswerError(ErrorKind::AnswerTimeout))))
-                }
-                poll @ (Poll::Ready(_) | Poll::Pending) => {
+            } => {
+                let (poll, has_timed_out) = poll_until(body, deadline, context);
+                if !has_timed_out {
                     watch.observe_poll(&poll);
-                    poll
                 }
-            },
+                poll
+            }
+            BodySource::Hop { body, deadline } => poll_until(body, deadline, context).0,
             BodySource::Resumable { chunks, .. } => chunks
                 .as_mut()
                 .poll_next(context)
@@ -143,7 +179,9 @@
     fn is_end_stream(&self) -> bool {
         match &self.source {
             BodySource::Buffered(bytes) => bytes.is_none(),
-            BodySource::Endpoint { body, .. } => body.is_end_stream(),
+            BodySource::Endpoint { body, .. } | BodySource::Hop { body, .. } => {
+                body.is_end_stream()
+            }
             BodySource::Resumable { .. } => false,
         }
     }
@@ -153,7 +191,7 @@
             BodySource::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            BodySource::Endpoint { body, .. } => body.size_hint(),
+            BodySource::Endpoint { body, .. } | BodySource::Hop { body, .. } => body.size_hint(),
             BodySource::Resumable { .. } => SizeHint::default(),
         }
     }
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -3,8 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use arc_swap::Guard;
 use async_channel::{Receiver, Sender};
@@ -12,13 +14,13 @@
 use celeryknot_core::endpoint_updates::{EndpointUpdate, Observation};
 use celeryknot_core::{
     DurationMs, EndpointName, EndpointTag, ErrorKind, MonotonicMs, RatePerS, Refusal, RequestTag,
-    ServiceName, SoftwareVersion, Timers,
+    ServiceName, SizeBytes, SoftwareVersion, Timers,
 };
 use celeryknot_endpoints::ConnectionPool;
 use celeryknot_policy::direct::endpoint::PAUSE_MAX;
 use celeryknot_policy::direct::{
-    AttemptFailure, EndpointPool, Placement, PlacementRequest, PoolLimits, ReportedLoad,
-    RetryBounds, RetryShare, StreamVersions,
+    AttemptFailure, EndpointPaths, EndpointPool, Placement, PlacementRequest, PoolLimits,
+    ReportedLoad, RetryBounds, RetryShare, StreamVersions,
 };
 use celeryknot_policy::rate_limit::{FleetRateLimit, RateChange, RateStatement};
 use celeryknot_policy::routing::{RequestLimits, Service};
@@ -26,6 +28,7 @@
 
 use super::call::Call;
 use super::crash_watch::CrashTable;
+use super::hop::HopBackoffs;
 use super::shutdown::RouteTimes;
 use crate::platform_protocol::TakenUpStream;
 use crate::rate_log::log_rate_change;
@@ -42,6 +45,9 @@
 /// daemons learn late that its endpoint was delisted.
 const STREAM_AGE_MARGIN: DurationMs = DurationMs(5_000);
 
+/// Size of the fields that daemons add to requests.
+const HOP_FIELDS_SIZE_MAX: SizeBytes = SizeBytes(8 << 10);
+
 /// This daemon's state of one service.
 #[derive(Debug)]
 struct ServiceState {
@@ -71,6 +77,12 @@
     _never_closed_sender: Sender<Infallible>,
     /// The suspected and banned parts of prompts.
     pub(super) crash_table: CrashTable,
+    /// The endpoints that this daemon can't connect to.
+    pub(super) paths: RefCell<EndpointPaths>,
+    /// The peers that lately made no attempt for this daemon.
+    pub(super) hop_backoffs: RefCell<HopBackoffs>,
+    /// Attempts that this daemon makes for others.
+    pub(super) hops_in: Arc<AtomicU64>,
     /// Durations of answers, for requests that arrive during a shutdown.
     pub(super) route_times: RefCell<RouteTimes>,
     /// Closed when requests that still wait for an answer must end.
@@ -137,6 +149,9 @@
             never_closed,
             _never_closed_sender: never_sender,
             crash_table: CrashTable::default(),
+            paths: RefCell::default(),
+            hop_backoffs: RefCell::default(),
+            hops_in: Arc::default(),
             route_times: RefCell::default(),
             final_answers,
             _final_answers_sender: final_answers_sender,
@@ -191,6 +206,15 @@
         build_caller_limits(limits.unwrap_or_default())
     }
 
+    /// Returns the limits for a connection of a peer, which adds fields to requests of callers.
+    pub(crate) fn peer_limits(&self) -> CallerLimits {
+        let view = self.view();
+        let limits = view.table.as_ref().map(|table| *table.limits());
+        let mut limits = limits.unwrap_or_default();
+        limits.header_size_max_bytes.0 += HOP_FIELDS_SIZE_MAX.0;
+        build_caller_limits(limits)
+    }
+
     fn apply_view(&self, view: &View, bounds: &FleetBounds) {
         let mut services = self.services.borrow_mut();
         let Some(table) = &view.table else {
@@ -329,6 +353,34 @@
         state.is_some_and(|state| state.pool.accepts_requests(self.now(), endpoint))
     }
 
+    /// Returns an endpoint that accepts requests, by the current view.
+    pub(super) fn accepting_endpoint(
+        self: &Rc<Self>,
+        service: &ServiceName,
+        endpoint: &EndpointName,
+    ) -> Option<EndpointHandle> {
+        if !self.accepts_requests(service, endpoint) {
+            return None;
+        }
+        let services = self.services.borrow();
+        let address = services.get(service)?.pool.address_of(endpoint)?;
+        Some(EndpointHandle {
+            gateway: Rc::clone(self),
+            service: service.clone(),
+            name: endpoint.clone(),
+            address,
+        })
+    }
+
+    /// Forgets failures of an endpoint that may be due to the path to it, if peers may reach it.
+    pub(super) fn forgive_failures(&self, address: SocketAddr) {
+        if self.has_hop_peers() {
+            for state in self.services.borrow_mut().values_mut() {
+                state.pool.forgive_failures(address);
+            }
+        }
+    }
+
     /// Updates the gauge of the endpoints that state a rate limit.
     pub(crate) fn update_rate_limit_count(&self) {
         let now = self.now();
@@ -358,9 +410,12 @@
             self.report_to_peers(endpoint, Observation::HoldsPrompt { prompt });
         }
         let guard = InFlightGuard {
-            gateway: Rc::clone(self),
-            service: service.clone(),
-            endpoint: placement.endpoint.clone(),
+            endpoint: EndpointHandle {
+                gateway: Rc::clone(self),
+                service: service.clone(),
+                name: placement.endpoint.clone(),
+                address: placement.address,
+            },
             was_silent: Cell::new(false),
         };
         Ok((placement, guard))
@@ -406,29 +461,23 @@
         .build()
 }
 
-/// Counts a request as in flight at an endpoint until dropped.
-#[derive(Debug)]
-pub(crate) struct InFlightGuard {
-    gateway: Rc<TrafficThread>,
-    service: ServiceName,
-    endpoint: EndpointName,
-    /// Whether a silence of the endpoint has been recorded.
-    was_silent: Cell<bool>,
+/// An endpoint of a service, for recording what it does.
+#[derive(Debug, Clone)]
+pub(crate) struct EndpointHandle {
+    pub(crate) gateway: Rc<TrafficThread>,
+    pub(crate) service: ServiceName,
+    pub(crate) name: EndpointName,
+    pub(crate) address: SocketAddr,
 }
 
-impl InFlightGuard {
-    /// Returns the endpoint at which the request counts.
-    pub(crate) fn endpoint(&self) -> &EndpointName {
-        &self.endpoint
-    }
-
+impl EndpointHandle {
     pub(crate) fn observe_load(&self, load: ReportedLoad) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
-            pool.observe_load(now, &self.endpoint, load);
+            pool.observe_load(now, &self.name, load);
         });
         let held = load.running + load.waiting;
-        let endpoint = EndpointTag::new(&self.endpoint);
+        let endpoint = EndpointTag::new(&self.name);
         self.gateway
             .report_to_peers(endpoint, Observation::Load { held });
     }
@@ -442,12 +491,12 @@
         };
         let mut change = RateChange::Unchanged;
         self.gateway.with_pool(&self.service, |pool| {
-            change = pool.observe_rate_statement(&self.endpoint, statement);
+            change = pool.observe_rate_statement(&self.name, statement);
         });
-        log_rate_change(&self.endpoint, rate, change);
+        log_rate_change(&self.name, rate, change);
         if change != RateChange::Unchanged {
             self.gateway.send_update(EndpointUpdate {
-                endpoint: EndpointTag::new(&self.endpoint),
+                endpoint: EndpointTag::new(&self.name),
                 observation: Observation::RateLimit { rate },
                 at: sent_at,
             });
@@ -458,12 +507,12 @@
     pub(crate) fn observe_leaving(&self, sent_at: MonotonicMs, request_id: &str) {
         let mut is_new = false;
         self.gateway.with_pool(&self.service, |pool| {
-            is_new = pool.observe_leaving(sent_at, &self.endpoint);
+            is_new = pool.observe_leaving(sent_at, &self.name);
         });
         if is_new {
-            log_leaving(&self.endpoint, Some(request_id));
+            log_leaving(&self.name, Some(request_id));
             self.gateway.send_update(EndpointUpdate {
-                endpoint: EndpointTag::new(&self.endpoint),
+                endpoint: EndpointTag::new(&self.name),
                 observation: Observation::Leaving,
                 at: sent_at,
             });
@@ -479,46 +528,89 @@
     ) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
-            pool.observe_pause(now, sent_at, &self.endpoint, pause_ms);
+            pool.observe_pause(now, sent_at, &self.name, pause_ms);
         });
         self.gateway.shared.metrics.pauses.inc();
-        log_pause(&self.endpoint, pause_ms, request_id);
+        log_pause(&self.name, pause_ms, request_id);
     }
 
     pub(crate) fn observe_success(&self) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
-            pool.observe_success(now, &self.endpoint);
+            pool.observe_success(now, &self.name);
         });
     }
 
-    /// Records that the endpoint was silent; further silences during the request count as one.
-    pub(crate) fn observe_silence(&self) {
-        if !self.was_silent.replace(true) {
-            self.observe_failure(AttemptFailure::Unanswered);
-        }
-    }
-
     pub(crate) fn observe_failure(&self, failure: AttemptFailure) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
-            pool.observe_failure(now, &self.endpoint, failure);
+            pool.observe_failure(now, &self.name, failure);
         });
-        if failure.is_unreachable() {
-            let endpoint = EndpointTag::new(&self.endpoint);
-            self.gateway
-                .report_to_peers(endpoint, Observation::Unreachable);
+        // A daemon that can't connect doesn't know whether others can, unless it asks one.
+        let is_doubtful = failure == AttemptFailure::NotSent && self.gateway.has_hop_peers();
+        if failure.is_unreachable() && !is_doubtful {
+            self.report_unreachable();
+        }
+    }
+
+    /// Reports to peers that the endpoint can't be reached.
+    pub(crate) fn report_unreachable(&self) {
+        let endpoint = EndpointTag::new(&self.name);
+        self.gateway
+            .report_to_peers(endpoint, Observation::Unreachable);
+    }
+}
+
+/// Counts a request as in flight at an endpoint until dropped.
+#[derive(Debug)]
+pub(crate) struct InFlightGuard {
+    endpoint: EndpointHandle,
+    /// Whether a silence of the endpoint has been recorded.
+    was_silent: Cell<bool>,
+}
+
+impl InFlightGuard {
+    /// Returns the endpoint at which the request counts.
+    pub(crate) fn handle(&self) -> &EndpointHandle {
+        &self.endpoint
+    }
+
+    /// Returns the name of the endpoint at which the request counts.
+    pub(crate) fn endpoint(&self) -> &EndpointName {
+        &self.endpoint.name
+    }
+
+    pub(crate) fn observe_success(&self) {
+        self.endpoint.observe_success();
+    }
+
+    pub(crate) fn observe_failure(&self, failure: AttemptFailure) {
+        self.endpoint.observe_failure(failure);
+    }
+
+    /// Records that the endpoint was silent; further silences during the request count as one.
+    pub(crate) fn observe_silence(&self) {
+        if !self.was_silent.replace(true) {
+            self.observe_failure(AttemptFailure::Unanswered);
+            // The endpoint may be out of reach for this daemon alone.
+            self.endpoint.gateway.spawn_probe(self.endpoint.address);
         }
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.gateway.with_pool(&self.service, |pool| {
-            pool.finish(&self.endpoint);
-            self.gateway.send_to_control(TrafficUpdate::InFlight {
-                endpoint: EndpointTag::new(&self.endpoint),
-                count: pool.in_flight(&self.endpoint),
+        let EndpointHandle {
+            gateway,
+            service,
+            name,
+            ..
+        } = &self.endpoint;
+        gateway.with_pool(service, |pool| {
+            pool.finish(name);
+            gateway.send_to_control(TrafficUpdate::InFlight {
+                endpoint: EndpointTag::new(name),
+                count: pool.in_flight(name),
             });
         });
     }
--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -11,7 +11,7 @@
 use celeryknot_core::{
     EndpointName, EndpointTag, ErrorKind, MonotonicMs, Refusal, RequestTag, ServiceName, SuspectTag,
 };
-use celeryknot_endpoints::{AnswerError, is_running};
+use celeryknot_endpoints::AnswerError;
 use celeryknot_policy::direct::{
     CrashFinding, CrashSuspects, CrashVerdict, Placement, Prompt, RequestVerdict, runs_trials_of,
 };
@@ -279,13 +279,17 @@
         let gateway = Rc::clone(&self.gateway);
         let (request_id, endpoint) = (self.request_id.clone(), self.endpoint.clone());
         let (address, request) = (self.address, self.request);
+        let service = self.service.clone();
         let may_be_crash = may_be_cause && self.is_expected_to_run();
         async move {
             if !may_be_crash {
                 return None;
             }
             let at = gateway.now();
-            if is_running(address, &gateway.timers).await {
+            if gateway
+                .is_endpoint_running(&service, &endpoint, address)
+                .await
+            {
                 return None;
             }
             Some(gateway.record_crash(at, &request_id, &endpoint, &parts, request))
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -4,20 +4,22 @@
 
 use celeryknot_callers::hop_by_hop;
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal, SoftwareVersion, SuspectTag};
-use celeryknot_endpoints::EndpointConnection;
 use celeryknot_policy::direct::{
     AttemptFailure, AttemptHistory, Placement, PlacementRequest, Prompt,
 };
 use futures_lite::future;
-use http::{HeaderName, Response, header};
+use http::{HeaderMap, HeaderName, Response, header};
 use smallvec::SmallVec;
 
 use super::body::{BodySource, GatewayBody};
 use super::call::Call;
 use super::context::{InFlightGuard, TrafficThread};
 use super::crash_watch::AnswerWatch;
+use super::hop::{self, HopBackoffKind};
 use super::resume;
-use super::send::{AttemptProgress, EndpointResponse, connect, read_buffered, send, with_timeout};
+use super::send::{
+    AttemptProgress, EndpointResponse, Reached, reach, read_buffered, send, with_timeout,
+};
 use super::shutdown::draining_refusal;
 use crate::platform_protocol::PlatformProtocol;
 
@@ -62,8 +64,8 @@
 pub(super) struct PlacedAttempt {
     placement: Placement,
     guard: InFlightGuard,
-    /// The connection to use, if it is already open.
-    connection: Option<EndpointConnection>,
+    /// How the endpoint is reached, if that is known.
+    reached: Option<Reached>,
 }
 
 /// The final response to a request.
@@ -264,8 +266,8 @@
         let failure = AttemptFailure::Unanswered;
         while self.history.may_retry_after(failure) && self.has_retry() {
             let mut placed = self.place().ok()?;
-            match connect(&self.gateway, &self.call, &placed.placement).await {
-                Ok(connection) => placed.connection = Some(connection),
+            match self.reach_certainly(&placed.placement).await {
+                Ok(reached) => placed.reached = Some(reached),
                 Err(failure) => {
                     placed.guard.observe_failure(failure);
                     self.log_failure(&placed.placement, failure);
@@ -282,9 +284,24 @@
         None
     }
 
+    /// Finds out how an endpoint is reached; by other daemons only if one can connect to it.
+    async fn reach_certainly(&self, placement: &Placement) -> Result<Reached, AttemptFailure> {
+        let reached = reach(&self.gateway, &self.call, placement).await?;
+        let service = &self.call.service;
+        match reached {
+            Reached::ThroughPeers
+                if !hop::is_running(&self.gateway, service, &placement.endpoint).await =>
+            {
+                Err(AttemptFailure::NotSent)
+            }
+            Reached::Directly(_) | Reached::ThroughPeers => Ok(reached),
+        }
+    }
+
     fn record_failure(&mut self, failure: AttemptFailure) {
         self.history.record_failure(failure);
         self.progress.may_have_been_sent.set(false);
+        self.progress.hop_peer.set(None);
     }
 
     /// Returns whether the remaining time and the budget allow a retry.
@@ -376,7 +393,7 @@
         Ok(PlacedAttempt {
             placement,
             guard,
-            connection: None,
+            reached: None,
         })
     }
 
@@ -420,7 +437,7 @@
         let PlacedAttempt {
             placement,
             guard,
-            connection,
+            reached,
         } = placed;
         self.log_placement(&placement);
         self.tried.push(placement.endpoint.clone());
@@ -432,7 +449,7 @@
             &call,
             &placement,
             &guard,
-            connection,
+            reached,
             &progress,
             last_event_id,
         );
@@ -440,8 +457,7 @@
         let replaced = async {
             gateway.timers.after(silence_ms).await;
             guard.observe_silence();
-            // If one connection went silent, the others to the endpoint may have too.
-            gateway.connections.close_idle_to(placement.address);
+            self.avoid_silent_connections(&placement);
             let endpoint = &placement.endpoint;
             Err(self.replace_silent_attempt(endpoint, silence_ms).await)
         };
@@ -459,7 +475,7 @@
                     || failure == AttemptFailure::ConnectionLost
                 {
                     guard.observe_silence();
-                    gateway.connections.close_idle_to(placement.address);
+                    self.avoid_silent_connections(&placement);
                 } else {
                     guard.observe_failure(failure);
                 }
@@ -479,6 +495,16 @@
         }
     }
 
+    /// Uses no more idle connections to where an attempt was silent or lost: if one connection
+    /// failed, the others may have too.
+    fn avoid_silent_connections(&self, placement: &Placement) {
+        match self.progress.hop_peer.get() {
+            // The peer or the endpoint was silent.
+            Some(peer) => self.gateway.avoid_hop_peer(peer, HopBackoffKind::AskLast),
+            None => self.gateway.connections.close_idle_to(placement.address),
+        }
+    }
+
     /// Checks whether the request crashed its endpoint; waits for that only if it may be retried.
     async fn check_lost_connection(&mut self, watch: &AnswerWatch) {
         let check = watch.check_lost_connection();
@@ -603,7 +629,7 @@
     let source = BodySource::Endpoint {
         body: Box::new(endpoint_response.body),
         deadline: Box::pin(deadline),
-        watch: endpoint_response.watch,
+        watch: Box::new(endpoint_response.watch),
         _guard: endpoint_response.guard,
     };
     let body = GatewayBody::new(source).with_framing(framing);
@@ -615,8 +641,13 @@
 /// Removes the headers that apply only to the endpoint's connection.
 pub(super) fn strip_response_headers<P: PlatformProtocol>(response: &mut Response<GatewayBody>) {
     let headers = response.headers_mut();
+    strip_connection_response_headers(headers);
+    P::strip_answer(headers);
+}
+
+/// Removes the same, but not what an endpoint tells daemons.
+pub(super) fn strip_connection_response_headers(headers: &mut HeaderMap) {
     hop_by_hop::strip(headers);
     headers.remove(HeaderName::from_static("keep-alive"));
     headers.remove(header::CONTENT_LENGTH);
-    P::strip_answer(headers);
 }
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -1,34 +1,31 @@
 //! One attempt to send a request to an endpoint, up to the head of its response.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use celeryknot_core::{DurationMs, ErrorKind, MonotonicMs, SizeBytes, SoftwareVersion};
 use celeryknot_endpoints::{
     AnswerBody, EndpointConnection, ExchangeError, IdleTimeout, PoolEntry, RateLimitField,
-    ReceivedBody, exchange,
+    ReceivedBody, RequestBody, exchange,
 };
 use celeryknot_policy::direct::{AttemptFailure, Placement};
 use futures_lite::future;
-use http::{Response, response};
+use http::{Request, Response, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use super::call::Call;
-use super::context::{InFlightGuard, TrafficThread};
+use super::context::{EndpointHandle, InFlightGuard, TrafficThread};
 use super::crash_watch::AnswerWatch;
+use super::hop;
 use crate::platform_protocol::{AnswerHead, PauseField, PlatformProtocol};
 use crate::rate_log::log_malformed_rate;
 
-/// Timeout for opening a connection to an endpoint.
-///
-/// Many times the latency between two zones; after a lost packet, another endpoint is tried.
-const CONNECT_TIMEOUT: DurationMs = DurationMs(400);
-
 /// Longest idle time of a connection reused for a request that must not run twice.
 ///
 /// If the endpoint closes the idle connection at that moment, the outcome is unknown.
-const IDLE_MAX_NON_IDEMPOTENT: DurationMs = DurationMs(5_000);
+pub(super) const IDLE_MAX_NON_IDEMPOTENT: DurationMs = DurationMs(5_000);
 
 /// Longest idle time of a connection reused for other requests.
 const IDLE_MAX: DurationMs = DurationMs(10_000);
@@ -58,6 +55,27 @@
 pub(super) struct AttemptProgress {
     /// Whether bytes of the request may have reached an endpoint.
     pub(super) may_have_been_sent: Cell<bool>,
+    /// The peer that makes the attempt, if one does.
+    pub(super) hop_peer: Cell<Option<SocketAddr>>,
+}
+
+/// How an endpoint is reached.
+#[derive(Debug)]
+pub(super) enum Reached {
+    /// On this connection to it.
+    Directly(EndpointConnection),
+    /// By other daemons alone.
+    ThroughPeers,
+}
+
+/// The connection on which a response arrives.
+#[derive(Debug)]
+pub(super) struct ResponseConnection {
+    pub(super) connection: EndpointConnection,
+    /// The address that the connection is to: the endpoint's, or that of a peer.
+    pub(super) address: SocketAddr,
+    /// Whether an earlier request was sent on the endpoint's connection.
+    pub(super) is_reused: bool,
 }
 
 /// Sends a request and waits for the head of its response.
@@ -68,58 +86,64 @@
     call: &Call,
     placement: &Placement,
     guard: &InFlightGuard,
-    connection: Option<EndpointConnection>,
+    reached: Option<Reached>,
     progress: &AttemptProgress,
     last_event_id: Option<&str>,
 ) -> Result<(response::Parts, AnswerBody), AttemptFailure> {
-    let connection = match connection {
-        Some(connection) => connection,
-        None => connect(gateway, call, placement).await?,
+    let reached = match reached {
+        Some(reached) => reached,
+        None => reach(gateway, call, placement).await?,
     };
     let sent_at = gateway.now();
-    let (connection, answer) = try_send::<P>(
-        gateway,
-        call,
-        placement,
-        connection,
-        progress,
-        last_event_id,
-    )
-    .await?;
-    check_response::<P>(gateway, call, placement, guard, connection, answer, sent_at)
+    let (connection, answer) = match reached {
+        Reached::Directly(connection) => {
+            let remaining_ms = call.deadline - gateway.now();
+            let request = call.request::<P>(placement, remaining_ms, last_event_id);
+            try_send(connection, placement.address, request, progress).await?
+        }
+        Reached::ThroughPeers => {
+            hop::send::<P>(gateway, call, placement, guard, progress, last_event_id).await?
+        }
+    };
+    check_response::<P>(gateway, call, guard, connection, answer, sent_at)
 }
 
 /// Takes an idle connection to an endpoint or opens one; sends nothing.
-pub(super) async fn connect(
+///
+/// If the endpoint can't be reached directly, other daemons may reach it.
+pub(super) async fn reach(
     gateway: &TrafficThread,
     call: &Call,
     placement: &Placement,
-) -> Result<EndpointConnection, AttemptFailure> {
+) -> Result<Reached, AttemptFailure> {
     let idle_max = match call.route.kind.is_repeatable() {
         true => IDLE_MAX,
         false => IDLE_MAX_NON_IDEMPOTENT,
     };
-    if let Some(connection) = gateway.connections.take(placement.address, idle_max).await {
-        return Ok(connection);
+    match gateway.connect(placement.address, idle_max).await {
+        Some(connection) => Ok(Reached::Directly(connection)),
+        None if gateway.has_hop_peers() => Ok(Reached::ThroughPeers),
+        None => Err(AttemptFailure::NotSent),
     }
-    EndpointConnection::open(placement.address, CONNECT_TIMEOUT, &gateway.timers)
-        .await
-        .map_err(|_| AttemptFailure::NotSent)
 }
 
-async fn try_send<P: PlatformProtocol>(
-    gateway: &TrafficThread,
-    call: &Call,
-    placement: &Placement,
+/// Sends a request on a connection to an endpoint or a peer.
+pub(super) async fn try_send(
     mut connection: EndpointConnection,
+    address: SocketAddr,
+    request: Request<RequestBody>,
     progress: &AttemptProgress,
-    last_event_id: Option<&str>,
-) -> Result<(EndpointConnection, Response<Incoming>), AttemptFailure> {
-    let remaining_ms = call.deadline - gateway.now();
-    let request = call.request::<P>(placement, remaining_ms, last_event_id);
+) -> Result<(ResponseConnection, Response<Incoming>), AttemptFailure> {
     progress.may_have_been_sent.set(true);
     match exchange(&mut connection, request).await {
-        Ok(answer) => Ok((connection, answer)),
+        Ok(answer) => {
+            let connection = ResponseConnection {
+                is_reused: connection.is_reused(),
+                connection,
+                address,
+            };
+            Ok((connection, answer))
+        }
         Err(ExchangeError::NotSent) => {
             progress.may_have_been_sent.set(false);
             Err(AttemptFailure::NotSent)
@@ -131,23 +155,22 @@
 fn check_response<P: PlatformProtocol>(
     gateway: &TrafficThread,
     call: &Call,
-    placement: &Placement,
     guard: &InFlightGuard,
-    connection: EndpointConnection,
+    connection: ResponseConnection,
     answer: Response<Incoming>,
     sent_at: MonotonicMs,
 ) -> Result<(response::Parts, AnswerBody), AttemptFailure> {
-    let is_reused = connection.is_reused();
+    let ResponseConnection {
+        connection,
+        address,
+        is_reused,
+    } = connection;
     let (head, mut received) = ReceivedBody::split(&call.method, answer, connection);
     let answer_head = P::read_answer(&head);
-    if let Some(load) = answer_head.load {
-        guard.observe_load(load);
+    observe_answer(guard.handle(), &call.head.request_id, sent_at, &answer_head);
+    if address == guard.handle().address {
+        gateway.observe_direct_answer(address);
     }
-    observe_rate_limit(gateway, call, guard, sent_at, &answer_head);
-    if answer_head.is_leaving && !is_mismatched(call, &answer_head) {
-        guard.observe_leaving(sent_at, &call.head.request_id);
-    }
-    observe_pause(gateway, call, guard, sent_at, &answer_head);
     let idle_max = answer_head
         .keep_alive_ms
         .map(|keep_alive_ms| DurationMs(keep_alive_ms.0.saturating_sub(KEEP_ALIVE_MARGIN.0)));
@@ -157,14 +180,40 @@
     if let Some(failure) = classify_failure(call, &head, &answer_head, is_reused) {
         return Err(failure);
     }
+    let body = receive_body(gateway, received, address, call.deadline);
+    Ok((head, body))
+}
+
+/// Builds the body of a response whose connection is reused after its end.
+pub(super) fn receive_body(
+    gateway: &TrafficThread,
+    received: ReceivedBody,
+    address: SocketAddr,
+    deadline: MonotonicMs,
+) -> AnswerBody {
     let pool_entry = Some(PoolEntry {
         connections: gateway.connections.clone(),
-        address: placement.address,
+        address,
     });
-    let idle_timeout_ms = call.deadline - gateway.now();
-    let idle_timeout = IdleTimeout::new(gateway.timers.clone(), idle_timeout_ms);
-    let body = AnswerBody::new(received, pool_entry, ANSWER_SIZE_MAX, idle_timeout);
-    Ok((head, body))
+    let idle_timeout = IdleTimeout::new(gateway.timers.clone(), deadline - gateway.now());
+    AnswerBody::new(received, pool_entry, ANSWER_SIZE_MAX, idle_timeout)
+}
+
+/// Applies what a response to a request states about its endpoint.
+pub(super) fn observe_answer(
+    endpoint: &EndpointHandle,
+    request_id: &str,
+    sent_at: MonotonicMs,
+    answer_head: &AnswerHead,
+) {
+    if let Some(load) = answer_head.load {
+        endpoint.observe_load(load);
+    }
+    observe_rate_limit(endpoint, request_id, sent_at, answer_head);
+    if answer_head.is_leaving && !is_mismatched(request_id, answer_head) {
+        endpoint.observe_leaving(sent_at, request_id);
+    }
+    observe_pause(endpoint, request_id, sent_at, answer_head);
 }
 
 /// Applies what a response states about its endpoint's rate limit.
@@ -172,50 +221,50 @@
 /// Only a response to this request says when its endpoint stated that, and only a signed one that
 /// the endpoint states no limit.
 fn observe_rate_limit(
-    gateway: &TrafficThread,
-    call: &Call,
-    guard: &InFlightGuard,
+    endpoint: &EndpointHandle,
+    request_id: &str,
     sent_at: MonotonicMs,
     answer_head: &AnswerHead,
 ) {
-    let is_of_another = answer_head.is_misdirected || is_mismatched(call, answer_head);
+    let is_of_another = answer_head.is_misdirected || is_mismatched(request_id, answer_head);
     match answer_head.rate_limit {
         _ if is_of_another => {}
-        RateLimitField::Absent if answer_head.is_signed => guard.observe_rate_limit(sent_at, None),
+        RateLimitField::Absent if answer_head.is_signed => {
+            endpoint.observe_rate_limit(sent_at, None)
+        }
         RateLimitField::Absent => {}
-        RateLimitField::Limit(rate) => guard.observe_rate_limit(sent_at, Some(rate)),
+        RateLimitField::Limit(rate) => endpoint.observe_rate_limit(sent_at, Some(rate)),
         RateLimitField::Malformed => {
-            gateway.shared.metrics.rate_limits_malformed.inc();
-            log_malformed_rate(guard.endpoint(), &call.head.request_id);
+            let metrics = &endpoint.gateway.shared.metrics;
+            metrics.rate_limits_malformed.inc();
+            log_malformed_rate(&endpoint.name, request_id);
         }
     }
 }
 
 /// Applies the time for which an endpoint asks for no further requests.
 fn observe_pause(
-    gateway: &TrafficThread,
-    call: &Call,
-    guard: &InFlightGuard,
+    endpoint: &EndpointHandle,
+    request_id: &str,
     sent_at: MonotonicMs,
     answer_head: &AnswerHead,
 ) {
-    let request_id = &call.head.request_id;
     match answer_head.pause {
-        _ if is_mismatched(call, answer_head) => {}
+        _ if is_mismatched(request_id, answer_head) => {}
         PauseField::Absent => {}
-        PauseField::For(pause_ms) => guard.observe_pause(sent_at, pause_ms, request_id),
+        PauseField::For(pause_ms) => endpoint.observe_pause(sent_at, pause_ms, request_id),
         PauseField::Malformed => {
-            gateway.shared.metrics.pauses_malformed.inc();
-            let endpoint = guard.endpoint();
+            endpoint.gateway.shared.metrics.pauses_malformed.inc();
+            let endpoint = &endpoint.name;
             tracing::warn!(request_id, %endpoint, "endpoint asks for a pause that can't be read");
         }
     }
 }
 
 /// Returns whether a response belongs to another request.
-fn is_mismatched(call: &Call, answer_head: &AnswerHead) -> bool {
+fn is_mismatched(request_id: &str, answer_head: &AnswerHead) -> bool {
     let echoed_id = answer_head.request_id.as_deref();
-    echoed_id.is_some_and(|echoed_id| echoed_id != call.head.request_id)
+    echoed_id.is_some_and(|echoed_id| echoed_id != request_id)
 }
 
 /// Returns the failure that a response represents, or `None` if it can be the final response.
@@ -229,7 +278,7 @@
 ) -> Option<AttemptFailure> {
     let is_refusal = answer_head.is_misdirected || answer_head.is_not_executed;
     let is_unassigned = is_refusal && is_reused && answer_head.request_id.is_none();
-    if is_mismatched(call, answer_head) || is_unassigned {
+    if is_mismatched(&call.head.request_id, answer_head) || is_unassigned {
         return Some(AttemptFailure::Mismatched);
     }
     if answer_head.is_misdirected {
--- a/crates/celeryknot_operators/src/metrics/gateway.rs
+++ b/crates/celeryknot_operators/src/metrics/gateway.rs
@@ -28,6 +28,9 @@
     attempt_failures: IntCounterVec,
     first_byte_ms: Histogram,
     request_ms: Histogram,
+    hops: IntCounterVec,
+    /// Times that an endpoint began to accept no connection of this daemon.
+    pub paths_broken: IntCounter,
     /// Received requests of callers.
     pub requests: IntCounter,
     /// Retries that the retry budget of the fleet denied.
@@ -86,6 +89,8 @@
             attempt_failures: counters("celeryknot_gateway_send_failures_total"),
             first_byte_ms: histogram("celeryknot_gateway_first_byte_ms"),
             request_ms: histogram("celeryknot_gateway_request_ms"),
+            hops: counters("celeryknot_gateway_hops_total"),
+            paths_broken: counter("celeryknot_gateway_paths_broken_total"),
             requests: counter("celeryknot_gateway_requests_total"),
             retries_denied: counter("celeryknot_gateway_sends_denied_total"),
             resumes: counter("celeryknot_gateway_resumes_total"),
@@ -126,6 +131,11 @@
         self.attempt_failures.with_label_values(&[failure]).inc();
     }
 
+    /// Counts an attempt that a peer was asked to make, by outcome.
+    pub fn count_hop(&self, outcome: &'static str) {
+        self.hops.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a call of the store, by outcome.
     pub fn count_store_call(&self, outcome: &'static str) {
         self.store_calls.with_label_values(&[outcome]).inc();
--- a/crates/celeryknot_operators/src/metrics/spec.rs
+++ b/crates/celeryknot_operators/src/metrics/spec.rs
@@ -132,6 +132,8 @@
     counter("celeryknot_gateway_rate_limits_malformed_total", &[], "Rate limits stated by endpoints that could not be read."),
     counter("celeryknot_gateway_pauses_total", &[], "Refusals in which endpoints asked for no requests for a time."),
     counter("celeryknot_gateway_pauses_malformed_total", &[], "The same with a time that could not be read."),
+    counter("celeryknot_gateway_hops_total", &["outcome"], "Attempts that a peer was asked to make, by whether it made them or why not."),
+    counter("celeryknot_gateway_paths_broken_total", &[], "Times that an endpoint began to accept no connection of this daemon."),
     counter("celeryknot_gateway_store_calls_total", &["outcome"], "Calls of the platform's store, by outcome."),
     gauge("celeryknot_gateway_log_lines_dropped", &[], "Log lines that were dropped because their reader was too slow."),
     gauge("celeryknot_gateway_connections", &[], "Open connections of callers."),
--- a/crates/celeryknot_operators/tests/metrics.rs
+++ b/crates/celeryknot_operators/tests/metrics.rs
@@ -51,6 +51,7 @@
     metrics.refused(ErrorKind::NoEndpoint);
     metrics.placed("first");
     metrics.count_failed_attempt("refused");
+    metrics.count_hop("made");
     metrics.count_store_call("failed");
     let text = metrics.render();
     let exposed = text.lines().filter(|line| line.starts_with("# TYPE "));
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -294,6 +294,12 @@
         self.ejected_until = now + DurationMs(ejection_ms.min(EJECTION_MAX.0));
     }
 
+    /// Forgets the failures of this daemon's requests.
+    pub(crate) fn forgive_failures(&mut self) {
+        self.consecutive_failures = 0;
+        self.ejected_until = MonotonicMs(0);
+    }
+
     /// Returns whether the endpoint is ejected, for failures seen here or reported by a peer.
     pub(crate) fn is_ejected(&self, now: MonotonicMs) -> bool {
         now < self.ejected_until || self.is_suspect(now)
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -689,6 +689,20 @@
         Some(&state.listed.version)
     }
 
+    /// Forgets the failures of the endpoint at an address.
+    pub fn forgive_failures(&mut self, address: SocketAddr) {
+        let mut states = self.endpoints.values_mut();
+        if let Some(state) = states.find(|state| state.listed.address == address) {
+            state.forgive_failures();
+        }
+    }
+
+    /// Returns the address of an endpoint, if it is listed.
+    pub fn address_of(&self, endpoint: &EndpointName) -> Option<SocketAddr> {
+        let state = self.endpoints.get(endpoint)?;
+        Some(state.listed.address)
+    }
+
     /// Returns the number of requests that this daemon has in flight at an endpoint.
     pub fn in_flight(&self, endpoint: &EndpointName) -> u32 {
         self.endpoints
--- a/crates/celeryknotd/src/traffic/hop.rs
+++ b/crates/celeryknotd/src/traffic/hop.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use celeryknot_callers::response_end::UnverifiedEnd;
+use celeryknot_core::header::{ENDPOINT, HOP, SERVICE};
 use celeryknot_core::keyed_hash::{AUTH_CODE_LEN_BYTES, KeyRing};
 use celeryknot_core::{
     DurationMs, ErrorKind, Incarnation, MemberName, MonotonicMs, Refusal, RequestId, ServiceName,
@@ -21,11 +22,7 @@
 #[cfg(test)]
 mod tests;
 
-/// Carries the [`HopKind`].
-const HOP: &str = "celeryknot-hop";
-const ENDPOINT: &str = "celeryknot-endpoint";
 const TEAM: &str = "celeryknot-team";
-const SERVICE: &str = "celeryknot-service";
 const WEIGHT: &str = "celeryknot-weight";
 const SAFETY: &str = "celeryknot-safety";
 const IS_CHAT: &str = "celeryknot-is-chat";
