Let the retry budget pay only for requests that reached an endpoint

Cause: a retry was taken from the budget after every failure. The budget bounds what endpoints get beyond the first arrival of each request, and an attempt that was not sent is none.

Change: the history of a request counts arrivals and payments; a payment is due while there are more arrivals than payments. A retry that was paid for and reached no endpoint pays for the next one.

--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -224,7 +224,8 @@
         failure: AttemptFailure,
     ) -> Result<PlacedAttempt, Refusal> {
         self.record_failure(failure);
-        if self.may_crash_endpoints || !self.history.may_retry() || !self.has_retry() {
+        let is_due = self.history.is_payment_due();
+        if self.may_crash_endpoints || !self.history.may_retry() || !self.has_retry(is_due) {
             return Err(self.refuse(failure));
         }
         let placed = self.place().or_else(|_| {
@@ -234,12 +235,24 @@
             self.place()
         });
         let placed = placed.map_err(|_| self.refuse(failure))?;
-        match self.gateway.try_take_retry(&self.call.service) {
+        match self.try_pay(is_due) {
             true => Ok(placed),
             false => Err(self.refuse(failure)),
         }
     }
 
+    /// Has the retry budget pay for another attempt, if one is due.
+    fn try_pay(&mut self, is_due: bool) -> bool {
+        if !is_due {
+            return true;
+        }
+        let is_paid = self.gateway.try_take_retry(&self.call.service);
+        if is_paid {
+            self.history.record_payment();
+        }
+        is_paid
+    }
+
     /// Waits until the attempt at `endpoint`, silent for `silence_ms`, can be replaced.
     ///
     /// The silent attempt keeps running meanwhile, and must be canceled before the next one is
@@ -264,7 +277,8 @@
         let unreachable = std::mem::take(&mut self.unreachable);
         self.tried.retain(|name| !unreachable.contains(name));
         let failure = AttemptFailure::Unanswered;
-        while self.history.may_retry_after(failure) && self.has_retry() {
+        let is_due = self.history.is_payment_due_after(failure);
+        while self.history.may_retry_after(failure) && self.has_retry(is_due) {
             let mut placed = self.place().ok()?;
             match self.reach_certainly(&placed.placement).await {
                 Ok(reached) => placed.reached = Some(reached),
@@ -276,7 +290,7 @@
                     continue;
                 }
             }
-            if self.gateway.try_take_retry(&self.call.service) {
+            if self.try_pay(is_due) {
                 self.record_failure(failure);
                 return Some(placed);
             }
@@ -304,12 +318,12 @@
         self.progress.hop_peer.set(None);
     }
 
-    /// Returns whether the remaining time and the budget allow a retry.
-    fn has_retry(&self) -> bool {
+    /// Returns whether the remaining time allows a retry, and the budget if it must pay.
+    fn has_retry(&self, is_due: bool) -> bool {
         if self.remaining_ms() <= RETRY_TIME_MIN {
             return false;
         }
-        let has_retry = self.gateway.has_retry(&self.call.service);
+        let has_retry = !is_due || self.gateway.has_retry(&self.call.service);
         if !has_retry {
             self.gateway.shared.metrics.retries_denied.inc();
             tracing::info!(
--- a/crates/celeryknot_policy/src/direct/attempt_history.rs
+++ b/crates/celeryknot_policy/src/direct/attempt_history.rs
@@ -84,6 +84,10 @@
     attempts_max: u32,
     maybe_run: u32,
     not_run: u32,
+    /// Attempts that reached an endpoint.
+    arrivals: u32,
+    /// Attempts for which the retry budget has paid.
+    paid: u32,
 }
 
 impl AttemptHistory {
@@ -94,6 +98,8 @@
             attempts_max: attempts_max.max(1),
             maybe_run: 0,
             not_run: 0,
+            arrivals: 0,
+            paid: 0,
         }
     }
 
@@ -104,6 +110,42 @@
         } else {
             self.not_run += 1;
         }
+        self.arrivals += u32::from(failure != AttemptFailure::NotSent);
+    }
+
+    /// Records that the retry budget pays for another attempt.
+    pub fn record_payment(&mut self) {
+        self.paid += 1;
+    }
+
+    /// Returns whether the retry budget must pay for another attempt, if one that is still running
+    /// failed now.
+    ///
+    /// The first that reaches an endpoint is free, and so is one after another that was paid for and
+    /// reached none.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_policy::direct::{AttemptFailure, AttemptHistory};
+    /// use celeryknot_policy::routing::RouteKind;
+    ///
+    /// let mut history = AttemptHistory::new(RouteKind::Idempotent, 2);
+    /// assert!(!history.is_payment_due_after(AttemptFailure::NotSent));
+    /// history.record_failure(AttemptFailure::Refused);
+    /// assert!(history.is_payment_due());
+    /// history.record_payment();
+    /// assert!(!history.is_payment_due_after(AttemptFailure::NotSent));
+    /// ```
+    pub fn is_payment_due_after(&self, failure: AttemptFailure) -> bool {
+        let mut history = self.clone();
+        history.record_failure(failure);
+        history.is_payment_due()
+    }
+
+    /// Returns whether the retry budget must pay for another attempt.
+    pub fn is_payment_due(&self) -> bool {
+        self.arrivals > self.paid
     }
 
     /// Returns the number of failed attempts.
