Have peers send what an endpoint's owner can't

What callers saw: on the native plane, requests for an endpoint whose owner is cut off from it were refused as connect-failed, or not answered, at every daemon.

Cause: an owner knew one way to its endpoints, its own, like a gateway before.

Change: the owner keeps the permit and has a peer send the attempt, in a hop of its own kind on the signed connections between daemons. The check that starts a send runs once: a peer that refuses has sent nothing. Load polls find out when the path is back; a daemon that doesn't own the endpoint tries a broken path once in half a second.

--- a/crates/celeryknot_policy/src/direct/endpoint_paths.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint_paths.rs
@@ -85,6 +85,19 @@
         self.broken.contains_key(&address)
     }
 
+    /// Returns whether a request may try a path itself: it isn't broken, or its next probe is due,
+    /// which the request is then.
+    pub fn may_try(&mut self, now: MonotonicMs, address: SocketAddr) -> bool {
+        match self.broken.get_mut(&address) {
+            Some(path) if now < path.probe_at => false,
+            Some(path) => {
+                path.probe_at = now + PROBE_INTERVAL_MIN;
+                true
+            }
+            None => true,
+        }
+    }
+
     /// Returns whether any path is broken.
     pub fn has_broken(&self) -> bool {
         !self.broken.is_empty()
--- a/crates/celeryknot_policy/src/direct/endpoint_paths/tests.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint_paths/tests.rs
@@ -91,6 +91,16 @@
     assert!(paths.due_probes(soon, &listed()).is_empty());
 }
 
+#[test]
+fn one_request_in_an_interval_tries_a_broken_path() {
+    let mut paths = EndpointPaths::default();
+    assert!(paths.may_try(NOW, address(1)));
+    paths.record_failure(NOW, address(1), 0.0);
+    assert!(!paths.may_try(NOW + DurationMs(400), address(1)));
+    assert!(paths.may_try(NOW + DurationMs(500), address(1)));
+    assert!(!paths.may_try(NOW + DurationMs(500), address(1)));
+}
+
 #[test]
 fn most_of_a_service_is_more_than_half_and_more_than_one_endpoint() {
     struct Case {
--- a/crates/celeryknotd/src/traffic/body.rs
+++ b/crates/celeryknotd/src/traffic/body.rs
@@ -28,8 +28,10 @@
 pub(crate) enum AnswerSource {
     /// A buffer in memory.
     Buffered(Option<Bytes>),
-    /// An endpoint that this daemon owns.
-    Endpoint(Box<EndpointBody>),
+    /// An endpoint that this daemon sent the request to.
+    Endpoint(Box<EndpointBody<AnswerBody>>),
+    /// An endpoint that this daemon owns, by way of a peer.
+    Hop(Box<EndpointBody<PeerBody>>),
     /// The owner of the endpoint.
     Peer(Box<PeerBody>),
     /// A token stream that is resumed after a failure.
@@ -59,9 +61,10 @@
     pub(crate) fn is_small(&self) -> bool {
         let announced_len = match &self.source {
             AnswerSource::Endpoint(body) => body.body.announced_len(),
-            AnswerSource::Buffered(_) | AnswerSource::Peer(_) | AnswerSource::Relay(_) => {
-                self.size_hint().exact()
-            }
+            AnswerSource::Buffered(_)
+            | AnswerSource::Hop(_)
+            | AnswerSource::Peer(_)
+            | AnswerSource::Relay(_) => self.size_hint().exact(),
         };
         announced_len.is_some_and(|size_bytes| size_bytes <= BUFFERED_SIZE_MAX.0)
     }
@@ -85,6 +88,7 @@
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
             AnswerSource::Endpoint(body) => Pin::new(body.as_mut()).poll_frame(context),
+            AnswerSource::Hop(body) => Pin::new(body.as_mut()).poll_frame(context),
             AnswerSource::Peer(body) => Pin::new(body.as_mut()).poll_frame(context),
             AnswerSource::Relay(body) => body.poll_frame(context),
         }
@@ -94,7 +98,8 @@
         match &self.source {
             AnswerSource::Buffered(bytes) => bytes.is_none(),
             AnswerSource::Endpoint(body) => body.body.is_end_stream(),
-            AnswerSource::Peer(body) => body.incoming.is_end_stream(),
+            AnswerSource::Hop(body) => body.body.is_end_stream(),
+            AnswerSource::Peer(body) => body.is_end_stream(),
             AnswerSource::Relay(_) => false,
         }
     }
@@ -105,17 +110,18 @@
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
             AnswerSource::Endpoint(body) => body.body.size_hint(),
-            AnswerSource::Peer(body) => body.incoming.size_hint(),
+            AnswerSource::Hop(body) => body.body.size_hint(),
+            AnswerSource::Peer(body) => body.size_hint(),
             AnswerSource::Relay(_) => SizeHint::default(),
         }
     }
 }
 
-/// Response body of an endpoint, with the request's permit.
+/// Response body of an endpoint, with the request's permit if this daemon owns the endpoint.
 #[derive(Debug)]
-pub(crate) struct EndpointBody {
-    body: AnswerBody,
-    permit: Permit,
+pub(crate) struct EndpointBody<B> {
+    body: B,
+    permit: Option<Permit>,
     clock: Clock,
     sent_at: MonotonicMs,
     complete_status: FinishStatus,
@@ -123,10 +129,10 @@
     frames: u32,
 }
 
-impl EndpointBody {
+impl<B: Body> EndpointBody<B> {
     pub(crate) fn new(
-        body: AnswerBody,
-        permit: Permit,
+        body: B,
+        permit: Option<Permit>,
         clock: Clock,
         sent_at: MonotonicMs,
         complete_status: FinishStatus,
@@ -150,13 +156,19 @@
         let first_byte_ms = self
             .first_byte_ms
             .unwrap_or_else(|| self.clock.now() - self.sent_at);
-        self.permit.set_outcome(
+        self.set_outcome(
             FinishOutcome::new(self.complete_status).with_answer(first_byte_ms, self.frames),
         );
     }
+
+    fn set_outcome(&mut self, outcome: FinishOutcome) {
+        if let Some(permit) = &mut self.permit {
+            permit.set_outcome(outcome);
+        }
+    }
 }
 
-impl Body for EndpointBody {
+impl<B: Body<Data = Bytes, Error = AnswerError> + Unpin> Body for EndpointBody<B> {
     type Data = Bytes;
     type Error = AnswerError;
 
@@ -179,7 +191,7 @@
             Poll::Ready(None) => self.set_complete_outcome(),
             Poll::Ready(Some(Err(error))) => {
                 let outcome = FinishOutcome::new(Failure::from(error.0).finish_status());
-                self.permit.set_outcome(outcome);
+                self.set_outcome(outcome);
             }
         }
         poll
@@ -282,6 +294,14 @@
         }
         Poll::Ready(Some(result))
     }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
 }
 
 /// Body written by a task of this thread; dropping it cancels the task.
--- a/crates/celeryknotd/src/traffic/context.rs
+++ b/crates/celeryknotd/src/traffic/context.rs
@@ -2,12 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use celeryknot_callers::{CallerLimits, ThreadExecutor};
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, MonotonicMs, Timers};
 use celeryknot_endpoints::ConnectionPool;
+use celeryknot_policy::direct::EndpointPaths;
 use celeryknot_policy::stall::StallDetector;
 
 use super::peer_connection::PeerConnections;
@@ -37,6 +39,8 @@
     pub(crate) service_states: RefCell<ServiceStates>,
     /// Time of the last load report of each endpoint that this thread admits.
     load_report_times: RefCell<HashMap<EndpointName, MonotonicMs>>,
+    /// The endpoints that this daemon can't connect to.
+    pub(crate) paths: RefCell<EndpointPaths>,
     stall_detector: RefCell<StallDetector>,
     sends_held_until: Cell<MonotonicMs>,
 }
@@ -62,6 +66,7 @@
             peers: PeerConnections::default(),
             service_states: RefCell::new(ServiceStates::default()),
             load_report_times: RefCell::default(),
+            paths: RefCell::default(),
             stall_detector: RefCell::new(StallDetector::new(TICK, STALL_THRESHOLD, now)),
             sends_held_until: Cell::new(MonotonicMs(0)),
             shared,
@@ -98,6 +103,18 @@
             .retain(|_, at| now - *at < age);
     }
 
+    /// Records whether a connection to an endpoint could be opened.
+    pub(crate) fn record_connection(&self, address: SocketAddr, is_open: bool) {
+        let mut paths = self.paths.borrow_mut();
+        if is_open {
+            if paths.record_connection(address) {
+                tracing::info!(%address, "endpoint accepts connections again");
+            }
+        } else if paths.record_failure(self.now(), address, rand::random()) {
+            tracing::info!(%address, "endpoint accepts no connection");
+        }
+    }
+
     pub(crate) fn snapshot(&self) -> Arc<Snapshot> {
         self.shared.feed.snapshot.load_full()
     }
--- a/crates/celeryknotd/src/traffic/hop.rs
+++ b/crates/celeryknotd/src/traffic/hop.rs
@@ -59,6 +59,8 @@
     Probe,
     /// Attempt at an endpoint that the receiver owns.
     Owner,
+    /// Attempt at an endpoint that its owner, the sender, has admitted and can't reach.
+    Attempt,
     /// Call with a ticket that the receiver issued.
     Issuer,
 }
@@ -348,10 +350,20 @@
 
 /// Removes hop-by-hop fields and the router's own fields, which an endpoint must not set.
 pub(crate) fn strip_answer(headers: &mut HeaderMap) {
+    strip_answer_but(headers, &[]);
+}
+
+/// Removes the same fields, but not those in which an endpoint reports to its owner.
+pub(crate) fn strip_answer_for_owner(headers: &mut HeaderMap) {
+    strip_answer_but(headers, &[header::LOAD, header::RATE_LIMIT]);
+}
+
+fn strip_answer_but(headers: &mut HeaderMap, kept: &[&str]) {
     celeryknot_callers::hop_by_hop::strip(headers);
     let own: Vec<HeaderName> = headers
         .keys()
         .filter(|name| name.as_str().starts_with("celeryknot-"))
+        .filter(|name| !kept.contains(&name.as_str()))
         .cloned()
         .collect();
     for name in own {
--- a/crates/celeryknotd/src/traffic/load_poll.rs
+++ b/crates/celeryknotd/src/traffic/load_poll.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use celeryknot_core::{DurationMs, EndpointName, MonotonicMs, RatePerS};
+use celeryknot_core::{DurationMs, EndpointName, ErrorKind, MonotonicMs, RatePerS};
 use celeryknot_endpoints::LoadReport;
 use celeryknot_endpoints::load::fetch_load;
 use celeryknot_gateway::rate_log::log_malformed_rate;
@@ -38,9 +38,12 @@
         for service in snapshot.services.values() {
             for endpoint in &service.endpoints {
                 let is_own = endpoint.owner.as_ref() == Some(&snapshot.own_name);
+                // Reports that come by way of a peer don't show that the endpoint can be reached.
+                let is_reported = context.has_load_report_within(&endpoint.name, POLL_INTERVAL)
+                    && !context.paths.borrow().is_broken(endpoint.address);
                 let is_due = is_own
                     && context.shared.is_admitted_on(context.index, &endpoint.name)
-                    && !context.has_load_report_within(&endpoint.name, POLL_INTERVAL);
+                    && !is_reported;
                 if is_due {
                     let poll =
                         poll_one(Rc::clone(&context), endpoint.name.clone(), endpoint.address);
@@ -85,6 +88,12 @@
     };
     // If the channel is full, this poll is not counted.
     let _ = context.shared.events.try_send(polled);
+    match report {
+        Ok(_) => context.record_connection(address, true),
+        Err(ErrorKind::ConnectFailed) => context.record_connection(address, false),
+        // An endpoint that is silent for a time may still accept connections.
+        Err(_) => context.connections.close_idle_to(address),
+    }
     let Ok(report) = report else {
         return;
     };
--- a/crates/celeryknotd/src/traffic/owner.rs
+++ b/crates/celeryknotd/src/traffic/owner.rs
@@ -1,23 +1,30 @@
 //! Runs an attempt at an endpoint: admission, call, response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use celeryknot_callers::response_end::UnverifiedEnd;
-use celeryknot_core::{DurationMs, ErrorKind, Execution, MonotonicMs, Refusal};
+use celeryknot_core::{DurationMs, ErrorKind, Execution, MonotonicMs, Refusal, header};
+use celeryknot_endpoints::load::parse_load_report;
+use celeryknot_endpoints::rate_limit::read_rate_limit;
 use celeryknot_endpoints::{
     BodyFraming, Call, CallFailure, CallTimeouts, EndpointResponse, RateLimitField, Reuse,
 };
+use celeryknot_fleet::{MemberState, MemberView};
 use celeryknot_gateway::rate_log::log_malformed_rate;
 use celeryknot_policy::admission::{FinishOutcome, FinishStatus};
 use celeryknot_policy::attempt::CallSafety;
 use celeryknot_policy::rate_limit::RateStatement;
 use http::header::HOST;
 use http::response;
+use smallvec::SmallVec;
 
-use super::body::{AnswerSource, DaemonBody, EndpointBody};
+use super::body::{AnswerSource, DaemonBody, EndpointBody, PeerBody};
 use super::context::ThreadContext;
 use super::failure::Failure;
+use super::hop;
 use super::load_poll::to_reported_load;
+use super::peer_connection;
 use super::permit::Permit;
 use super::requests::{EndpointAttempt, header_value};
 use crate::snapshot::EndpointSnapshot;
@@ -37,6 +44,9 @@
 /// Idle timeout of a token stream that can be resumed at another endpoint.
 const STREAM_IDLE_TIMEOUT: DurationMs = DurationMs(2_000);
 
+/// Maximum number of peers that are asked to send an attempt.
+const HOP_PEERS_MAX: usize = 3;
+
 /// Response whose head has been received.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -70,23 +80,19 @@
         .service_states
         .borrow_mut()
         .record_wait(shared, &attempt.service, sent_at - queued_at);
-    let call = build_call(context, attempt, &endpoint, permit.is_rate_limited())?;
     let check = || {
         context.check_may_send(attempt.deadline_at)?;
         find_endpoint(context, attempt).map_err(|refusal| refusal.kind)?;
         may_send()
     };
-    let sent = call
-        .send(&context.connections, endpoint.address, check)
-        .await;
-    let sent = match sent {
-        Ok(answer) => check_beginning(answer).await,
-        Err(failure) => Err(failure),
-    };
-    match sent {
+    let is_limited = permit.is_rate_limited();
+    match send(context, attempt, &endpoint, is_limited, &check).await {
         Ok(answer) => {
             report_rate(context, attempt, &permit, sent_at, answer.rate_limit);
-            Ok(build_answer(context, answer, permit, sent_at))
+            Ok(build_answer(context, answer, Some(permit), sent_at))
+        }
+        Err(failure) if failure.kind == ErrorKind::ConnectFailed => {
+            run_through_peers(context, attempt, permit, sent_at, &check).await
         }
         Err(failure) => {
             if let Some(rate_limit) = failure.rate_limit {
@@ -103,6 +109,161 @@
     }
 }
 
+/// Runs an attempt that the endpoint's owner has admitted and can't send.
+///
+/// # Errors
+///
+/// The refusal, whose kind shows whether the request was run.
+pub(crate) async fn run_for_owner(
+    context: &Rc<ThreadContext>,
+    attempt: &EndpointAttempt,
+) -> Result<Answer, Refusal> {
+    let endpoint = find_endpoint(context, attempt)?;
+    let check = || context.check_may_send(attempt.deadline_at);
+    let sent_at = context.now();
+    // The owner may have been told of a rate limit that this daemon doesn't know.
+    let sent = send(context, attempt, &endpoint, true, &check).await;
+    match sent {
+        Ok(answer) => Ok(build_answer(context, answer, None, sent_at)),
+        Err(failure) => Err(to_refusal(failure)),
+    }
+}
+
+/// Sends the request to the endpoint, unless the last connection to it could not be opened and a poll
+/// has found out nothing else since.
+async fn send(
+    context: &Rc<ThreadContext>,
+    attempt: &EndpointAttempt,
+    endpoint: &EndpointSnapshot,
+    is_rate_limited: bool,
+    check: &impl Fn() -> Result<(), ErrorKind>,
+) -> Result<EndpointResponse, CallFailure> {
+    let address = endpoint.address;
+    let is_own = endpoint.owner.as_ref() == Some(&context.shared.settings.name);
+    // Owners poll their endpoints; at others, a request now and then finds out.
+    let may_try = match is_own {
+        true => !context.paths.borrow().is_broken(address),
+        false => {
+            let mut paths = context.paths.borrow_mut();
+            paths.may_try(context.now(), address)
+        }
+    };
+    if !may_try {
+        return Err(ErrorKind::ConnectFailed.into());
+    }
+    let call = build_call(context, attempt, endpoint, is_rate_limited)
+        .map_err(|refusal| CallFailure::from(refusal.kind))?;
+    let sent = match call.send(&context.connections, address, check).await {
+        Ok(answer) => check_beginning(answer).await,
+        Err(failure) => Err(failure),
+    };
+    match &sent {
+        Ok(_) => context.record_connection(address, true),
+        Err(failure) if failure.kind == ErrorKind::ConnectFailed => {
+            context.record_connection(address, false);
+        }
+        Err(_) => {}
+    }
+    sent
+}
+
+/// Has peers send the request, one after the other, until one can.
+async fn run_through_peers(
+    context: &Rc<ThreadContext>,
+    attempt: &EndpointAttempt,
+    mut permit: Permit,
+    sent_at: MonotonicMs,
+    check: &impl Fn() -> Result<(), ErrorKind>,
+) -> Result<Answer, Refusal> {
+    let mut refusal = Refusal::new(ErrorKind::ConnectFailed);
+    let was_checked = Cell::new(false);
+    // The first check starts the send; a peer that refuses the attempt has sent nothing.
+    let check_once = || match was_checked.replace(true) {
+        true => context.check_may_send(attempt.deadline_at),
+        false => check(),
+    };
+    for peer in hop_peers(context) {
+        let forwarded = peer_connection::forward_attempt(
+            context,
+            &peer.name,
+            peer.forwards_address,
+            attempt,
+            check_once,
+        )
+        .await;
+        match forwarded {
+            Ok((head, body)) => {
+                return Ok(build_peer_answer(
+                    context, attempt, head, body, permit, sent_at,
+                ));
+            }
+            Err(failed) => refusal = failed,
+        }
+        // Others may reach the endpoint, or know the service.
+        let may_ask_another = matches!(
+            refusal.kind,
+            ErrorKind::ConnectFailed
+                | ErrorKind::NotOwner
+                | ErrorKind::NotReady
+                | ErrorKind::Draining
+                | ErrorKind::UnknownService
+                | ErrorKind::MalformedRequest
+        );
+        if !may_ask_another {
+            break;
+        }
+        refusal = Refusal::new(ErrorKind::ConnectFailed);
+    }
+    permit.set_outcome(FinishOutcome::new(
+        Failure::from(refusal.kind).finish_status(),
+    ));
+    Err(refusal)
+}
+
+/// Returns the peers to ask, in order: those of the own zone first, at random otherwise.
+fn hop_peers(context: &Rc<ThreadContext>) -> SmallVec<[MemberView; HOP_PEERS_MAX]> {
+    let snapshot = context.snapshot();
+    let mut peers: Vec<(bool, u64, &MemberView)> = snapshot
+        .members
+        .values()
+        .filter(|peer| peer.name != snapshot.own_name && peer.state == MemberState::Alive)
+        .map(|peer| (peer.zone != snapshot.own_zone, rand::random(), peer))
+        .collect();
+    peers.sort_unstable_by_key(|(is_other_zone, draw, _)| (*is_other_zone, *draw));
+    let peers = peers.into_iter().take(HOP_PEERS_MAX);
+    peers.map(|(_, _, peer)| peer.clone()).collect()
+}
+
+fn build_peer_answer(
+    context: &Rc<ThreadContext>,
+    attempt: &EndpointAttempt,
+    mut head: response::Parts,
+    body: PeerBody,
+    mut permit: Permit,
+    sent_at: MonotonicMs,
+) -> Answer {
+    let rate_limit = read_rate_limit(&head.headers, header::RATE_LIMIT);
+    report_rate(context, attempt, &permit, sent_at, rate_limit);
+    if let Some(load) = parse_load_report(&head.headers) {
+        permit.set_load(to_reported_load(load));
+    }
+    hop::strip_answer(&mut head.headers);
+    let status = complete_status(&head);
+    let body = EndpointBody::new(body, Some(permit), context.shared.clock, sent_at, status);
+    Answer {
+        head,
+        body: DaemonBody::new(AnswerSource::Hop(Box::new(body))),
+    }
+}
+
+/// Returns the status of a complete response: a server error is evidence against the endpoint.
+fn complete_status(head: &response::Parts) -> FinishStatus {
+    match head.status.is_server_error() {
+        true => FinishStatus::Failed,
+        false => FinishStatus::Succeeded,
+    }
+}
+
 /// Refuses a response whose body can't be read from its first byte.
 async fn check_beginning(mut answer: EndpointResponse) -> Result<EndpointResponse, CallFailure> {
     match answer.body.check_beginning().await {
@@ -224,19 +385,14 @@
 fn build_answer(
     context: &Rc<ThreadContext>,
     answer: EndpointResponse,
-    mut permit: Permit,
+    mut permit: Option<Permit>,
     sent_at: MonotonicMs,
 ) -> Answer {
-    if let Some(load) = answer.load {
+    if let (Some(permit), Some(load)) = (&mut permit, answer.load) {
         permit.set_load(to_reported_load(load));
     }
     let clock = context.shared.clock;
-    // A complete response with a server error is evidence against the endpoint.
-    let complete_status = if answer.head.status.is_server_error() {
-        FinishStatus::Failed
-    } else {
-        FinishStatus::Succeeded
-    };
+    let complete_status = complete_status(&answer.head);
     let mut head = answer.head;
     if answer.body.framing() == BodyFraming::CloseDelimited {
         head.extensions.insert(UnverifiedEnd);
--- a/crates/celeryknotd/src/traffic/peer_connection.rs
+++ b/crates/celeryknotd/src/traffic/peer_connection.rs
@@ -9,7 +9,7 @@
 use celeryknot_core::{DurationMs, ErrorKind, MemberName, MonotonicMs, Refusal, RequestId};
 use celeryknot_endpoints::{IdleTimeout, RequestBody};
 use futures_lite::future;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode, response};
 use hyper::body::Incoming;
 use hyper::client::conn::http2;
 use smol::net::TcpStream;
@@ -257,35 +257,66 @@
 where
     M: Fn() -> Result<(), ErrorKind>,
 {
-    let settings = &attempt.service.settings;
+    let request = build_attempt(context, HopKind::Owner, address, attempt)?;
+    let target = attempt_target(member, address, attempt);
+    forward(context, target, request, may_send).await
+}
+
+/// Has a peer send an attempt to an endpoint that this daemon owns and can't reach.
+///
+/// # Errors
+///
+/// The peer's refusal, or one for the failed connection to the peer.
+pub(crate) async fn forward_attempt<M>(
+    context: &Rc<ThreadContext>,
+    member: &MemberName,
+    address: SocketAddr,
+    attempt: &EndpointAttempt,
+    may_send: M,
+) -> Result<(response::Parts, PeerBody), Refusal>
+where
+    M: Fn() -> Result<(), ErrorKind>,
+{
+    let request = build_attempt(context, HopKind::Attempt, address, attempt)?;
+    let target = attempt_target(member, address, attempt);
+    forward_request(context, target, request, may_send).await
+}
+
+fn build_attempt(
+    context: &Rc<ThreadContext>,
+    hop: HopKind,
+    address: SocketAddr,
+    attempt: &EndpointAttempt,
+) -> Result<Request<RequestBody>, Refusal> {
     let mut headers = attempt.headers.clone();
     hop::write_attempt(attempt, &mut headers);
-    sign(
-        context,
-        HopKind::Owner,
-        attempt.id,
-        &attempt.method,
-        &mut headers,
-    );
+    sign(context, hop, attempt.id, &attempt.method, &mut headers);
     let body = RequestBody::new(attempt.body.clone());
-    let request = build(
+    build(
         address,
         &attempt.path_and_query,
         attempt.method.clone(),
         headers,
         body,
     )
-    .ok_or(Refusal::new(ErrorKind::MalformedRequest))?;
+    .ok_or(Refusal::new(ErrorKind::MalformedRequest))
+}
+
+fn attempt_target<'a>(
+    member: &'a MemberName,
+    address: SocketAddr,
+    attempt: &EndpointAttempt,
+) -> ForwardTarget<'a> {
+    let settings = &attempt.service.settings;
     let wait_ms = settings.queue_wait_max_ms.0 + settings.first_byte_timeout_ms.0;
-    let target = ForwardTarget {
+    ForwardTarget {
         member,
         address,
         may_resend: attempt.safety == celeryknot_policy::attempt::CallSafety::Idempotent,
         deadline_at: attempt.deadline_at,
         timeout_ms: DurationMs(wait_ms + OWNER_MARGIN.0),
         idle_timeout: DurationMs(settings.idle_timeout_ms.0 + OWNER_MARGIN.0),
-    };
-    forward(context, target, request, may_send).await
+    }
 }
 
 /// Forwards a call with a ticket to the ticket's issuer.
@@ -322,6 +353,22 @@
     request: Request<RequestBody>,
     may_send: M,
 ) -> Result<Answer, Refusal>
+where
+    M: Fn() -> Result<(), ErrorKind>,
+{
+    let (head, body) = forward_request(context, target, request, may_send).await?;
+    Ok(Answer {
+        head,
+        body: DaemonBody::new(AnswerSource::Peer(Box::new(body))),
+    })
+}
+
+async fn forward_request<M>(
+    context: &Rc<ThreadContext>,
+    target: ForwardTarget<'_>,
+    request: Request<RequestBody>,
+    may_send: M,
+) -> Result<(response::Parts, PeerBody), Refusal>
 where
     M: Fn() -> Result<(), ErrorKind>,
 {
@@ -337,10 +384,7 @@
         last_received,
     } = connection;
     let body = PeerBody::new(incoming, sender, last_received, idle_timer);
-    Ok(Answer {
-        head,
-        body: DaemonBody::new(AnswerSource::Peer(Box::new(body))),
-    })
+    Ok((head, body))
 }
 
 /// Sends a request on a live connection, and retries on a new one if it was never written to
--- a/crates/celeryknotd/src/traffic/peer_server.rs
+++ b/crates/celeryknotd/src/traffic/peer_server.rs
@@ -36,7 +36,7 @@
     let in_flight = CountGuard::new(&context.shared.in_flight);
     let accepts_unverified_end = hop::accepts_unverified_end(&head.headers);
     let result = match hop {
-        HopKind::Owner => handle_attempt(&context, head, body).await,
+        HopKind::Owner | HopKind::Attempt => handle_attempt(&context, hop, head, body).await,
         HopKind::Issuer => handle_ticketed_call(&context, head, body).await,
         HopKind::Probe => Err(Refusal::new(ErrorKind::InternalError)),
     };
@@ -45,13 +45,14 @@
         Ok(answer)
     });
     Ok(match result {
-        Ok(answer) => forwarded_response(answer, in_flight),
+        Ok(answer) => forwarded_response(answer, hop, in_flight),
         Err(refusal) => refusal_response(refusal),
     })
 }
 
 async fn handle_attempt(
     context: &Rc<ThreadContext>,
+    hop: HopKind,
     head: http::request::Parts,
     body: Incoming,
 ) -> Result<Answer, Refusal> {
@@ -65,7 +66,12 @@
         .await
         .map_err(Refusal::new)?;
     let attempt = hop::read_attempt(&head, service, body, context.now()).map_err(Refusal::new)?;
-    let answer = owner::run(context, &attempt, || Ok(())).await?;
+    let answer = match hop {
+        HopKind::Attempt => owner::run_for_owner(context, &attempt).await?,
+        HopKind::Owner | HopKind::Issuer | HopKind::Probe => {
+            owner::run(context, &attempt, || Ok(())).await?
+        }
+    };
     buffer_if_small(answer).await
 }
 
@@ -99,9 +105,12 @@
     ticketed::run_as_issuer(context, ticket, call).await
 }
 
-fn forwarded_response(answer: Answer, in_flight: CountGuard) -> Response<DaemonBody> {
+fn forwarded_response(answer: Answer, hop: HopKind, in_flight: CountGuard) -> Response<DaemonBody> {
     let mut head = answer.head;
-    hop::strip_answer(&mut head.headers);
+    match hop {
+        HopKind::Attempt => hop::strip_answer_for_owner(&mut head.headers),
+        HopKind::Owner | HopKind::Issuer | HopKind::Probe => hop::strip_answer(&mut head.headers),
+    }
     head.version = http::Version::HTTP_2;
     Response::from_parts(head, answer.body.with_in_flight(in_flight))
 }
--- a/crates/celeryknotd/tests/severed_owners.rs
+++ b/crates/celeryknotd/tests/severed_owners.rs
@@ -19,7 +19,7 @@
     model_settings, plain_settings,
 };
 
-/// Daemons, of which each owns an endpoint of each service; the last one is cut off.
+/// Daemons, of which the last ones are cut off.
 const DAEMONS: usize = 3;
 const SEVERED: usize = DAEMONS - 1;
 
@@ -36,14 +36,14 @@
 
 struct Setup {
     fleet: TestFleet,
-    /// The links of the last daemon.
+    /// The links of the daemons that are cut off.
     links: Vec<Link>,
     services: Vec<Service>,
     _engines: Vec<Engine>,
 }
 
 impl Setup {
-    fn start(owner_of: fn(usize) -> usize) -> Self {
+    fn start(owner_of: fn(usize) -> usize, severed: usize) -> Self {
         let engines: Vec<Engine> = (0..DAEMONS)
             .map(|_| Engine::start(EngineOptions::default(), LOOPBACK).unwrap())
             .collect();
@@ -82,16 +82,18 @@
         };
         let fleet = TestFleet::start(options, &endpoints);
         let links: Vec<Link> = endpoints.iter().map(|it| Link::start(it.address)).collect();
-        let mut snapshot = Snapshot::clone(&fleet.feeds[SEVERED].snapshot.load());
-        snapshot.version += 1;
-        for service in snapshot.services.values_mut() {
-            for listed in &mut Arc::make_mut(service).endpoints {
-                let mut pairs = endpoints.iter().zip(&links);
-                let (_, link) = pairs.find(|(it, _)| it.address == listed.address).unwrap();
-                listed.address = link.address;
+        for feed in &fleet.feeds[DAEMONS - severed..] {
+            let mut snapshot = Snapshot::clone(&feed.snapshot.load());
+            snapshot.version += 1;
+            for service in snapshot.services.values_mut() {
+                for listed in &mut Arc::make_mut(service).endpoints {
+                    let mut pairs = endpoints.iter().zip(&links);
+                    let (_, link) = pairs.find(|(it, _)| it.address == listed.address).unwrap();
+                    listed.address = link.address;
+                }
             }
+            feed.snapshot.store(Arc::new(snapshot));
         }
-        fleet.feeds[SEVERED].snapshot.store(Arc::new(snapshot));
         Self {
             fleet,
             links,
@@ -139,52 +141,67 @@
     cut: Cut,
     /// Returns the owner of the endpoints with an index.
     owner_of: fn(usize) -> usize,
+    /// Number of daemons that are cut off.
+    severed: usize,
 }
 
-const CASES: [Case; 6] = [
+const CASES: [Case; 7] = [
     Case {
         name: "silent",
         cut: Cut::Silent,
         owner_of: |index| index,
+        severed: 1,
     },
     Case {
         name: "silent, owner of all",
         cut: Cut::Silent,
         owner_of: |_| SEVERED,
+        severed: 1,
     },
     Case {
         name: "reset",
         cut: Cut::Reset,
         owner_of: |index| index,
+        severed: 1,
     },
     Case {
         name: "reset, owner of all",
         cut: Cut::Reset,
         owner_of: |_| SEVERED,
+        severed: 1,
     },
     Case {
         name: "new connections refused, owner of all",
         cut: Cut::RefuseNew,
         owner_of: |_| SEVERED,
+        severed: 1,
     },
     Case {
         name: "one way, owner of all",
         cut: Cut::OneWay,
         owner_of: |_| SEVERED,
+        severed: 1,
+    },
+    Case {
+        name: "all daemons but one, owner of all",
+        cut: Cut::Silent,
+        owner_of: |_| SEVERED,
+        severed: 2,
     },
 ];
 
 #[test]
 fn endpoints_whose_owner_is_cut_off_are_served_at_all_daemons() {
     std::thread::scope(|scope| {
-        for Case {
-            name,
-            cut,
-            owner_of,
-        } in &CASES
-        {
+        for case in &CASES {
+            let Case {
+                name,
+                cut,
+                owner_of,
+                severed,
+            } = case;
             scope.spawn(move || {
-                let setup = Setup::start(*owner_of);
+                let setup = Setup::start(*owner_of, *severed);
                 for daemon in 0..DAEMONS {
                     assert_eq!(setup.failures(daemon, 0), [""; 0], "{name}: before the cut");
                 }
