Cut daemons off from endpoints in the soak

The new promise: from 3 s on such a daemon serves two thirds as often as those that reach endpoints, unless it fails 10 requests or fewer and one in fifty. At most once, whole answers and all other promises hold as for any daemon.

For this, daemons can send from a given address ([addresses] outgoing), which hosts with several addresses need for the hop as well: a peer takes connections from the address that it knows.

--- a/crates/celeryknot_endpoints/src/connection.rs
+++ b/crates/celeryknot_endpoints/src/connection.rs
@@ -3,7 +3,8 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -13,8 +14,10 @@
 use futures_lite::future;
 use hyper::client::conn::http1;
 use smallvec::SmallVec;
+use smol::Async;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
+use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::read_budget::{BudgetedStream, ReadBudget};
 use crate::request_body::RequestBody;
@@ -60,12 +63,28 @@
         address: SocketAddr,
         timeout: DurationMs,
         timers: &Timers,
+    ) -> Result<Self, ErrorKind> {
+        Self::open_from(None, address, timeout, timers).await
+    }
+
+    /// Opens a connection from a local address, or from the one that the system chooses.
+    ///
+    /// # Errors
+    ///
+    /// `ConnectFailed`: no byte of a request was sent.
+    pub async fn open_from(
+        source: Option<IpAddr>,
+        address: SocketAddr,
+        timeout: DurationMs,
+        timers: &Timers,
     ) -> Result<Self, ErrorKind> {
         let read_budget = ReadBudget::new();
         let connect = async {
-            let stream = TcpStream::connect(address)
-                .await
-                .map_err(|_| ErrorKind::ConnectFailed)?;
+            let stream = match source {
+                Some(source) => connect_from(source, address).await,
+                None => TcpStream::connect(address).await,
+            };
+            let stream = stream.map_err(|_| ErrorKind::ConnectFailed)?;
             stream
                 .set_nodelay(true)
                 .map_err(|_| ErrorKind::ConnectFailed)?;
@@ -160,9 +179,29 @@
     }
 }
 
-/// Returns whether an endpoint accepts a connection and keeps it open.
-pub async fn is_running(address: SocketAddr, timers: &Timers) -> bool {
-    match EndpointConnection::open(address, PROBE_TIMEOUT, timers).await {
+/// Connects from a local address.
+async fn connect_from(source: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::new(source, 0).into())?;
+    // A non-blocking socket reports that it has begun to connect.
+    drop(socket.connect(&address.into()));
+    let stream = Async::new(std::net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(TcpStream::from(stream)),
+    }
+}
+
+/// Returns whether an endpoint accepts a connection, from a local address if one is given, and keeps
+/// it open.
+pub async fn is_running(source: Option<IpAddr>, address: SocketAddr, timers: &Timers) -> bool {
+    match EndpointConnection::open_from(source, address, PROBE_TIMEOUT, timers).await {
         Ok(mut probe) => probe.stays_open(PROBE_OPEN_TIME, timers).await,
         Err(_) => false,
     }
--- a/crates/celeryknot_faults/src/soak/check.rs
+++ b/crates/celeryknot_faults/src/soak/check.rs
@@ -1,5 +1,6 @@
 //! Checks the observations of a run against the promises.
 
+mod severed;
 mod statements;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -98,6 +99,8 @@
     CrashesBounded,
     /// A request is refused as banned only if endpoints crash on it.
     SoundPromptsServed,
+    /// A daemon that can reach no endpoint serves requests nearly as often as those that can.
+    SeveredDaemonsServe,
 }
 
 /// A promise that did not hold.
@@ -158,6 +161,7 @@
     check_cold_engines(&mut checker, observations);
     statements::check_statements(&mut checker, plan, observations);
     check_revocation(&mut checker, observations);
+    severed::check_severed_daemons(&mut checker, plan, observations);
     if !plan.kills_all() {
         check_crashes(&mut checker, observations);
     }
--- a/crates/celeryknot_faults/src/soak/fleet.rs
+++ b/crates/celeryknot_faults/src/soak/fleet.rs
@@ -1,6 +1,7 @@
 //! The processes and stand-ins of one run, and the execution of steps on them.
 
-use std::net::{IpAddr, SocketAddr};
+use std::collections::BTreeSet;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -17,7 +18,9 @@
 use eyre::{WrapErr, ensure, eyre};
 
 use super::callers::RequestRecord;
-use super::observations::{Observations, Shutdown, StatedLimit, StatedPause, Withdrawal};
+use super::observations::{
+    EndpointCut, Observations, Shutdown, StatedLimit, StatedPause, Withdrawal,
+};
 use super::plan::{RunLimits, Step, StepKind};
 use crate::process::{DaemonProcess, RunFolder, loopback_address};
 
@@ -30,6 +33,7 @@
 const CALLERS_PORT: u16 = 8080;
 const READINESS_PORT: u16 = 8081;
 const PEERS_PORT: u16 = 7001;
+const HOP_PORT: u16 = 7002;
 
 /// Retries that all daemons together may send in ten seconds, in addition to a fifth of the
 /// requests.
@@ -96,6 +100,9 @@
     stated_limits: Vec<StatedLimit>,
     stated_departures: Vec<(String, Instant)>,
     stated_pauses: Vec<StatedPause>,
+    endpoint_cuts: Vec<EndpointCut>,
+    /// The daemons that are cut off from endpoints, as often as steps cut them.
+    cut_daemons: Vec<usize>,
     next_endpoint: usize,
 }
 
@@ -191,9 +198,13 @@
         lock(&self.operator).generation
     }
 
-    fn address(&self, daemon: usize, port: u16) -> SocketAddr {
+    fn ip(&self, daemon: usize) -> Ipv4Addr {
         let number = u8::try_from(daemon).expect("few daemons");
-        SocketAddr::new(IpAddr::V4(loopback_address(self.run, number)), port)
+        loopback_address(self.run, number)
+    }
+
+    fn address(&self, daemon: usize, port: u16) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip(daemon)), port)
     }
 
     fn start_daemon(&self, daemon: usize) -> eyre::Result<DaemonProcess> {
@@ -210,7 +221,8 @@
             .collect();
         format!(
             "[gateway]\nname = {name}\nzone = {ZONE}\nconnections_max = 900\n\n\
-             [addresses]\ncallers = {}\nreadiness = {}\npeers = {}\n\n\
+             [addresses]\ncallers = {}\nreadiness = {}\npeers = {}\nhop = {}\n\
+             outgoing = {}\n\n\
              [store]\naddresses = {}\n\n[members]\nseeds = {}\n\n\
              [regions]\nzones = {ZONE}\nregions = hkd\n\n\
              [bounds]\nretry_ratio = 0.2\nretry_window_ms = 10s\n\
@@ -219,6 +231,8 @@
             self.address(daemon, CALLERS_PORT),
             self.address(daemon, READINESS_PORT),
             self.address(daemon, PEERS_PORT),
+            self.address(daemon, HOP_PORT),
+            self.address(daemon, 0),
             self.store_proxies[daemon].address(),
             seeds.join(", "),
             DRAIN_TIME.as_millis(),
@@ -342,10 +356,51 @@
             StepKind::EndpointLeaves => self.leave(step.target % self.slots.len()),
             StepKind::EndpointPauses => self.pause_endpoint(step),
             StepKind::RestoreStore => self.restore_store(step),
+            StepKind::CutFromEndpoints => return self.cut_from_endpoints(daemon, step),
         }
         Ok(())
     }
 
+    /// Cuts a daemon off from all endpoints for a time.
+    fn cut_from_endpoints(&self, daemon: usize, step: &Step) -> eyre::Result<()> {
+        lock(&self.operator).cut_daemons.push(daemon);
+        self.apply_cuts()?;
+        let from = Instant::now();
+        std::thread::sleep(step.duration());
+        let until = Instant::now();
+        {
+            let mut operator = lock(&self.operator);
+            let cut = EndpointCut {
+                daemon,
+                from,
+                until,
+            };
+            operator.endpoint_cuts.push(cut);
+            let index = operator.cut_daemons.iter().position(|it| *it == daemon);
+            operator
+                .cut_daemons
+                .swap_remove(index.expect("the daemon was added above"));
+        }
+        self.apply_cuts()
+    }
+
+    /// Lets the proxies of all endpoints drop what comes from the daemons that are cut off.
+    fn apply_cuts(&self) -> eyre::Result<()> {
+        for slot in &self.slots {
+            self.apply_cuts_to(&lock(slot).proxy)?;
+        }
+        for (_, proxy) in lock(&self.removed).iter() {
+            self.apply_cuts_to(proxy)?;
+        }
+        Ok(())
+    }
+
+    fn apply_cuts_to(&self, proxy: &FaultProxy) -> eyre::Result<()> {
+        let cut: BTreeSet<usize> = lock(&self.operator).cut_daemons.iter().copied().collect();
+        let sources: Vec<Ipv4Addr> = cut.into_iter().map(|it| self.ip(it)).collect();
+        proxy.cut_off(&sources)
+    }
+
     /// Shuts a daemon down and starts a replacement.
     ///
     /// No request in flight should be left, but the exit status for leftover requests is accepted.
@@ -489,7 +544,11 @@
             operator.next_endpoint += 1;
             operator.next_endpoint
         };
-        start_endpoint(&format!("i-{service}-new-{number}")).expect("a loopback port is free")
+        let endpoint = start_endpoint(&format!("i-{service}-new-{number}"));
+        let endpoint = endpoint.expect("a loopback port is free");
+        self.apply_cuts_to(&endpoint.1)
+            .expect("the system takes packet filters");
+        endpoint
     }
 
     fn replace_endpoint(&self, slot: &mut EndpointSlot, replacement: (Engine, FaultProxy)) {
@@ -600,6 +659,7 @@
             stated_limits: operator.stated_limits.clone(),
             stated_departures: operator.stated_departures.clone(),
             stated_pauses: operator.stated_pauses.clone(),
+            endpoint_cuts: operator.endpoint_cuts.clone(),
             generations: operator.generations.clone(),
             revoked_at: operator.revoked_at,
         }
--- a/crates/celeryknot_faults/src/soak/observations.rs
+++ b/crates/celeryknot_faults/src/soak/observations.rs
@@ -52,6 +52,17 @@
     pub until: Instant,
 }
 
+/// A time during which a daemon could reach no endpoint.
+#[derive(Debug, Clone)]
+pub struct EndpointCut {
+    /// The daemon.
+    pub daemon: usize,
+    /// When it began.
+    pub from: Instant,
+    /// When it ended.
+    pub until: Instant,
+}
+
 /// The observations of a run.
 #[derive(Debug)]
 pub struct Observations {
@@ -73,6 +84,8 @@
     pub stated_departures: Vec<(String, Instant)>,
     /// Pauses that endpoints asked for.
     pub stated_pauses: Vec<StatedPause>,
+    /// Daemons that were cut off from all endpoints.
+    pub endpoint_cuts: Vec<EndpointCut>,
     /// When the store acknowledged each generation of the configuration.
     pub generations: Vec<(u64, Instant)>,
     /// When the spare key was revoked.
--- a/crates/celeryknot_faults/src/soak/plan.rs
+++ b/crates/celeryknot_faults/src/soak/plan.rs
@@ -1,6 +1,7 @@
 //! The steps of one run of the soak, drawn from a seed.
 
 use std::fmt;
+use std::ops::Range;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -77,6 +78,16 @@
     StepKind::RestoreStore,
 ];
 
+/// First of the seeds in which daemons are cut off from endpoints; lower ones keep the steps with
+/// which they were recorded.
+const CUT_SEED_MIN: u64 = 12_000;
+
+/// Maximum number of such steps, and bounds of their times.
+const CUT_STEPS_MAX: usize = 4;
+const CUT_START_MAX_MS: u64 = 3_000;
+const CUT_DURATION_MIN_MS: u64 = 4_000;
+const CUT_DURATION_MAX_MS: u64 = 8_000;
+
 /// Maximum number of steps in which an endpoint states a rate limit, and bounds of their times.
 const LIMIT_STEPS_MAX: usize = 3;
 const LIMIT_START_MAX_MS: u64 = 3_000;
@@ -167,6 +178,8 @@
     EndpointPauses,
     /// The store is restored from a copy, and what was written since is written again.
     RestoreStore,
+    /// A network partition separates one daemon from all endpoints.
+    CutFromEndpoints,
 }
 
 impl StepKind {
@@ -200,6 +213,7 @@
                 | Self::EndpointLeaves
                 | Self::EndpointPauses
                 | Self::RestoreStore
+                | Self::CutFromEndpoints
         )
     }
 }
@@ -317,7 +331,7 @@
                     UNFRAMED_STEPS_MAX,
                 ));
                 steps.extend(draw_engine_steps(&mut rng, &CRASH_KINDS, CRASH_STEPS_MAX));
-                steps.extend(draw_limit_steps(&mut rng));
+                steps.extend(draw_long_steps(&mut rng, &LIMIT_STEPS));
                 if seed.0 >= BAD_REQUEST_SEED_MIN {
                     steps.extend(draw_engine_steps(
                         &mut rng,
@@ -332,6 +346,9 @@
                         STATEMENT_STEPS_MAX,
                     ));
                 }
+                if seed.0 >= CUT_SEED_MIN {
+                    steps.extend(draw_long_steps(&mut rng, &CUT_STEPS));
+                }
             }
         }
         steps.sort_by_key(|step| step.start_ms);
@@ -390,15 +407,35 @@
     steps.collect()
 }
 
-/// Draws steps in which endpoints state rate limits, for longer than the time in which daemons must
-/// have reacted.
-fn draw_limit_steps(rng: &mut impl Rng) -> Vec<Step> {
-    let count = rng.random_range(0..=LIMIT_STEPS_MAX);
+/// A kind of step that lasts longer than the time in which daemons must have reacted.
+struct LongSteps {
+    kind: StepKind,
+    count_max: usize,
+    start_max_ms: u64,
+    duration_ms: Range<u64>,
+}
+
+const LIMIT_STEPS: LongSteps = LongSteps {
+    kind: StepKind::LimitRate,
+    count_max: LIMIT_STEPS_MAX,
+    start_max_ms: LIMIT_START_MAX_MS,
+    duration_ms: LIMIT_DURATION_MIN_MS..LIMIT_DURATION_MAX_MS,
+};
+
+const CUT_STEPS: LongSteps = LongSteps {
+    kind: StepKind::CutFromEndpoints,
+    count_max: CUT_STEPS_MAX,
+    start_max_ms: CUT_START_MAX_MS,
+    duration_ms: CUT_DURATION_MIN_MS..CUT_DURATION_MAX_MS,
+};
+
+fn draw_long_steps(rng: &mut impl Rng, steps: &LongSteps) -> Vec<Step> {
+    let count = rng.random_range(0..=steps.count_max);
     let steps = (0..count).map(|_| Step {
-        kind: StepKind::LimitRate,
+        kind: steps.kind,
         target: rng.random_range(0..60),
-        start_ms: rng.random_range(300..LIMIT_START_MAX_MS),
-        duration_ms: rng.random_range(LIMIT_DURATION_MIN_MS..LIMIT_DURATION_MAX_MS),
+        start_ms: rng.random_range(300..steps.start_max_ms),
+        duration_ms: rng.random_range(steps.duration_ms.clone()),
     });
     steps.collect()
 }
--- a/crates/celeryknot_faults/tests/soak_check.rs
+++ b/crates/celeryknot_faults/tests/soak_check.rs
@@ -8,7 +8,7 @@
 use celeryknot_faults::soak::check::{Promise, check};
 use celeryknot_faults::soak::fleet::{BAD_PART, BAD_PATH};
 use celeryknot_faults::soak::observations::{
-    Observations, Shutdown, StatedLimit, StatedPause, Withdrawal,
+    EndpointCut, Observations, Shutdown, StatedLimit, StatedPause, Withdrawal,
 };
 use celeryknot_faults::soak::plan::{RunLimits, SoakPlan, Step, StepKind};
 use celeryknot_kinrin_standins::engine::Arrival;
@@ -95,6 +95,7 @@
         stated_limits: Vec::new(),
         stated_departures: Vec::new(),
         stated_pauses: Vec::new(),
+        endpoint_cuts: Vec::new(),
         generations: Vec::new(),
         revoked_at: None,
     }
@@ -177,6 +178,29 @@
     observations
 }
 
+/// Returns requests to a daemon that is cut off from endpoints and to another one, of which the first
+/// refuses some, sent so many milliseconds after the beginning of the cut.
+fn severed(from: Instant, sent_ms: u64, refused: usize) -> Observations {
+    const REQUESTS: usize = 30;
+    let sent_at = from + Duration::from_millis(sent_ms);
+    let of_daemon = |daemon: usize, refused: usize| {
+        (0..REQUESTS).map(move |number| {
+            let status = if number < refused { 503 } else { 200 };
+            let mut request = request(RequestKind::Read, sent_at, status, ENGINE);
+            request.daemon = daemon;
+            request
+        })
+    };
+    let requests = of_daemon(0, refused).chain(of_daemon(1, 0)).collect();
+    let mut observations = observations(requests, vec![arrival(sent_at, CUSTOMER)]);
+    observations.endpoint_cuts.push(EndpointCut {
+        daemon: 0,
+        from,
+        until: from + Duration::from_millis(6_000),
+    });
+    observations
+}
+
 /// Returns a request that a daemon refused for its key, and a later one, by the same incarnation or
 /// another, that was served.
 fn served_after_revocation(at: Instant, incarnation: u64) -> Observations {
@@ -202,7 +226,7 @@
     observations: fn(Instant) -> Observations,
 }
 
-const CASES: [Case; 40] = [
+const CASES: [Case; 43] = [
     Case {
         name: "requests within the drain time of an engine that leaves",
         broken: None,
@@ -223,6 +247,21 @@
         broken: Some(Promise::StatedPause),
         observations: |at| pausing(at, &[0, 600, 1_000, 2_400]),
     },
+    Case {
+        name: "a daemon that fails few requests behind a cut",
+        broken: None,
+        observations: |at| severed(at, 3_500, 10),
+    },
+    Case {
+        name: "a daemon that fails many just after the beginning of a cut",
+        broken: None,
+        observations: |at| severed(at, 2_500, 30),
+    },
+    Case {
+        name: "a daemon that fails many behind a cut",
+        broken: Some(Promise::SeveredDaemonsServe),
+        observations: |at| severed(at, 3_500, 15),
+    },
     Case {
         name: "a key that another incarnation accepts",
         broken: None,
--- a/crates/celeryknot_gateway/src/traffic/hop/client.rs
+++ b/crates/celeryknot_gateway/src/traffic/hop/client.rs
@@ -12,7 +12,6 @@
 
 use super::super::call::Call;
 use super::super::context::{InFlightGuard, TrafficThread};
-use super::super::paths::CONNECT_TIMEOUT;
 use super::super::send::{AttemptProgress, IDLE_MAX_NON_IDEMPOTENT, ResponseConnection, try_send};
 use super::{HopBackoffKind, HopHead, HopKind, HopRefusal};
 use crate::platform_protocol::PlatformProtocol;
@@ -68,7 +67,7 @@
         if idle.is_some() {
             return idle;
         }
-        let opened = EndpointConnection::open(peer, CONNECT_TIMEOUT, &self.timers).await;
+        let opened = self.open_connection(peer).await;
         if opened.is_err() {
             self.avoid_hop_peer(peer, HopBackoffKind::Skip);
         }
--- a/crates/celeryknot_gateway/src/traffic/hop/server.rs
+++ b/crates/celeryknot_gateway/src/traffic/hop/server.rs
@@ -9,7 +9,7 @@
 use celeryknot_callers::response_end::UnverifiedEnd;
 use celeryknot_core::{DurationMs, MonotonicMs, header};
 use celeryknot_endpoints::{
-    BodyFraming, EndpointConnection, ExchangeError, ReceivedBody, RequestBody, exchange, is_running,
+    BodyFraming, EndpointConnection, ExchangeError, ReceivedBody, RequestBody, exchange,
 };
 use celeryknot_policy::direct::AttemptFailure;
 use futures_lite::future;
@@ -68,7 +68,7 @@
     // The peer ends the attempt at its own deadline.
     let ends_at = deadline + END_MARGIN;
     match head.kind {
-        HopKind::Probe => match is_running(endpoint.address, &gateway.timers).await {
+        HopKind::Probe => match gateway.connects_to(endpoint.address).await {
             true => Ok(no_content()),
             false => Err(unreachable(&endpoint)),
         },
--- a/crates/celeryknot_gateway/src/traffic/paths.rs
+++ b/crates/celeryknot_gateway/src/traffic/paths.rs
@@ -1,9 +1,9 @@
 //! Connections to endpoints, and probes of those that could not be opened.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 
-use celeryknot_core::{DurationMs, EndpointName, ServiceName};
+use celeryknot_core::{DurationMs, EndpointName, ErrorKind, ServiceName};
 use celeryknot_endpoints::{EndpointConnection, is_running};
 
 use super::context::TrafficThread;
@@ -12,7 +12,7 @@
 /// Timeout for opening a connection.
 ///
 /// Many times the latency between two zones; after a lost packet, another endpoint is tried.
-pub(super) const CONNECT_TIMEOUT: DurationMs = DurationMs(400);
+const CONNECT_TIMEOUT: DurationMs = DurationMs(400);
 
 impl TrafficThread {
     /// Takes an idle connection to an endpoint or opens one; opens none that peers can replace while
@@ -31,9 +31,27 @@
         self.open(address).await
     }
 
+    /// Returns whether an endpoint accepts a connection of this daemon and keeps it open.
+    pub(super) async fn connects_to(&self, address: SocketAddr) -> bool {
+        is_running(self.outgoing_ip(), address, &self.timers).await
+    }
+
+    /// Opens a connection to an endpoint or a peer.
+    pub(super) async fn open_connection(
+        &self,
+        address: SocketAddr,
+    ) -> Result<EndpointConnection, ErrorKind> {
+        let source = self.outgoing_ip();
+        EndpointConnection::open_from(source, address, CONNECT_TIMEOUT, &self.timers).await
+    }
+
+    fn outgoing_ip(&self) -> Option<IpAddr> {
+        self.shared.settings.outgoing_address.map(|it| it.ip())
+    }
+
     /// Opens a connection to an endpoint and records whether that was possible.
     pub(super) async fn open(&self, address: SocketAddr) -> Option<EndpointConnection> {
-        let opened = EndpointConnection::open(address, CONNECT_TIMEOUT, &self.timers).await;
+        let opened = self.open_connection(address).await;
         let mut paths = self.paths.borrow_mut();
         match opened {
             Ok(connection) => {
@@ -102,7 +120,7 @@
         address: SocketAddr,
     ) -> bool {
         let is_broken = self.paths.borrow().is_broken(address);
-        if !is_broken && is_running(address, &self.timers).await {
+        if !is_broken && self.connects_to(address).await {
             return true;
         }
         hop::is_running(self, service, endpoint).await
--- a/crates/celeryknot_settings/src/gateway.rs
+++ b/crates/celeryknot_settings/src/gateway.rs
@@ -67,6 +67,9 @@
     pub peers_address: SocketAddr,
     /// `[addresses] hop`: listen address for attempts that other daemons can't make themselves.
     pub hop_address: Option<SocketAddr>,
+    /// `[addresses] outgoing`: local address of connections to endpoints and to the hop addresses of
+    /// peers; the system chooses it otherwise.
+    pub outgoing_address: Option<SocketAddr>,
     /// `[addresses] operators`: listen address for metrics.
     pub operators_address: Option<SocketAddr>,
     /// `[store] addresses`: replicas of the platform's store, tried in order.
@@ -105,6 +108,7 @@
                 readiness_address: any_port,
                 peers_address: any_port,
                 hop_address: Some(any_port),
+                outgoing_address: None,
                 operators_address: None,
                 store_addresses: Vec::new(),
                 seeds: Vec::new(),
@@ -148,6 +152,7 @@
             readiness_address: fields.get("addresses", "readiness"),
             peers_address: fields.get("addresses", "peers"),
             hop_address: fields.optional("addresses", "hop"),
+            outgoing_address: fields.optional("addresses", "outgoing"),
             operators_address: fields.optional("addresses", "operators"),
             store_addresses: fields.list("store", "addresses"),
             seeds: fields.list("members", "seeds"),
@@ -180,6 +185,7 @@
         readiness_address: SocketAddr,
         peers_address: SocketAddr,
         hop_address: Option<SocketAddr>,
+        outgoing_address: Option<SocketAddr>,
         operators_address: Option<SocketAddr>,
         store_addresses: Vec<SocketAddr>,
         seeds: Vec<SocketAddr>,
--- a/crates/celeryknot_settings/src/key_table.rs
+++ b/crates/celeryknot_settings/src/key_table.rs
@@ -68,6 +68,7 @@
     key("addresses", "readiness", T::Address, Required, "10.1.0.40:8220", "Where the balancer asks whether the daemon takes callers."),
     key("addresses", "peers", T::Address, Required, "10.1.0.40:8229", "Where other daemons connect."),
     key("addresses", "hop", T::Address, Optional, "10.1.0.40:7341", "Where other daemons send requests for endpoints that they can't reach themselves."),
+    key("addresses", "outgoing", T::Address, Optional, "10.1.0.40:0", "From which address requests to endpoints and to other daemons are sent; its port doesn't matter. The address in `peers` on hosts with several."),
     key("addresses", "operators", T::Address, Optional, "10.1.0.40:7340", "Where metrics are served."),
     key("store", "addresses", T::Addresses, Required, "10.200.1.7:8223", "Replicas of the platform's store, tried in turn."),
     key("members", "seeds", T::Addresses, Optional, "10.1.0.40:8229, 10.2.0.29:8229", "Peers' addresses of daemons that know others; some may be gone."),
--- a/crates/celeryknot_standins/src/fault_proxy.rs
+++ b/crates/celeryknot_standins/src/fault_proxy.rs
@@ -1,9 +1,10 @@
 //! A TCP proxy that injects faults, on request or from a seeded plan.
 
+mod packet_filter;
 mod pipe;
 mod plan;
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -38,6 +39,9 @@
     faults: Mutex<ActiveFaults>,
     /// Closing the channel resets every open connection.
     reset_channel: Mutex<(Sender<()>, Receiver<()>)>,
+    listener: TcpListener,
+    /// The connections that were accepted, with the address of the other end.
+    accepted: Mutex<Vec<(IpAddr, TcpStream)>>,
 }
 
 impl ProxyShared {
@@ -84,6 +88,19 @@
         *reset_channel = async_channel::bounded(1);
     }
 
+    fn accepted(&self) -> MutexGuard<'_, Vec<(IpAddr, TcpStream)>> {
+        self.accepted
+            .lock()
+            .expect("no thread panics while it holds the connections")
+    }
+
+    /// Keeps a connection, and forgets those that have ended.
+    fn keep(&self, client: IpAddr, stream: &TcpStream) {
+        let mut accepted = self.accepted();
+        accepted.retain(|(_, stream)| stream.peer_addr().is_ok());
+        accepted.push((client, stream.clone()));
+    }
+
     fn reset_signal(&self) -> Receiver<()> {
         let reset_channel = self
             .reset_channel
@@ -129,15 +146,14 @@
             target,
             faults: Mutex::new(ActiveFaults::default()),
             reset_channel: Mutex::new(async_channel::bounded(1)),
+            listener: TcpListener::try_from(listener)?,
+            accepted: Mutex::default(),
         });
         let control = Server::start(
             control_address,
             Arc::new(ControlHandler(Arc::clone(&shared))),
         )?;
-        let accept_task = spawn(accept(
-            TcpListener::try_from(listener)?,
-            Arc::clone(&shared),
-        ));
+        let accept_task = spawn(accept(Arc::clone(&shared)));
         Ok(Self {
             address,
             shared,
@@ -167,6 +183,25 @@
         self.shared.apply(fault);
     }
 
+    /// Drops all packets from these IPv4 addresses, and lets those from others pass again: their open
+    /// connections are silent, and new ones hang.
+    ///
+    /// # Errors
+    ///
+    /// The system doesn't take the filter.
+    pub fn cut_off(&self, sources: &[Ipv4Addr]) -> eyre::Result<()> {
+        let filter = packet_filter::dropping(sources);
+        let is_cut = |ip: &IpAddr| matches!(ip, IpAddr::V4(ip) if sources.contains(ip));
+        packet_filter::set(&self.shared.listener, &filter)?;
+        for (ip, stream) in self.shared.accepted().iter() {
+            match is_cut(ip) {
+                true => packet_filter::set(stream, &filter)?,
+                false => packet_filter::set(stream, &[])?,
+            }
+        }
+        Ok(())
+    }
+
     /// Starts a plan of faults, which replaces an earlier one.
     pub fn run_plan(&self, plan: FaultPlan) {
         let task = spawn(run_plan(Arc::clone(&self.shared), plan));
@@ -192,11 +227,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<ProxyShared>) {
+async fn accept(shared: Arc<ProxyShared>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, client)) = shared.listener.accept().await else {
             return;
         };
+        shared.keep(client.ip(), &stream);
         let connection_number = {
             let mut faults = shared.faults();
             faults.next_connection += 1;
--- a/crates/celeryknotd/src/traffic/dispatch/crash_check.rs
+++ b/crates/celeryknotd/src/traffic/dispatch/crash_check.rs
@@ -73,7 +73,7 @@
         let Some(address) = self.expected_address(name) else {
             return;
         };
-        if is_running(address, &self.context.timers).await {
+        if is_running(None, address, &self.context.timers).await {
             return;
         }
         let shared = &self.context.shared;
