Let a stream go on only with another stream of events

What callers saw: after an engine broke off, the next one's success of another kind, such as JSON with an empty line, was written into the stream as an event.

Cause: a resumption accepted any status from 200 to 299 and any media type. Change: it takes 200 and the kind of the first response; anything else is a failure, after which the stream is retried or cut.

Responses cut inside their heads, at each seventh byte, with an end or a reset, on fresh and reused connections, for plain answers and streams, were never whole before either; the test stays.

--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -4,11 +4,12 @@
 
 use celeryknot_callers::hop_by_hop;
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal, SoftwareVersion, SuspectTag};
+use celeryknot_endpoints::sse;
 use celeryknot_policy::direct::{
     AttemptFailure, AttemptHistory, Placement, PlacementRequest, Prompt,
 };
 use futures_lite::future;
-use http::{HeaderMap, HeaderName, Response, header};
+use http::{HeaderMap, HeaderName, Response, StatusCode, header};
 use smallvec::SmallVec;
 
 use super::body::{BodySource, GatewayBody};
@@ -194,16 +195,21 @@
         }
     }
 
-    /// Resumes a broken stream at another endpoint, after the last forwarded event.
+    /// Resumes a broken stream at another endpoint, after the last forwarded event; its response
+    /// must be successful and of the same kind as that of the first endpoint.
     pub(super) async fn resume_stream<P: PlatformProtocol>(
         &mut self,
         placed: PlacedAttempt,
         last_event_id: Option<&str>,
+        is_event_stream: bool,
     ) -> Result<EndpointResponse, Refusal> {
         let mut placed = placed;
         loop {
             placed = match self.send::<P>(placed, last_event_id).await {
-                SendEnd::Head(response) if response.head.status.is_success() => {
+                SendEnd::Head(response)
+                    if response.head.status == StatusCode::OK
+                        && sse::is_event_stream(&response.head.headers) == is_event_stream =>
+                {
                     return Ok(*response);
                 }
                 SendEnd::Head(response) => {
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -39,6 +39,7 @@
         forward,
         chunks,
         framing,
+        is_event_stream: sse::is_event_stream(&head.headers),
         last_event_id: None,
         events: 0,
     };
@@ -58,6 +59,8 @@
     chunks: Sender<Result<Bytes, AnswerError>>,
     /// How the first endpoint marks the end, which decides the framing to the caller.
     framing: BodyFraming,
+    /// Whether the first endpoint's response is declared as a stream of events.
+    is_event_stream: bool,
     /// The id of the last forwarded event.
     last_event_id: Option<String>,
     events: u64,
@@ -135,9 +138,11 @@
                     *next
                 }
             };
-            let resumed = self
-                .forward
-                .resume_stream::<P>(placed, self.last_event_id.as_deref());
+            let resumed = self.forward.resume_stream::<P>(
+                placed,
+                self.last_event_id.as_deref(),
+                self.is_event_stream,
+            );
             match resumed.await {
                 Ok(next) => {
                     self.forward.gateway.shared.metrics.resumes.inc();
