Wait for a newer copy of the store before an unrecorded stream is taken up

What callers may have seen: a daemon out of step for up to 3 s let a stream that engines of a new version had begun go on at one of the version before.

Cause: without a record of the stream, a copy of the store up to 3 s old was enough to say that there had been one version only; in that time an engine can register, serve and break off.

Change: the copy must have been read since the request arrived, which is after the stream began. The request waits for that up to 1.5 s; readers' watches end after a second. Otherwise it is refused as version-unknown. Where several versions are known it is refused at once, as before.

--- a/crates/celeryknot_faults/src/soak/check/severed.rs
+++ b/crates/celeryknot_faults/src/soak/check/severed.rs
@@ -1,5 +1,6 @@
 //! Checks how often daemons that are cut off from all endpoints serve requests.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use super::{Checker, Promise};
@@ -23,12 +24,26 @@
 struct Served {
     requests: u64,
     served: u64,
+    /// Requests that weren't served, by what their callers got.
+    failures: BTreeMap<String, u64>,
 }
 
 impl Served {
     fn add(&mut self, request: &RequestRecord) {
         self.requests += 1;
-        self.served += u64::from(request.is_success());
+        if request.is_success() {
+            self.served += 1;
+            return;
+        }
+        let got = request.response.as_ref().map_or_else(
+            || "nothing".to_owned(),
+            |response| match response.status {
+                200 => "a part".to_owned(),
+                _ => response.body.clone(),
+            },
+        );
+        let kind = format!("{}: {got}", request.call.kind);
+        *self.failures.entry(kind).or_default() += 1;
     }
 }
 
@@ -64,8 +79,13 @@
             >= others.served * severed.requests * SERVED_MIN_THIRDS;
         checker.check(Promise::SeveredDaemonsServe, is_rare || is_fair, || {
             format!(
-                "edge-{} served {} of {} requests behind a cut, the others {} of {}",
-                cut.daemon, severed.served, severed.requests, others.served, others.requests
+                "edge-{} served {} of {} requests behind a cut, the others {} of {}; it failed {:?}",
+                cut.daemon,
+                severed.served,
+                severed.requests,
+                others.served,
+                others.requests,
+                severed.failures
             )
         });
     }
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -403,6 +403,8 @@
                 reply.is_snapshot,
                 items.collect(),
             );
+            self.shared
+                .note_copied(before(now, u64::from(reply.store_age_ms)));
         }
         self.publish_members();
     }
--- a/crates/celeryknot_gateway/src/control/watch.rs
+++ b/crates/celeryknot_gateway/src/control/watch.rs
@@ -68,6 +68,7 @@
             }
             Ok(ReadEnd::Complete { at, .. }) => {
                 publisher.note_store_read(DurationMs(0));
+                publisher.shared.note_copied(publisher.now());
                 if std::mem::take(&mut is_failing) {
                     tracing::info!(
                         era = at.era.0,
--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -82,6 +82,7 @@
             traffic_updates: async_channel::bounded(UPDATE_QUEUE_LEN_MAX),
             peer_updates,
             store_read_at_ms: AtomicU64::new(MonotonicMs::PROCESS_START.0),
+            copied_at_ms: AtomicU64::new(MonotonicMs::PROCESS_START.0),
             is_store_unreachable: AtomicBool::new(false),
             connections_end_at_ms: AtomicU64::new(NOT_DRAINING),
             drain_connections: drain_connections_signal,
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -70,6 +70,8 @@
     pub(crate) peer_updates: Sender<PeerUpdate>,
     /// When any daemon last read the store, on this daemon's clock.
     pub(crate) store_read_at_ms: AtomicU64,
+    /// When any daemon read the store as it is in the view, on this daemon's clock.
+    pub(crate) copied_at_ms: AtomicU64,
     /// Whether this daemon's last read of the store failed.
     pub(crate) is_store_unreachable: AtomicBool,
     /// When connections end; `NOT_DRAINING` before a shutdown.
@@ -90,6 +92,16 @@
         self.store_read_at_ms.fetch_max(at.0, Ordering::AcqRel);
     }
 
+    /// Records that the view has the store as it was read at a time.
+    pub(crate) fn note_copied(&self, at: MonotonicMs) {
+        self.copied_at_ms.fetch_max(at.0, Ordering::AcqRel);
+    }
+
+    /// Returns whether the view has the store as it was read at a time, or later.
+    pub(crate) fn is_copied_since(&self, at: MonotonicMs) -> bool {
+        self.copied_at_ms.load(Ordering::Acquire) >= at.0
+    }
+
     /// Returns the time since any daemon last read the store.
     pub(crate) fn store_age(&self) -> DurationMs {
         self.now() - MonotonicMs(self.store_read_at_ms.load(Ordering::Acquire))
--- a/crates/celeryknot_gateway/src/traffic/call.rs
+++ b/crates/celeryknot_gateway/src/traffic/call.rs
@@ -30,6 +30,8 @@
     pub(crate) body: Bytes,
     /// Identifies equal requests.
     pub(crate) tag: RequestTag,
+    /// When the request's head arrived.
+    pub(crate) arrived_at: MonotonicMs,
     /// The deadline for the final response.
     pub(crate) deadline: MonotonicMs,
     pub(crate) configuration_version: u64,
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -33,7 +33,7 @@
 use crate::platform_protocol::TakenUpStream;
 use crate::rate_log::log_rate_change;
 use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate};
-use crate::view::{COPY_GAP_MIN, View};
+use crate::view::View;
 
 /// Minimum number of daemons that share the fleet's bounds, since some may not be known yet.
 const MEMBER_COUNT_MIN: usize = 12;
@@ -48,6 +48,13 @@
 /// Size of the fields that daemons add to requests.
 const HOP_FIELDS_SIZE_MAX: SizeBytes = SizeBytes(8 << 10);
 
+/// Longest wait for a copy of the store that is read after a request has arrived; readers' watches end
+/// after a second.
+const COPY_WAIT_MAX: DurationMs = DurationMs(1_500);
+
+/// Interval between checks for it.
+const COPY_POLL: DurationMs = DurationMs(20);
+
 /// This daemon's state of one service.
 #[derive(Debug)]
 struct ServiceState {
@@ -290,35 +297,55 @@
     }
 
     /// Returns the only software version at which a stream that a caller takes up may go on.
-    pub(super) fn find_stream_version(
+    ///
+    /// Without a record, only a copy of the store that was read since the request arrived shows that
+    /// no other version can have begun the stream.
+    pub(super) async fn find_stream_version(
         &self,
         call: &Call,
         taken_up: &TakenUpStream,
     ) -> Result<SoftwareVersion, Refusal> {
-        let view = self.view();
-        let now = self.now();
-        let services = self.services.borrow();
-        let recorded = taken_up.first_request_id.as_deref().and_then(|id| {
-            let state = services.get(&call.service)?;
-            state.streams.find(now, call.stream_tag(id))
-        });
-        let window = stream_age_max(call);
-        let sole_version = || {
-            let is_copy_recent = self.shared.store_age() <= COPY_GAP_MIN;
-            let versions = is_copy_recent.then_some(&view.versions)?;
-            versions.sole_version(now, &call.service, window)
+        let wait_until = call.deadline.min(call.arrived_at + COPY_WAIT_MAX);
+        let (version, is_recorded) = loop {
+            if let Some(recorded) = self.recorded_version(call, taken_up) {
+                break (Some(recorded), true);
+            }
+            if self.shared.is_copied_since(call.arrived_at) {
+                break (self.sole_version(call), false);
+            }
+            // Where there were several versions, nothing that is read now can help.
+            if self.now() >= wait_until || self.sole_version(call).is_none() {
+                break (None, false);
+            }
+            self.timers.after(COPY_POLL).await;
         };
-        let version = recorded.or_else(sole_version);
         tracing::info!(
             request_id = call.head.request_id,
             first_request_id = taken_up.first_request_id,
-            version = version.map(tracing::field::display),
-            is_recorded = recorded.is_some(),
+            version = version.as_ref().map(tracing::field::display),
+            is_recorded,
+            waited_ms = (self.now() - call.arrived_at).0,
             "stream taken up"
         );
-        version
+        version.ok_or_else(|| Refusal::new(ErrorKind::VersionUnknown))
+    }
+
+    fn recorded_version(&self, call: &Call, taken_up: &TakenUpStream) -> Option<SoftwareVersion> {
+        drop(self.view());
+        let tag = call.stream_tag(taken_up.first_request_id.as_deref()?);
+        let services = self.services.borrow();
+        let state = services.get(&call.service)?;
+        state.streams.find(self.now(), tag).cloned()
+    }
+
+    /// Returns the only version that the service has had for as long as a stream may be old.
+    fn sole_version(&self, call: &Call) -> Option<SoftwareVersion> {
+        let view = self.view();
+        let window = stream_age_max(call);
+        let versions = &view.versions;
+        versions
+            .sole_version(self.now(), &call.service, window)
             .cloned()
-            .ok_or_else(|| Refusal::new(ErrorKind::VersionUnknown))
     }
 
     /// Records the software version that wrote the first event of a stream; tells peers unless it is
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -114,7 +114,7 @@
         trial: None,
     };
     if let Some(taken_up) = forward.call.taken_up() {
-        let version = gateway.find_stream_version(&forward.call, taken_up)?;
+        let version = gateway.find_stream_version(&forward.call, taken_up).await?;
         forward.version = Some(version);
     }
     let remaining_ms = forward.remaining_ms();
--- a/crates/celeryknot_gateway/src/traffic/serve.rs
+++ b/crates/celeryknot_gateway/src/traffic/serve.rs
@@ -259,6 +259,7 @@
         headers,
         body: Bytes::new(),
         tag: RequestTag::default(),
+        arrived_at,
         deadline: arrived_at + timeout_ms,
         configuration_version: table.version(),
         head,
