--- a/crates/celeryknot_standins/src/fault_proxy.rs
+++ b/crates/celeryknot_standins/src/fault_proxy.rs
@@ -4,7 +4,8 @@
 mod pipe;
 mod plan;
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -40,8 +41,8 @@
     /// Closing the channel resets every open connection.
     reset_channel: Mutex<(Sender<()>, Receiver<()>)>,
     listener: TcpListener,
-    /// The connections that were accepted, with the address of the other end.
-    accepted: Mutex<Vec<(IpAddr, TcpStream)>>,
+    /// The accepted connections by number, until they end.
+    accepted: Mutex<HashMap<u64, TcpStream>>,
 }
 
 impl ProxyShared {
@@ -88,19 +89,12 @@
         *reset_channel = async_channel::bounded(1);
     }
 
-    fn accepted(&self) -> MutexGuard<'_, Vec<(IpAddr, TcpStream)>> {
+    fn accepted(&self) -> MutexGuard<'_, HashMap<u64, TcpStream>> {
         self.accepted
             .lock()
             .expect("no thread panics while it holds the connections")
     }
 
-    /// Keeps a connection, and forgets those that have ended.
-    fn keep(&self, client: IpAddr, stream: &TcpStream) {
-        let mut accepted = self.accepted();
-        accepted.retain(|(_, stream)| stream.peer_addr().is_ok());
-        accepted.push((client, stream.clone()));
-    }
-
     fn reset_signal(&self) -> Receiver<()> {
         let reset_channel = self
             .reset_channel
@@ -191,15 +185,12 @@
     /// The system doesn't take the filter.
     pub fn cut_off(&self, sources: &[Ipv4Addr]) -> eyre::Result<()> {
         let filter = packet_filter::dropping(sources);
-        let is_cut = |ip: &IpAddr| matches!(ip, IpAddr::V4(ip) if sources.contains(ip));
         packet_filter::set(&self.shared.listener, &filter)?;
-        for (ip, stream) in self.shared.accepted().iter() {
-            match is_cut(ip) {
-                true => packet_filter::set(stream, &filter)?,
-                false => packet_filter::set(stream, &[])?,
-            }
-        }
-        Ok(())
+        // Connections from other addresses pass the filter.
+        let accepted = self.shared.accepted();
+        accepted
+            .values()
+            .try_for_each(|stream| packet_filter::set(stream, &filter))
     }
 
     /// Starts a plan of faults, which replaces an earlier one.
@@ -229,10 +220,9 @@
 
 async fn accept(shared: Arc<ProxyShared>) {
     loop {
-        let Ok((stream, client)) = shared.listener.accept().await else {
+        let Ok((stream, _)) = shared.listener.accept().await else {
             return;
         };
-        shared.keep(client.ip(), &stream);
         let connection_number = {
             let mut faults = shared.faults();
             faults.next_connection += 1;
@@ -247,11 +237,17 @@
 
 async fn connect(shared: Arc<ProxyShared>, inbound: TcpStream, connection_number: u64) {
     let reset = shared.reset_signal();
+    shared.accepted().insert(connection_number, inbound.clone());
     // Silent connections need no target, but connect to it like the others.
     match TcpStream::connect(shared.target).await {
-        Ok(outbound) => pipe::run(shared, inbound, outbound, connection_number, reset).await,
+        Ok(outbound) => {
+            let proxy = Arc::clone(&shared);
+            pipe::run(proxy, inbound, outbound, connection_number, reset).await;
+        }
         Err(_) => pipe::reset(&inbound),
     }
+    // Closes the connection.
+    shared.accepted().remove(&connection_number);
 }
 
 /// Accepts plans of faults over HTTP.
