Keep connections of peers idle for longer than callers' ones

Found by reading, while failures behind a cut were looked into: a daemon closed its peers' idle connections after the timeout that the configuration sets for callers, at times no longer than the second for which a peer keeps one; a request sent at that moment is of unknown outcome. They have a timeout of their own now, 10 s. No test shows the moment; severed_daemons passes.

--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -17,9 +17,9 @@
 use std::sync::Arc;
 
 use async_channel::Receiver;
-use celeryknot_callers::CallerLimits;
 use celeryknot_callers::executor::ThreadRuntime;
 use celeryknot_callers::server::{ConnectionContext, is_connection_timeout, serve_connection};
+use celeryknot_callers::{CallerLimits, ConnectionTimeouts};
 use celeryknot_core::DurationMs;
 use smol::Async;
 use smol::net::TcpStream;
@@ -166,7 +166,12 @@
     // Shutdown waits for attempts of peers as for requests of callers.
     let count_guard = CountGuard::new(&gateway.shared.connections);
     let gateway = Rc::clone(gateway);
-    let connection = connection_context(&gateway, gateway.peer_limits());
+    let limits = gateway.peer_limits();
+    let connection = ConnectionContext {
+        // Peers close idle connections first.
+        timeouts: ConnectionTimeouts::new(&limits),
+        ..connection_context(&gateway, limits)
+    };
     let executor = gateway.executor.clone();
     let serve = async move {
         let handler = move |request| hop::serve_attempt::<P>(Rc::clone(&gateway), peer, request);
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -45,6 +45,10 @@
 /// daemons learn late that its endpoint was delisted.
 const STREAM_AGE_MARGIN: DurationMs = DurationMs(5_000);
 
+/// Idle timeout of peers' connections; much longer than peers keep one idle, whatever it is for
+/// callers.
+const HOP_IDLE_TIMEOUT: DurationMs = DurationMs(10_000);
+
 /// Size of the fields that daemons add to requests.
 const HOP_FIELDS_SIZE_MAX: SizeBytes = SizeBytes(8 << 10);
 
@@ -219,6 +223,7 @@
         let limits = view.table.as_ref().map(|table| *table.limits());
         let mut limits = limits.unwrap_or_default();
         limits.header_size_max_bytes.0 += HOP_FIELDS_SIZE_MAX.0;
+        limits.idle_timeout_ms = HOP_IDLE_TIMEOUT;
         build_caller_limits(limits)
     }
 
