Let the body of an attempt for a peer hold its own count

Each body of the gateway had a field that only attempts for peers set, and a method beside it; the handler of these attempts took an address that it didn't use. Behaviour as before.

--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -174,7 +174,7 @@
     };
     let executor = gateway.executor.clone();
     let serve = async move {
-        let handler = move |request| hop::serve_attempt::<P>(Rc::clone(&gateway), peer, request);
+        let handler = move |request| hop::serve_attempt::<P>(Rc::clone(&gateway), request);
         if let Err(error) = serve_connection(stream, &connection, handler).await {
             tracing::debug!(%peer, %error, "connection of a peer ended");
         }
--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -35,6 +35,8 @@
         body: Box<AnswerBody>,
         /// Completes at the request's deadline.
         deadline: Pin<Box<Sleep>>,
+        /// Counts an attempt for another daemon until the body is dropped.
+        _count: CountGuard,
     },
     /// A task that resumes a broken stream at another endpoint.
     Resumable {
@@ -50,8 +52,6 @@
     /// How the endpoint marked the end of the body; `None` for a response of this daemon.
     framing: Option<BodyFraming>,
     in_flight: Option<CountGuard>,
-    /// Counts an attempt for another daemon.
-    hop: Option<CountGuard>,
     request_log: Option<RequestLog>,
 }
 
@@ -61,7 +61,6 @@
             source,
             framing: None,
             in_flight: None,
-            hop: None,
             request_log: None,
         }
     }
@@ -97,21 +96,10 @@
         self
     }
 
-    /// Holds the count of attempts for other daemons until the body is dropped.
-    pub(super) fn hold_hop(mut self, hop: CountGuard) -> Self {
-        self.hop = Some(hop);
-        self
-    }
-
     /// Holds the in-flight count until a refusal is sent; writes the log line now.
-    pub(super) fn hold_until_sent(
-        mut self,
-        in_flight: CountGuard,
-        request_log: RequestLog,
-    ) -> Self {
-        self.in_flight = Some(in_flight);
+    pub(super) fn hold_until_sent(self, in_flight: CountGuard, request_log: RequestLog) -> Self {
         drop(request_log);
-        self
+        self.hold_in_flight(in_flight)
     }
 
     fn record_outcome(&mut self, outcome: &'static str) {
@@ -161,7 +149,7 @@
                 }
                 poll
             }
-            BodySource::Hop { body, deadline } => poll_until(body, deadline, context).0,
+            BodySource::Hop { body, deadline, .. } => poll_until(body, deadline, context).0,
             BodySource::Resumable { chunks, .. } => chunks
                 .as_mut()
                 .poll_next(context)
--- a/crates/celeryknot_gateway/src/traffic/hop/server.rs
+++ b/crates/celeryknot_gateway/src/traffic/hop/server.rs
@@ -1,7 +1,6 @@
 //! The daemon that makes attempts for others.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -35,7 +34,6 @@
 /// Serves one request of a daemon that can't reach its endpoint.
 pub(in super::super) async fn serve_attempt<P: PlatformProtocol>(
     gateway: Rc<TrafficThread>,
-    _peer: SocketAddr,
     request: Request<Incoming>,
 ) -> Result<Response<GatewayBody>, Infallible> {
     let in_flight = CountGuard::new(&gateway.shared.in_flight);
@@ -74,13 +72,12 @@
         },
         HopKind::Attempt => {
             let body = read_attempt_body(gateway, body).await?;
-            let made = make_attempt::<P>(&endpoint, &head.request_id, parts, body, deadline);
+            let made = make_attempt::<P>(&endpoint, &head.request_id, parts, body, deadline, count);
             let timed_out = async {
                 gateway.timers.after(ends_at - gateway.now()).await;
                 Err(HopRefusal::ConnectionLost)
             };
-            let response = future::or(made, timed_out).await?;
-            Ok(response.map(|body| body.hold_hop(count)))
+            future::or(made, timed_out).await
         }
     }
 }
@@ -123,6 +120,7 @@
     parts: Parts,
     body: Bytes,
     deadline: MonotonicMs,
+    count: CountGuard,
 ) -> Result<Response<GatewayBody>, HopRefusal> {
     let EndpointHandle {
         gateway, address, ..
@@ -168,6 +166,7 @@
     let source = BodySource::Hop {
         body: Box::new(body),
         deadline: Box::pin(gateway.timers.after(ends_at - gateway.now())),
+        _count: count,
     };
     let body = GatewayBody::new(source).with_framing(framing);
     let mut response = Response::from_parts(head, body);
