List endpoints for probes only when a probe is due

While any path was broken, each tick of 10 ms listed all endpoints and compared them with all paths. The table says first whether a probe can be due. The same endpoints are probed at the same times; a broken path to a delisted endpoint is forgotten at its next probe's time. A row of the test's table holds the two together.

--- a/crates/celeryknot_gateway/src/traffic/paths.rs
+++ b/crates/celeryknot_gateway/src/traffic/paths.rs
@@ -92,7 +92,7 @@
 
     /// Starts the probes that are due.
     pub(super) fn start_due_probes(self: &Rc<Self>) {
-        if !self.paths.borrow().has_broken() {
+        if !self.paths.borrow().is_probe_due(self.now()) {
             return;
         }
         let view = self.view();
--- a/crates/celeryknot_policy/src/direct/endpoint_paths.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint_paths.rs
@@ -98,9 +98,9 @@
         }
     }
 
-    /// Returns whether any path is broken.
-    pub fn has_broken(&self) -> bool {
-        !self.broken.is_empty()
+    /// Returns whether [`Self::due_probes`] may have an endpoint to probe.
+    pub fn is_probe_due(&self, now: MonotonicMs) -> bool {
+        self.broken.values().any(|path| now >= path.probe_at) || self.must_probe_all(now)
     }
 
     /// Returns whether the paths to most of a service's endpoints are broken.
--- a/crates/celeryknot_policy/src/direct/endpoint_paths/tests.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint_paths/tests.rs
@@ -73,7 +73,9 @@
         for (number, before_ms) in case.answered {
             paths.record_answer(MonotonicMs(NOW.0 - before_ms), address(*number));
         }
+        let is_due = paths.is_probe_due(NOW);
         let mut due = paths.due_probes(NOW, &listed()).to_vec();
+        assert!(is_due || due.is_empty(), "{}", case.name);
         due.sort();
         let expected: Vec<_> = case.due.iter().copied().map(address).collect();
         assert_eq!(due, expected, "{}", case.name);
