Fill endpoints that fail on refusals only as far as they have room

What callers saw: at times engines say in all their answers that they fall over when they have to turn away more than N requests a second (Server-Brittle). Nothing read it: in a burst every daemon filled them on its own stale view, all of them failed, and with each one the requests that ran there.

Cause: what one endpoint refuses is the sum over all daemons, and each daemon sees the others' requests 150 to 350 ms late.

Change: the field is read like the stated rate limits.

Why it works: a daemon's own requests are what it knows exactly, so the bound on their sum doesn't depend on how old the others' counts are.

--- a/crates/celeryknot_core/src/error_kind.rs
+++ b/crates/celeryknot_core/src/error_kind.rs
@@ -116,6 +116,8 @@
     NoEndpoint,
     /// All endpoints of the service limit the rate of requests and have reached their limits.
     RateLimited,
+    /// The endpoints of the service are full, and fail if they have to refuse too many requests.
+    EndpointsFull,
     /// Engines crash as they begin to answer prompts that share a part with this one.
     PromptBanned,
     /// Endpoints crash when they run this request.
@@ -245,6 +247,7 @@
             Self::EndpointBusy => answer(503, NotRun, Later, Some(1000), "The endpoint is busy"),
             Self::NoEndpoint => answer(503, NotRun, Later, Some(2000), "No endpoint may take new work"),
             Self::RateLimited => answer(503, NotRun, Later, Some(1000), "The endpoints have reached their rate limits"),
+            Self::EndpointsFull => answer(503, NotRun, Later, Some(1000), "The endpoints are full"),
             Self::PromptBanned => answer(503, NotRun, Later, Some(300_000), "Engines crash on a part of this prompt"),
             Self::RequestBanned => answer(503, NotRun, Later, Some(300_000), "Endpoints crash when they run this request"),
             Self::VersionUnknown => answer(503, NotRun, Later, Some(1000), "The software version that began this stream is not known"),
--- a/crates/celeryknot_gateway/src/platform_protocol.rs
+++ b/crates/celeryknot_gateway/src/platform_protocol.rs
@@ -223,6 +223,8 @@
     pub keep_alive_ms: Option<DurationMs>,
     /// What the response states about the endpoint's rate limit.
     pub rate_limit: RateLimitField,
+    /// What the response states about the refusals a second that the endpoint survives.
+    pub refusal_limit: RateLimitField,
     /// The time for which the endpoint asks this daemon for no further requests.
     pub pause: PauseField,
 }
--- a/crates/celeryknot_gateway/src/rate_log.rs
+++ b/crates/celeryknot_gateway/src/rate_log.rs
@@ -13,6 +13,16 @@
     }
 }
 
+/// Logs another limit of the refusals that an endpoint survives.
+pub fn log_refusal_limit(endpoint: &EndpointName, rate: Option<RatePerS>) {
+    match rate {
+        Some(refusals_per_s) => {
+            tracing::info!(%endpoint, %refusals_per_s, "endpoint fails above a rate of refusals")
+        }
+        None => tracing::info!(%endpoint, "endpoint no longer fails on refusals"),
+    }
+}
+
 /// Logs a statement that can't be read.
 pub fn log_malformed_rate(endpoint: &EndpointName, request_id: &str) {
     tracing::warn!(request_id, %endpoint, "endpoint states a rate limit that can't be read");
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -31,7 +31,7 @@
 use super::hop::HopBackoffs;
 use super::shutdown::RouteTimes;
 use crate::platform_protocol::TakenUpStream;
-use crate::rate_log::log_rate_change;
+use crate::rate_log::{log_rate_change, log_refusal_limit};
 use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate};
 use crate::view::View;
 
@@ -535,6 +535,23 @@
         }
     }
 
+    /// Records what an answer to a request sent at a time states about the refusals that the endpoint
+    /// survives.
+    pub(crate) fn observe_refusal_limit(&self, sent_at: MonotonicMs, rate: Option<RatePerS>) {
+        let statement = RateStatement {
+            rate,
+            sent_at,
+            arrived_at: self.gateway.now(),
+        };
+        let mut is_changed = false;
+        self.gateway.with_pool(&self.service, |pool| {
+            is_changed = pool.observe_refusal_limit(&self.name, statement);
+        });
+        if is_changed {
+            log_refusal_limit(&self.name, rate);
+        }
+    }
+
     /// Records that an answer to a request sent at a time states that the endpoint is leaving.
     pub(crate) fn observe_leaving(&self, sent_at: MonotonicMs, request_id: &str) {
         let mut is_new = false;
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -209,36 +209,41 @@
     if let Some(load) = answer_head.load {
         endpoint.observe_load(load);
     }
-    observe_rate_limit(endpoint, request_id, sent_at, answer_head);
+    observe_limits(endpoint, request_id, sent_at, answer_head);
     if answer_head.is_leaving && !is_mismatched(request_id, answer_head) {
         endpoint.observe_leaving(sent_at, request_id);
     }
     observe_pause(endpoint, request_id, sent_at, answer_head);
 }
 
-/// Applies what a response states about its endpoint's rate limit.
+/// Applies what a response states about its endpoint's limits.
 ///
 /// Only a response to this request says when its endpoint stated that, and only a signed one that
 /// the endpoint states no limit.
-fn observe_rate_limit(
+fn observe_limits(
     endpoint: &EndpointHandle,
     request_id: &str,
     sent_at: MonotonicMs,
     answer_head: &AnswerHead,
 ) {
-    let is_of_another = answer_head.is_misdirected || is_mismatched(request_id, answer_head);
-    match answer_head.rate_limit {
-        _ if is_of_another => {}
-        RateLimitField::Absent if answer_head.is_signed => {
-            endpoint.observe_rate_limit(sent_at, None)
-        }
-        RateLimitField::Absent => {}
-        RateLimitField::Limit(rate) => endpoint.observe_rate_limit(sent_at, Some(rate)),
+    if answer_head.is_misdirected || is_mismatched(request_id, answer_head) {
+        return;
+    }
+    let stated = |field| match field {
+        RateLimitField::Absent => answer_head.is_signed.then_some(None),
+        RateLimitField::Limit(rate) => Some(Some(rate)),
         RateLimitField::Malformed => {
             let metrics = &endpoint.gateway.shared.metrics;
             metrics.rate_limits_malformed.inc();
             log_malformed_rate(&endpoint.name, request_id);
+            None
         }
+    };
+    if let Some(rate) = stated(answer_head.rate_limit) {
+        endpoint.observe_rate_limit(sent_at, rate);
+    }
+    if let Some(rate) = stated(answer_head.refusal_limit) {
+        endpoint.observe_refusal_limit(sent_at, rate);
     }
 }
 
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -4,6 +4,7 @@
 
 use celeryknot_core::{DurationMs, EndpointName, MonotonicMs, SoftwareVersion, ZoneName};
 
+use super::refusal_limit::RefusalLimit;
 use crate::rate_limit::{RateChange, RateGate, RateStatement, TokenBucket};
 
 /// Maximum age of an endpoint's own load report.
@@ -12,6 +13,9 @@
 /// Maximum age of the number of requests that all daemons have in flight.
 const FLEET_TOTAL_AGE_MAX: DurationMs = DurationMs(2_000);
 
+/// Time after which the other daemons' counts of requests in flight have arrived.
+const FLEET_TOTAL_DELAY: DurationMs = DurationMs(200);
+
 /// Minimum time between two changes of an endpoint's share; about the time until its load reflects
 /// a change.
 const SHARE_ADJUST_INTERVAL: DurationMs = DurationMs(300);
@@ -87,6 +91,35 @@
     own_in_flight: u32,
 }
 
+/// This daemon's requests in flight at an endpoint, now and [`FLEET_TOTAL_DELAY`] before.
+#[derive(Debug, Clone, Copy, Default)]
+struct OwnCounts {
+    older: u32,
+    newer: u32,
+    newer_at: MonotonicMs,
+}
+
+impl OwnCounts {
+    fn observe(&mut self, now: MonotonicMs, count: u32) {
+        if now - self.newer_at >= FLEET_TOTAL_DELAY {
+            *self = Self {
+                older: self.newer,
+                newer: count,
+                newer_at: now,
+            };
+        }
+    }
+}
+
+/// The requests in flight at an endpoint, all counted at about the same time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FleetCount {
+    /// Those of this daemon.
+    pub(crate) own: u32,
+    /// Those of all daemons.
+    pub(crate) fleet: u32,
+}
+
 /// State of one endpoint in one daemon.
 #[derive(Debug, Clone)]
 pub struct EndpointState {
@@ -96,6 +129,7 @@
     pub(crate) in_flight: u32,
     pub(crate) cold_bucket: TokenBucket,
     pub(crate) rate_gate: RateGate,
+    pub(crate) refusal_limit: RefusalLimit,
     /// Whether the endpoint has stated that it is leaving.
     is_leaving: bool,
     /// Until when it has asked this daemon for no requests.
@@ -104,6 +138,7 @@
     restarted_at: Option<MonotonicMs>,
     last_reported: Option<LoadSample>,
     fleet_total: Option<LoadSample>,
+    own_counts: OwnCounts,
     share: f64,
     share_set_at: MonotonicMs,
     consecutive_failures: u32,
@@ -122,11 +157,13 @@
             in_flight: 0,
             cold_bucket: TokenBucket::default(),
             rate_gate: RateGate::default(),
+            refusal_limit: RefusalLimit::default(),
             is_leaving: false,
             paused_until: MonotonicMs(0),
             restarted_at: None,
             last_reported: None,
             fleet_total: None,
+            own_counts: OwnCounts::default(),
             share: 1.0,
             share_set_at: MonotonicMs(0),
             consecutive_failures: 0,
@@ -168,6 +205,7 @@
     /// Records the number of requests that all daemons have in flight here.
     pub(crate) fn observe_fleet_total(&mut self, now: MonotonicMs, fleet_total: u32) {
         self.fleet_total = Some(self.new_sample(now, fleet_total));
+        self.own_counts.observe(now, self.in_flight);
     }
 
     /// Returns whether an answer to a request sent then is certainly of this incarnation.
@@ -183,6 +221,12 @@
         }
     }
 
+    /// Applies what an answer of the endpoint states about the refusals that it survives; returns
+    /// whether that is another limit than before.
+    pub(crate) fn observe_refusal_limit(&mut self, statement: RateStatement) -> bool {
+        self.is_of_incarnation(statement.sent_at) && self.refusal_limit.observe(statement)
+    }
+
     /// Records that the endpoint stated that it is leaving, in an answer to a request sent then;
     /// returns whether that is new.
     pub(crate) fn observe_leaving(&mut self, sent_at: MonotonicMs) -> bool {
@@ -305,6 +349,25 @@
         now < self.ejected_until || self.is_suspect(now)
     }
 
+    /// Returns the last counts of requests in flight; this daemon's alone if there is no fleet total.
+    pub(crate) fn fleet_count(&self, now: MonotonicMs) -> FleetCount {
+        let total = self
+            .fleet_total
+            .filter(|it| now - it.at <= FLEET_TOTAL_AGE_MAX);
+        let Some(total) = total else {
+            return FleetCount {
+                own: self.in_flight,
+                fleet: self.in_flight,
+            };
+        };
+        // The other daemons counted before the total arrived.
+        let own = total.own_in_flight.min(self.own_counts.older);
+        FleetCount {
+            own,
+            fleet: total.requests.max(own),
+        }
+    }
+
     /// Returns whether all places of the endpoint are taken.
     pub(crate) fn is_full(&self, now: MonotonicMs) -> bool {
         self.load(now).0 >= self.listed.slots
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -22,6 +22,7 @@
 use super::holders::PromptHolders;
 use super::prompt::SharedPrefix;
 use super::rate_admission::RefusedRequests;
+use super::refusal_limit::{self, DecayingSum};
 use crate::rate_limit::{FleetRateLimit, RateChange, RateStatement};
 
 /// Fraction of the configured load factor up to which the first choice gets all its prompts.
@@ -152,6 +153,8 @@
     delisted: SmallVec<[DelistedEndpoint; 4]>,
     departed: BTreeMap<EndpointName, DepartedEndpoint>,
     pub(super) refused_requests: RefusedRequests,
+    /// Endpoints that were considered for requests while refusals may make them fail.
+    pub(super) offers: DecayingSum,
 }
 
 /// A delisted endpoint that still serves for the drain time.
@@ -231,6 +234,7 @@
             delisted: SmallVec::new(),
             departed: BTreeMap::new(),
             refused_requests: RefusedRequests::default(),
+            offers: DecayingSum::default(),
         }
     }
 
@@ -359,16 +363,19 @@
         state.accepts_requests(now) && Self::may_serve(name, state, request)
     }
 
-    /// Returns the endpoints that may get the request now; while any endpoint states a rate limit,
-    /// only those that aren't full.
+    /// Returns the endpoints that may get the request now; while any endpoint states a limit of its rate
+    /// or of refusals, only those that aren't full.
     pub(super) fn candidates_with_room<'a>(
         &'a self,
         now: MonotonicMs,
         request: &'a PlacementRequest<'_>,
     ) -> impl Iterator<Item = (&'a EndpointName, &'a EndpointState)> {
-        let is_any_limited = self.rate_limit_count(now) > 0;
+        let fails_on_refusals = self.refusal_limit(now).is_some();
+        let is_any_limited = fails_on_refusals || self.rate_limit_count(now) > 0;
         self.endpoints.iter().filter(move |(name, state)| {
-            Self::is_candidate(now, name, state, request) && !(is_any_limited && state.is_full(now))
+            Self::is_candidate(now, name, state, request)
+                && !(is_any_limited && state.is_full(now))
+                && !(fails_on_refusals && state.refusal_limit.is_avoided(now))
         })
     }
 
@@ -494,6 +501,12 @@
         request: &PlacementRequest<'_>,
         allows_ejected: bool,
     ) -> Option<Choice> {
+        let fails_on_refusals = self.refusal_limit(now).is_some();
+        if fails_on_refusals
+            && (!self.has_room(now) || allows_ejected && self.has_sound_candidate(now, request))
+        {
+            return None;
+        }
         let hard_load_limit = self.hard_load_limit(now);
         let key = match (request.shared, request.suspect) {
             (Some(shared), _) => shared.key,
@@ -532,6 +545,9 @@
             .is_some_and(|shared| shared.tokens > SHORT_PROMPT_TOKENS_MAX);
         let others = usize::from(has_long_prompt).min(candidates.len());
         candidates[others..].sort_by_key(|it| it.is_rate_limited);
+        if fails_on_refusals {
+            candidates.truncate(refusal_limit::CANDIDATES_MAX);
+        }
         let mut moved_from = None;
         for (rank, candidate) in candidates.iter().enumerate() {
             let has_capacity = f64::from(candidate.load) + 1.0 <= hard_load_limit;
@@ -539,6 +555,9 @@
             if !has_capacity || !is_in_share {
                 continue;
             }
+            if fails_on_refusals && !self.takes_room(now, request.draw, &candidate.name) {
+                continue;
+            }
             if self.try_admit(now, &candidate.name) {
                 let reason = match rank {
                     0 => PlacementReason::First,
@@ -555,6 +574,9 @@
                 moved_from.get_or_insert_with(|| candidate.name.clone());
             }
         }
+        if fails_on_refusals {
+            return None;
+        }
         candidates.sort_by_key(|candidate| candidate.load);
         let least = candidates
             .iter()
@@ -567,6 +589,17 @@
         })
     }
 
+    /// Returns whether an endpoint that isn't ejected may serve the request, now or later.
+    pub(super) fn has_sound_candidate(
+        &self,
+        now: MonotonicMs,
+        request: &PlacementRequest<'_>,
+    ) -> bool {
+        self.endpoints.iter().any(|(name, state)| {
+            Self::is_candidate(now, name, state, request) && !state.is_ejected(now)
+        })
+    }
+
     /// Returns the mean load of the endpoints that don't limit their rate, or of all if all do.
     fn mean_load(&self, now: MonotonicMs) -> f64 {
         let unlimited = self
@@ -734,11 +767,14 @@
         endpoint: &EndpointName,
         failure: AttemptFailure,
     ) {
+        if failure == AttemptFailure::Refused {
+            // No sign of ill health: a full endpoint reports its load.
+            return self.avoid_after_refusal(now, endpoint);
+        }
         let Some(state) = self.endpoints.get_mut(endpoint) else {
             return;
         };
         match failure {
-            // A refusal is no sign of ill health: a full endpoint reports its load.
             AttemptFailure::Refused => {}
             // Nor is a failure by which it asked for a pause.
             AttemptFailure::EndpointError if state.pause_left_ms(now) > DurationMs(0) => {}
--- a/crates/celeryknot_policy/src/direct/rate_admission.rs
+++ b/crates/celeryknot_policy/src/direct/rate_admission.rs
@@ -79,6 +79,9 @@
         now: MonotonicMs,
         request: &PlacementRequest<'_>,
     ) -> Option<Choice> {
+        if self.refusal_limit(now).is_some() {
+            return None;
+        }
         let candidates = self
             .candidates_with_room(now, request)
             .filter(|(_, state)| !state.is_ejected(now));
@@ -154,9 +157,14 @@
             })
             .collect();
         if rates.is_empty() {
-            return self.refuse_paused(now, request).unwrap_or_else(|| {
-                Refusal::with_retry_after(ErrorKind::NoEndpoint, NO_ENDPOINT_RETRY_DELAY)
-            });
+            if let Some(refusal) = self.refuse_paused(now, request) {
+                return refusal;
+            }
+            let is_full = self.refusal_limit(now).is_some();
+            return match is_full && self.has_sound_candidate(now, request) {
+                true => Self::refuse_full(request.draw),
+                false => Refusal::with_retry_after(ErrorKind::NoEndpoint, NO_ENDPOINT_RETRY_DELAY),
+            };
         }
         let rate = RatePerS(rates.iter().map(|rate| rate.0).sum());
         let retry_after_ms = match rate.0 > 0.0 {
--- a/crates/celeryknotd/src/traffic/failure.rs
+++ b/crates/celeryknotd/src/traffic/failure.rs
@@ -49,6 +49,7 @@
             | ErrorKind::EndpointBusy
             | ErrorKind::NoEndpoint
             | ErrorKind::RateLimited
+            | ErrorKind::EndpointsFull
             | ErrorKind::Draining
             | ErrorKind::NotReady
             | ErrorKind::NotOwner => Self::NotAdmitted,
