Keep less memory for each connection and each queue

Cause, by a heap profile (massif) of a gateway with 100 streams whose requests have 12 kB: of some 106 kB a stream, 33 kB are the space that hyper keeps in each caller's connection for the future of a request, also while the connection is idle or streams an answer. The other parts are hyper's buffers of the caller's connection (24 kB), those of the endpoint's (24 kB), the request's body (12 kB) and the channel to the endpoint's connection (9 kB). Three bounded queues allocate 0.63 MB in advance: 229 kB of updates to the traffic thread, 197 kB to the control thread, 201 kB of peers' polls.

Change: a request's future has an allocation of its own, which ends with the head of its response. The queues grow on need, with the same limits.

--- a/crates/celeryknot_callers/src/server.rs
+++ b/crates/celeryknot_callers/src/server.rs
@@ -148,7 +148,9 @@
         let answer = handler(request);
         let answer_stream = caller_stream.clone();
         let guard = InFlightGuard::new(&in_flight);
-        async move {
+        // A connection keeps space for this future while it is idle or streams an answer; a pointer
+        // is much smaller.
+        Box::pin(async move {
             let mut answer = answer.await?;
             if is_ambiguous {
                 let close = HeaderValue::from_static("close");
@@ -159,7 +161,7 @@
                 body,
                 _guard: guard,
             }))
-        }
+        })
     });
     let connection = http1::Builder::new()
         .max_buf_size(context.limits.header_size_bytes())
--- a/crates/celeryknot_gateway/src/control/publisher.rs
+++ b/crates/celeryknot_gateway/src/control/publisher.rs
@@ -17,7 +17,7 @@
 use crate::peer_schedule::{PeerSchedule, PollContext, PollStep, poll_wait};
 use crate::platform_protocol::{PlatformProtocol, StoreEra, StoreRevision};
 use crate::relay_log::{RawItem, RelayLog};
-use crate::shared::{PeerUpdate, Shared, TrafficUpdate};
+use crate::shared::{PeerUpdate, Shared, TrafficUpdate, try_queue};
 use crate::store_calls::{copy_age_max, must_read_store};
 use crate::store_state::{StateChange, StoreState};
 use crate::view::{COPY_GAP_MIN, View};
@@ -494,7 +494,7 @@
     }
 
     fn send_to_traffic(&self, update: PeerUpdate) {
-        if self.shared.peer_updates.try_send(update).is_err() {
+        if !try_queue(&self.shared.peer_updates, update) {
             tracing::debug!("the traffic thread's queue is full; dropped an update");
         }
     }
--- a/crates/celeryknot_gateway/src/daemon.rs
+++ b/crates/celeryknot_gateway/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::control::{ControlSockets, run_control};
 use crate::listeners::Listeners;
 use crate::platform_protocol::PlatformProtocol;
-use crate::shared::{NOT_DRAINING, Shared, UPDATE_QUEUE_LEN_MAX};
+use crate::shared::{NOT_DRAINING, Shared};
 use crate::traffic::{TrafficSockets, run_traffic};
 use crate::view::View;
 
@@ -68,7 +68,7 @@
         let listeners = Listeners::bind(&mut settings)?;
         let (drain_connections, drain_connections_signal) = async_channel::bounded(1);
         let (stop, stop_signal) = async_channel::bounded(1);
-        let (peer_updates, updates) = async_channel::bounded(UPDATE_QUEUE_LEN_MAX);
+        let (peer_updates, updates) = async_channel::unbounded();
         let members = vec![settings.name.clone()];
         let shared = Arc::new(Shared {
             bounds: ArcSwap::from_pointee(settings.bounds.clone()),
@@ -79,7 +79,7 @@
                 members,
                 ..View::default()
             }),
-            traffic_updates: async_channel::bounded(UPDATE_QUEUE_LEN_MAX),
+            traffic_updates: async_channel::unbounded(),
             peer_updates,
             store_read_at_ms: AtomicU64::new(MonotonicMs::PROCESS_START.0),
             copied_at_ms: AtomicU64::new(MonotonicMs::PROCESS_START.0),
--- a/crates/celeryknot_gateway/src/shared.rs
+++ b/crates/celeryknot_gateway/src/shared.rs
@@ -20,7 +20,14 @@
 pub(crate) type Signal = Receiver<Infallible>;
 
 /// Updates queued for the other thread; further ones are dropped while the queue is full.
-pub(crate) const UPDATE_QUEUE_LEN_MAX: usize = 4_096;
+const UPDATE_QUEUE_LEN_MAX: usize = 4_096;
+
+/// Queues an update for the other thread; returns whether the queue had room.
+///
+/// The channel is unbounded, as a bounded one allocates all its places in advance.
+pub(crate) fn try_queue<T>(queue: &Sender<T>, update: T) -> bool {
+    queue.len() < UPDATE_QUEUE_LEN_MAX && queue.try_send(update).is_ok()
+}
 
 /// Value of `connections_end_at_ms` before a shutdown starts.
 pub(crate) const NOT_DRAINING: u64 = u64::MAX;
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -32,7 +32,7 @@
 use super::shutdown::RouteTimes;
 use crate::platform_protocol::TakenUpStream;
 use crate::rate_log::{log_rate_change, log_refusal_limit};
-use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate};
+use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate, try_queue};
 use crate::view::View;
 
 /// Minimum number of daemons that share the fleet's bounds, since some may not be known yet.
@@ -467,7 +467,7 @@
     }
 
     fn send_to_control(&self, update: TrafficUpdate) {
-        if self.shared.traffic_updates.0.try_send(update).is_err() {
+        if !try_queue(&self.shared.traffic_updates.0, update) {
             tracing::debug!("the control thread's queue is full; dropped an update");
         }
     }
--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -377,9 +377,12 @@
             request: request.into_inner(),
             reply,
         };
-        let accepted = self.polls.try_send(poll);
+        let has_room = self.polls.len() < PENDING_CALLS_MAX;
+        let is_accepted = has_room && self.polls.try_send(poll).is_ok();
         Box::pin(async move {
-            accepted.map_err(|_| Status::resource_exhausted("too many questions wait"))?;
+            if !is_accepted {
+                return Err(Status::resource_exhausted("too many questions wait"));
+            }
             match response.recv().await {
                 Ok(reply) => Ok(tonic::Response::new(reply)),
                 Err(_) => Err(Status::unavailable("the daemon is ending")),
@@ -398,7 +401,8 @@
     listener: TcpListener,
 ) -> eyre::Result<Receiver<PendingPoll>> {
     let listener = smol::net::TcpListener::from(Async::new(listener)?);
-    let (polls, received) = async_channel::bounded(PENDING_CALLS_MAX);
+    // A bounded channel would allocate all its places in advance.
+    let (polls, received) = async_channel::unbounded();
     let spawner = LocalSpawner(Rc::downgrade(executor));
     let accept = async move {
         loop {
