Keep the own rank among the readers for a tenth of a second

A profile of all daemons before traffic: ranking the members is the largest part of the control thread's own code.

Cause: each tick of 50 ms ranks all daemons twice to find out whether this one is a reader, and each poll copies the whole ranking to take one entry. The cost of each daemon grows with their number.

Change: the own rank is kept for 100 ms, until the list changes or a daemon is found unresponsive. Poll targets are borrowed.

--- a/crates/celeryknot_gateway/src/members.rs
+++ b/crates/celeryknot_gateway/src/members.rs
@@ -4,6 +4,7 @@
 //! store if it is among the highest-ranked. While views differ, more daemons than necessary read
 //! the store, which does no harm; a daemon without recent store updates reads the store anyway.
 
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -23,6 +24,9 @@
 /// Time without a heartbeat after which a daemon no longer counts as a reader.
 const READER_TIMEOUT: DurationMs = DurationMs(6_000);
 
+/// Time for which this daemon's rank is kept: to rank all daemons takes long where there are many.
+const READER_RANK_TTL: DurationMs = DurationMs(100);
+
 /// Time since the last addition of a daemon after which all are assumed to be known.
 ///
 /// Longer than the backoff after a peer that did not respond.
@@ -70,6 +74,15 @@
     entries: BTreeMap<MemberName, Entry>,
     version: u64,
     last_addition_at: MonotonicMs,
+    own_rank: Cell<OwnRank>,
+}
+
+/// This daemon's rank among the readers, as of a time and a version of the table.
+#[derive(Debug, Clone, Copy, Default)]
+struct OwnRank {
+    version: u64,
+    at: MonotonicMs,
+    rank: Option<usize>,
 }
 
 impl MemberTable {
@@ -99,6 +112,7 @@
             entries: BTreeMap::new(),
             version: 1,
             last_addition_at: MonotonicMs::PROCESS_START,
+            own_rank: Cell::default(),
         }
     }
 
@@ -192,6 +206,7 @@
             .find(|entry| entry.member.address == address);
         if let Some(entry) = entry {
             entry.backoff_until = now + UNRESPONSIVE_BACKOFF;
+            self.own_rank.take();
         }
     }
 
@@ -231,8 +246,18 @@
 
     /// Returns this daemon's rank among the readers; `None` if it isn't one.
     pub fn reader_rank(&self, now: MonotonicMs) -> Option<usize> {
+        let cached = self.own_rank.get();
+        if cached.version == self.version && now - cached.at < READER_RANK_TTL {
+            return cached.rank;
+        }
         let mut readers = self.reader_ranking(now).into_iter().take(READER_COUNT);
-        readers.position(|member| *member == self.own)
+        let rank = readers.position(|member| *member == self.own);
+        self.own_rank.set(OwnRank {
+            version: self.version,
+            at: now,
+            rank,
+        });
+        rank
     }
 
     /// Returns the responsive daemons, including this one, ranked by priority as a reader.
@@ -267,7 +292,7 @@
     /// then all others.
     ///
     /// `shuffle_key` varies the order among equals, which spreads the readers' load.
-    pub fn poll_targets(&self, now: MonotonicMs, shuffle_key: u64) -> Vec<Member> {
+    pub fn poll_targets(&self, now: MonotonicMs, shuffle_key: u64) -> Vec<&Member> {
         let mut targets: Vec<(bool, bool, u64, &Member)> = self
             .reader_ranking(now)
             .into_iter()
@@ -284,7 +309,7 @@
         });
         targets
             .into_iter()
-            .map(|(_, _, _, member)| member.clone())
+            .map(|(_, _, _, member)| member)
             .collect()
     }
 
--- a/crates/celeryknot_gateway/tests/control.rs
+++ b/crates/celeryknot_gateway/tests/control.rs
@@ -213,7 +213,7 @@
         .map(|own| table(own, 0..30, now))
         .find(|table| !table.is_reader(now))
         .unwrap();
-    let poll_targets = table.poll_targets(now, 7);
+    let poll_targets: Vec<Member> = table.poll_targets(now, 7).into_iter().cloned().collect();
     assert_eq!(
         poll_targets.len(),
         29,
@@ -231,7 +231,33 @@
     );
     let mut table = table;
     table.note_unresponsive(now, poll_targets[0].address);
-    assert!(!table.poll_targets(now, 7).contains(&poll_targets[0]));
+    assert!(!table.poll_targets(now, 7).contains(&&poll_targets[0]));
+}
+
+#[test]
+fn own_rank_follows_what_is_known_of_the_others() {
+    let now = MonotonicMs(1_000);
+    let own = (0..30)
+        .find(|own| !table(*own, 0..30, now).is_reader(now))
+        .unwrap();
+
+    let mut alone = table(own, [], now);
+    assert!(alone.is_reader(now));
+    for number in 0..30 {
+        alone.observe(now, member(number), DurationMs(0));
+    }
+    assert!(!alone.is_reader(now), "others are known");
+
+    let mut unresponsive = table(own, 0..30, now);
+    assert!(!unresponsive.is_reader(now));
+    for number in 0..30 {
+        unresponsive.note_unresponsive(now, member(number).address);
+    }
+    assert!(unresponsive.is_reader(now), "no other one responds");
+
+    let silent = table(own, 0..30, now);
+    assert!(!silent.is_reader(now));
+    assert!(silent.is_reader(MonotonicMs(10_000)), "heartbeats end");
 }
 
 #[test]
