Remove expired endpoint updates twice a second

Each tick of 50 ms looked at all stored updates, more than a thousand with 124 endpoints, to find a few expired ones; readers of the table leave these out anyway. The number of endpoints whose loads are known, which spaces their updates, is counted as they appear, and corrected at each removal: a test of core/tests/endpoint_updates.rs fails without that.

--- a/crates/celeryknot_core/src/endpoint_updates.rs
+++ b/crates/celeryknot_core/src/endpoint_updates.rs
@@ -61,6 +61,9 @@
 /// Maximum number of streams per message; a caller that takes an omitted one up may be refused.
 const STREAMS_PER_MESSAGE_MAX: usize = 128;
 
+/// Time between two removals of expired updates, each of which looks at all.
+const REMOVAL_INTERVAL: DurationMs = DurationMs(500);
+
 /// An observation about an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Observation {
@@ -211,6 +214,7 @@
     endpoints: usize,
     /// Versions of the stored updates about suspects, the oldest first.
     suspect_versions: BTreeSet<u64>,
+    advanced_at: MonotonicMs,
 }
 
 impl EndpointUpdateTable {
@@ -221,6 +225,9 @@
         if previous.is_some_and(|previous| !update.supersedes(previous, self.endpoints)) {
             return false;
         }
+        if old_version.is_none() && matches!(update.observation, Observation::Load { .. }) {
+            self.endpoints += 1;
+        }
         if let Some(old_version) = old_version {
             self.updates.remove(&old_version);
             self.suspect_versions.remove(&old_version);
@@ -284,8 +291,12 @@
             .collect()
     }
 
-    /// Removes expired updates.
+    /// Removes expired updates, once in a while: [`Self::after`] returns none of them anyway.
     pub fn advance(&mut self, now: MonotonicMs) {
+        if now - self.advanced_at < REMOVAL_INTERVAL {
+            return;
+        }
+        self.advanced_at = now;
         let (versions, suspect_versions) = (&mut self.versions, &mut self.suspect_versions);
         self.endpoints = 0;
         self.updates.retain(|version, update| {
