Leave waiting for I/O to one thread

Cause: three threads waited by `smol::block_on`, which has whoever comes first poll the reactor for all. A thread that handles events of others for half a millisecond hands the reactor to smol's own thread and parks; that one then sleeps 50 us, 75 us, 100 us and so on up to 10 ms, after each event again, to let the others take over. On the large deployment this thread used 7.5 of 25.9 parts of the daemons' processor time.

Change: the gateway's threads only park. smol's thread polls the reactor alone, without these sleeps, and wakes whoever an event is for.

--- a/crates/celeryknot_gateway/src/control.rs
+++ b/crates/celeryknot_gateway/src/control.rs
@@ -13,6 +13,7 @@
 
 use celeryknot_callers::executor::ThreadRuntime;
 use celeryknot_peers::relay;
+use futures_lite::future;
 
 use crate::members::READER_COUNT;
 use crate::platform_protocol::PlatformProtocol;
@@ -40,7 +41,7 @@
     let runtime = ThreadRuntime::new();
     let executor = runtime.executor();
     let publisher = Rc::new(Publisher::new(Arc::clone(&shared)));
-    smol::block_on(runtime.run(async {
+    future::block_on(runtime.run(async {
         let watch = watch::watch_store::<P>(Arc::clone(&shared), Rc::clone(&publisher));
         executor.spawn(watch).detach();
         match relay::listen(runtime.local_executor(), sockets.peers) {
--- a/crates/celeryknot_gateway/src/run.rs
+++ b/crates/celeryknot_gateway/src/run.rs
@@ -98,7 +98,7 @@
         version = env!("CARGO_PKG_VERSION"),
         "started"
     );
-    smol::block_on(wait_for_shutdown(&mut signals, path, &mut gateway));
+    future::block_on(wait_for_shutdown(&mut signals, path, &mut gateway));
     Ok(match gateway.shut_down() {
         0 => ExitStatus::Done,
         _ => ExitStatus::Leftover,
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -21,6 +21,7 @@
 use celeryknot_callers::server::{ConnectionContext, is_connection_timeout, serve_connection};
 use celeryknot_callers::{CallerLimits, ConnectionTimeouts};
 use celeryknot_core::DurationMs;
+use futures_lite::future;
 use smol::Async;
 use smol::net::TcpStream;
 
@@ -55,7 +56,7 @@
     let runtime = ThreadRuntime::new();
     let executor = runtime.executor();
     let gateway = TrafficThread::new(shared, executor.clone(), peer_updates);
-    smol::block_on(runtime.run(async {
+    future::block_on(runtime.run(async {
         executor.spawn(tick(Rc::clone(&gateway))).detach();
         let callers = accept(Rc::clone(&gateway), listeners.callers, serve_caller::<P>);
         executor.spawn(callers).detach();
