--- a/review/stand-ins/client.rs
+++ b/review/stand-ins/client.rs
@@ -90,9 +90,12 @@
     /// Sends a request and reads its answer.
     pub fn run(&mut self, record: &Record, daemon: &str, call: &Call) -> End {
         let mut text = format!(
-            "{} {} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {}\r\nDeadline-Ms: {}\r\nX-Api-Key: key-of-otaru\r\n",
+            "{} {} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {}\r\nDeadline-Ms: {}\r\n",
             call.method, call.path, call.id, call.deadline_ms
         );
+        if call.fields.iter().all(|(name, _)| *name != "X-Api-Key") {
+            text.push_str("X-Api-Key: key-of-otaru\r\n");
+        }
         for (name, value) in &call.fields {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
--- a/review/stand-ins/fleet.rs
+++ b/review/stand-ins/fleet.rs
@@ -124,9 +124,9 @@
         kb.unwrap_or(0) / 1_024
     }
 
-    /// Kills the process, and starts it again after a time, as the platform does.
-    pub fn kill_and_restart(&mut self, delay: Duration) {
-        drop(self.process.kill());
+    /// Stops the process with a signal, and starts it again after a time, as the platform does.
+    pub fn stop_and_restart(&mut self, signal: &str, delay: Duration) {
+        self.signal(signal);
         drop(self.process.wait());
         std::thread::sleep(delay);
         let settings = self.folder.join(format!("{}.ini", self.name));
--- a/review/stand-ins/large_bodies.rs
+++ b/review/stand-ins/large_bodies.rs
@@ -154,7 +154,7 @@
                 "SIGKILL  {name} takes {memory_mb} MB of {MEMORY_MB}"
             ));
             kills += 1;
-            site.daemons[0].kill_and_restart(Duration::from_millis(500));
+            site.daemons[0].stop_and_restart("KILL", Duration::from_millis(500));
         }
     }
     is_over.store(true, Ordering::Release);
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -14,6 +14,7 @@
 mod restarted_engines;
 mod site;
 mod store;
+mod tenant_name;
 
 use std::path::Path;
 use std::process::exit;
@@ -38,6 +39,7 @@
         "event-id" => event_id::play(root, &folder, &record, has_trouble),
         "large-bodies" => large_bodies::play(root, &folder, &record, has_trouble),
         "late-streams" => late_streams::play(root, &folder, &record, has_trouble),
+        "tenant-name" => tenant_name::play(root, &folder, &record, has_trouble),
         "restarted-engines" => restarted_engines::play(root, &folder, &record, has_trouble),
         _ => panic!("unknown case {case}"),
     });
--- a/review/stand-ins/restarted_engines.rs
+++ b/review/stand-ins/restarted_engines.rs
@@ -204,6 +204,8 @@
     begin("engines restarted");
     sleep(Duration::from_secs(3));
     let last = site.daemons.len() - 1;
+    // With `SIGNAL=TERM`, the machines are stopped and started in turn, as planned work.
+    let signal = std::env::var("SIGNAL").unwrap_or_else(|_| "KILL".to_owned());
     for index in 0..site.daemons.len() {
         begin(if index == last {
             "final fault"
@@ -211,8 +213,8 @@
             "fault"
         });
         if has_trouble {
-            record.line(&format!("SIGKILL  {}", site.daemons[index].name));
-            site.daemons[index].kill_and_restart(RESTART_DELAY);
+            record.line(&format!("SIG{signal}  {}", site.daemons[index].name));
+            site.daemons[index].stop_and_restart(&signal, RESTART_DELAY);
         }
         sleep(if index == last {
             Duration::ZERO
--- a/review/stand-ins/site.rs
+++ b/review/stand-ins/site.rs
@@ -21,8 +21,16 @@
     pub daemons: Vec<Daemon>,
 }
 
+/// The tenants of the first configuration, each with its keys.
+pub const TENANTS: [(&str, &[&str]); 1] = [("otaru", &["key-of-otaru", "old-key-of-otaru"])];
+
 /// Returns a configuration with the kinds of requests of the site kinrin-sapporo.
-fn configuration() -> String {
+pub fn configuration(version: u64, tenants: &[(&str, &[&str])]) -> String {
+    let tenants = tenants.iter().map(|(name, keys)| {
+        let keys = keys.join("\",\"");
+        format!(r#"{{"name":"{name}","apiKeys":["{keys}"]}}"#)
+    });
+    let tenants = tenants.collect::<Vec<_>>().join(",");
     let route = |name: &str, kind: &str, service: &str, timeout_ms, aim_ms, attempts, resumable| {
         let sticky = kind == "streaming";
         format!(
@@ -37,7 +45,7 @@
     ]
     .join(",");
     format!(
-        r#"{{"version":7,"routes":[{routes}],"services":[{{"name":"llm","healthPath":"/healthz","maxConnections":360,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":13.0,"engine":{{"slots":64,"kvCapacity":342415,"kvBytes":163840,"linkMbps":550000.0,"moves":true}}}},{{"name":"desk","healthPath":"/healthz","maxConnections":100,"protocol":"h1","tls":false,"coldStartS":0.0}}],"tenants":[{{"name":"otaru","apiKeys":["key-of-otaru"]}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+        r#"{{"version":{version},"routes":[{routes}],"services":[{{"name":"llm","healthPath":"/healthz","maxConnections":360,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":13.0,"engine":{{"slots":64,"kvCapacity":342415,"kvBytes":163840,"linkMbps":550000.0,"moves":true}}}},{{"name":"desk","healthPath":"/healthz","maxConnections":100,"protocol":"h1","tls":false,"coldStartS":0.0}}],"tenants":[{tenants}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
     )
 }
 
@@ -64,7 +72,7 @@
         daemons: usize,
     ) -> Self {
         let store = Store::start("127.0.0.1");
-        store.put("op/config", &configuration());
+        store.put("op/config", &configuration(7, &TENANTS));
         let ids = [
             ("i-llm-1", "llm"),
             ("i-llm-2", "llm"),
