Show that one tenant's name keeps the fleet from its configuration (RECOVER)

Cause: a name that isn't of small letters, digits, - _ and . makes a daemon give up the whole configuration.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,9 @@
 #!/bin/sh
-# Exits with 1 if LOST was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if RECOVER was broken, 0 if it held, 2 if the case could not run.
 folder=$(cd "$(dirname "$0")" && pwd)
-exec "$folder/../../target/review/stand-ins" large-bodies "$folder/../.." "$folder/record.txt"
+stand_ins="$folder/../../target/review/stand-ins"
+if [ ! -x "$stand_ins" ]; then
+    echo "run review/build.sh first" >&2
+    exit 2
+fi
+exec "$stand_ins" tenant-name "$folder/../.." "$folder/record.txt"
