--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -253,7 +253,7 @@
     /// another endpoint has crashed under it before.
     pub(super) fn check_break(&self) -> impl Future<Output = bool> + use<> {
         let is_at_beginning = self.events <= BEGINNING_EVENTS_MAX;
-        let check = self.check_crash(is_at_beginning, self.parts.clone());
+        let check = self.check_crash(is_at_beginning);
         async move {
             let finding = check.await;
             finding.is_some_and(|it| it.has_unproven_part || it.is_repeated)
@@ -262,24 +262,22 @@
 
     /// Checks whether a connection was lost before an answer because its endpoint crashed.
     ///
-    /// Any request that the endpoint had begun may be the reason, so only the request itself is
-    /// suspected and not what it shares with others, and it takes a second crash to keep it from
-    /// further endpoints.
+    /// Any request that the endpoint had begun may be the reason, so it takes a second crash to keep
+    /// this one from further endpoints.
     pub(super) fn check_lost_connection(&self) -> impl Future<Output = bool> + use<> {
-        let check = self.check_crash(!self.may_be_queued, Parts::new());
+        let check = self.check_crash(!self.may_be_queued);
         async move { check.await.is_some_and(|it| it.is_repeated) }
     }
 
-    /// Records a crash under these parts and the request, if the endpoint has crashed.
+    /// Records a crash under the request, if the endpoint has crashed.
     fn check_crash(
         &self,
         may_be_cause: bool,
-        parts: Parts,
     ) -> impl Future<Output = Option<CrashFinding>> + use<> {
         let gateway = Rc::clone(&self.gateway);
         let (request_id, endpoint) = (self.request_id.clone(), self.endpoint.clone());
         let (address, request) = (self.address, self.request);
-        let service = self.service.clone();
+        let (service, parts) = (self.service.clone(), self.parts.clone());
         let may_be_crash = may_be_cause && self.is_expected_to_run();
         async move {
             if !may_be_crash {
--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -28,6 +28,9 @@
 /// Short, as a new version of the endpoints may crash on what earlier ones answered.
 const CLEARED_TTL: DurationMs = DurationMs(10_000);
 
+/// Minimum age of the last known answer before a later one is reported to peers again.
+const ANSWER_REPORT_INTERVAL: DurationMs = DurationMs(1_000);
+
 /// Time for which a suspect that was answered, and under which nothing crashed since, counts as sound.
 const SOUND_TTL: DurationMs = DurationMs(5 * 60_000);
 
@@ -60,6 +63,8 @@
     /// The latest crashes, at most [`CRASHES_TO_BAN`].
     crashes: SmallVec<[(EndpointTag, MonotonicMs); CRASHES_TO_BAN]>,
     cleared_at: Option<MonotonicMs>,
+    /// The latest answer that this daemon has reported to peers or heard of from them.
+    reported_answer_at: Option<MonotonicMs>,
     /// When it was banned or last tried.
     banned_at: Option<MonotonicMs>,
     /// Trials and further crashes since the ban.
@@ -197,11 +202,7 @@
         known
             .crashes
             .retain(|(_, crashed_at)| at - *crashed_at < CRASH_TTL);
-        let is_known = known.crashes.iter().any(|(crashed, crashed_at)| {
-            let apart = (at - *crashed_at).max(*crashed_at - at);
-            *crashed == endpoint && apart < SAME_CRASH_INTERVAL
-        });
-        if is_known {
+        if known.has_crash(endpoint, at) {
             return CrashVerdict::Known;
         }
         if known.crashes.len() == CRASHES_TO_BAN {
@@ -215,14 +216,46 @@
             known.is_trial_running = false;
             return CrashVerdict::Suspected;
         }
-        if known.crashes.len() < CRASHES_TO_BAN {
+        if known.crashes.len() < CRASHES_TO_BAN || self.is_explained(suspect) {
             return CrashVerdict::Suspected;
         }
+        let known = self.entry(at, suspect);
         known.banned_at = Some(at);
         known.trials = 0;
+        self.lift_explained_bans(suspect);
         CrashVerdict::Banned
     }
 
+    /// Returns whether another suspect, whose last answer is older, was there at all of its crashes.
+    ///
+    /// A first part that sound prompts share with those that crash endpoints is at the same crashes
+    /// as the part that causes them, but sound prompts are answered.
+    fn is_explained(&self, suspect: SuspectTag) -> bool {
+        let Some(known) = self
+            .suspects
+            .get(&suspect)
+            .filter(|_| suspect.part().is_some())
+        else {
+            return false;
+        };
+        self.suspects
+            .iter()
+            .any(|(other, it)| *other != suspect && it.explains(known))
+    }
+
+    /// Lifts the bans of parts whose crashes a banned suspect explains.
+    fn lift_explained_bans(&mut self, banned: SuspectTag) {
+        let Some(cause) = self.suspects.get(&banned).cloned() else {
+            return;
+        };
+        for (other, it) in &mut self.suspects {
+            if *other != banned && other.part().is_some() && cause.explains(it) {
+                it.banned_at = None;
+                it.trials = 0;
+            }
+        }
+    }
+
     /// Records that an endpoint crashed before or as it began to answer a request, whose prompt has
     /// these shared parts, and which is identified by `own`.
     pub fn record_crashed_request(
@@ -233,24 +266,58 @@
         own: Option<SuspectTag>,
     ) -> CrashFinding {
         let all = || shared.iter().copied().chain(own);
+        // Other requests at the endpoint may have been recorded before this one.
+        let has_another = |it: &SuspectTag| self.has_another_crash(at, *it, endpoint);
+        let is_sound = |it: &SuspectTag| self.was_answered(at, *it) && !has_another(it);
         CrashFinding {
-            has_unproven_part: !shared.iter().all(|it| self.is_sound(at, *it)),
-            is_repeated: all().any(|it| self.is_suspected(at, it)),
+            has_unproven_part: !shared.iter().all(is_sound),
+            is_repeated: all().any(|it| has_another(&it)),
             verdicts: all()
                 .map(|it| (it, self.record_crash(at, it, endpoint)))
                 .collect(),
         }
     }
 
+    /// Returns whether an endpoint other than this one, or this one at another time, has crashed
+    /// under a suspect.
+    fn has_another_crash(
+        &self,
+        at: MonotonicMs,
+        suspect: SuspectTag,
+        endpoint: EndpointTag,
+    ) -> bool {
+        let is_other = |(crashed, crashed_at): &(EndpointTag, MonotonicMs)| {
+            at - *crashed_at < CRASH_TTL && !is_same_crash((*crashed, *crashed_at), (endpoint, at))
+        };
+        self.suspects
+            .get(&suspect)
+            .is_some_and(|it| it.crashes.iter().any(is_other))
+    }
+
+    /// Takes the answer to a suspect that peers have to hear of, as they take crashes under it for
+    /// its own.
+    fn take_unreported_answer(
+        &mut self,
+        at: MonotonicMs,
+        suspect: SuspectTag,
+    ) -> Option<MonotonicMs> {
+        let known = self.suspects.get_mut(&suspect)?;
+        let answered_at = known.cleared_at.filter(|it| at - *it < SOUND_TTL)?;
+        let is_new = known
+            .reported_answer_at
+            .is_none_or(|it| answered_at - it >= ANSWER_REPORT_INTERVAL);
+        is_new.then(|| {
+            known.reported_answer_at = Some(answered_at);
+            answered_at
+        })
+    }
+
     /// Applies a peer's update.
     pub fn apply(&mut self, update: &EndpointUpdate) -> AppliedUpdate {
         match update.observation {
             Observation::CrashedOn { suspect } => {
                 let verdict = self.record_crash(update.at, suspect, update.endpoint);
-                let answered_at = match verdict {
-                    CrashVerdict::Cleared => self.cleared_at(suspect),
-                    CrashVerdict::Known | CrashVerdict::Suspected | CrashVerdict::Banned => None,
-                };
+                let answered_at = self.take_unreported_answer(update.at, suspect);
                 AppliedUpdate {
                     crash: Some((suspect, verdict)),
                     contradiction: answered_at.map(|at| EndpointUpdate {
@@ -261,10 +328,15 @@
                     ..AppliedUpdate::default()
                 }
             }
-            Observation::Answered { suspect } => AppliedUpdate {
-                has_cleared: self.record_answer(update.at, suspect),
-                ..AppliedUpdate::default()
-            },
+            Observation::Answered { suspect } => {
+                let has_cleared = self.record_answer(update.at, suspect);
+                let known = self.entry(update.at, suspect);
+                known.reported_answer_at = known.reported_answer_at.max(Some(update.at));
+                AppliedUpdate {
+                    has_cleared,
+                    ..AppliedUpdate::default()
+                }
+            }
             Observation::Load { .. }
             | Observation::Unreachable
             | Observation::Leaving
@@ -299,16 +371,15 @@
             .is_some_and(|it| it.crashes.iter().any(is_recent))
     }
 
-    /// Returns the time of the latest answer that cleared it.
-    fn cleared_at(&self, suspect: SuspectTag) -> Option<MonotonicMs> {
-        self.suspects.get(&suspect)?.cleared_at
-    }
-
     /// Returns whether it was answered, and no endpoint has crashed under it since.
     pub fn is_sound(&self, now: MonotonicMs, suspect: SuspectTag) -> bool {
-        self.suspects.get(&suspect).is_some_and(|it| {
-            it.crashes.is_empty() && it.cleared_at.is_some_and(|at| now - at < SOUND_TTL)
-        })
+        let has_crashes = |it: &Suspect| !it.crashes.is_empty();
+        self.was_answered(now, suspect) && !self.suspects.get(&suspect).is_some_and(has_crashes)
+    }
+
+    fn was_answered(&self, now: MonotonicMs, suspect: SuspectTag) -> bool {
+        let answered_at = self.suspects.get(&suspect).and_then(|it| it.cleared_at);
+        answered_at.is_some_and(|at| now - at < SOUND_TTL)
     }
 
     /// Checks a request with these suspects before it is sent to an endpoint.
@@ -403,7 +474,29 @@
     }
 }
 
+/// Returns whether two reports are about one crash.
+fn is_same_crash(one: (EndpointTag, MonotonicMs), other: (EndpointTag, MonotonicMs)) -> bool {
+    let apart = (one.1 - other.1).max(other.1 - one.1);
+    one.0 == other.0 && apart < SAME_CRASH_INTERVAL
+}
+
 impl Suspect {
+    fn has_crash(&self, endpoint: EndpointTag, at: MonotonicMs) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|it| is_same_crash(*it, (endpoint, at)))
+    }
+
+    /// Returns whether this one was at all crashes of another suspect, which has been answered since
+    /// this one was.
+    fn explains(&self, other: &Self) -> bool {
+        self.cleared_at < other.cleared_at
+            && self.crashes.len() == CRASHES_TO_BAN
+            && other
+                .crashes
+                .iter()
+                .all(|(endpoint, at)| self.has_crash(*endpoint, *at))
+    }
+
     fn is_cleared(&self, now: MonotonicMs) -> bool {
         self.cleared_at.is_some_and(|at| now - at < CLEARED_TTL)
     }
--- a/crates/celeryknot_policy/tests/crash_suspects.rs
+++ b/crates/celeryknot_policy/tests/crash_suspects.rs
@@ -744,3 +744,118 @@
         assert!(!suspects.is_banned(MonotonicMs(20 * 60_000), request));
     }
 }
+
+/// What happens to the parts of prompts, at a time in milliseconds.
+#[derive(Debug, Clone, Copy)]
+enum PartsEvent {
+    /// An endpoint crashes under a request with these parts.
+    Crash(u32, &'static [u32], u64),
+    /// A request with these parts is answered.
+    Answer(&'static [u32], u64),
+}
+
+struct PartsCase {
+    name: &'static str,
+    events: &'static [PartsEvent],
+    banned: &'static [u32],
+}
+
+#[test]
+fn first_part_of_sound_prompts_is_not_banned_with_the_part_that_crashes_endpoints() {
+    use PartsEvent::{Answer, Crash};
+    let cases = [
+        PartsCase {
+            name: "answered before, the same crashes",
+            events: &[
+                Answer(&[1, 10], 0),
+                Crash(1, &[1, 7], 5_000),
+                Crash(2, &[1, 7], 6_000),
+                Crash(3, &[1, 7], 7_000),
+            ],
+            banned: &[7],
+        },
+        PartsCase {
+            name: "the bad part comes first",
+            events: &[
+                Answer(&[7, 1], 0),
+                Answer(&[1, 10], 4_000),
+                Crash(1, &[7, 1], 7_000),
+                Crash(2, &[7, 1], 8_000),
+                Crash(3, &[7, 1], 9_000),
+            ],
+            banned: &[7],
+        },
+        PartsCase {
+            name: "a first part on which endpoints begin to crash",
+            events: &[
+                Answer(&[1, 10], 0),
+                Crash(1, &[1, 11], 5_000),
+                Crash(2, &[1, 12], 6_000),
+                Crash(3, &[1, 13], 7_000),
+            ],
+            banned: &[1],
+        },
+        PartsCase {
+            name: "the same, first with one later part only",
+            events: &[
+                Answer(&[1, 10], 0),
+                Crash(1, &[1, 11], 5_000),
+                Crash(2, &[1, 11], 6_000),
+                Crash(3, &[1, 11], 7_000),
+                Crash(4, &[1, 12], 8_000),
+            ],
+            banned: &[1, 11],
+        },
+        PartsCase {
+            name: "nothing is known of either",
+            events: &[
+                Crash(1, &[1, 7], 5_000),
+                Crash(2, &[1, 7], 6_000),
+                Crash(3, &[1, 7], 7_000),
+            ],
+            banned: &[1, 7],
+        },
+    ];
+    for case in cases {
+        let mut suspects = CrashSuspects::default();
+        let mut seen = HashSet::new();
+        for event in case.events {
+            match *event {
+                Crash(endpoint, parts, at_ms) => {
+                    let tags: Vec<_> = parts.iter().copied().map(tag).collect();
+                    let at = MonotonicMs(at_ms);
+                    suspects.record_crashed_request(at, EndpointTag(endpoint), &tags, None);
+                    seen.extend(parts);
+                }
+                Answer(parts, at_ms) => {
+                    for part in parts {
+                        suspects.record_answer(MonotonicMs(at_ms), tag(*part));
+                    }
+                    seen.extend(parts);
+                }
+            }
+        }
+        let now = MonotonicMs(10_000);
+        let is_banned = |part: &&&u32| suspects.is_banned(now, tag(***part));
+        let mut banned: Vec<u32> = seen.iter().filter(is_banned).map(|it| **it).collect();
+        banned.sort_unstable();
+        assert_eq!(banned, case.banned, "{}", case.name);
+    }
+}
+
+#[test]
+fn other_requests_of_one_crash_may_be_sent_again() {
+    let mut suspects = CrashSuspects::default();
+    let parts = [tag(1), tag(10)];
+    for part in parts {
+        suspects.record_answer(MonotonicMs(0), part);
+    }
+    let (at, endpoint) = (MonotonicMs(5_000), EndpointTag(1));
+    for _ in 0..3 {
+        let finding = suspects.record_crashed_request(at, endpoint, &parts, None);
+        assert!(!finding.has_unproven_part && !finding.is_repeated);
+    }
+    let later = MonotonicMs(6_000);
+    let finding = suspects.record_crashed_request(later, EndpointTag(2), &parts, None);
+    assert!(finding.has_unproven_part && finding.is_repeated);
+}
