--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -22,7 +22,9 @@
 use super::context::TrafficThread;
 
 /// Events up to which an answer is at its beginning.
-const BEGINNING_EVENTS_MAX: u32 = 1;
+///
+/// An endpoint that crashes as it begins to answer may still write what was ready.
+const BEGINNING_EVENTS_MAX: u32 = 8;
 
 /// Maximum number of a prompt's parts that are watched.
 const WATCHED_PARTS_MAX: usize = 16;
--- a/crates/celeryknotd/tests/crashing_engines.rs
+++ b/crates/celeryknotd/tests/crashing_engines.rs
@@ -71,7 +71,7 @@
     path: &'static str,
 }
 
-const CASES: [Case; 4] = [
+const CASES: [Case; 5] = [
     Case {
         name: "after the head",
         manner: CrashManner::AfterHead,
@@ -92,6 +92,11 @@
         manner: CrashManner::BeforeHead,
         path: "/draft/1",
     },
+    Case {
+        name: "after three events",
+        manner: CrashManner::AfterEvents(3),
+        path: "/chat/1",
+    },
 ];
 
 /// The engine of a supervisor's child process; without [`ENGINE_VARIABLE`], it does nothing.
