--- a/crates/celeryknot_gateway/src/traffic/body.rs
+++ b/crates/celeryknot_gateway/src/traffic/body.rs
@@ -156,7 +156,7 @@
             } => {
                 let (poll, has_timed_out) = poll_until(body, deadline, context);
                 if !has_timed_out {
-                    watch.observe_poll(&poll);
+                    watch.observe_poll(&poll, body.framing());
                 }
                 poll
             }
--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -11,7 +11,7 @@
 use celeryknot_core::{
     EndpointName, EndpointTag, ErrorKind, MonotonicMs, Refusal, RequestTag, ServiceName, SuspectTag,
 };
-use celeryknot_endpoints::AnswerError;
+use celeryknot_endpoints::{AnswerError, BodyFraming};
 use celeryknot_policy::direct::{
     CrashFinding, CrashSuspects, CrashVerdict, Placement, Prompt, RequestVerdict, runs_trials_of,
 };
@@ -217,10 +217,14 @@
     }
 
     /// Records the next part of a body that is forwarded as it arrives.
-    pub(super) fn observe_poll(&mut self, poll: &Poll<Option<Result<Frame<Bytes>, AnswerError>>>) {
+    pub(super) fn observe_poll(
+        &mut self,
+        poll: &Poll<Option<Result<Frame<Bytes>, AnswerError>>>,
+        framing: BodyFraming,
+    ) {
         match poll {
             Poll::Ready(Some(Ok(_))) => self.observe_event(),
-            Poll::Ready(None) => self.observe_end(),
+            Poll::Ready(None) => self.observe_end(framing),
             Poll::Ready(Some(Err(AnswerError(ErrorKind::AnswerIncomplete)))) => {
                 self.gateway.executor.spawn(self.check_break()).detach();
             }
@@ -237,10 +241,24 @@
     }
 
     /// Records that the answer is complete.
-    pub(super) fn observe_end(&self) {
-        if self.events <= BEGINNING_EVENTS_MAX {
-            self.clear();
+    pub(super) fn observe_end(&self, framing: BodyFraming) {
+        if self.events > BEGINNING_EVENTS_MAX {
+            return;
+        }
+        if framing != BodyFraming::CloseDelimited {
+            return self.clear();
         }
+        // The end of a process closes its connections as the end of such an answer does.
+        let check = self.check_crash(true);
+        let (gateway, endpoint) = (Rc::clone(&self.gateway), self.endpoint.clone());
+        let parts = self.parts.iter().copied().filter(|_| self.events > 0);
+        let suspects: Parts = parts.chain([self.request.into()]).collect();
+        let check = async move {
+            if check.await.is_none() {
+                gateway.clear_suspects(&endpoint, suspects.into_iter());
+            }
+        };
+        self.gateway.executor.spawn(check).detach();
     }
 
     fn clear(&self) {
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -562,7 +562,8 @@
                 .observe_failure(AttemptFailure::EndpointError);
             self.log_failure(&placement, AttemptFailure::EndpointError);
             // An endpoint that answers with an error has not crashed.
-            endpoint_response.watch.observe_end();
+            let framing = endpoint_response.body.framing();
+            endpoint_response.watch.observe_end(framing);
             // Without a retry, the caller gets this response.
             let may_retry = self.call.route.kind.is_repeatable()
                 && self.gateway.check_shutdown(&self.call).is_ok();
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -123,8 +123,9 @@
             let placed = match end {
                 StreamEnd::Complete => {
                     endpoint_response.guard.observe_success();
-                    endpoint_response.watch.observe_end();
-                    return self.verify_end(endpoint_response.body.framing());
+                    let framing = endpoint_response.body.framing();
+                    endpoint_response.watch.observe_end(framing);
+                    return self.verify_end(framing);
                 }
                 StreamEnd::CallerDisconnected => return RelayEnd::CallerDisconnected,
                 StreamEnd::Failed(failure) => {
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -317,7 +317,8 @@
             return Err(AttemptFailure::Broken);
         }
     }
-    endpoint_response.watch.observe_end();
+    let framing = endpoint_response.body.framing();
+    endpoint_response.watch.observe_end(framing);
     Ok(Bytes::from(buffer))
 }
 
--- a/crates/celeryknotd/tests/crashing_engines.rs
+++ b/crates/celeryknotd/tests/crashing_engines.rs
@@ -71,7 +71,7 @@
     path: &'static str,
 }
 
-const CASES: [Case; 5] = [
+const CASES: [Case; 6] = [
     Case {
         name: "after the head",
         manner: CrashManner::AfterHead,
@@ -82,6 +82,11 @@
         manner: CrashManner::AfterHead,
         path: "/draft/1",
     },
+    Case {
+        name: "after a head without a length or chunks",
+        manner: CrashManner::AfterUnframedHead,
+        path: "/chat/1",
+    },
     Case {
         name: "before the head",
         manner: CrashManner::BeforeHead,
