--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -9,7 +9,8 @@
 use bytes::Bytes;
 use celeryknot_core::endpoint_updates::{EndpointUpdate, Observation};
 use celeryknot_core::{
-    EndpointName, EndpointTag, ErrorKind, MonotonicMs, Refusal, RequestTag, ServiceName, SuspectTag,
+    DurationMs, EndpointName, EndpointTag, ErrorKind, MonotonicMs, Refusal, RequestTag,
+    ServiceName, SuspectTag,
 };
 use celeryknot_endpoints::{AnswerError, BodyFraming};
 use celeryknot_policy::direct::{
@@ -26,6 +27,12 @@
 /// An endpoint that crashes as it begins to answer may still write what was ready.
 const BEGINNING_EVENTS_MAX: u32 = 8;
 
+/// Times from the end of an attempt to the further checks whether its endpoint has crashed.
+///
+/// The address of a process that ends may accept connections for longer than those that were open
+/// live.
+const LATER_CHECKS: [DurationMs; 3] = [DurationMs(100), DurationMs(400), DurationMs(1_200)];
+
 /// Maximum number of a prompt's parts that are watched.
 const WATCHED_PARTS_MAX: usize = 16;
 
@@ -95,6 +102,13 @@
         table.is_suspected(self.now(), tag.into())
     }
 
+    /// Returns whether parts of a prompt were answered, and no endpoint has crashed under them since.
+    fn are_sound(&self, parts: &[SuspectTag]) -> bool {
+        let table = self.crash_table.0.borrow();
+        let now = self.now();
+        parts.iter().all(|it| table.is_sound(now, *it))
+    }
+
     /// Applies a peer's update, if it is about a part or a request.
     pub(super) fn apply_suspect_update(&self, update: &EndpointUpdate) {
         let applied = self.crash_table.0.borrow_mut().apply(update);
@@ -187,6 +201,15 @@
 /// Watches how far the answer of one endpoint gets.
 #[derive(Debug)]
 pub(super) struct AnswerWatch {
+    suspects: WatchedSuspects,
+    /// Whether the request may have waited behind others, so that the endpoint had not begun it.
+    may_be_queued: bool,
+    events: u32,
+}
+
+/// What an endpoint may crash on.
+#[derive(Debug, Clone)]
+struct WatchedSuspects {
     gateway: Rc<TrafficThread>,
     request_id: String,
     service: ServiceName,
@@ -194,9 +217,6 @@
     address: SocketAddr,
     parts: Parts,
     request: RequestTag,
-    /// Whether the request may have waited behind others, so that the endpoint had not begun it.
-    may_be_queued: bool,
-    events: u32,
 }
 
 impl AnswerWatch {
@@ -204,13 +224,15 @@
         let mut parts = shared_parts(call.head.prompt.as_ref());
         parts.truncate(WATCHED_PARTS_MAX);
         Self {
-            gateway: Rc::clone(gateway),
-            request_id: call.head.request_id.clone(),
-            service: call.service.clone(),
-            endpoint: placement.endpoint.clone(),
-            address: placement.address,
-            parts,
-            request: call.tag,
+            suspects: WatchedSuspects {
+                gateway: Rc::clone(gateway),
+                request_id: call.head.request_id.clone(),
+                service: call.service.clone(),
+                endpoint: placement.endpoint.clone(),
+                address: placement.address,
+                parts,
+                request: call.tag,
+            },
             may_be_queued: placement.is_behind_own_requests,
             events: 0,
         }
@@ -226,7 +248,8 @@
             Poll::Ready(Some(Ok(_))) => self.observe_event(),
             Poll::Ready(None) => self.observe_end(framing),
             Poll::Ready(Some(Err(AnswerError(ErrorKind::AnswerIncomplete)))) => {
-                self.gateway.executor.spawn(self.check_break()).detach();
+                let check = self.check_break();
+                self.suspects.gateway.executor.spawn(check).detach();
             }
             Poll::Ready(Some(Err(_))) | Poll::Pending => {}
         }
@@ -242,28 +265,29 @@
 
     /// Records that the answer is complete.
     pub(super) fn observe_end(&self, framing: BodyFraming) {
-        if self.events > BEGINNING_EVENTS_MAX {
+        if !self.is_at_beginning() {
             return;
         }
         if framing != BodyFraming::CloseDelimited {
             return self.clear();
         }
         // The end of a process closes its connections as the end of such an answer does.
-        let check = self.check_crash(true);
-        let (gateway, endpoint) = (Rc::clone(&self.gateway), self.endpoint.clone());
-        let parts = self.parts.iter().copied().filter(|_| self.events > 0);
-        let suspects: Parts = parts.chain([self.request.into()]).collect();
+        let suspects = self.suspects.clone();
+        let (check, has_events) = (self.check_crash(true), self.events > 0);
         let check = async move {
             if check.await.is_none() {
-                gateway.clear_suspects(&endpoint, suspects.into_iter());
+                suspects.clear(has_events);
             }
         };
-        self.gateway.executor.spawn(check).detach();
+        self.suspects.gateway.executor.spawn(check).detach();
+    }
+
+    fn is_at_beginning(&self) -> bool {
+        self.events <= BEGINNING_EVENTS_MAX
     }
 
     fn clear(&self) {
-        let suspects = self.parts.iter().copied().chain([self.request.into()]);
-        self.gateway.clear_suspects(&self.endpoint, suspects);
+        self.suspects.clear(true);
     }
 
     /// Checks whether an answer that broke off did so because its endpoint crashed on the request.
@@ -272,8 +296,7 @@
     /// the request may crash another endpoint: not all parts of its prompt are known to be sound, or
     /// another endpoint has crashed under it before.
     pub(super) fn check_break(&self) -> impl Future<Output = bool> + use<> {
-        let is_at_beginning = self.events <= BEGINNING_EVENTS_MAX;
-        let check = self.check_crash(is_at_beginning);
+        let check = self.check_crash(self.is_at_beginning());
         async move {
             let finding = check.await;
             finding.is_some_and(|it| it.has_unproven_part || it.is_repeated)
@@ -294,25 +317,66 @@
         &self,
         may_be_cause: bool,
     ) -> impl Future<Output = Option<CrashFinding>> + use<> {
-        let gateway = Rc::clone(&self.gateway);
-        let (request_id, endpoint) = (self.request_id.clone(), self.endpoint.clone());
-        let (address, request) = (self.address, self.request);
-        let (service, parts) = (self.service.clone(), self.parts.clone());
-        let may_be_crash = may_be_cause && self.is_expected_to_run();
+        let suspects = self.suspects.clone();
+        let may_be_crash = may_be_cause && suspects.is_expected_to_run();
         async move {
             if !may_be_crash {
                 return None;
             }
-            let at = gateway.now();
-            if gateway
-                .is_endpoint_running(&service, &endpoint, address)
-                .await
-            {
-                return None;
+            let finding = suspects.find_crash().await;
+            if finding.is_none() {
+                suspects.check_later();
             }
-            Some(gateway.record_crash(at, &request_id, &endpoint, &parts, request))
+            finding
         }
     }
+}
+
+impl WatchedSuspects {
+    /// Clears what the endpoint answered: the parts of a prompt only if it wrote an answer to them.
+    fn clear(&self, has_used_parts: bool) {
+        let parts = self.parts.iter().copied().filter(|_| has_used_parts);
+        let suspects = parts.chain([self.request.into()]);
+        self.gateway.clear_suspects(&self.endpoint, suspects);
+    }
+
+    /// Records a crash under the request if the endpoint accepts no connections.
+    async fn find_crash(&self) -> Option<CrashFinding> {
+        let Self {
+            gateway,
+            service,
+            endpoint,
+            ..
+        } = self;
+        let at = gateway.now();
+        if gateway
+            .is_endpoint_running(service, endpoint, self.address)
+            .await
+        {
+            return None;
+        }
+        Some(gateway.record_crash(at, &self.request_id, endpoint, &self.parts, self.request))
+    }
+
+    /// Checks in the background whether the endpoint crashes a little later, unless all parts of the
+    /// prompt are known to be sound.
+    fn check_later(&self) {
+        if self.gateway.are_sound(&self.parts) {
+            return;
+        }
+        let suspects = self.clone();
+        let check = async move {
+            let started_at = suspects.gateway.now();
+            for delay_ms in LATER_CHECKS {
+                let wait_ms = (started_at + delay_ms) - suspects.gateway.now();
+                suspects.gateway.timers.after(wait_ms).await;
+                if !suspects.is_expected_to_run() || suspects.find_crash().await.is_some() {
+                    return;
+                }
+            }
+        };
+        self.gateway.executor.spawn(check).detach();
+    }
 
     /// Returns whether the endpoint has no reason to end that the platform announces: it is neither
     /// draining nor in a zone that is out.
--- a/crates/celeryknotd/tests/crashing_engines.rs
+++ b/crates/celeryknotd/tests/crashing_engines.rs
@@ -71,7 +71,7 @@
     path: &'static str,
 }
 
-const CASES: [Case; 6] = [
+const CASES: [Case; 7] = [
     Case {
         name: "after the head",
         manner: CrashManner::AfterHead,
@@ -102,6 +102,11 @@
         manner: CrashManner::AfterEvents(3),
         path: "/chat/1",
     },
+    Case {
+        name: "connections close before the address does",
+        manner: CrashManner::AfterHeadLingering(Duration::from_millis(150)),
+        path: "/chat/1",
+    },
 ];
 
 /// The engine of a supervisor's child process; without [`ENGINE_VARIABLE`], it does nothing.
