--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -1,7 +1,7 @@
 //! Watches attempts for endpoints that crash on a part of a prompt or on a request, and refuses what
 //! is banned.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::Poll;
@@ -30,7 +30,7 @@
 /// Times from the end of an attempt to the further checks whether its endpoint has crashed.
 ///
 /// The address of a process that ends may accept connections for longer than those that were open
-/// live.
+/// live, and a request that was given up may crash its endpoint later.
 const LATER_CHECKS: [DurationMs; 3] = [DurationMs(100), DurationMs(400), DurationMs(1_200)];
 
 /// Maximum number of a prompt's parts that are watched.
@@ -198,13 +198,25 @@
     }
 }
 
+/// How far the attempt has come, as far as the crash of its endpoint is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum WatchState {
+    /// Its end isn't known.
+    Running,
+    /// Nothing is left to find out.
+    Settled,
+}
+
 /// Watches how far the answer of one endpoint gets.
+///
+/// An attempt that is given up at its beginning is watched on: its endpoint may still crash on it.
 #[derive(Debug)]
 pub(super) struct AnswerWatch {
     suspects: WatchedSuspects,
     /// Whether the request may have waited behind others, so that the endpoint had not begun it.
     may_be_queued: bool,
     events: u32,
+    state: Cell<WatchState>,
 }
 
 /// What an endpoint may crash on.
@@ -235,6 +247,7 @@
             },
             may_be_queued: placement.is_behind_own_requests,
             events: 0,
+            state: Cell::new(WatchState::Running),
         }
     }
 
@@ -266,7 +279,7 @@
     /// Records that the answer is complete.
     pub(super) fn observe_end(&self, framing: BodyFraming) {
         if !self.is_at_beginning() {
-            return;
+            return self.settle();
         }
         if framing != BodyFraming::CloseDelimited {
             return self.clear();
@@ -282,11 +295,17 @@
         self.suspects.gateway.executor.spawn(check).detach();
     }
 
+    /// Records that the endpoint has not begun the request, or that it still runs.
+    pub(super) fn settle(&self) {
+        self.state.set(WatchState::Settled);
+    }
+
     fn is_at_beginning(&self) -> bool {
         self.events <= BEGINNING_EVENTS_MAX
     }
 
     fn clear(&self) {
+        self.settle();
         self.suspects.clear(true);
     }
 
@@ -317,6 +336,7 @@
         &self,
         may_be_cause: bool,
     ) -> impl Future<Output = Option<CrashFinding>> + use<> {
+        self.settle();
         let suspects = self.suspects.clone();
         let may_be_crash = may_be_cause && suspects.is_expected_to_run();
         async move {
@@ -332,6 +352,15 @@
     }
 }
 
+impl Drop for AnswerWatch {
+    fn drop(&mut self) {
+        let is_given_up = self.state.get() == WatchState::Running && self.is_at_beginning();
+        if is_given_up && !self.may_be_queued && self.suspects.is_expected_to_run() {
+            self.suspects.check_later();
+        }
+    }
+}
+
 impl WatchedSuspects {
     /// Clears what the endpoint answered: the parts of a prompt only if it wrote an answer to them.
     fn clear(&self, has_used_parts: bool) {
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -503,8 +503,16 @@
                     self.unreachable.push(placement.endpoint.clone());
                 }
                 self.log_failure(&placement, failure);
-                if failure == AttemptFailure::ConnectionLost {
-                    self.check_lost_connection(&watch).await;
+                match failure {
+                    AttemptFailure::ConnectionLost => self.check_lost_connection(&watch).await,
+                    // The request may still be running.
+                    AttemptFailure::Unanswered => {}
+                    AttemptFailure::NotSent
+                    | AttemptFailure::Refused
+                    | AttemptFailure::Misdirected
+                    | AttemptFailure::Broken
+                    | AttemptFailure::Mismatched
+                    | AttemptFailure::EndpointError => watch.settle(),
                 }
                 SendEnd::Failed(failure)
             }
--- a/crates/celeryknotd/tests/crashing_engines.rs
+++ b/crates/celeryknotd/tests/crashing_engines.rs
@@ -71,7 +71,7 @@
     path: &'static str,
 }
 
-const CASES: [Case; 7] = [
+const CASES: [Case; 8] = [
     Case {
         name: "after the head",
         manner: CrashManner::AfterHead,
@@ -107,6 +107,11 @@
         manner: CrashManner::AfterHeadLingering(Duration::from_millis(150)),
         path: "/chat/1",
     },
+    Case {
+        name: "after the attempt was replaced for its silence",
+        manner: CrashManner::BeforeHeadAfter(Duration::from_millis(450)),
+        path: "/draft/1",
+    },
 ];
 
 /// The engine of a supervisor's child process; without [`ENGINE_VARIABLE`], it does nothing.
