Clear the parts of a prompt only by successes (BUDGET)

A complete error cleared the parts of its prompt as an answer does, but an endpoint may refuse a request without reading its prompt: two crashes, an error 500 and a third crash didn't ban the part. Errors now clear the request alone, which such an endpoint did process.

--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -16,6 +16,7 @@
 use celeryknot_policy::direct::{
     CrashFinding, CrashSuspects, CrashVerdict, Placement, Prompt, RequestVerdict, runs_trials_of,
 };
+use http::StatusCode;
 use hyper::body::Frame;
 use smallvec::SmallVec;
 
@@ -215,6 +216,7 @@
     suspects: WatchedSuspects,
     /// Whether the request may have waited behind others, so that the endpoint had not begun it.
     may_be_queued: bool,
+    is_success: bool,
     events: u32,
     state: Cell<WatchState>,
 }
@@ -246,11 +248,17 @@
                 request: call.tag,
             },
             may_be_queued: placement.is_behind_own_requests,
+            is_success: false,
             events: 0,
             state: Cell::new(WatchState::Running),
         }
     }
 
+    /// Records the status of the answer.
+    pub(super) fn observe_status(&mut self, status: StatusCode) {
+        self.is_success = status.is_success();
+    }
+
     /// Records the next part of a body that is forwarded as it arrives.
     pub(super) fn observe_poll(
         &mut self,
@@ -285,11 +293,11 @@
             return self.clear();
         }
         // The end of a process closes its connections as the end of such an answer does.
-        let suspects = self.suspects.clone();
+        let (suspects, is_success) = (self.suspects.clone(), self.is_success);
         let (check, has_events) = (self.check_crash(true), self.events > 0);
         let check = async move {
             if check.await.is_none() {
-                suspects.clear(has_events);
+                suspects.clear(is_success && has_events);
             }
         };
         self.suspects.gateway.executor.spawn(check).detach();
@@ -306,7 +314,7 @@
 
     fn clear(&self) {
         self.settle();
-        self.suspects.clear(true);
+        self.suspects.clear(self.is_success);
     }
 
     /// Checks whether an answer that broke off did so because its endpoint crashed on the request.
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -463,7 +463,7 @@
         self.tried.push(placement.endpoint.clone());
         let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
         let (progress, silence_ms) = (Rc::clone(&self.progress), self.silence_ms());
-        let watch = AnswerWatch::new(&gateway, &call, &placement);
+        let mut watch = AnswerWatch::new(&gateway, &call, &placement);
         let sent = send::<P>(
             &gateway,
             &call,
@@ -483,13 +483,16 @@
         };
         let end = future::or(async { Ok(sent.await) }, replaced).await;
         match end {
-            Ok(Ok((head, body))) => SendEnd::Head(Box::new(EndpointResponse {
-                head,
-                body,
-                guard,
-                watch,
-                version: placement.version,
-            })),
+            Ok(Ok((head, body))) => {
+                watch.observe_status(head.status);
+                SendEnd::Head(Box::new(EndpointResponse {
+                    head,
+                    body,
+                    guard,
+                    watch,
+                    version: placement.version,
+                }))
+            }
             Ok(Err(failure)) => {
                 if failure == AttemptFailure::Unanswered
                     || failure == AttemptFailure::ConnectionLost
