Count crashes two seconds after an answer, not ten (BUDGET)

For ten seconds after an answer no crash counted under its parts. A part on which engines begin to crash, as after a release, crashed twenty engines in that time at two a second, and the platform allows five and three seconds more. The ten seconds protected parts that are answered all the time; such a part is answered within two as well, and the part that explains its crashes is now banned in its place. The test fails with ten seconds: no ban within 20 crashes.

--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -25,8 +25,9 @@
 
 /// Time after an answer in which crashes under its suspects don't count.
 ///
-/// Short, as a new version of the endpoints may crash on what earlier ones answered.
-const CLEARED_TTL: DurationMs = DurationMs(10_000);
+/// A part that many prompts share is answered more often than this. Longer, it would hide the crashes
+/// under a part on which endpoints begin to crash: the platform allows five, and three seconds more.
+const CLEARED_TTL: DurationMs = DurationMs(2_000);
 
 /// Minimum age of the last known answer before a later one is reported to peers again.
 const ANSWER_REPORT_INTERVAL: DurationMs = DurationMs(1_000);
--- a/crates/celeryknot_policy/tests/crash_suspects.rs
+++ b/crates/celeryknot_policy/tests/crash_suspects.rs
@@ -859,3 +859,23 @@
     let finding = suspects.record_crashed_request(later, EndpointTag(2), &parts, None);
     assert!(finding.has_unproven_part && finding.is_repeated);
 }
+
+#[test]
+fn part_that_was_answered_just_before_is_banned_within_the_bound_of_the_platform() {
+    let mut suspects = CrashSuspects::default();
+    suspects.record_answer(MonotonicMs(0), PART);
+    let crashes = (1..).map(|number: u64| number * 500).zip(1..);
+    let banned = crashes
+        .map(|(at_ms, endpoint)| {
+            let verdict = suspects.record_crash(MonotonicMs(at_ms), PART, EndpointTag(endpoint));
+            (verdict, endpoint, at_ms)
+        })
+        .take(20)
+        .find(|(verdict, ..)| *verdict == CrashVerdict::Banned);
+    let (_, crashes, banned_at_ms) = banned.unwrap();
+    let fifth_at_ms = 5 * 500;
+    assert!(
+        banned_at_ms < fifth_at_ms + 3_000,
+        "after {crashes} crashes"
+    );
+}
