Name the expected work of an endpoint in placement

Placement compares the work that endpoints are expected to have. It is the number of requests until endpoints state their pace, so nothing changes yet.

--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -378,6 +378,11 @@
         self.listed.cold_until.is_some_and(|until| now < until)
     }
 
+    /// Returns the work that the endpoint is expected to have, in requests at the usual pace.
+    pub(crate) fn expected_work(&self, now: MonotonicMs) -> f64 {
+        f64::from(self.load(now).0)
+    }
+
     /// Returns the estimated number of requests at the endpoint and the age of the estimate.
     ///
     /// The fleet's in-flight total is preferred: the endpoint's own reports come with its
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -175,6 +175,8 @@
 struct Candidate {
     name: EndpointName,
     load: u32,
+    /// Expected work, in requests at the usual pace.
+    work: f64,
     share: f64,
     slots: u32,
     score: u64,
@@ -196,7 +198,7 @@
 /// Short prompts are cheap to prefill again and make up most requests, so placing them this way
 /// evens out the load that long prompts leave uneven.
 fn promote_for_short_prompt(candidates: &mut [Candidate], mean: f64, draw: f64) {
-    let is_near_mean = |it: &Candidate| f64::from(it.load) <= mean + SHORT_PROMPT_LOAD_SLACK;
+    let is_near_mean = |it: &Candidate| it.work <= mean + SHORT_PROMPT_LOAD_SLACK;
     match candidates.iter().position(is_near_mean) {
         Some(index) => candidates[..=index].rotate_right(1),
         None => promote_weighted_random(candidates, draw),
@@ -209,7 +211,7 @@
 /// loaded endpoint, they would all choose the same one until the next report.
 fn promote_weighted_random(candidates: &mut [Candidate], draw: f64) {
     let weight = |it: &Candidate| {
-        let utilization = f64::from(it.load) / f64::from(it.slots.max(1));
+        let utilization = it.work / f64::from(it.slots.max(1));
         (utilization + UTILIZATION_OFFSET).powi(-2)
     };
     let total: f64 = candidates.iter().map(weight).sum();
@@ -220,7 +222,7 @@
     });
     if let Some(drawn) = drawn {
         candidates.swap(0, drawn);
-        candidates[1..].sort_by_key(|it| it.load);
+        candidates[1..].sort_by(|one, other| one.work.total_cmp(&other.work));
     }
 }
 
@@ -519,6 +521,7 @@
             .map(|(name, state)| Candidate {
                 name: name.clone(),
                 load: state.load(now).0,
+                work: state.expected_work(now),
                 share: state.share(),
                 slots: state.listed.slots,
                 score: rendezvous_score(key, name.as_str()),
@@ -577,7 +580,7 @@
         if fails_on_refusals {
             return None;
         }
-        candidates.sort_by_key(|candidate| candidate.load);
+        candidates.sort_by(|one, other| one.work.total_cmp(&other.work));
         let least = candidates
             .iter()
             .find(|candidate| self.try_admit(now, &candidate.name))?;
