--- a/crates/celeryknot_endpoints/src/exchange.rs
+++ b/crates/celeryknot_endpoints/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use celeryknot_core::ErrorKind;
 use futures_lite::future;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::connection::EndpointConnection;
@@ -54,9 +54,19 @@
         Some(_) => ExchangeError::NotSent,
         None => ExchangeError::MaybeSent,
     })?;
-    match has_known_transfer_coding(response.headers()) {
+    let is_readable =
+        is_final_status(response.status()) && has_known_transfer_coding(response.headers());
+    match is_readable {
         true => Ok(response),
         // Like any other head that can't be read.
         false => Err(ExchangeError::MaybeSent),
     }
 }
+
+/// Returns whether a status ends an exchange by the protocol.
+///
+/// The HTTP library also accepts three-digit numbers above 599, which have no meaning, and the
+/// switch to another protocol, which no request asks for.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
--- a/crates/celeryknotd/tests/odd_answers.rs
+++ b/crates/celeryknotd/tests/odd_answers.rs
@@ -25,7 +25,7 @@
     execution: Execution,
 }
 
-const CASES: [Case; 7] = [
+const CASES: [Case; 11] = [
     Case {
         name: "refused without execution",
         reply: RawReply::new(
@@ -87,6 +87,50 @@
         code: "answer-too-large",
         execution: Execution::Run,
     },
+    Case {
+        name: "status 000",
+        reply: RawReply::new(
+            "HTTP/1.1 000 X\r\nceleryknot-request-id: {id}\r\n\
+             content-length: 2\r\n\r\n{}",
+            ReplyEnd::Close,
+        ),
+        status: 502,
+        code: "outcome-unknown",
+        execution: Execution::Unknown,
+    },
+    Case {
+        name: "status above the last class",
+        reply: RawReply::new(
+            "HTTP/1.1 600 X\r\nceleryknot-request-id: {id}\r\n\
+             content-length: 2\r\n\r\n{}",
+            ReplyEnd::Close,
+        ),
+        status: 502,
+        code: "outcome-unknown",
+        execution: Execution::Unknown,
+    },
+    Case {
+        name: "status of four digits",
+        reply: RawReply::new(
+            "HTTP/1.1 0200 X\r\nceleryknot-request-id: {id}\r\n\
+             content-length: 2\r\n\r\n{}",
+            ReplyEnd::Close,
+        ),
+        status: 502,
+        code: "outcome-unknown",
+        execution: Execution::Unknown,
+    },
+    Case {
+        name: "status that switches the protocol",
+        reply: RawReply::new(
+            "HTTP/1.1 101 X\r\nceleryknot-request-id: {id}\r\n\
+             content-length: 2\r\n\r\n{}",
+            ReplyEnd::Close,
+        ),
+        status: 502,
+        code: "outcome-unknown",
+        execution: Execution::Unknown,
+    },
     Case {
         name: "no response",
         reply: RawReply::new("", ReplyEnd::Silence),
