--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -14,6 +14,17 @@
 use smallvec::SmallVec;
 use strum::Display;
 
+/// Events up to which an answer is at its beginning.
+///
+/// An endpoint that crashes as it begins to answer may still write what was ready.
+pub const BEGINNING_EVENTS_MAX: u32 = 8;
+
+/// Times from the end of an attempt to the further checks whether its endpoint has crashed.
+///
+/// The address of a process that ends may accept connections for longer than those that were open
+/// live, and a request that was given up may crash its endpoint later.
+pub const LATER_CHECKS: [DurationMs; 3] = [DurationMs(100), DurationMs(400), DurationMs(1_200)];
+
 /// Crashes under a suspect that ban it.
 pub const CRASHES_TO_BAN: usize = 3;
 
@@ -217,46 +228,14 @@
             known.is_trial_running = false;
             return CrashVerdict::Suspected;
         }
-        if known.crashes.len() < CRASHES_TO_BAN || self.is_explained(suspect) {
+        if known.crashes.len() < CRASHES_TO_BAN {
             return CrashVerdict::Suspected;
         }
-        let known = self.entry(at, suspect);
         known.banned_at = Some(at);
         known.trials = 0;
-        self.lift_explained_bans(suspect);
         CrashVerdict::Banned
     }
 
-    /// Returns whether another suspect, whose last answer is older, was there at all of its crashes.
-    ///
-    /// A first part that sound prompts share with those that crash endpoints is at the same crashes
-    /// as the part that causes them, but sound prompts are answered.
-    fn is_explained(&self, suspect: SuspectTag) -> bool {
-        let Some(known) = self
-            .suspects
-            .get(&suspect)
-            .filter(|_| suspect.part().is_some())
-        else {
-            return false;
-        };
-        self.suspects
-            .iter()
-            .any(|(other, it)| *other != suspect && it.explains(known))
-    }
-
-    /// Lifts the bans of parts whose crashes a banned suspect explains.
-    fn lift_explained_bans(&mut self, banned: SuspectTag) {
-        let Some(cause) = self.suspects.get(&banned).cloned() else {
-            return;
-        };
-        for (other, it) in &mut self.suspects {
-            if *other != banned && other.part().is_some() && cause.explains(it) {
-                it.banned_at = None;
-                it.trials = 0;
-            }
-        }
-    }
-
     /// Records that an endpoint crashed before or as it began to answer a request, whose prompt has
     /// these shared parts, and which is identified by `own`.
     pub fn record_crashed_request(
@@ -392,7 +371,10 @@
         suspects: &[SuspectTag],
         runs_trials: impl FnOnce(SuspectTag) -> bool,
     ) -> RequestVerdict {
-        let banned = suspects.iter().find(|it| self.is_banned(now, **it));
+        let is_banned = |it: &&SuspectTag| {
+            self.is_banned(now, **it) && !self.is_explained_without(now, **it, suspects)
+        };
+        let banned = suspects.iter().find(is_banned);
         match banned {
             None => RequestVerdict::Allowed,
             Some(suspect) if runs_trials(*suspect) && self.try_take_trial(now, *suspect) => {
@@ -402,7 +384,28 @@
         }
     }
 
-    /// Returns whether requests with it are refused.
+    /// Returns whether a banned suspect that a request doesn't have was at all crashes of one that it
+    /// has.
+    ///
+    /// The first part of sound prompts is at the same crashes as the part behind it on which endpoints
+    /// crash. A prompt with the first part alone shows which of them it is.
+    fn is_explained_without(
+        &self,
+        now: MonotonicMs,
+        suspect: SuspectTag,
+        request: &[SuspectTag],
+    ) -> bool {
+        let Some(known) = self.suspects.get(&suspect) else {
+            return false;
+        };
+        let mut others = self
+            .suspects
+            .iter()
+            .filter(|(other, it)| it.is_banned(now) && !request.contains(other));
+        others.any(|(_, it)| it.was_at_crashes_of(known))
+    }
+
+    /// Returns whether requests with it are refused, unless another suspect explains its crashes.
     pub fn is_banned(&self, now: MonotonicMs, suspect: SuspectTag) -> bool {
         self.suspects
             .get(&suspect)
@@ -487,15 +490,10 @@
         crashes.any(|it| is_same_crash(*it, (endpoint, at)))
     }
 
-    /// Returns whether this one was at all crashes of another suspect, which has been answered since
-    /// this one was.
-    fn explains(&self, other: &Self) -> bool {
-        self.cleared_at < other.cleared_at
-            && self.crashes.len() == CRASHES_TO_BAN
-            && other
-                .crashes
-                .iter()
-                .all(|(endpoint, at)| self.has_crash(*endpoint, *at))
+    /// Returns whether this one was at all crashes of another suspect.
+    fn was_at_crashes_of(&self, other: &Self) -> bool {
+        let mut crashes = other.crashes.iter();
+        crashes.all(|(endpoint, at)| self.has_crash(*endpoint, *at))
     }
 
     fn is_cleared(&self, now: MonotonicMs) -> bool {
