--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -9,10 +9,10 @@
 use bytes::Bytes;
 use celeryknot_core::endpoint_updates::{EndpointUpdate, Observation};
 use celeryknot_core::{
-    DurationMs, EndpointName, EndpointTag, ErrorKind, MonotonicMs, Refusal, RequestTag,
-    ServiceName, SuspectTag,
+    EndpointName, EndpointTag, ErrorKind, MonotonicMs, Refusal, RequestTag, ServiceName, SuspectTag,
 };
 use celeryknot_endpoints::{AnswerError, BodyFraming};
+use celeryknot_policy::direct::crash_suspects::{BEGINNING_EVENTS_MAX, LATER_CHECKS};
 use celeryknot_policy::direct::{
     CrashFinding, CrashSuspects, CrashVerdict, Placement, Prompt, RequestVerdict, runs_trials_of,
 };
@@ -23,17 +23,6 @@
 use super::call::Call;
 use super::context::TrafficThread;
 
-/// Events up to which an answer is at its beginning.
-///
-/// An endpoint that crashes as it begins to answer may still write what was ready.
-const BEGINNING_EVENTS_MAX: u32 = 8;
-
-/// Times from the end of an attempt to the further checks whether its endpoint has crashed.
-///
-/// The address of a process that ends may accept connections for longer than those that were open
-/// live, and a request that was given up may crash its endpoint later.
-const LATER_CHECKS: [DurationMs; 3] = [DurationMs(100), DurationMs(400), DurationMs(1_200)];
-
 /// Maximum number of a prompt's parts that are watched.
 const WATCHED_PARTS_MAX: usize = 16;
 
--- a/crates/celeryknot_standins/src/engine.rs
+++ b/crates/celeryknot_standins/src/engine.rs
@@ -151,6 +151,12 @@
         self.shared.state().crash_text = Some(text.to_owned());
     }
 
+    /// Sets the number of events of a stream after which the engine crashes on it; 0 is before the
+    /// response.
+    pub fn set_crash_event_count(&self, event_count: usize) {
+        self.shared.state().crash_event_count = event_count;
+    }
+
     /// Ends all requests, closes the connections, and refuses new ones for a time.
     pub fn crash(&self) {
         self.shared.crash();
--- a/crates/celeryknot_standins/src/engine/http_api.rs
+++ b/crates/celeryknot_standins/src/engine/http_api.rs
@@ -112,9 +112,14 @@
         self.import_kv(&head.headers).await;
         let (chunks, mut chunk_receiver) = Job::channel();
         let is_stream = chat_request.stream;
-        if self.shared.state().crashes_on(&chat_request.messages) {
-            chunk_receiver =
-                crash_at_first_chunk(chunk_receiver, is_stream, Arc::clone(&self.shared));
+        let (is_crashing, crash_event_count) = {
+            let state = self.shared.state();
+            let is_crashing = state.crashes_on(&chat_request.messages);
+            (is_crashing, state.crash_event_count)
+        };
+        if is_crashing {
+            let event_count = if is_stream { crash_event_count } else { 0 };
+            chunk_receiver = crash_after(chunk_receiver, event_count, Arc::clone(&self.shared));
         }
         let (request_id, refusal) = self.enqueue(&head.headers, chat_request, chunks);
         let answer_headers = answer_headers(&self.shared.state(), request_id);
@@ -124,7 +129,11 @@
             return Ok(answer);
         }
         self.shared.wake();
-        let mut answer = if is_stream {
+        let mut answer = if is_stream && is_crashing && crash_event_count == 0 {
+            // Nothing is sent before the engine has crashed.
+            let _ = chunk_receiver.recv().await;
+            return Err(Aborted);
+        } else if is_stream {
             stream_answer(chunk_receiver)
         } else {
             let Ok(BodyChunk::Last(body)) = chunk_receiver.recv().await else {
@@ -241,20 +250,24 @@
     })
 }
 
-/// Crashes the engine at the first chunk, which is sent before if it isn't the whole answer.
-fn crash_at_first_chunk(
+/// Crashes the engine once it has sent a number of events, or has the first one if that is 0.
+fn crash_after(
     chunks: Receiver<BodyChunk>,
-    is_stream: bool,
+    event_count: usize,
     shared: Arc<EngineShared>,
 ) -> Receiver<BodyChunk> {
     let (sender, receiver) = Job::channel();
     spawn(async move {
-        let Ok(BodyChunk::Part(bytes) | BodyChunk::Last(bytes)) = chunks.recv().await else {
-            return;
-        };
-        if is_stream {
-            // The router may have disconnected; the engine crashes all the same.
-            let _ = sender.send(BodyChunk::Part(bytes)).await;
+        for _ in 0..event_count.max(1) {
+            let Ok(BodyChunk::Part(bytes) | BodyChunk::Last(bytes)) = chunks.recv().await else {
+                return;
+            };
+            if event_count > 0 {
+                // The router may have disconnected; the engine crashes all the same.
+                let _ = sender.send(BodyChunk::Part(bytes)).await;
+            }
+        }
+        if event_count > 0 {
             Timer::after(CRASH_DELAY).await;
         }
         shared.crash();
--- a/crates/celeryknot_standins/src/engine/state.rs
+++ b/crates/celeryknot_standins/src/engine/state.rs
@@ -39,6 +39,8 @@
     random: SmallRng,
     /// Text in a message on which the engine crashes.
     pub(super) crash_text: Option<String>,
+    /// Number of events of a stream after which it crashes on it; 0 is before the response.
+    pub(super) crash_event_count: usize,
 }
 
 impl EngineState {
@@ -61,6 +63,7 @@
             load_history: VecDeque::new(),
             random: SmallRng::seed_from_u64(options.seed),
             crash_text: None,
+            crash_event_count: 1,
             options,
         };
         state.record_load();
--- a/crates/celeryknotd/src/traffic/dispatch/crash_check.rs
+++ b/crates/celeryknotd/src/traffic/dispatch/crash_check.rs
@@ -63,13 +63,9 @@
     /// the request may crash another one.
     ///
     /// An endpoint that no longer accepts connections has crashed, unless it was expected to end.
-    /// An answer that is not streamed begins with its end. Until then, any request at the endpoint
-    /// may be the reason, and it takes a second crash to keep the prompt from further endpoints.
+    /// Before the answer begins, any request at the endpoint may be the reason, and it takes a second
+    /// crash to keep the prompt from further endpoints.
     pub(super) async fn check_crash(&self, name: &EndpointName, has_begun: bool) {
-        let is_stream = self.request.chat.as_ref().is_some_and(|it| it.is_stream);
-        if is_stream && !has_begun {
-            return;
-        }
         let Some(address) = self.expected_address(name) else {
             return;
         };
--- a/crates/celeryknotd/src/traffic/stream.rs
+++ b/crates/celeryknotd/src/traffic/stream.rs
@@ -8,6 +8,7 @@
     AnswerError, BodyWriter, SseEvent, SseParser, TokenEvent, channel_body, sse,
 };
 use celeryknot_policy::attempt::AttemptIndex;
+use celeryknot_policy::direct::crash_suspects::BEGINNING_EVENTS_MAX;
 use celeryknot_policy::stream::{StreamCursor, TokenAction};
 use http_body_util::BodyExt;
 
@@ -22,9 +23,6 @@
 /// Limits the resumptions of one stream.
 const RESUMES_MAX: u32 = 4;
 
-/// Events up to which an answer is at its beginning.
-const BEGINNING_EVENTS_MAX: u32 = 1;
-
 /// Delay that lets the connection write the last event before the body is aborted.
 const ABORT_DELAY: DurationMs = DurationMs(50);
 
--- a/crates/celeryknotd/tests/crashing_prompts.rs
+++ b/crates/celeryknotd/tests/crashing_prompts.rs
@@ -178,6 +178,30 @@
     }
 }
 
+#[test]
+fn message_is_banned_wherever_in_its_stream_the_engines_crash() {
+    // Before the response, and after some events that were ready.
+    for event_count in [0, 3] {
+        let mut fleet = CrashingFleet::start();
+        for engine in &fleet.live.engines {
+            engine.set_crash_event_count(event_count);
+        }
+        fleet.crash_engines(&[SYSTEM, BAD], true, 5);
+        std::thread::sleep(CONTACT);
+        let crashes_before = fleet.crash_count();
+        for _ in 0..4 * DAEMON_COUNT {
+            fleet.send(&[SYSTEM, BAD], true);
+            let sound = fleet.send(&[SYSTEM, SOUND], true);
+            assert!(matches!(sound, Outcome::Completed(_)), "{sound:?}");
+        }
+        let crashes = fleet.crash_count() - crashes_before;
+        assert!(
+            crashes <= REQUESTS_AFTER_MAX,
+            "{crashes} after {event_count} events"
+        );
+    }
+}
+
 #[test]
 fn stream_that_crashed_an_engine_is_not_resumed_at_a_second_one() {
     let mut fleet = CrashingFleet::start();
