Watch on attempts that are given up for silence, not those whose callers left

Each attempt that ended at its beginning without an outcome was checked up to three times for the crash of its endpoint, at the price of a connection each. Where many callers leave early, that costs more than it shows, as most endpoints drop a request whose connection closes.

--- a/crates/celeryknot_gateway/src/traffic/crash_watch.rs
+++ b/crates/celeryknot_gateway/src/traffic/crash_watch.rs
@@ -1,7 +1,7 @@
 //! Watches attempts for endpoints that crash on a part of a prompt or on a request, and refuses what
 //! is banned.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::task::Poll;
@@ -188,18 +188,7 @@
     }
 }
 
-/// How far the attempt has come, as far as the crash of its endpoint is concerned.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum WatchState {
-    /// Its end isn't known.
-    Running,
-    /// Nothing is left to find out.
-    Settled,
-}
-
 /// Watches how far the answer of one endpoint gets.
-///
-/// An attempt that is given up at its beginning is watched on: its endpoint may still crash on it.
 #[derive(Debug)]
 pub(super) struct AnswerWatch {
     suspects: WatchedSuspects,
@@ -207,7 +196,6 @@
     may_be_queued: bool,
     is_success: bool,
     events: u32,
-    state: Cell<WatchState>,
 }
 
 /// What an endpoint may crash on.
@@ -239,7 +227,6 @@
             may_be_queued: placement.is_behind_own_requests,
             is_success: false,
             events: 0,
-            state: Cell::new(WatchState::Running),
         }
     }
 
@@ -276,7 +263,7 @@
     /// Records that the answer is complete.
     pub(super) fn observe_end(&self, framing: BodyFraming) {
         if !self.is_at_beginning() {
-            return self.settle();
+            return;
         }
         if framing != BodyFraming::CloseDelimited {
             return self.clear();
@@ -292,9 +279,15 @@
         self.suspects.gateway.executor.spawn(check).detach();
     }
 
-    /// Records that the endpoint has not begun the request, or that it still runs.
-    pub(super) fn settle(&self) {
-        self.state.set(WatchState::Settled);
+    /// Records that the attempt is given up while its endpoint is silent, which may still crash on it.
+    ///
+    /// An attempt whose caller has left isn't watched on: most endpoints drop such requests, and each
+    /// check costs a connection.
+    pub(super) fn observe_given_up(&self) {
+        let may_be_cause = self.is_at_beginning() && !self.may_be_queued;
+        if may_be_cause && self.suspects.is_expected_to_run() {
+            self.suspects.check_later();
+        }
     }
 
     fn is_at_beginning(&self) -> bool {
@@ -302,7 +295,6 @@
     }
 
     fn clear(&self) {
-        self.settle();
         self.suspects.clear(self.is_success);
     }
 
@@ -333,7 +325,6 @@
         &self,
         may_be_cause: bool,
     ) -> impl Future<Output = Option<CrashFinding>> + use<> {
-        self.settle();
         let suspects = self.suspects.clone();
         let may_be_crash = may_be_cause && suspects.is_expected_to_run();
         async move {
@@ -349,15 +340,6 @@
     }
 }
 
-impl Drop for AnswerWatch {
-    fn drop(&mut self) {
-        let is_given_up = self.state.get() == WatchState::Running && self.is_at_beginning();
-        if is_given_up && !self.may_be_queued && self.suspects.is_expected_to_run() {
-            self.suspects.check_later();
-        }
-    }
-}
-
 impl WatchedSuspects {
     /// Clears what the endpoint answered: the parts of a prompt only if it wrote an answer to them.
     fn clear(&self, has_used_parts: bool) {
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -508,18 +508,18 @@
                 self.log_failure(&placement, failure);
                 match failure {
                     AttemptFailure::ConnectionLost => self.check_lost_connection(&watch).await,
-                    // The request may still be running.
-                    AttemptFailure::Unanswered => {}
+                    AttemptFailure::Unanswered => watch.observe_given_up(),
                     AttemptFailure::NotSent
                     | AttemptFailure::Refused
                     | AttemptFailure::Misdirected
                     | AttemptFailure::Broken
                     | AttemptFailure::Mismatched
-                    | AttemptFailure::EndpointError => watch.settle(),
+                    | AttemptFailure::EndpointError => {}
                 }
                 SendEnd::Failed(failure)
             }
             Err(next) => {
+                watch.observe_given_up();
                 self.log_failure(&placement, AttemptFailure::Unanswered);
                 SendEnd::Replaced(Box::new(next))
             }
--- a/crates/celeryknot_gateway/src/traffic/resume.rs
+++ b/crates/celeryknot_gateway/src/traffic/resume.rs
@@ -147,6 +147,7 @@
                 StreamEnd::Replaced(next) => {
                     let silent = endpoint_response.guard.endpoint();
                     self.log_break(silent, AttemptFailure::Unanswered);
+                    endpoint_response.watch.observe_given_up();
                     // Cancels the silent attempt before the next one is sent.
                     drop(endpoint_response);
                     *next
