Read the pace that endpoints report with their load

Some endpoints add a fourth value to Instance-Load: how long work takes there, in per cent of the usual time. It was dropped. EndpointPool::reports_pace tells whether an endpoint of the service reported one in the last 10 s.

--- a/crates/celeryknot_core/src/lib.rs
+++ b/crates/celeryknot_core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod backoff;
 pub mod endpoint;
+pub mod endpoint_pace;
 pub mod endpoint_updates;
 pub mod error_kind;
 pub mod header;
@@ -17,6 +18,7 @@
 
 pub use backoff::Backoff;
 pub use endpoint::{EndpointCondition, EndpointSummary};
+pub use endpoint_pace::EndpointPace;
 pub use error_kind::{Answer, ErrorKind, Execution, Refusal, RetryAdvice};
 pub use id::{
     AssignedName, ChatKey, CustomerName, EndpointName, EndpointTag, IdError, Incarnation,
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use celeryknot_core::{DurationMs, EndpointName, MonotonicMs, SoftwareVersion, ZoneName};
+use celeryknot_core::{
+    DurationMs, EndpointName, EndpointPace, MonotonicMs, SoftwareVersion, ZoneName,
+};
 
 use super::refusal_limit::RefusalLimit;
 use crate::rate_limit::{RateChange, RateGate, RateStatement, TokenBucket};
@@ -80,6 +82,8 @@
     pub waiting: u32,
     /// Number of requests that it can process concurrently.
     pub slots: u32,
+    /// How long work currently takes there, if it reports that.
+    pub pace: Option<EndpointPace>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -137,6 +141,8 @@
     /// When the endpoint was found to have restarted, if it has.
     restarted_at: Option<MonotonicMs>,
     last_reported: Option<LoadSample>,
+    /// When the endpoint last reported its pace, to this daemon or a peer.
+    pace_reported_at: Option<MonotonicMs>,
     fleet_total: Option<LoadSample>,
     own_counts: OwnCounts,
     share: f64,
@@ -162,6 +168,7 @@
             paused_until: MonotonicMs(0),
             restarted_at: None,
             last_reported: None,
+            pace_reported_at: None,
             fleet_total: None,
             own_counts: OwnCounts::default(),
             share: 1.0,
@@ -202,6 +209,16 @@
         }
     }
 
+    /// Records that the endpoint reported its pace to this daemon or a peer.
+    pub(crate) fn observe_pace(&mut self, at: MonotonicMs) {
+        self.pace_reported_at = self.pace_reported_at.max(Some(at));
+    }
+
+    /// Returns whether the endpoint reported its pace within a time.
+    pub(crate) fn has_reported_pace(&self, now: MonotonicMs, age_max: DurationMs) -> bool {
+        self.pace_reported_at.is_some_and(|at| now - at <= age_max)
+    }
+
     /// Records the number of requests that all daemons have in flight here.
     pub(crate) fn observe_fleet_total(&mut self, now: MonotonicMs, fleet_total: u32) {
         self.fleet_total = Some(self.new_sample(now, fleet_total));
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -62,6 +62,11 @@
 /// If the prompt has been evicted since, fetching a copy fails, which costs little.
 const HOLDER_TTL: DurationMs = DurationMs(30_000);
 
+/// Time since the last report of a pace for which a service counts as one whose endpoints report it.
+///
+/// Longer than the gaps between the answers of an endpoint with little load.
+const PACE_REPORT_AGE_MAX: DurationMs = DurationMs(10_000);
+
 /// Limits for the endpoints of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolLimits {
@@ -625,9 +630,25 @@
 
     /// Records the load that an endpoint reported to this daemon.
     pub fn observe_load(&mut self, now: MonotonicMs, endpoint: &EndpointName, load: ReportedLoad) {
+        if load.pace.is_some() {
+            self.observe_pace(now, endpoint);
+        }
         self.observe_load_from_peer(now, endpoint, load.running + load.waiting);
     }
 
+    /// Records that an endpoint reported its pace, to this daemon or to a peer at an earlier time.
+    pub fn observe_pace(&mut self, at: MonotonicMs, endpoint: &EndpointName) {
+        if let Some(state) = self.endpoints.get_mut(endpoint) {
+            state.observe_pace(at);
+        }
+    }
+
+    /// Returns whether any endpoint of the service reported its pace in the last 10 s.
+    pub fn reports_pace(&self, now: MonotonicMs) -> bool {
+        let mut states = self.endpoints.values();
+        states.any(|state| state.has_reported_pace(now, PACE_REPORT_AGE_MAX))
+    }
+
     /// Records the load that an endpoint reported to a peer at an earlier time.
     pub fn observe_load_from_peer(
         &mut self,
--- a/crates/celeryknot_policy/tests/direct.rs
+++ b/crates/celeryknot_policy/tests/direct.rs
@@ -553,6 +553,7 @@
         running,
         waiting: 0,
         slots: 64,
+        pace: None,
     };
     let now = MonotonicMs(1_000);
     for number in 0..3 {
