Place requests by the expected work of endpoints

Placement compared counts of requests, so an endpoint that takes several times as long kept getting prompts until its count had grown. The hard load limit stays on counts.

--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -10,6 +10,7 @@
 pub mod endpoint;
 pub mod endpoint_paths;
 pub mod holders;
+pub mod pace;
 pub mod pool;
 pub mod prompt;
 mod rate_admission;
@@ -26,6 +27,7 @@
 pub use endpoint::{ListedEndpoint, ReportedLoad};
 pub use endpoint_paths::EndpointPaths;
 pub use holders::PromptHolders;
+pub use pace::RelativePace;
 pub use pool::{EndpointPool, Placement, PlacementReason, PlacementRequest, PoolLimits};
 pub use prompt::{Prompt, PromptPart, SharedPrefix};
 pub use refusal_limit::RefusalLimit;
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -6,6 +6,7 @@
     DurationMs, EndpointName, EndpointPace, MonotonicMs, SoftwareVersion, ZoneName,
 };
 
+use super::pace::{PaceEstimate, RelativePace, ServicePace};
 use super::refusal_limit::RefusalLimit;
 use crate::rate_limit::{RateChange, RateGate, RateStatement, TokenBucket};
 
@@ -141,8 +142,7 @@
     /// When the endpoint was found to have restarted, if it has.
     restarted_at: Option<MonotonicMs>,
     last_reported: Option<LoadSample>,
-    /// When the endpoint last reported its pace, to this daemon or a peer.
-    pace_reported_at: Option<MonotonicMs>,
+    pace: PaceEstimate,
     fleet_total: Option<LoadSample>,
     own_counts: OwnCounts,
     share: f64,
@@ -168,7 +168,7 @@
             paused_until: MonotonicMs(0),
             restarted_at: None,
             last_reported: None,
-            pace_reported_at: None,
+            pace: PaceEstimate::default(),
             fleet_total: None,
             own_counts: OwnCounts::default(),
             share: 1.0,
@@ -209,14 +209,23 @@
         }
     }
 
-    /// Records that the endpoint reported its pace to this daemon or a peer.
-    pub(crate) fn observe_pace(&mut self, at: MonotonicMs) {
-        self.pace_reported_at = self.pace_reported_at.max(Some(at));
+    /// Records the pace that the endpoint reported to this daemon or a peer.
+    pub(crate) fn observe_pace(&mut self, at: MonotonicMs, pace: EndpointPace) {
+        self.pace.observe(at, pace);
     }
 
-    /// Returns whether the endpoint reported its pace within a time.
-    pub(crate) fn has_reported_pace(&self, now: MonotonicMs, age_max: DurationMs) -> bool {
-        self.pace_reported_at.is_some_and(|at| now - at <= age_max)
+    /// Sets the mean pace of the service.
+    pub(crate) fn set_service_pace(&mut self, service: ServicePace) {
+        self.pace.set_service(service);
+    }
+
+    pub(crate) fn pace(&self) -> &PaceEstimate {
+        &self.pace
+    }
+
+    /// Returns the pace beside that of the service, if any endpoint of the service reports one.
+    pub(crate) fn relative_pace(&self, now: MonotonicMs) -> Option<RelativePace> {
+        self.pace.relative(now)
     }
 
     /// Records the number of requests that all daemons have in flight here.
@@ -295,7 +304,7 @@
 
     /// Adjusts the share that the endpoint gets of the prompts for which it ranks first.
     ///
-    /// While the load exceeds `soft_limit`, the share shrinks in proportion; afterwards it grows
+    /// While the expected work exceeds `soft_limit`, the share shrinks in proportion; afterwards it grows
     /// back slowly. All daemons receive the same reports and would otherwise leave the endpoint and
     /// return to it in lockstep.
     pub(crate) fn adjust_share(&mut self, now: MonotonicMs, soft_limit: f64) {
@@ -303,8 +312,7 @@
             return;
         }
         self.share_set_at = now;
-        let (requests, _) = self.load(now);
-        let limit_ratio = soft_limit / f64::from(requests.max(1));
+        let limit_ratio = soft_limit / self.expected_work(now).max(1.0);
         self.share = match limit_ratio < 1.0 {
             true => (self.share * limit_ratio).max(SHARE_MIN),
             false => (self.share * SHARE_GROWTH_FACTOR + SHARE_GROWTH_STEP).min(1.0),
@@ -397,7 +405,7 @@
 
     /// Returns the work that the endpoint is expected to have, in requests at the usual pace.
     pub(crate) fn expected_work(&self, now: MonotonicMs) -> f64 {
-        f64::from(self.load(now).0)
+        f64::from(self.load(now).0) * self.pace.factor(now)
     }
 
     /// Returns the estimated number of requests at the endpoint and the age of the estimate.
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -11,8 +11,8 @@
 
 use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{
-    DurationMs, EndpointName, MemberName, MonotonicMs, PromptTag, Refusal, RequestTag,
-    SoftwareVersion, TokenCount, ZoneName,
+    DurationMs, EndpointName, EndpointPace, MemberName, MonotonicMs, PromptTag, Refusal,
+    RequestTag, SoftwareVersion, TokenCount, ZoneName,
 };
 use smallvec::SmallVec;
 use strum::{Display, EnumIter, IntoStaticStr};
@@ -20,6 +20,7 @@
 use super::attempt_history::AttemptFailure;
 use super::endpoint::{EndpointState, ListedEndpoint, PAUSE_MAX, ReportedLoad};
 use super::holders::PromptHolders;
+use super::pace::{RelativePace, ServicePace};
 use super::prompt::SharedPrefix;
 use super::rate_admission::RefusedRequests;
 use super::refusal_limit::{self, DecayingSum};
@@ -62,11 +63,6 @@
 /// If the prompt has been evicted since, fetching a copy fails, which costs little.
 const HOLDER_TTL: DurationMs = DurationMs(30_000);
 
-/// Time since the last report of a pace for which a service counts as one whose endpoints report it.
-///
-/// Longer than the gaps between the answers of an endpoint with little load.
-const PACE_REPORT_AGE_MAX: DurationMs = DurationMs(10_000);
-
 /// Limits for the endpoints of a service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PoolLimits {
@@ -134,6 +130,8 @@
     pub load: u32,
     /// Age of that estimate; `None` if only this daemon's own requests were known.
     pub load_age_ms: Option<DurationMs>,
+    /// Its pace, if any endpoint of the service reports one.
+    pub pace: Option<RelativePace>,
     /// Whether it was in cold start.
     pub is_cold: bool,
     /// Another endpoint that is more likely to have the prompt's shared parts cached.
@@ -197,7 +195,7 @@
     pub(super) moved_from: Option<EndpointName>,
 }
 
-/// Moves one of the top-ranked endpoints for a short prompt to the front: the first whose load is
+/// Moves one of the top-ranked endpoints for a short prompt to the front: the first whose work is
 /// near the mean or below, or else one drawn at random, weighted by low utilization.
 ///
 /// Short prompts are cheap to prefill again and make up most requests, so placing them this way
@@ -267,6 +265,7 @@
             };
             self.endpoints.insert(name, state);
         }
+        self.update_service_pace(now);
         self.departed
             .retain(|_, departed| now - departed.at < DEPARTED_TTL);
         for (name, state) in &previous {
@@ -341,6 +340,7 @@
             .get_mut(&name)
             .expect("a chosen endpoint is listed");
         let (load, load_age_ms) = state.load(now);
+        let pace = state.relative_pace(now);
         let is_cold = state.is_cold(now);
         let is_behind_own_requests = state.in_flight >= state.listed.slots;
         state.in_flight += 1;
@@ -351,6 +351,7 @@
             reason,
             load,
             load_age_ms,
+            pace,
             is_cold,
             fetch_from,
             should_announce_holder,
@@ -538,7 +539,7 @@
                 candidates.sort_by_key(|it| Reverse(it.score));
                 if shared.tokens <= SHORT_PROMPT_TOKENS_MAX {
                     let first_len = candidates.len().min(SHORT_PROMPT_CANDIDATES);
-                    let mean = self.mean_load(now);
+                    let mean = self.mean_work(now);
                     promote_for_short_prompt(&mut candidates[..first_len], mean, request.draw);
                 }
             }
@@ -610,15 +611,24 @@
 
     /// Returns the mean load of the endpoints that don't limit their rate, or of all if all do.
     fn mean_load(&self, now: MonotonicMs) -> f64 {
+        self.mean_of(now, |state| f64::from(state.load(now).0))
+    }
+
+    /// Returns the mean expected work of the same endpoints.
+    fn mean_work(&self, now: MonotonicMs) -> f64 {
+        self.mean_of(now, |state| state.expected_work(now))
+    }
+
+    fn mean_of(&self, now: MonotonicMs, value_of: impl Fn(&EndpointState) -> f64) -> f64 {
         let unlimited = self
             .endpoints
             .values()
             .filter(|it| !it.is_rate_limited(now));
-        let mut loads: SmallVec<[u32; 16]> = unlimited.map(|it| it.load(now).0).collect();
-        if loads.is_empty() {
-            loads = self.endpoints.values().map(|it| it.load(now).0).collect();
+        let mut values: SmallVec<[f64; 16]> = unlimited.map(&value_of).collect();
+        if values.is_empty() {
+            values = self.endpoints.values().map(&value_of).collect();
         }
-        f64::from(loads.iter().sum::<u32>()) / loads.len().max(1) as f64
+        values.iter().sum::<f64>() / values.len().max(1) as f64
     }
 
     /// Records that a request ended at an endpoint, with or without a response.
@@ -630,23 +640,39 @@
 
     /// Records the load that an endpoint reported to this daemon.
     pub fn observe_load(&mut self, now: MonotonicMs, endpoint: &EndpointName, load: ReportedLoad) {
-        if load.pace.is_some() {
-            self.observe_pace(now, endpoint);
+        if let Some(pace) = load.pace {
+            self.observe_pace(now, endpoint, pace);
         }
         self.observe_load_from_peer(now, endpoint, load.running + load.waiting);
     }
 
-    /// Records that an endpoint reported its pace, to this daemon or to a peer at an earlier time.
-    pub fn observe_pace(&mut self, at: MonotonicMs, endpoint: &EndpointName) {
-        if let Some(state) = self.endpoints.get_mut(endpoint) {
-            state.observe_pace(at);
+    /// Records the pace that an endpoint reported to this daemon, or to a peer at an earlier time.
+    pub fn observe_pace(&mut self, at: MonotonicMs, endpoint: &EndpointName, pace: EndpointPace) {
+        let Some(state) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        state.observe_pace(at, pace);
+        self.update_service_pace(at);
+    }
+
+    fn update_service_pace(&mut self, now: MonotonicMs) {
+        let estimates = self.endpoints.values().map(EndpointState::pace);
+        let service = ServicePace::mean_of(now, estimates);
+        for state in self.endpoints.values_mut() {
+            state.set_service_pace(service);
         }
     }
 
     /// Returns whether any endpoint of the service reported its pace in the last 10 s.
     pub fn reports_pace(&self, now: MonotonicMs) -> bool {
         let mut states = self.endpoints.values();
-        states.any(|state| state.has_reported_pace(now, PACE_REPORT_AGE_MAX))
+        states.any(|state| state.pace().is_reported(now))
+    }
+
+    /// Returns the number of endpoints that are much slower than their service is on average.
+    pub fn slow_count(&self, now: MonotonicMs) -> usize {
+        let paces = self.endpoints.values().map(|it| it.relative_pace(now));
+        paces.flatten().filter(|pace| pace.is_slow()).count()
     }
 
     /// Records the load that an endpoint reported to a peer at an earlier time.
@@ -767,9 +793,9 @@
             .map_or(0, |state| state.in_flight)
     }
 
-    /// Returns the load up to which an endpoint gets all prompts for which it ranks first.
+    /// Returns the expected work up to which an endpoint gets all prompts for which it ranks first.
     fn soft_load_limit(&self, now: MonotonicMs) -> f64 {
-        self.mean_load(now) * self.limits.load_factor * SOFT_LOAD_FACTOR_SHARE + SOFT_LOAD_SLACK
+        self.mean_work(now) * self.limits.load_factor * SOFT_LOAD_FACTOR_SHARE + SOFT_LOAD_SLACK
     }
 
     /// Returns the load above which an endpoint gets no requests while another has capacity.
