Send the pace of endpoints to peers with their load

A daemon sees a small share of the answers, so its own reports of an endpoint's pace come too rarely to follow it. Observation::Load and the peers' message carry the pace as an optional field: earlier versions skip it, and their updates lack it. A value out of range counts as absent.

--- a/crates/celeryknot_core/src/endpoint_updates.rs
+++ b/crates/celeryknot_core/src/endpoint_updates.rs
@@ -6,7 +6,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::{DurationMs, EndpointTag, MonotonicMs, PromptTag, RatePerS, RequestTag, SuspectTag};
+use crate::{
+    DurationMs, EndpointPace, EndpointTag, MonotonicMs, PromptTag, RatePerS, RequestTag, SuspectTag,
+};
 
 /// Lifetime of a load report or of a failure to reach an endpoint.
 const STATE_TTL: DurationMs = DurationMs(2_000);
@@ -71,6 +73,8 @@
     Load {
         /// Running and waiting requests.
         held: u32,
+        /// How long work takes there, if it reported that.
+        pace: Option<EndpointPace>,
     },
     /// It could not be reached.
     Unreachable,
@@ -195,7 +199,7 @@
 /// let mut table = EndpointUpdateTable::default();
 /// let update = |held, at| EndpointUpdate {
 ///     endpoint: EndpointTag(1),
-///     observation: Observation::Load { held },
+///     observation: Observation::Load { held, pace: None },
 ///     at: MonotonicMs(at),
 /// };
 /// assert!(table.observe(update(5, 100)));
--- a/crates/celeryknot_core/tests/endpoint_updates.rs
+++ b/crates/celeryknot_core/tests/endpoint_updates.rs
@@ -1,7 +1,7 @@
 //! Which updates a table of endpoint updates stores and hands on.
 
 use celeryknot_core::endpoint_updates::{EndpointUpdate, EndpointUpdateTable, Observation};
-use celeryknot_core::{EndpointTag, MonotonicMs, PromptTag};
+use celeryknot_core::{EndpointPace, EndpointTag, MonotonicMs, PromptTag};
 
 struct EchoCase {
     name: &'static str,
@@ -15,7 +15,10 @@
     let cases = [
         EchoCase {
             name: "load",
-            observation: Observation::Load { held: 3 },
+            observation: Observation::Load {
+                held: 3,
+                pace: EndpointPace::from_percent(250),
+            },
         },
         EchoCase {
             name: "failure",
@@ -79,7 +82,10 @@
             for endpoint in 0..endpoints {
                 table.observe(EndpointUpdate {
                     endpoint: EndpointTag(endpoint),
-                    observation: Observation::Load { held: 1 },
+                    observation: Observation::Load {
+                        held: 1,
+                        pace: None,
+                    },
                     at,
                 });
             }
--- a/crates/celeryknot_gateway/src/control/long_polls.rs
+++ b/crates/celeryknot_gateway/src/control/long_polls.rs
@@ -5,8 +5,8 @@
 use async_channel::Receiver;
 use celeryknot_core::endpoint_updates::{EndpointUpdate, EndpointUpdateTable, Observation};
 use celeryknot_core::{
-    DurationMs, EndpointTag, Incarnation, MemberName, MonotonicMs, PromptTag, RatePerS, RequestTag,
-    ServiceName, SuspectTag, ZoneName,
+    DurationMs, EndpointPace, EndpointTag, Incarnation, MemberName, MonotonicMs, PromptTag,
+    RatePerS, RequestTag, ServiceName, SuspectTag, ZoneName,
 };
 use celeryknot_peers::relay::{
     InFlightCounts, PendingPoll, RelayHolder, RelayItem, RelayLoad, RelayMember, RelayPart,
@@ -219,6 +219,7 @@
             age_ms,
             is_unreachable,
             is_leaving: false,
+            pace_percent: None,
         };
         let mut push_suspect = |suspect, is_answered| match suspect {
             SuspectTag::Part(part) => encoded.parts.push(RelayPart {
@@ -235,7 +236,10 @@
             }),
         };
         match observation {
-            Observation::Load { held } => encoded.loads.push(load(held, false)),
+            Observation::Load { held, pace } => encoded.loads.push(RelayLoad {
+                pace_percent: pace.map(EndpointPace::percent),
+                ..load(held, false)
+            }),
             Observation::Unreachable => encoded.loads.push(load(0, true)),
             Observation::Leaving => encoded.loads.push(RelayLoad {
                 is_leaving: true,
@@ -314,7 +318,10 @@
         let observation = match (load.is_leaving, load.is_unreachable) {
             (true, _) => Observation::Leaving,
             (false, true) => Observation::Unreachable,
-            (false, false) => Observation::Load { held: load.held },
+            (false, false) => Observation::Load {
+                held: load.held,
+                pace: load.pace_percent.and_then(EndpointPace::from_percent),
+            },
         };
         update(load.endpoint, observation, load.age_ms)
     });
@@ -450,3 +457,6 @@
 fn age_ms(age: DurationMs) -> u32 {
     u32::try_from(age.0).unwrap_or(u32::MAX)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -119,7 +119,12 @@
                 let change = self.pool.observe_rate_statement(name, statement);
                 log_rate_change(name, rate, change);
             }
-            Observation::Load { held } => self.pool.observe_load_from_peer(update.at, name, held),
+            Observation::Load { held, pace } => {
+                if let Some(pace) = pace {
+                    self.pool.observe_pace(update.at, name, pace);
+                }
+                self.pool.observe_load_from_peer(update.at, name, held);
+            }
             Observation::Unreachable => self.pool.observe_unreachable_from_peer(update.at, name),
             Observation::Leaving => {
                 if self.pool.observe_leaving(update.at, name) {
@@ -516,10 +521,12 @@
         self.gateway.with_pool(&self.service, |pool| {
             pool.observe_load(now, &self.name, load);
         });
-        let held = load.running + load.waiting;
+        let observation = Observation::Load {
+            held: load.running + load.waiting,
+            pace: load.pace,
+        };
         let endpoint = EndpointTag::new(&self.name);
-        self.gateway
-            .report_to_peers(endpoint, Observation::Load { held });
+        self.gateway.report_to_peers(endpoint, observation);
     }
 
     /// Records what an answer to a request sent at a time states about the endpoint's rate limit.
--- a/crates/celeryknot_peers/src/relay.rs
+++ b/crates/celeryknot_peers/src/relay.rs
@@ -112,6 +112,10 @@
     /// earlier versions.
     #[prost(bool, tag = "5")]
     pub is_leaving: bool,
+    /// How long work takes there, in per cent of the usual time; absent if it isn't reported, and from
+    /// daemons of earlier versions.
+    #[prost(uint32, optional, tag = "6")]
+    pub pace_percent: Option<u32>,
 }
 
 /// An endpoint that holds a cached prompt.
