--- a/crates/celeryknot_settings/src/gateway.rs
+++ b/crates/celeryknot_settings/src/gateway.rs
@@ -3,12 +3,38 @@
 use std::net::SocketAddr;
 
 use celeryknot_core::{AssignedName, DurationMs, MemberName, RegionName, ZoneName};
+use strum::{Display, EnumString, IntoStaticStr, VariantNames};
 
 use crate::builder::setters;
 use crate::diagnostic::{Diagnostic, DiagnosticCode};
 use crate::fields::Fields;
 use crate::key_table::GATEWAY_KEYS;
 
+/// Whether requests go to endpoints of the daemon's own zone first.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_settings::ZonePreference;
+///
+/// assert_eq!("auto".parse(), Ok(ZonePreference::Auto));
+/// assert_eq!(ZonePreference::default().to_string(), "auto");
+/// ```
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Display, EnumString, IntoStaticStr, VariantNames,
+)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ZonePreference {
+    /// Placement ignores zones.
+    Off,
+    /// The own zone comes first for services whose endpoints report their pace, and for prompts only
+    /// where the zone has enough endpoints.
+    #[default]
+    Auto,
+    /// The own zone comes first for all services.
+    On,
+}
+
 /// Limits that apply to the fleet as a whole.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FleetBounds {
@@ -80,6 +106,8 @@
     pub seeds: Vec<SocketAddr>,
     /// `[regions] zones`, `regions`: the region of each availability zone.
     pub zone_regions: Vec<(ZoneName, RegionName)>,
+    /// `[zones] preference`: whether requests go to endpoints of the own zone first.
+    pub zone_preference: ZonePreference,
     /// `[bounds]`: limits that apply to the fleet as a whole.
     pub bounds: FleetBounds,
 }
@@ -116,6 +144,7 @@
                 store_addresses: Vec::new(),
                 seeds: Vec::new(),
                 zone_regions: Vec::new(),
+                zone_preference: ZonePreference::default(),
                 bounds: FleetBounds::default(),
             },
         }
@@ -164,6 +193,7 @@
             operators_address: fields.optional("addresses", "operators"),
             store_addresses: fields.list("store", "addresses"),
             seeds: fields.list("members", "seeds"),
+            zone_preference: fields.get("zones", "preference"),
             bounds: FleetBounds {
                 retry_ratio: fields.get("bounds", "retry_ratio"),
                 retry_window_ms: fields.get("bounds", "retry_window_ms"),
@@ -199,6 +229,7 @@
         store_addresses: Vec<SocketAddr>,
         seeds: Vec<SocketAddr>,
         zone_regions: Vec<(ZoneName, RegionName)>,
+        zone_preference: ZonePreference,
         bounds: FleetBounds,
     });
 
--- a/crates/celeryknot_settings/src/lib.rs
+++ b/crates/celeryknot_settings/src/lib.rs
@@ -23,7 +23,7 @@
 pub use daemon::{DaemonSettings, DaemonSettingsBuilder, LogFormat};
 pub use diagnostic::{Diagnostic, DiagnosticCode};
 pub use fleet::{DaemonFile, check_fleet};
-pub use gateway::{FleetBounds, GatewaySettings, GatewaySettingsBuilder};
+pub use gateway::{FleetBounds, GatewaySettings, GatewaySettingsBuilder, ZonePreference};
 pub use rollout::{RolloutSettings, RolloutSettingsBuilder};
 pub use service::{
     RouteRule, RouteRuleError, ServiceKind, ServiceSettings, ServiceSettingsBuilder,
