Decide which requests leave a zone with more work than the others

Placement ignored zones, so about three quarters of the requests crossed zones in a fleet of four. Keeping them all in their zone overloads one that has more demand than the others. The module computes the fraction of requests that must leave for equal pressures, from load values alone: each daemon does so by itself, without messages. It uses the work that the zone would have if nothing left.

--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -18,6 +18,7 @@
 pub mod retry_share;
 pub mod shutdown_admission;
 pub mod software_versions;
+pub mod zone_overflow;
 
 pub use answer_times::{AnswerTime, AnswerTimes, LongestAnswer};
 pub use attempt_history::{AttemptFailure, AttemptHistory};
@@ -34,3 +35,4 @@
 pub use retry_share::{RetryBounds, RetryShare};
 pub use shutdown_admission::{ShutdownAdmission, ShutdownPhase};
 pub use software_versions::{ListedVersion, ListedVersions, StreamVersions};
+pub use zone_overflow::{OverflowChange, ZoneOverflow, ZoneReason, ZoneUse};
