Place requests in the own zone first, where a zone is preferred

A pool with a zone preference orders candidates by zone before their rank: the own zone first, or for a request that leaves, the zone it leaves to. A prompt so has one home in each zone, which the daemons of all zones agree on. Copies of prompts come from a holder in the chosen endpoint's zone if there is one, and from the home in another zone where the prompt is new to the zone.

--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -18,6 +18,7 @@
 pub mod retry_share;
 pub mod shutdown_admission;
 pub mod software_versions;
+mod zone_order;
 pub mod zone_overflow;
 
 pub use answer_times::{AnswerTime, AnswerTimes, LongestAnswer};
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -3,7 +3,8 @@
 //! A prompt goes to the endpoint that ranks first for its shared parts by rendezvous hashing, so
 //! that daemons agree without shared state. While that endpoint's load is well above the mean, the
 //! next one in the same order gets the prompt, so the second choice is as stable as the first.
-//! Requests without a prompt are spread by utilization.
+//! Requests without a prompt are spread by utilization. Where zones count, the endpoints of one zone
+//! come first in that order.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -24,6 +25,8 @@
 use super::prompt::SharedPrefix;
 use super::rate_admission::RefusedRequests;
 use super::refusal_limit::{self, DecayingSum};
+use super::zone_order::{ZoneOrder, ZoneState};
+use super::zone_overflow::ZoneReason;
 use crate::rate_limit::{FleetRateLimit, RateChange, RateStatement};
 
 /// Fraction of the configured load factor up to which the first choice gets all its prompts.
@@ -126,6 +129,10 @@
     pub version: SoftwareVersion,
     /// Why it was chosen.
     pub reason: PlacementReason,
+    /// The endpoint's zone.
+    pub zone: ZoneName,
+    /// Why it is in that zone.
+    pub zone_reason: ZoneReason,
     /// Estimated number of requests at the endpoint.
     pub load: u32,
     /// Age of that estimate; `None` if only this daemon's own requests were known.
@@ -158,6 +165,7 @@
     pub(super) refused_requests: RefusedRequests,
     /// Endpoints that were considered for requests while refusals may make them fail.
     pub(super) offers: DecayingSum,
+    pub(super) zones: ZoneState,
 }
 
 /// A delisted endpoint that still serves for the drain time.
@@ -183,6 +191,8 @@
     share: f64,
     slots: u32,
     score: u64,
+    /// Rank of its zone for the request; 0 is first.
+    zone_rank: u8,
     is_rate_limited: bool,
 }
 
@@ -240,6 +250,7 @@
             departed: BTreeMap::new(),
             refused_requests: RefusedRequests::default(),
             offers: DecayingSum::default(),
+            zones: ZoneState::default(),
         }
     }
 
@@ -316,6 +327,7 @@
         now: MonotonicMs,
         request: &PlacementRequest<'_>,
     ) -> Result<Placement, Refusal> {
+        self.update_overflow(now);
         let choice = self
             .choose(now, request, false)
             .or_else(|| self.choose(now, request, true))
@@ -329,9 +341,10 @@
             wait_ms,
             moved_from,
         } = choice;
+        let zone_reason = self.zone_reason(now, request, &name);
         let fetch_from = request
             .shared
-            .and_then(|shared| self.fetch_source(now, shared, &name, request.tried));
+            .and_then(|shared| self.fetch_source(now, shared, &name, request));
         let should_announce_holder = request
             .shared
             .is_some_and(|shared| self.record_holder(now, shared, &name));
@@ -349,6 +362,8 @@
             version: state.listed.version.clone(),
             endpoint: name,
             reason,
+            zone: state.listed.zone.clone(),
+            zone_reason,
             load,
             load_age_ms,
             pace,
@@ -419,13 +434,14 @@
     ///
     /// This is the last other endpoint that any daemon sent them to. If none is known, either an
     /// endpoint was added or removed and the previous first choice holds them, or they are new and
-    /// an endpoint that was sent their first part holds that part.
+    /// an endpoint that was sent their first part holds that part. Where zones count, endpoints in the
+    /// zone of the chosen one come first.
     fn fetch_source(
         &self,
         now: MonotonicMs,
         shared: SharedPrefix,
         chosen: &EndpointName,
-        tried: &[EndpointName],
+        request: &PlacementRequest<'_>,
     ) -> Option<SocketAddr> {
         let prompt = shared.tag();
         let cache_ttl_ms = self.limits.cache_ttl_ms;
@@ -433,15 +449,21 @@
             return None;
         }
         let is_usable = |name: &EndpointName, state: &EndpointState| {
-            name != chosen && !tried.contains(name) && !state.is_ejected(now)
+            name != chosen && !request.tried.contains(name) && !state.is_ejected(now)
         };
         let address_of = |name: &EndpointName| match self.endpoints.get(name) {
             Some(state) => is_usable(name, state).then_some(state.listed.address),
             None => self.delisted_address(now, name),
         };
+        let zone = match self.zone_order(now, request) {
+            ZoneOrder::Any => None,
+            ZoneOrder::OwnFirst { .. } | ZoneOrder::Leaves { .. } => self.zone_of(chosen),
+        };
         let holder_of = |tag| {
-            let mut other_holders = self.holders.other_holders(now, tag, chosen, HOLDER_TTL);
-            other_holders.find_map(address_of)
+            let other_holders = || self.holders.other_holders(now, tag, chosen, HOLDER_TTL);
+            let is_near = |name: &&EndpointName| zone.is_some() && self.zone_of(name) == zone;
+            let near = other_holders().filter(is_near).find_map(address_of);
+            near.or_else(|| other_holders().find_map(address_of))
         };
         let is_chosen_new = self
             .endpoints
@@ -451,7 +473,41 @@
         holder_of(prompt)
             .or_else(|| self.delisted_holder(now, shared))
             .or_else(first_part_holder)
-            .or_else(|| self.expected_holder(now, shared, is_usable))
+            .or_else(|| match zone {
+                Some(zone) => self.expected_holder_by_zone(now, shared, chosen, zone, is_usable),
+                None => self.expected_holder(now, shared, is_usable),
+            })
+    }
+
+    /// Returns the zone of an endpoint, if it is listed.
+    fn zone_of(&self, endpoint: &EndpointName) -> Option<&ZoneName> {
+        self.endpoints.get(endpoint).map(|it| &it.listed.zone)
+    }
+
+    /// Returns the endpoint that is expected to hold a prompt which has a home in each zone: the home
+    /// in the chosen one's zone if that is another endpoint, or else the home in another zone.
+    fn expected_holder_by_zone(
+        &self,
+        now: MonotonicMs,
+        shared: SharedPrefix,
+        chosen: &EndpointName,
+        zone: &ZoneName,
+        is_usable: impl Fn(&EndpointName, &EndpointState) -> bool + Copy,
+    ) -> Option<SocketAddr> {
+        let chosen_state = self.endpoints.get(chosen)?;
+        let rank = |name: &EndpointName, state: &EndpointState| {
+            let score = rendezvous_score(shared.key, name.as_str());
+            (self.is_established(now, state), score)
+        };
+        let chosen_rank = rank(chosen, chosen_state);
+        let ranks_above = |name: &EndpointName, state: &EndpointState| {
+            is_usable(name, state) && state.listed.zone == *zone && rank(name, state) > chosen_rank
+        };
+        let is_elsewhere = |name: &EndpointName, state: &EndpointState| {
+            is_usable(name, state) && state.listed.zone != *zone
+        };
+        self.expected_holder(now, shared, ranks_above)
+            .or_else(|| self.expected_holder(now, shared, is_elsewhere))
     }
 
     /// Returns whether an endpoint has been listed long enough to hold its prompts.
@@ -521,6 +577,7 @@
             (None, Some(suspect)) => suspect.0,
             (None, None) => 0,
         };
+        let zone_order = self.zone_order(now, request);
         let mut candidates: SmallVec<[Candidate; 16]> = self
             .candidates_with_room(now, request)
             .filter(|(_, state)| allows_ejected || !state.is_ejected(now))
@@ -531,14 +588,18 @@
                 share: state.share(),
                 slots: state.listed.slots,
                 score: rendezvous_score(key, name.as_str()),
+                zone_rank: zone_order.rank(&state.listed.zone),
                 is_rate_limited: state.is_rate_limited(now),
             })
             .collect();
+        candidates.sort_by_key(|it| it.zone_rank);
+        let first_rank = candidates.first().map_or(0, |it| it.zone_rank);
+        let first_zone_len = candidates.partition_point(|it| it.zone_rank == first_rank);
         match request.shared {
             Some(shared) => {
-                candidates.sort_by_key(|it| Reverse(it.score));
+                candidates.sort_by_key(|it| (it.zone_rank, Reverse(it.score)));
                 if shared.tokens <= SHORT_PROMPT_TOKENS_MAX {
-                    let first_len = candidates.len().min(SHORT_PROMPT_CANDIDATES);
+                    let first_len = first_zone_len.min(SHORT_PROMPT_CANDIDATES);
                     let mean = self.mean_work(now);
                     promote_for_short_prompt(&mut candidates[..first_len], mean, request.draw);
                 }
@@ -546,7 +607,10 @@
             // Suspects rank the endpoints differently, so that a request that crashes endpoints takes
             // few of the others down with it again.
             None if request.suspect.is_some() => candidates.sort_by_key(|it| Reverse(it.score)),
-            None => promote_weighted_random(&mut candidates, request.draw),
+            None => {
+                promote_weighted_random(&mut candidates[..first_zone_len], request.draw);
+                candidates[first_zone_len..].sort_by(|one, other| one.work.total_cmp(&other.work));
+            }
         }
         // What an endpoint accepts below its demand is left to the prompts that it has cached.
         let has_long_prompt = request
