Prefer the daemon's zone in the gateway and report what leaves it

The gateway passes its zone and [zones] preference to the pools. The line request placed names the zone and the reason for it, two lines tell when requests begin and end to leave the zone, with the pressures that decided it, and two metrics count placements by zone and show the fraction.

--- a/crates/celeryknot_gateway/src/lib.rs
+++ b/crates/celeryknot_gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod store_state;
 mod traffic;
 pub mod view;
+pub mod zone_log;
 
 pub use daemon::Gateway;
 pub use platform_protocol::PlatformProtocol;
--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -81,6 +81,7 @@
             checked_at = now;
             gateway.connections.close_idle();
             gateway.update_rate_limit_count();
+            gateway.update_zone_overflow();
         }
     }
 }
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -34,6 +34,7 @@
 use crate::rate_log::{log_rate_change, log_refusal_limit};
 use crate::shared::{PeerUpdate, Shared, Signal, TrafficUpdate, try_queue};
 use crate::view::View;
+use crate::zone_log::log_overflow_change;
 
 /// Minimum number of daemons that share the fleet's bounds, since some may not be known yet.
 const MEMBER_COUNT_MIN: usize = 12;
@@ -264,6 +265,10 @@
                     streams: StreamVersions::default(),
                 });
             state.pool.set_limits(limits);
+            let settings = &self.shared.settings;
+            state
+                .pool
+                .set_zone_preference(settings.zone.clone(), settings.zone_preference);
             state.retries.set_bounds(retries);
             let listed = view.endpoints.get(&service.name);
             let names = listed.into_iter().flatten().map(|it| it.name.clone());
@@ -435,6 +440,24 @@
         self.shared.metrics.rate_limits.set(count as i64);
     }
 
+    /// Updates the fraction of each service's requests that leaves the own zone, also while none
+    /// arrives.
+    pub(crate) fn update_zone_overflow(&self) {
+        let now = self.now();
+        for (service, state) in self.services.borrow_mut().iter_mut() {
+            state.pool.update_overflow(now);
+            self.record_zone_overflow(service, &mut state.pool);
+        }
+    }
+
+    fn record_zone_overflow(&self, service: &ServiceName, pool: &mut EndpointPool) {
+        let fraction = pool.overflow_fraction();
+        self.shared.metrics.set_zone_overflow(service, fraction);
+        if let Some(change) = pool.take_overflow_change() {
+            log_overflow_change(service, &self.shared.settings.zone, &change);
+        }
+    }
+
     /// Picks the endpoint for a request, which counts as in flight there until the guard drops.
     pub(crate) fn place(
         self: &Rc<Self>,
@@ -444,7 +467,9 @@
         let mut services = self.services.borrow_mut();
         let no_endpoint = || Refusal::new(ErrorKind::NoEndpoint);
         let state = services.get_mut(service).ok_or_else(no_endpoint)?;
-        let placement = state.pool.place(self.now(), request)?;
+        let placed = state.pool.place(self.now(), request);
+        self.record_zone_overflow(service, &mut state.pool);
+        let placement = placed?;
         let endpoint = EndpointTag::new(&placement.endpoint);
         self.send_to_control(TrafficUpdate::InFlight {
             endpoint,
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -430,6 +430,8 @@
             endpoint = %placement.endpoint,
             version = %placement.version,
             reason = %placement.reason,
+            zone = %placement.zone,
+            zone_reason = %placement.zone_reason,
             prompt = shared.map(|shared| format!("{:x}", shared.key)),
             parts = call.head.prompt.as_ref().map(shared_part_ids),
             shared_tokens = shared.map(|shared| shared.tokens.0),
@@ -443,6 +445,8 @@
         );
         let metrics = &self.gateway.shared.metrics;
         metrics.placed(placement.reason.into());
+        let is_own_zone = placement.zone == self.gateway.shared.settings.zone;
+        metrics.placed_in_zone(&call.service, is_own_zone, placement.zone_reason.into());
         if placement.moved_from.is_some() {
             metrics.rate_limited_moves.inc();
         }
--- a/crates/celeryknot_operators/src/metrics/gateway.rs
+++ b/crates/celeryknot_operators/src/metrics/gateway.rs
@@ -1,10 +1,11 @@
 //! Metrics of a gateway.
 
-use celeryknot_core::{DurationMs, ErrorKind};
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, Registry};
+use celeryknot_core::{DurationMs, ErrorKind, ServiceName};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 
 use super::spec::{
-    observe_ms, register_counter, register_counter_vec, register_gauge, register_histogram,
+    observe_ms, register_counter, register_counter_vec, register_gauge, register_gauge_vec,
+    register_histogram,
 };
 
 /// The metrics of one gateway, in its own registry; clones share the values.
@@ -25,6 +26,8 @@
     registry: Registry,
     refusals: IntCounterVec,
     placements: IntCounterVec,
+    zone_placements: IntCounterVec,
+    zone_overflow: IntGaugeVec,
     attempt_failures: IntCounterVec,
     first_byte_ms: Histogram,
     request_ms: Histogram,
@@ -88,6 +91,11 @@
         Self {
             refusals: counters("celeryknot_gateway_refusals_total"),
             placements: counters("celeryknot_gateway_placements_total"),
+            zone_placements: counters("celeryknot_gateway_zone_placements_total"),
+            zone_overflow: register_gauge_vec(
+                &registry,
+                "celeryknot_gateway_zone_overflow_permille",
+            ),
             attempt_failures: counters("celeryknot_gateway_send_failures_total"),
             first_byte_ms: histogram("celeryknot_gateway_first_byte_ms"),
             request_ms: histogram("celeryknot_gateway_request_ms"),
@@ -129,6 +137,21 @@
         self.placements.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a request that was placed in the daemon's own zone or in another one, by reason.
+    pub fn placed_in_zone(&self, service: &ServiceName, is_own: bool, reason: &'static str) {
+        let zone = if is_own { "own" } else { "other" };
+        self.zone_placements
+            .with_label_values(&[service.as_str(), zone, reason])
+            .inc();
+    }
+
+    /// Sets the fraction of a service's requests that leaves the daemon's own zone.
+    pub fn set_zone_overflow(&self, service: &ServiceName, fraction: f64) {
+        self.zone_overflow
+            .with_label_values(&[service.as_str()])
+            .set((fraction * 1_000.0).round() as i64);
+    }
+
     /// Counts a failed attempt, by failure.
     pub fn count_failed_attempt(&self, failure: &'static str) {
         self.attempt_failures.with_label_values(&[failure]).inc();
--- a/crates/celeryknot_operators/src/metrics/spec.rs
+++ b/crates/celeryknot_operators/src/metrics/spec.rs
@@ -121,6 +121,8 @@
     counter("celeryknot_gateway_requests_total", &[], "Requests of callers that were read."),
     counter("celeryknot_gateway_refusals_total", &["code"], "Requests of callers that were refused or failed, by code."),
     counter("celeryknot_gateway_placements_total", &["reason"], "Requests that were placed at an endpoint, by the reason for it."),
+    counter("celeryknot_gateway_zone_placements_total", &["service", "zone", "reason"], "Requests that were placed in the daemon's own zone or in another one, by the reason for the zone."),
+    gauge("celeryknot_gateway_zone_overflow_permille", &["service"], "Requests of a thousand that leave the daemon's own zone for its pressure."),
     counter("celeryknot_gateway_send_failures_total", &["failure"], "Sends to endpoints that failed, by how."),
     counter("celeryknot_gateway_sends_denied_total", &[], "Further sends that the budget of the fleet did not allow."),
     counter("celeryknot_gateway_resumes_total", &[], "Streams that went on at another endpoint."),
--- a/crates/celeryknot_operators/tests/metrics.rs
+++ b/crates/celeryknot_operators/tests/metrics.rs
@@ -50,6 +50,9 @@
     let metrics = GatewayMetrics::new();
     metrics.refused(ErrorKind::NoEndpoint);
     metrics.placed("first");
+    let service = "wakai-llm".parse().unwrap();
+    metrics.placed_in_zone(&service, true, "own");
+    metrics.set_zone_overflow(&service, 0.25);
     metrics.count_failed_attempt("refused");
     metrics.count_hop("made");
     metrics.count_store_call("failed");
