Test the source of a prompt that is new to its zone more closely

The test passed also with the source that ignores zones, as the prompt's second endpoint by rank was in another zone. It now takes a prompt for which two endpoints of the own zone rank first.

--- a/crates/celeryknot_policy/tests/zone_overflow.rs
+++ b/crates/celeryknot_policy/tests/zone_overflow.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{
     DurationMs, EndpointName, MemberName, MonotonicMs, RequestTag, TokenCount, ZoneName,
 };
@@ -702,25 +703,30 @@
         holders: Vec<EndpointName>,
         expected: EndpointName,
     }
-    let key = 11;
+    // A prompt for which two endpoints of the own zone rank above those of all others: the second one
+    // ranks next to the home, but has never been sent the prompt.
+    let ranked = |key| {
+        let shared = prompt(key, LONG_PROMPT_TOKENS).unwrap();
+        let mut numbers: Vec<usize> = (0..ENGINES).collect();
+        numbers.sort_by_key(|it| rendezvous_score(shared.key, engine(*it).as_str()));
+        numbers.reverse();
+        numbers
+    };
+    let key = (0..)
+        .find(|key| ranked(*key)[..2].iter().all(|it| it.is_multiple_of(ZONES)))
+        .unwrap();
     let shared = prompt(key, LONG_PROMPT_TOKENS).unwrap();
     let own_home = home(0, key);
-    let near = (0..ENGINES)
-        .step_by(ZONES)
-        .map(engine)
-        .find(|it| *it != own_home)
-        .unwrap();
-    let rank_score =
-        |it: &EndpointName| celeryknot_core::id::rendezvous_score(shared.key, it.as_str());
-    let far_home = [1, 2, 3]
-        .map(|zone| home(zone, key))
+    let near = engine(ranked(key)[1]);
+    let far_home = ranked(key)
         .into_iter()
-        .max_by_key(rank_score);
+        .find(|it| !it.is_multiple_of(ZONES))
+        .unwrap();
     let cases = [
         Case {
             name: "new to the zone: from its home elsewhere",
             holders: vec![],
-            expected: far_home.unwrap(),
+            expected: engine(far_home),
         },
         Case {
             name: "held in another zone alone",
