Refuse requests whose time passes before they are sent as not run

A request whose deadline passed while its connection was still opening was recorded as unanswered, so its caller got 504 although no endpoint had a byte of it. The new failure `not-sent-in-time` stands for that case: it is not run, is free for the retry budget, and is refused as `deadline-unreachable`. It counts against the endpoint as a silence, as before, not as a failed connection, since a short deadline says nothing about the path.

--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -343,19 +343,29 @@
     /// Builds the final refusal, which never reports a request that may have run as not run.
     fn refuse(&self, failure: AttemptFailure) -> Refusal {
         if !self.history.may_have_run() {
-            let kind = match failure == AttemptFailure::NotSent {
-                true => ErrorKind::ConnectFailed,
-                false => ErrorKind::EndpointRefused,
+            let kind = match failure {
+                AttemptFailure::NotSent => ErrorKind::ConnectFailed,
+                AttemptFailure::NotSentInTime => ErrorKind::DeadlineUnreachable,
+                AttemptFailure::Refused
+                | AttemptFailure::Misdirected
+                | AttemptFailure::Unanswered
+                | AttemptFailure::ConnectionLost
+                | AttemptFailure::Broken
+                | AttemptFailure::Mismatched
+                | AttemptFailure::EndpointError => ErrorKind::EndpointRefused,
             };
             return Refusal::with_retry_after(kind, ENDPOINT_RETRY_DELAY);
         }
         Refusal::new(match failure {
-            AttemptFailure::Unanswered if self.remaining_ms() <= RETRY_TIME_MIN => {
+            AttemptFailure::Unanswered | AttemptFailure::NotSentInTime
+                if self.remaining_ms() <= RETRY_TIME_MIN =>
+            {
                 ErrorKind::AnswerTimeout
             }
             AttemptFailure::Broken => ErrorKind::AnswerIncomplete,
             AttemptFailure::Mismatched => ErrorKind::AnswerMismatched,
             AttemptFailure::NotSent
+            | AttemptFailure::NotSentInTime
             | AttemptFailure::Refused
             | AttemptFailure::Misdirected
             | AttemptFailure::Unanswered
@@ -477,7 +487,7 @@
             &progress,
             last_event_id,
         );
-        let sent = with_timeout(&gateway, self.remaining_ms(), sent);
+        let sent = with_timeout(&gateway, self.remaining_ms(), &progress, sent);
         let replaced = async {
             gateway.timers.after(silence_ms).await;
             guard.observe_silence();
@@ -499,6 +509,7 @@
             }
             Ok(Err(failure)) => {
                 if failure == AttemptFailure::Unanswered
+                    || failure == AttemptFailure::NotSentInTime
                     || failure == AttemptFailure::ConnectionLost
                 {
                     guard.observe_silence();
@@ -514,6 +525,7 @@
                     AttemptFailure::ConnectionLost => self.check_lost_connection(&watch).await,
                     AttemptFailure::Unanswered => watch.observe_given_up(),
                     AttemptFailure::NotSent
+                    | AttemptFailure::NotSentInTime
                     | AttemptFailure::Refused
                     | AttemptFailure::Misdirected
                     | AttemptFailure::Broken
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -59,6 +59,16 @@
     pub(super) hop_peer: Cell<Option<SocketAddr>>,
 }
 
+impl AttemptProgress {
+    /// Returns the failure of an attempt that is abandoned for its silence.
+    pub(super) fn failure_by_silence(&self) -> AttemptFailure {
+        match self.may_have_been_sent.get() {
+            true => AttemptFailure::Unanswered,
+            false => AttemptFailure::NotSentInTime,
+        }
+    }
+}
+
 /// How an endpoint is reached.
 #[derive(Debug)]
 pub(super) enum Reached {
@@ -326,11 +336,12 @@
 pub(super) async fn with_timeout<T>(
     gateway: &TrafficThread,
     timeout_ms: DurationMs,
+    progress: &AttemptProgress,
     result: impl Future<Output = Result<T, AttemptFailure>>,
 ) -> Result<T, AttemptFailure> {
     let timeout = async {
         gateway.timers.after(timeout_ms).await;
-        Err(AttemptFailure::Unanswered)
+        Err(progress.failure_by_silence())
     };
     future::or(result, timeout).await
 }
--- a/crates/celeryknot_policy/src/direct/attempt_history.rs
+++ b/crates/celeryknot_policy/src/direct/attempt_history.rs
@@ -2,7 +2,7 @@
 //!
 //! | failure | may have run | retried |
 //! | --- | --- | --- |
-//! | not sent | no | yes |
+//! | not sent, not sent in time | no | yes |
 //! | refused, misdirected | no | yes |
 //! | unanswered, connection lost, broken, mismatched | yes | if the route's requests are repeatable |
 //! | error of the endpoint | yes | if the route's requests are repeatable |
@@ -20,6 +20,8 @@
 pub enum AttemptFailure {
     /// The connection could not be opened; no byte was sent.
     NotSent,
+    /// The time for the attempt passed before a byte was sent.
+    NotSentInTime,
     /// The endpoint refused the request without running it.
     Refused,
     /// Another endpoint now has the address.
@@ -41,7 +43,8 @@
     pub const fn is_unreachable(self) -> bool {
         match self {
             Self::NotSent | Self::Misdirected => true,
-            Self::Refused
+            Self::NotSentInTime
+            | Self::Refused
             | Self::Unanswered
             | Self::ConnectionLost
             | Self::Broken
@@ -50,10 +53,33 @@
         }
     }
 
+    /// Returns whether a byte of the request may have reached the endpoint.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_policy::direct::AttemptFailure;
+    ///
+    /// assert!(AttemptFailure::Refused.may_have_arrived());
+    /// assert!(!AttemptFailure::NotSentInTime.may_have_arrived());
+    /// ```
+    pub const fn may_have_arrived(self) -> bool {
+        match self {
+            Self::NotSent | Self::NotSentInTime => false,
+            Self::Refused
+            | Self::Misdirected
+            | Self::Unanswered
+            | Self::ConnectionLost
+            | Self::Broken
+            | Self::Mismatched
+            | Self::EndpointError => true,
+        }
+    }
+
     /// Returns whether the endpoint may have run the request.
     pub const fn may_have_run(self) -> bool {
         match self {
-            Self::NotSent | Self::Refused | Self::Misdirected => false,
+            Self::NotSent | Self::NotSentInTime | Self::Refused | Self::Misdirected => false,
             Self::Unanswered
             | Self::ConnectionLost
             | Self::Broken
@@ -110,7 +136,7 @@
         } else {
             self.not_run += 1;
         }
-        self.arrivals += u32::from(failure != AttemptFailure::NotSent);
+        self.arrivals += u32::from(failure.may_have_arrived());
     }
 
     /// Records that the retry budget pays for another attempt.
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -893,6 +893,7 @@
             // Nor is a failure by which it asked for a pause.
             AttemptFailure::EndpointError if state.pause_left_ms(now) > DurationMs(0) => {}
             AttemptFailure::NotSent
+            | AttemptFailure::NotSentInTime
             | AttemptFailure::Misdirected
             | AttemptFailure::Unanswered
             | AttemptFailure::ConnectionLost
--- a/crates/celeryknot_policy/tests/direct.rs
+++ b/crates/celeryknot_policy/tests/direct.rs
@@ -580,7 +580,7 @@
         may_retry: bool,
         may_have_run: bool,
     }
-    use AttemptFailure::{Misdirected, NotSent, Refused, Unanswered};
+    use AttemptFailure::{Misdirected, NotSent, NotSentInTime, Refused, Unanswered};
     let case = |kind, attempts_max, failures, may_retry, may_have_run| Case {
         kind,
         attempts_max,
@@ -590,6 +590,7 @@
     };
     let cases = [
         case(RouteKind::NonIdempotent, 2, &[NotSent][..], true, false),
+        case(RouteKind::NonIdempotent, 1, &[NotSentInTime], true, false),
         case(
             RouteKind::NonIdempotent,
             1,
