Count requests that leave an endpoint before they are sent as not run

A repeatable request whose endpoint opened no connection within the latency objective moved to another endpoint and was recorded as unanswered at the first. If the other endpoint rejected it as not run, its caller got 502 although it had run nowhere, and the retry budget paid for the move. The failure now follows from whether a byte may have been sent, checked at the moment of the move.

--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -67,6 +67,8 @@
     guard: InFlightGuard,
     /// How the endpoint is reached, if that is known.
     reached: Option<Reached>,
+    /// How the silent attempt failed that this one replaces, if it replaces one.
+    replaced: Option<AttemptFailure>,
 }
 
 /// The final response to a request.
@@ -282,9 +284,7 @@
         // What could not be reached before a silence may be reached after it.
         let unreachable = std::mem::take(&mut self.unreachable);
         self.tried.retain(|name| !unreachable.contains(name));
-        let failure = AttemptFailure::Unanswered;
-        let is_due = self.history.is_payment_due_after(failure);
-        while self.history.may_retry_after(failure) && self.has_retry(is_due) {
+        while self.may_replace_silent_attempt() {
             let mut placed = self.place().ok()?;
             match self.reach_certainly(&placed.placement).await {
                 Ok(reached) => placed.reached = Some(reached),
@@ -296,14 +296,28 @@
                     continue;
                 }
             }
-            if self.try_pay(is_due) {
+            // The silent attempt may have been sent meanwhile.
+            if !self.may_replace_silent_attempt() {
+                return None;
+            }
+            let failure = self.progress.failure_by_silence();
+            if self.try_pay(self.history.is_payment_due_after(failure)) {
                 self.record_failure(failure);
+                placed.replaced = Some(failure);
                 return Some(placed);
             }
         }
         None
     }
 
+    /// Returns whether the history and the retry budget allow another attempt in place of a silent
+    /// one, as far as that has come.
+    fn may_replace_silent_attempt(&self) -> bool {
+        let failure = self.progress.failure_by_silence();
+        let is_due = self.history.is_payment_due_after(failure);
+        self.history.may_retry_after(failure) && self.has_retry(is_due)
+    }
+
     /// Finds out how an endpoint is reached; by other daemons only if one can connect to it.
     async fn reach_certainly(&self, placement: &Placement) -> Result<Reached, AttemptFailure> {
         let reached = reach(&self.gateway, &self.call, placement).await?;
@@ -424,6 +438,7 @@
             placement,
             guard,
             reached: None,
+            replaced: None,
         })
     }
 
@@ -472,6 +487,7 @@
             placement,
             guard,
             reached,
+            ..
         } = placed;
         self.log_placement(&placement);
         self.tried.push(placement.endpoint.clone());
@@ -535,8 +551,11 @@
                 SendEnd::Failed(failure)
             }
             Err(next) => {
-                watch.observe_given_up();
-                self.log_failure(&placement, AttemptFailure::Unanswered);
+                let failure = next.replaced.unwrap_or(AttemptFailure::Unanswered);
+                if failure.may_have_run() {
+                    watch.observe_given_up();
+                }
+                self.log_failure(&placement, failure);
                 SendEnd::Replaced(Box::new(next))
             }
         }
