Tell a peer in time that its request was not sent

A daemon that makes an attempt for a peer answered only after its connection to the endpoint was open or had failed. If the request's deadline passed meanwhile, the peer had to take it for one that may have run, and its caller got 504. The daemon now answers `not-sent` 30 ms before the deadline if the connection isn't open.

--- a/crates/celeryknot_gateway/src/traffic/hop/server.rs
+++ b/crates/celeryknot_gateway/src/traffic/hop/server.rs
@@ -28,6 +28,12 @@
 /// Maximum number of attempts that a daemon makes for others at a time.
 const ATTEMPTS_MAX: u64 = 256;
 
+/// Time before a request's deadline at which a peer is told that the request was not sent.
+///
+/// At least twice the latency between two zones: at the deadline, the peer would have to take the
+/// request for one that may have run.
+const REFUSAL_MARGIN: DurationMs = DurationMs(30);
+
 /// Time after a request's deadline at which an attempt for a peer ends if the peer doesn't end it.
 const END_MARGIN: DurationMs = DurationMs(500);
 
@@ -113,6 +119,30 @@
     .map_err(|_| HopRefusal::Malformed)
 }
 
+/// Opens a connection to the endpoint, in time for the peer to learn that the request was not sent.
+async fn connect_in_time(
+    endpoint: &EndpointHandle,
+    deadline: MonotonicMs,
+) -> Result<EndpointConnection, HopRefusal> {
+    let EndpointHandle {
+        gateway, address, ..
+    } = endpoint;
+    let connected = async {
+        let connected = gateway.connect(*address, IDLE_MAX_NON_IDEMPOTENT).await;
+        connected.ok_or_else(|| {
+            endpoint.observe_failure(AttemptFailure::NotSent);
+            unreachable(endpoint)
+        })
+    };
+    let timed_out = async {
+        let left_ms = deadline - gateway.now();
+        let left_ms = DurationMs(left_ms.0.saturating_sub(REFUSAL_MARGIN.0));
+        gateway.timers.after(left_ms).await;
+        Err(HopRefusal::NotSent)
+    };
+    future::or(connected, timed_out).await
+}
+
 /// Sends the request to the endpoint once and passes the response on.
 async fn make_attempt<P: PlatformProtocol>(
     endpoint: &EndpointHandle,
@@ -125,11 +155,7 @@
     let EndpointHandle {
         gateway, address, ..
     } = endpoint;
-    let connected = gateway.connect(*address, IDLE_MAX_NON_IDEMPOTENT).await;
-    let Some(mut connection) = connected else {
-        endpoint.observe_failure(AttemptFailure::NotSent);
-        return Err(unreachable(endpoint));
-    };
+    let mut connection = connect_in_time(endpoint, deadline).await?;
     // It may have begun to leave, or asked for a pause, meanwhile.
     if !gateway.accepts_requests(&endpoint.service, &endpoint.name) {
         gateway.connections.put(*address, connection);
