Send calls that run at most once on new connections where rejections lack ids

A rejection without the request's id on a reused connection may be an earlier one, written again, so a call that must run at most once ended as 502 each time it was rejected like that. That rule stays. But once an endpoint of a service has rejected a request without its id, such calls now go to the service on a new connection for ten minutes, where a rejection can only be theirs. The new connection takes the place of an idle one, as endpoints bound the number of their connections; the idle one is used if none opens.

Weighed: taking such rejections as certain (wrong, see repeated_refusals.rs), and new connections for all such calls (a connection for each booking at endpoints that never reject). The first such rejection that a daemon sees at a service on a reused connection is still of unknown outcome, and so is one of an attempt through a peer.

--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -20,7 +20,7 @@
 use celeryknot_policy::direct::endpoint::PAUSE_MAX;
 use celeryknot_policy::direct::{
     AttemptFailure, EndpointPaths, EndpointPool, Placement, PlacementRequest, PoolLimits,
-    ReportedLoad, RetryBounds, RetryShare, StreamVersions,
+    RefusalIds, ReportedLoad, RetryBounds, RetryShare, StreamVersions,
 };
 use celeryknot_policy::rate_limit::{FleetRateLimit, RateChange, RateStatement};
 use celeryknot_policy::routing::{RequestLimits, Service};
@@ -68,6 +68,7 @@
     tags: HashMap<EndpointTag, EndpointName>,
     /// The versions that began the streams of this daemon, and those that peers told of.
     streams: StreamVersions,
+    refusal_ids: RefusalIds,
 }
 
 /// The state of the traffic thread.
@@ -263,6 +264,7 @@
                     retries: RetryShare::new(retries).with_allowance_from(allowance_from),
                     tags: HashMap::new(),
                     streams: StreamVersions::default(),
+                    refusal_ids: RefusalIds::default(),
                 });
             state.pool.set_limits(limits);
             let settings = &self.shared.settings;
@@ -319,6 +321,20 @@
         state.is_some_and(|state| state.retries.try_take(self.now()))
     }
 
+    /// Records that an endpoint of a service refused a request without its id.
+    pub(super) fn observe_refusal_without_id(&self, service: &ServiceName) {
+        if let Some(state) = self.services.borrow_mut().get_mut(service) {
+            state.refusal_ids.observe_missing(self.now());
+        }
+    }
+
+    /// Returns whether a refusal by an endpoint of a service may lack the request's id.
+    pub(super) fn are_refusal_ids_missing(&self, service: &ServiceName) -> bool {
+        let services = self.services.borrow();
+        let state = services.get(service);
+        state.is_some_and(|state| state.refusal_ids.are_missing(self.now()))
+    }
+
     /// Returns the only software version at which a stream that a caller takes up may go on.
     ///
     /// Without a record, only a copy of the store that was read since the request arrived shows that
--- a/crates/celeryknot_gateway/src/traffic/paths.rs
+++ b/crates/celeryknot_gateway/src/traffic/paths.rs
@@ -31,6 +31,20 @@
         self.open(address).await
     }
 
+    /// Opens a connection to an endpoint in place of an idle one; takes that one if none opens.
+    pub(super) async fn connect_anew(
+        &self,
+        address: SocketAddr,
+        idle_max: DurationMs,
+    ) -> Option<EndpointConnection> {
+        // Replaced, as endpoints bound the number of their connections.
+        let idle = self.connections.take(address, idle_max).await;
+        if self.paths.borrow().is_broken(address) && self.has_hop_peers() {
+            return idle;
+        }
+        self.open(address).await.or(idle)
+    }
+
     /// Returns whether an endpoint accepts a connection of this daemon and keeps it open.
     pub(super) async fn connects_to(&self, address: SocketAddr) -> bool {
         is_running(self.outgoing_ip(), address, &self.timers).await
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -126,11 +126,17 @@
     call: &Call,
     placement: &Placement,
 ) -> Result<Reached, AttemptFailure> {
-    let idle_max = match call.route.kind.is_repeatable() {
-        true => IDLE_MAX,
-        false => IDLE_MAX_NON_IDEMPOTENT,
+    let address = placement.address;
+    let connected = match call.route.kind.is_repeatable() {
+        true => gateway.connect(address, IDLE_MAX).await,
+        // On a reused connection, the outcome of a request that is refused would be unknown.
+        false if gateway.are_refusal_ids_missing(&call.service) => {
+            let idle_max = IDLE_MAX_NON_IDEMPOTENT;
+            gateway.connect_anew(address, idle_max).await
+        }
+        false => gateway.connect(address, IDLE_MAX_NON_IDEMPOTENT).await,
     };
-    match gateway.connect(placement.address, idle_max).await {
+    match connected {
         Some(connection) => Ok(Reached::Directly(connection)),
         None if gateway.has_hop_peers() => Ok(Reached::ThroughPeers),
         None => Err(AttemptFailure::NotSent),
@@ -187,6 +193,10 @@
     if let Some(idle_max) = idle_max {
         received.connection.set_idle_max(idle_max);
     }
+    let is_refusal = answer_head.is_misdirected || answer_head.is_not_executed;
+    if is_refusal && answer_head.request_id.is_none() {
+        gateway.observe_refusal_without_id(&call.service);
+    }
     if let Some(failure) = classify_failure(call, &head, &answer_head, is_reused) {
         return Err(failure);
     }
