--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -16,6 +16,7 @@
 mod rate_admission;
 pub mod refusal_ids;
 pub mod refusal_limit;
+pub mod retry_delay;
 pub mod retry_share;
 pub mod shutdown_admission;
 pub mod software_versions;
@@ -35,6 +36,7 @@
 pub use prompt::{Prompt, PromptPart, SharedPrefix};
 pub use refusal_ids::RefusalIds;
 pub use refusal_limit::RefusalLimit;
+pub use retry_delay::{RetryDelay, RetryEstimate};
 pub use retry_share::{RetryBounds, RetryShare};
 pub use shutdown_admission::{ShutdownAdmission, ShutdownPhase};
 pub use software_versions::{ListedVersion, ListedVersions, StreamVersions};
