State the expected time until there is room in the gateway's refusals

`endpoint-refused`, `connect-failed` and `deadline-unreachable` stated a fixed delay. For services whose endpoints report their pace, they now state the estimate of the retry delay; others are refused as before, and so are requests that may have run.

No service reports a pace in this build.

--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -8,6 +8,7 @@
 mod hop;
 mod paths;
 mod resume;
+mod retry_delay;
 mod send;
 mod serve;
 mod shutdown;
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -20,7 +20,7 @@
 use celeryknot_policy::direct::endpoint::PAUSE_MAX;
 use celeryknot_policy::direct::{
     AttemptFailure, EndpointPaths, EndpointPool, Placement, PlacementRequest, PoolLimits,
-    RefusalIds, ReportedLoad, RetryBounds, RetryShare, StreamVersions,
+    RefusalIds, ReportedLoad, RetryBounds, RetryDelay, RetryEstimate, RetryShare, StreamVersions,
 };
 use celeryknot_policy::rate_limit::{FleetRateLimit, RateChange, RateStatement};
 use celeryknot_policy::routing::{RequestLimits, Service};
@@ -69,6 +69,7 @@
     /// The versions that began the streams of this daemon, and those that peers told of.
     streams: StreamVersions,
     refusal_ids: RefusalIds,
+    retry_delay: RetryDelay,
 }
 
 /// The state of the traffic thread.
@@ -265,6 +266,7 @@
                     tags: HashMap::new(),
                     streams: StreamVersions::default(),
                     refusal_ids: RefusalIds::default(),
+                    retry_delay: RetryDelay::default(),
                 });
             state.pool.set_limits(limits);
             let settings = &self.shared.settings;
@@ -328,6 +330,25 @@
         }
     }
 
+    /// Counts a refused request of a service; returns the estimate of the time until there is room if
+    /// its endpoints report their pace.
+    pub(super) fn observe_refusal(&self, service: &ServiceName) -> Option<RetryEstimate> {
+        let now = self.now();
+        let mut services = self.services.borrow_mut();
+        let state = services.get_mut(service)?;
+        state.retry_delay.observe_refused(now);
+        let is_active = state.pool.reports_pace(now);
+        // No request waits in the daemon but for an endpoint's rate limit, which states the time.
+        is_active.then(|| state.retry_delay.estimate(now, 0))?
+    }
+
+    /// Counts a request of a service that an endpoint answered.
+    fn observe_finished(&self, service: &ServiceName) {
+        if let Some(state) = self.services.borrow_mut().get_mut(service) {
+            state.retry_delay.observe_finished(self.now());
+        }
+    }
+
     /// Returns whether a refusal by an endpoint of a service may lack the request's id.
     pub(super) fn are_refusal_ids_missing(&self, service: &ServiceName) -> bool {
         let services = self.services.borrow();
@@ -503,6 +524,7 @@
                 address: placement.address,
             },
             was_silent: Cell::new(false),
+            is_answered: Cell::new(false),
         };
         Ok((placement, guard))
     }
@@ -672,6 +694,8 @@
     endpoint: EndpointHandle,
     /// Whether a silence of the endpoint has been recorded.
     was_silent: Cell<bool>,
+    /// Whether the endpoint answered the request.
+    is_answered: Cell<bool>,
 }
 
 impl InFlightGuard {
@@ -686,6 +710,7 @@
     }
 
     pub(crate) fn observe_success(&self) {
+        self.is_answered.set(true);
         self.endpoint.observe_success();
     }
 
@@ -711,6 +736,9 @@
             name,
             ..
         } = &self.endpoint;
+        if self.is_answered.get() {
+            gateway.observe_finished(service);
+        }
         gateway.with_pool(service, |pool| {
             pool.finish(name);
             gateway.send_to_control(TrafficUpdate::InFlight {
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -135,14 +135,17 @@
     if let Some(suspect) = forward.trial.filter(|_| !may_have_run) {
         gateway.return_trial(suspect);
     }
+    let call = Rc::clone(&forward.call);
+    let with_delay =
+        |refusal| gateway.with_retry_delay(&call.service, &call.head.request_id, refusal);
     match end {
         Some(Ok(Answer::Complete(response))) => Ok(*response),
         Some(Ok(Answer::Stream(endpoint_response))) => Ok(resume::build_stream_response::<P>(
             forward,
             *endpoint_response,
         )),
-        Some(Err(refusal)) => Err(refusal),
-        None => Err(forward.refuse_unanswered()),
+        Some(Err(refusal)) => Err(with_delay(refusal)),
+        None => Err(with_delay(forward.refuse_unanswered())),
     }
 }
 
--- a/crates/celeryknot_operators/src/metrics/gateway.rs
+++ b/crates/celeryknot_operators/src/metrics/gateway.rs
@@ -29,6 +29,7 @@
     zone_placements: IntCounterVec,
     zone_overflow: IntGaugeVec,
     attempt_failures: IntCounterVec,
+    retry_delays: IntCounterVec,
     first_byte_ms: Histogram,
     request_ms: Histogram,
     hops: IntCounterVec,
@@ -97,6 +98,7 @@
                 "celeryknot_gateway_zone_overflow_permille",
             ),
             attempt_failures: counters("celeryknot_gateway_send_failures_total"),
+            retry_delays: counters("celeryknot_gateway_retry_delays_total"),
             first_byte_ms: histogram("celeryknot_gateway_first_byte_ms"),
             request_ms: histogram("celeryknot_gateway_request_ms"),
             hops: counters("celeryknot_gateway_hops_total"),
@@ -157,6 +159,11 @@
         self.attempt_failures.with_label_values(&[failure]).inc();
     }
 
+    /// Counts a refusal for want of room, by what its retry delay follows from.
+    pub fn count_retry_delay(&self, basis: &'static str) {
+        self.retry_delays.with_label_values(&[basis]).inc();
+    }
+
     /// Counts an attempt that a peer was asked to make, by outcome.
     pub fn count_hop(&self, outcome: &'static str) {
         self.hops.with_label_values(&[outcome]).inc();
--- a/crates/celeryknot_operators/src/metrics/spec.rs
+++ b/crates/celeryknot_operators/src/metrics/spec.rs
@@ -124,6 +124,7 @@
     counter("celeryknot_gateway_zone_placements_total", &["service", "zone", "reason"], "Requests that were placed in the daemon's own zone or in another one, by the reason for the zone."),
     gauge("celeryknot_gateway_zone_overflow_permille", &["service"], "Requests of a thousand that leave the daemon's own zone for its pressure."),
     counter("celeryknot_gateway_send_failures_total", &["failure"], "Sends to endpoints that failed, by how."),
+    counter("celeryknot_gateway_retry_delays_total", &["basis"], "Refusals for want of room, by what their retry delay follows from."),
     counter("celeryknot_gateway_sends_denied_total", &[], "Further sends that the budget of the fleet did not allow."),
     counter("celeryknot_gateway_resumes_total", &[], "Streams that went on at another endpoint."),
     counter("celeryknot_gateway_crashes_at_beginning_total", &[], "Answers that broke off at their beginning because their endpoint had crashed."),
--- a/crates/celeryknot_operators/tests/metrics.rs
+++ b/crates/celeryknot_operators/tests/metrics.rs
@@ -54,6 +54,7 @@
     metrics.placed_in_zone(&service, true, "own");
     metrics.set_zone_overflow(&service, 0.25);
     metrics.count_failed_attempt("refused");
+    metrics.count_retry_delay("fixed");
     metrics.count_hop("made");
     metrics.count_store_call("failed");
     let text = metrics.render();
