Let requests leave slow endpoints before their latency objective

A repeatable request waited for its whole latency objective at an endpoint that was known to take several times as long. Where the endpoint's pace is at least 1.5 times its service's mean, the request now moves after objective x mean / pace, at least 150 ms, to an endpoint that isn't slow, if route and retry budget permit that. Leaving counts as a failure of the endpoint only if it has answered nobody for 1 s, as two failures would eject it. `request placed` and `request leaves a slow endpoint` show the pace; a gauge counts slow endpoints, a counter the moves.

--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -83,6 +83,7 @@
             gateway.connections.close_idle();
             gateway.update_rate_limit_count();
             gateway.update_zone_overflow();
+            gateway.update_slow_endpoint_count();
         }
     }
 }
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -495,6 +495,14 @@
         }
     }
 
+    /// Updates the gauge of the endpoints that are much slower than their service is on average.
+    pub(crate) fn update_slow_endpoint_count(&self) {
+        let now = self.now();
+        let services = self.services.borrow();
+        let count: usize = services.values().map(|it| it.pool.slow_count(now)).sum();
+        self.shared.metrics.slow_endpoints.set(count as i64);
+    }
+
     /// Picks the endpoint for a request, which counts as in flight there until the guard drops.
     pub(crate) fn place(
         self: &Rc<Self>,
@@ -661,6 +669,15 @@
         log_pause(&self.name, pause_ms, request_id);
     }
 
+    /// Returns whether the endpoint responded to this daemon or a peer within `silence_max`.
+    pub(crate) fn has_responded(&self, silence_max: DurationMs) -> bool {
+        let services = self.gateway.services.borrow();
+        services.get(&self.service).is_some_and(|state| {
+            let now = self.gateway.now();
+            state.pool.has_responded(now, &self.name, silence_max)
+        })
+    }
+
     pub(crate) fn observe_success(&self) {
         let now = self.gateway.now();
         self.gateway.with_pool(&self.service, |pool| {
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -6,7 +6,7 @@
 use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal, SoftwareVersion, SuspectTag};
 use celeryknot_endpoints::{EventId, sse};
 use celeryknot_policy::direct::{
-    AttemptFailure, AttemptHistory, Placement, PlacementRequest, Prompt,
+    AttemptFailure, AttemptHistory, Placement, PlacementRequest, Prompt, RelativePace,
 };
 use futures_lite::future;
 use http::{HeaderMap, HeaderName, Response, StatusCode, header};
@@ -36,6 +36,11 @@
 /// Shortest time without a response head after which an attempt counts as silent.
 const SILENCE_MIN: DurationMs = DurationMs(150);
 
+/// Time without an answer to any request after which a slow endpoint counts as silent.
+///
+/// A slow endpoint that answers other requests works; two silences would eject it.
+const SLOW_ENDPOINT_SILENCE: DurationMs = DurationMs(1_000);
+
 /// Divisor of the latency objective that gives the longest wait for an endpoint at its rate limit.
 const TURN_WAIT_DIVISOR: u64 = 2;
 
@@ -275,7 +280,7 @@
         silence_ms: DurationMs,
     ) -> PlacedAttempt {
         loop {
-            if let Some(placed) = self.try_replace_silent_attempt().await {
+            if let Some(placed) = self.try_replace_silent_attempt(|_| true).await {
                 self.silent.push(endpoint.clone());
                 return placed;
             }
@@ -283,12 +288,19 @@
         }
     }
 
-    async fn try_replace_silent_attempt(&mut self) -> Option<PlacedAttempt> {
+    /// Replaces an attempt by one at an endpoint that `is_suitable`, if that is permitted now.
+    async fn try_replace_silent_attempt(
+        &mut self,
+        is_suitable: fn(&Placement) -> bool,
+    ) -> Option<PlacedAttempt> {
         // What could not be reached before a silence may be reached after it.
         let unreachable = std::mem::take(&mut self.unreachable);
         self.tried.retain(|name| !unreachable.contains(name));
         while self.may_replace_silent_attempt() {
             let mut placed = self.place().ok()?;
+            if !is_suitable(&placed.placement) {
+                return None;
+            }
             match self.reach_certainly(&placed.placement).await {
                 Ok(reached) => placed.reached = Some(reached),
                 Err(failure) => {
@@ -321,6 +333,35 @@
         self.history.may_retry_after(failure) && self.has_retry(is_due)
     }
 
+    /// Replaces an attempt at a slow endpoint, which has not answered for `silence_ms`, by one at an
+    /// endpoint that isn't slow, if that is permitted now.
+    async fn leave_slow_endpoint(
+        &mut self,
+        placement: &Placement,
+        guard: &InFlightGuard,
+        silence_ms: DurationMs,
+    ) -> Option<PlacedAttempt> {
+        let next = self
+            .try_replace_silent_attempt(|next| !next.pace.is_some_and(RelativePace::is_slow))
+            .await?;
+        if !guard.handle().has_responded(SLOW_ENDPOINT_SILENCE) {
+            guard.observe_silence();
+            self.avoid_silent_connections(placement);
+        }
+        self.silent.push(placement.endpoint.clone());
+        self.gateway.shared.metrics.slow_endpoint_moves.inc();
+        tracing::info!(
+            request_id = self.call.head.request_id,
+            endpoint = %placement.endpoint,
+            pace = placement.pace.map(|pace| pace.endpoint.percent()),
+            service_pace = placement.pace.map(|pace| pace.service.percent()),
+            silence_ms = silence_ms.0,
+            next = %next.placement.endpoint,
+            "request leaves a slow endpoint"
+        );
+        Some(next)
+    }
+
     /// Finds out how an endpoint is reached; by other daemons only if one can connect to it.
     async fn reach_certainly(&self, placement: &Placement) -> Result<Reached, AttemptFailure> {
         let reached = reach(&self.gateway, &self.call, placement).await?;
@@ -465,6 +506,8 @@
             shared_tokens = shared.map(|shared| shared.tokens.0),
             load = placement.load,
             load_age_ms = placement.load_age_ms.map(|age| age.0),
+            pace = placement.pace.map(|pace| pace.endpoint.percent()),
+            service_pace = placement.pace.map(|pace| pace.service.percent()),
             is_cold = placement.is_cold,
             fetch_from = placement.fetch_from.map(tracing::field::display),
             moved_from = placement.moved_from.as_ref().map(tracing::field::display),
@@ -496,6 +539,8 @@
         self.tried.push(placement.endpoint.clone());
         let (gateway, call) = (Rc::clone(&self.gateway), Rc::clone(&self.call));
         let (progress, silence_ms) = (Rc::clone(&self.progress), self.silence_ms());
+        let slow_silence_ms = self.slow_silence_ms(&placement);
+        let silent_at = gateway.now() + silence_ms;
         let mut watch = AnswerWatch::new(&gateway, &call, &placement);
         let sent = send::<P>(
             &gateway,
@@ -508,7 +553,14 @@
         );
         let sent = with_timeout(&gateway, self.remaining_ms(), &progress, sent);
         let replaced = async {
-            gateway.timers.after(silence_ms).await;
+            if let Some(slow_silence_ms) = slow_silence_ms {
+                gateway.timers.after(slow_silence_ms).await;
+                let next = self.leave_slow_endpoint(&placement, &guard, slow_silence_ms);
+                if let Some(next) = next.await {
+                    return Err(next);
+                }
+            }
+            gateway.timers.after(silent_at - gateway.now()).await;
             guard.observe_silence();
             self.avoid_silent_connections(&placement);
             let endpoint = &placement.endpoint;
@@ -629,12 +681,25 @@
         }
     }
 
+    /// Returns whether another endpoint may take over from one that doesn't answer.
+    fn may_replace_silent(&self) -> bool {
+        let route = &self.call.route;
+        let is_last = self.history.failed_attempts() + 1 >= route.attempts_max;
+        route.kind.is_repeatable() && !is_last
+    }
+
+    /// Returns the time without a response head after which a request may leave a slow endpoint, if
+    /// that is shorter than elsewhere.
+    fn slow_silence_ms(&self, placement: &Placement) -> Option<DurationMs> {
+        let pace = placement.pace.filter(|_| self.may_replace_silent())?;
+        pace.silence_ms(self.silence_ms())
+    }
+
     /// Returns the time without a response head after which another endpoint may take over.
     fn silence_ms(&self) -> DurationMs {
         let remaining_ms = self.remaining_ms();
         let route = &self.call.route;
-        let is_last = self.history.failed_attempts() + 1 >= route.attempts_max;
-        if !route.kind.is_repeatable() || is_last {
+        if !self.may_replace_silent() {
             return remaining_ms;
         }
         let objective_ms = route.latency_objective_ms.0 as f64 * SILENCE_MULTIPLE;
--- a/crates/celeryknot_operators/src/metrics/gateway.rs
+++ b/crates/celeryknot_operators/src/metrics/gateway.rs
@@ -53,6 +53,10 @@
     pub rate_limited_moves: IntCounter,
     /// Rate limits of endpoints that could not be read.
     pub rate_limits_malformed: IntCounter,
+    /// Endpoints that are much slower than their service is on average, by their own reports.
+    pub slow_endpoints: IntGauge,
+    /// Requests that left a slow endpoint before their latency objective.
+    pub slow_endpoint_moves: IntCounter,
     /// Responses in which endpoints asked for no requests for a time.
     pub pauses: IntCounter,
     /// The same in a form that could not be read.
@@ -112,6 +116,8 @@
             rate_limits: gauge("celeryknot_gateway_rate_limits"),
             rate_limited_moves: counter("celeryknot_gateway_rate_limited_moves_total"),
             rate_limits_malformed: counter("celeryknot_gateway_rate_limits_malformed_total"),
+            slow_endpoints: gauge("celeryknot_gateway_slow_endpoints"),
+            slow_endpoint_moves: counter("celeryknot_gateway_slow_endpoint_moves_total"),
             pauses: counter("celeryknot_gateway_pauses_total"),
             pauses_malformed: counter("celeryknot_gateway_pauses_malformed_total"),
             log_lines_dropped: gauge("celeryknot_gateway_log_lines_dropped"),
--- a/crates/celeryknot_operators/src/metrics/spec.rs
+++ b/crates/celeryknot_operators/src/metrics/spec.rs
@@ -133,6 +133,8 @@
     gauge("celeryknot_gateway_rate_limits", &[], "Endpoints that state a rate limit."),
     counter("celeryknot_gateway_rate_limited_moves_total", &[], "Requests placed at another endpoint because the first choice was at its rate limit."),
     counter("celeryknot_gateway_rate_limits_malformed_total", &[], "Rate limits stated by endpoints that could not be read."),
+    gauge("celeryknot_gateway_slow_endpoints", &[], "Endpoints that report at least 1.5 times the mean pace of their service."),
+    counter("celeryknot_gateway_slow_endpoint_moves_total", &[], "Requests sent to another endpoint before their latency objective, as theirs was slow and had not answered."),
     counter("celeryknot_gateway_pauses_total", &[], "Refusals in which endpoints asked for no requests for a time."),
     counter("celeryknot_gateway_pauses_malformed_total", &[], "The same with a time that could not be read."),
     counter("celeryknot_gateway_hops_total", &["outcome"], "Attempts that a peer was asked to make, by whether it made them or why not."),
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -344,11 +344,15 @@
         was_silent && now - at < SUSPICION_LIFETIME
     }
 
+    /// Returns whether the endpoint responded to this daemon or a peer within `silence_max`.
+    pub(crate) fn has_responded(&self, now: MonotonicMs, silence_max: DurationMs) -> bool {
+        self.last_response_at
+            .is_some_and(|at| now - at <= silence_max)
+    }
+
     /// Returns whether the endpoint responded within `silence_max` and has not failed since.
     pub(crate) fn is_healthy(&self, now: MonotonicMs, silence_max: DurationMs) -> bool {
-        let has_responded = self
-            .last_response_at
-            .is_some_and(|at| now - at <= silence_max);
+        let has_responded = self.has_responded(now, silence_max);
         has_responded && self.consecutive_failures == 0 && !self.is_ejected(now)
     }
 
--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -802,6 +802,18 @@
             .is_some_and(|state| state.accepts_requests(now))
     }
 
+    /// Returns whether an endpoint responded to this daemon or a peer within `silence_max`.
+    pub fn has_responded(
+        &self,
+        now: MonotonicMs,
+        endpoint: &EndpointName,
+        silence_max: DurationMs,
+    ) -> bool {
+        self.endpoints
+            .get(endpoint)
+            .is_some_and(|state| state.has_responded(now, silence_max))
+    }
+
     /// Records that a peer could not reach an endpoint.
     pub fn observe_unreachable_from_peer(&mut self, at: MonotonicMs, endpoint: &EndpointName) {
         if let Some(state) = self.endpoints.get_mut(endpoint) {
