--- a/crates/celeryknot_policy/src/direct/pace.rs
+++ b/crates/celeryknot_policy/src/direct/pace.rs
@@ -44,6 +44,9 @@
     /// Returns the factor, which returns to `rest` where there are no further reports.
     fn factor(&self, now: MonotonicMs, rest: f64) -> f64 {
         let age = now - self.at;
+        if age <= FRESH_AGE_MAX {
+            return self.factor;
+        }
         if age > REPORT_AGE_MAX {
             return rest;
         }
