--- a/crates/celeryknot_policy/tests/pace_load.rs
+++ b/crates/celeryknot_policy/tests/pace_load.rs
@@ -88,6 +88,10 @@
     reports: Reports,
     /// Engines that report the shortest time that there is.
     absurd_engines: usize,
+    /// Shortest and longest time until a report reaches another daemon.
+    delay_ms: (u64, u64),
+    /// Daemons that neither receive reports of others nor send them any.
+    cut_daemons: usize,
 }
 
 #[derive(Debug, Default)]
@@ -199,8 +203,10 @@
                         };
                         pools[daemon].observe_load(now, &names[engine], load);
                         for other in (0..self.daemons).filter(|other| *other != daemon) {
-                            let delay_ms = report_random.random_range(50..1_000);
-                            if report_random.random_bool(0.1) {
+                            let (shortest_ms, longest_ms) = self.delay_ms;
+                            let delay_ms = report_random.random_range(shortest_ms..longest_ms);
+                            let is_cut = daemon.min(other) < self.cut_daemons;
+                            if report_random.random_bool(0.1) || is_cut {
                                 continue;
                             }
                             let report = Event::Report {
@@ -335,6 +341,8 @@
         requests_per_s_and_engine: 9.0,
         reports: Reports::Absent,
         absurd_engines: 0,
+        delay_ms: (50, 1_000),
+        cut_daemons: 0,
     },
     Load {
         engines: 24,
@@ -344,6 +352,8 @@
         requests_per_s_and_engine: 9.0,
         reports: Reports::Absent,
         absurd_engines: 0,
+        delay_ms: (50, 1_000),
+        cut_daemons: 0,
     },
     Load {
         engines: 60,
@@ -353,6 +363,8 @@
         requests_per_s_and_engine: 9.0,
         reports: Reports::Absent,
         absurd_engines: 0,
+        delay_ms: (50, 1_000),
+        cut_daemons: 0,
     },
 ];
 
@@ -445,3 +457,53 @@
         assert!(missed < 0.01, "{engines} engines: {missed} late");
     }
 }
+
+/// Guards against late or missing updates of peers making more requests late than without the pace.
+#[test]
+fn late_or_missing_updates_leave_no_more_requests_late_than_before() {
+    struct Case {
+        name: &'static str,
+        delay_ms: (u64, u64),
+        /// Divisor of the daemons that gives the number of those that are cut off.
+        cut_divisor: usize,
+    }
+    let cases = [
+        Case {
+            name: "1 to 2 s late",
+            delay_ms: (1_000, 2_000),
+            cut_divisor: usize::MAX,
+        },
+        Case {
+            name: "longer than reports count",
+            delay_ms: (4_000, 5_000),
+            cut_divisor: usize::MAX,
+        },
+        Case {
+            name: "a third cut off",
+            delay_ms: (50, 1_000),
+            cut_divisor: 3,
+        },
+        Case {
+            name: "all cut off",
+            delay_ms: (50, 1_000),
+            cut_divisor: 1,
+        },
+    ];
+    for case in cases {
+        for load in LOADS {
+            let [without, with] = compare(Load {
+                delay_ms: case.delay_ms,
+                cut_daemons: load.daemons / case.cut_divisor,
+                ..load
+            });
+            let missed = |outcomes: &[Outcome]| missed_share(outcomes, |it| it.slow_period);
+            let (missed_without, missed_with) = (missed(&without), missed(&with));
+            let (name, engines) = (case.name, load.engines);
+            println!("{name}, {engines} engines: late {missed_without:.4}, {missed_with:.4}");
+            assert!(
+                missed_with <= missed_without + 0.002,
+                "{name}, {engines} engines: {missed_with} late, {missed_without} without"
+            );
+        }
+    }
+}
