Avoid the connection to the peer that made a slow attempt

The replacement of a silent attempt forgets through which daemon it was made, so a request that left a slow endpoint closed the connections to the endpoint and not those to that daemon. Found by reading.

--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -1,5 +1,6 @@
 //! Runs a request: places it, sends it, and retries it where that is safe.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use celeryknot_callers::hop_by_hop;
@@ -341,12 +342,14 @@
         guard: &InFlightGuard,
         silence_ms: DurationMs,
     ) -> Option<PlacedAttempt> {
+        // The replacement forgets the peer.
+        let hop_peer = self.progress.hop_peer.get();
         let next = self
             .try_replace_silent_attempt(|next| !next.pace.is_some_and(RelativePace::is_slow))
             .await?;
         if !guard.handle().has_responded(SLOW_ENDPOINT_SILENCE) {
             guard.observe_silence();
-            self.avoid_silent_connections(placement);
+            self.avoid_connections(placement, hop_peer);
         }
         self.silent.push(placement.endpoint.clone());
         self.gateway.shared.metrics.slow_endpoint_moves.inc();
@@ -619,7 +622,11 @@
     /// Uses no more idle connections to where an attempt was silent or lost: if one connection
     /// failed, the others may have too.
     fn avoid_silent_connections(&self, placement: &Placement) {
-        match self.progress.hop_peer.get() {
+        self.avoid_connections(placement, self.progress.hop_peer.get());
+    }
+
+    fn avoid_connections(&self, placement: &Placement, hop_peer: Option<SocketAddr>) {
+        match hop_peer {
             // The peer or the endpoint was silent.
             Some(peer) => self.gateway.avoid_hop_peer(peer, HopBackoffKind::AskLast),
             None => self.gateway.connections.close_idle_to(placement.address),
