Show that daemons learn the pace of endpoints from each other

A daemon without requests of its own counts an endpoint as slow by what a peer reported. The gauge applies peers' updates, which waited for the next request before.

--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -497,6 +497,8 @@
 
     /// Updates the gauge of the endpoints that are much slower than their service is on average.
     pub(crate) fn update_slow_endpoint_count(&self) {
+        // Applies what peers reported, also while no request arrives.
+        drop(self.view());
         let now = self.now();
         let services = self.services.borrow();
         let count: usize = services.values().map(|it| it.pool.slow_count(now)).sum();
