Count queues in a zone's pressure up to half of the slots

A queue grows without limit where demand is a little above the slots, so with its full length far more requests left than were too many, and the zones filled each other in turn.

--- a/crates/celeryknot_policy/src/direct/zone_order.rs
+++ b/crates/celeryknot_policy/src/direct/zone_order.rs
@@ -6,7 +6,7 @@
 use super::endpoint::EndpointState;
 use super::pool::{EndpointPool, PlacementRequest};
 use super::zone_overflow::{
-    EndpointWork, OverflowChange, ZoneOverflow, ZoneReason, ZoneUse, zone_loads,
+    EndpointWork, OverflowChange, ZoneOverflow, ZoneReason, ZoneUse, counted_work, zone_loads,
 };
 
 /// A pool's zone preference and what it needs for it.
@@ -130,9 +130,13 @@
             .endpoints
             .values()
             .filter(|it| it.accepts_requests(now) && !it.is_ejected(now));
-        let loads = zone_loads(accepting.map(|it| EndpointWork {
-            zone: &it.listed.zone,
-            work: it.load(now).1.map(|_| it.expected_work(now)),
+        let loads = zone_loads(accepting.map(|it| {
+            let (requests, age_ms) = it.load(now);
+            let work = counted_work(it.expected_work(now), requests, it.listed.slots);
+            EndpointWork {
+                zone: &it.listed.zone,
+                work: age_ms.map(|_| work),
+            }
         }));
         if let Some(change) = self.zones.overflow.update(now, &own, &loads) {
             self.zones.change = Some(change);
--- a/crates/celeryknot_policy/src/direct/zone_overflow.rs
+++ b/crates/celeryknot_policy/src/direct/zone_overflow.rs
@@ -47,6 +47,12 @@
 /// much of the load.
 const EDGE_WIDTH: f64 = 0.1;
 
+/// Requests at an endpoint that count for its zone's pressure, as a multiple of its slots.
+///
+/// A queue grows without limit where demand is a little above the slots, so its full length would
+/// make far more requests leave than are too many.
+const COUNTED_SLOTS_MAX: f64 = 1.5;
+
 /// Minimum share of a zone's endpoints whose load must be known for its pressure to count.
 const KNOWN_SHARE_MIN: f64 = 0.5;
 
@@ -111,12 +117,27 @@
     }
 }
 
+/// Returns the part of an endpoint's expected work that counts for its zone's pressure.
+///
+/// # Examples
+///
+/// ```
+/// use celeryknot_policy::direct::zone_overflow::counted_work;
+///
+/// assert_eq!(counted_work(8.0, 8, 6), 8.0);
+/// assert_eq!(counted_work(40.0, 20, 6), 18.0, "9 of 20 requests, each at half of the pace");
+/// ```
+pub fn counted_work(expected_work: f64, requests: u32, slots: u32) -> f64 {
+    let counted = COUNTED_SLOTS_MAX * f64::from(slots.max(1));
+    expected_work * (counted / f64::from(requests.max(1))).min(1.0)
+}
+
 /// The load of one endpoint that accepts requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EndpointWork<'a> {
     /// The endpoint's zone.
     pub zone: &'a ZoneName,
-    /// Its expected work; `None` if no recent value is known.
+    /// Its expected work, as far as it counts; `None` if no recent value is known.
     pub work: Option<f64>,
 }
 
--- a/crates/celeryknot_policy/tests/zone_overflow.rs
+++ b/crates/celeryknot_policy/tests/zone_overflow.rs
@@ -6,6 +6,7 @@
 )]
 
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::Range;
 
 use celeryknot_core::id::rendezvous_score;
 use celeryknot_core::{
@@ -107,14 +108,43 @@
 const END_MS: u64 = 13_000;
 const STOP_MS: u64 = 22_000;
 
-/// Requests that arrive in a zone in a second, in usual times: half of its slots.
-const ZONE_REQUESTS_PER_S: f64 = 120.0;
+/// The endpoints and requests of a simulated service; in usual times they take half of the slots.
+#[derive(Clone)]
+struct Service {
+    endpoints: usize,
+    slots: u32,
+    hold_ms: Range<u64>,
+    zone_requests_per_s: f64,
+    has_prompts: bool,
+}
+
+const MODEL: Service = Service {
+    endpoints: ENGINES,
+    slots: SLOTS,
+    hold_ms: 500..1_500,
+    zone_requests_per_s: 120.0,
+    has_prompts: true,
+};
+
+const PLAIN: Service = Service {
+    has_prompts: false,
+    ..MODEL
+};
+
+/// One endpoint in each zone.
+const SMALL_PLAIN: Service = Service {
+    endpoints: ZONES,
+    slots: 6,
+    hold_ms: 15..60,
+    zone_requests_per_s: 80.0,
+    has_prompts: false,
+};
 
 /// One scenario: what changes from `BEGIN_MS` to `END_MS`.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Scenario {
     name: &'static str,
-    has_prompts: bool,
+    service: Service,
     demand: [f64; ZONES],
     /// Endpoints of the first zone that are lost, for good.
     lost: usize,
@@ -190,14 +220,17 @@
 }
 
 fn run(scenario: &Scenario, preference: ZonePreference, seed: u64) -> Outcome {
+    let service = &scenario.service;
+    let listed_endpoint = |number| listed(number, service.slots);
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut pools: Vec<EndpointPool> = (0..DAEMONS)
-        .map(|own| pool(own, ENGINES, preference))
-        .collect();
-    let mut engines: BTreeMap<EndpointName, Engine> = (0..ENGINES)
+    let mut pools: Vec<EndpointPool> = (0..DAEMONS).map(|own| pool(own, 0, preference)).collect();
+    for pool in &mut pools {
+        pool.relist(MonotonicMs(0), (0..service.endpoints).map(listed_endpoint));
+    }
+    let mut engines: BTreeMap<EndpointName, Engine> = (0..service.endpoints)
         .map(|number| (engine(number), Engine::default()))
         .collect();
-    let zone_of: BTreeMap<EndpointName, usize> = (0..ENGINES)
+    let zone_of: BTreeMap<EndpointName, usize> = (0..service.endpoints)
         .map(|number| (engine(number), number % ZONES))
         .collect();
     let mut completions: BTreeMap<(u64, usize), Running> = BTreeMap::new();
@@ -213,11 +246,11 @@
         let is_changed = (BEGIN_MS..END_MS).contains(&now_ms);
         if now_ms == BEGIN_MS && scenario.lost > 0 {
             let is_lost = |it: &usize| it.is_multiple_of(ZONES) && it / ZONES < scenario.lost;
-            let kept: Vec<usize> = (0..ENGINES).filter(|it| !is_lost(it)).collect();
+            let kept: Vec<usize> = (0..service.endpoints).filter(|it| !is_lost(it)).collect();
             for pool in &mut pools {
-                pool.relist(now, kept.iter().map(|it| listed(*it, SLOTS)));
+                pool.relist(now, kept.iter().copied().map(listed_endpoint));
             }
-            for lost in (0..ENGINES).filter(is_lost) {
+            for lost in (0..service.endpoints).filter(is_lost) {
                 engines.remove(&engine(lost));
             }
         }
@@ -276,7 +309,7 @@
             } else {
                 1.0
             };
-            if random.random::<f64>() >= ZONE_REQUESTS_PER_S * factor / 1_000.0 {
+            if random.random::<f64>() >= service.zone_requests_per_s * factor / 1_000.0 {
                 continue;
             }
             let daemon = random.random_range(0..DAEMONS / ZONES) * ZONES + own_zone;
@@ -286,7 +319,7 @@
                 0 => LONG_PROMPT_TOKENS,
                 _ => SHORT_PROMPT_TOKENS,
             };
-            let shared = prompt(key, tokens).filter(|_| scenario.has_prompts);
+            let shared = prompt(key, tokens).filter(|_| service.has_prompts);
             let request = request_for(shared, random.random());
             let placement = pools[daemon].place(now, &request).unwrap();
             let name = placement.endpoint;
@@ -299,8 +332,8 @@
             } else {
                 u64::from(tokens.0) / 40
             };
-            let hold_ms = random.random_range(500..1_500) + prefill_ms;
-            if engine.running == SLOTS {
+            let hold_ms = random.random_range(service.hold_ms.clone()) + prefill_ms;
+            if engine.running == service.slots {
                 engine
                     .waiting
                     .push_back((daemon, now_ms, hold_ms, is_cross_zone));
@@ -335,10 +368,10 @@
         first_event_ms: [u64; 2],
         reversals_max: usize,
     }
-    let case = |name, has_prompts, demand, lost, cross_share, first_event_ms, reversals_max| Case {
+    let case = |name, service, demand, lost, cross_share, first_event_ms, reversals_max| Case {
         scenario: Scenario {
             name,
-            has_prompts,
+            service,
             demand,
             lost,
         },
@@ -349,12 +382,12 @@
     let one = [2.5, 1.0, 1.0, 1.0];
     let two = [2.5, 2.5, 1.0, 1.0];
     let cases = [
-        case("one zone", true, one, 0, 0.205, [650, 400], 2),
-        case("two zones", true, two, 0, 0.214, [800, 500], 2),
-        case("endpoints lost", true, [1.0; 4], 10, 0.15, [500, 500], 2),
-        case("plain, one zone", false, one, 0, 0.205, [250, 100], 2),
-        case("plain, two zones", false, two, 0, 0.214, [350, 100], 2),
-        case("plain, lost", false, [1.0; 4], 10, 0.15, [250, 100], 2),
+        case("one zone", MODEL, one, 0, 0.205, [650, 400], 2),
+        case("two zones", MODEL, two, 0, 0.214, [800, 500], 2),
+        case("endpoints lost", MODEL, [1.0; 4], 10, 0.15, [500, 500], 2),
+        case("plain, one zone", PLAIN, one, 0, 0.205, [250, 100], 2),
+        case("plain, two zones", PLAIN, two, 0, 0.214, [350, 100], 2),
+        case("plain, lost", PLAIN, [1.0; 4], 10, 0.15, [250, 100], 2),
     ];
     for Case {
         scenario,
@@ -408,6 +441,69 @@
     }
 }
 
+#[test]
+fn small_plain_services_are_not_thrown_between_zones() {
+    // Guards against a fraction that follows the length of queues, which end and begin in turn in
+    // zones of one endpoint.
+    struct Case {
+        name: &'static str,
+        demand: [f64; ZONES],
+        cross_share_max: f64,
+        /// Bound of the share of requests that wait for more than 100 ms after the first 3 s.
+        late_share_max: f64,
+    }
+    let cases = [
+        Case {
+            name: "usual",
+            demand: [1.0; ZONES],
+            cross_share_max: 0.05,
+            late_share_max: 0.01,
+        },
+        Case {
+            name: "one zone",
+            demand: [2.5, 1.0, 1.0, 1.0],
+            cross_share_max: 0.25,
+            late_share_max: 0.02,
+        },
+        Case {
+            name: "all zones, 0.9 of the slots",
+            demand: [1.8; ZONES],
+            cross_share_max: 0.06,
+            late_share_max: 0.03,
+        },
+    ];
+    for case in &cases {
+        let scenario = Scenario {
+            name: case.name,
+            service: SMALL_PLAIN,
+            demand: case.demand,
+            lost: 0,
+        };
+        for preference in [ZonePreference::Off, ZonePreference::On] {
+            let runs = (1..=4).map(|seed| run(&scenario, preference, seed));
+            let shares = runs.map(|outcome| {
+                let served = outcome.between(BEGIN_MS + 3_000, END_MS, None);
+                let late = served.iter().filter(|it| it.first_event_ms > 150).count();
+                let cross = outcome.cross_share(BEGIN_MS + 3_000, END_MS, None);
+                (cross / 4.0, late as f64 / served.len() as f64 / 4.0)
+            });
+            let (cross, late) = shares.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+            println!(
+                "small, {}, {preference}: cross {cross:.3}, late {late:.3}",
+                case.name
+            );
+            if preference == ZonePreference::On {
+                assert!(
+                    cross < case.cross_share_max,
+                    "{}: {cross} cross zones",
+                    case.name
+                );
+                assert!(late < case.late_share_max, "{}: {late} late", case.name);
+            }
+        }
+    }
+}
+
 #[test]
 fn placement_without_preference_is_that_of_a_pool_without_zones() {
     // Guards deployments that don't use zones: any difference moves cached prompts.
