Keep long prompts out of the preference of the own zone

A request that crosses weighs some kilobytes, a copy a gigabyte. With `auto`, only requests without a prompt and short prompts now prefer the own zone; `on` still prefers it for all.

--- a/crates/celeryknot_policy/src/direct/pool.rs
+++ b/crates/celeryknot_policy/src/direct/pool.rs
@@ -41,7 +41,7 @@
 const HARD_LOAD_SLACK: f64 = 3.0;
 
 /// Maximum shared tokens of a short prompt: an engine prefills them within a few steps.
-const SHORT_PROMPT_TOKENS_MAX: TokenCount = TokenCount(1_024);
+pub(super) const SHORT_PROMPT_TOKENS_MAX: TokenCount = TokenCount(1_024);
 
 /// Number of top-ranked endpoints among which a short prompt is spread.
 const SHORT_PROMPT_CANDIDATES: usize = 4;
--- a/crates/celeryknot_policy/src/direct/zone_order.rs
+++ b/crates/celeryknot_policy/src/direct/zone_order.rs
@@ -4,7 +4,7 @@
 use celeryknot_settings::ZonePreference;
 
 use super::endpoint::EndpointState;
-use super::pool::{EndpointPool, PlacementRequest};
+use super::pool::{EndpointPool, PlacementRequest, SHORT_PROMPT_TOKENS_MAX};
 use super::zone_overflow::{
     EndpointWork, OverflowChange, ZoneOverflow, ZoneReason, ZoneUse, counted_work, zone_loads,
 };
@@ -75,7 +75,8 @@
             return ZoneOrder::Any;
         };
         let applies = match request.shared {
-            Some(_) => zone_use.prompts,
+            Some(shared) if shared.tokens <= SHORT_PROMPT_TOKENS_MAX => zone_use.short_prompts,
+            Some(_) => zone_use.long_prompts,
             // Suspects have an order of endpoints of their own, which keeps them apart.
             None => zone_use.plain && request.suspect.is_none(),
         };
--- a/crates/celeryknot_policy/src/direct/zone_overflow.rs
+++ b/crates/celeryknot_policy/src/direct/zone_overflow.rs
@@ -89,14 +89,17 @@
 /// use celeryknot_settings::ZonePreference;
 ///
 /// let of_small_zone = ZoneUse::new(ZonePreference::Auto, true, 4);
-/// assert_eq!(of_small_zone, ZoneUse { plain: true, prompts: false });
+/// let expected = ZoneUse { plain: true, ..ZoneUse::default() };
+/// assert_eq!(of_small_zone, expected);
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ZoneUse {
     /// For requests without a prompt.
     pub plain: bool,
-    /// For requests with a prompt.
-    pub prompts: bool,
+    /// For requests with a short prompt.
+    pub short_prompts: bool,
+    /// For requests with a long prompt.
+    pub long_prompts: bool,
 }
 
 impl ZoneUse {
@@ -107,11 +110,14 @@
             ZonePreference::Off => Self::default(),
             ZonePreference::Auto => Self {
                 plain: reports_pace,
-                prompts: reports_pace && own_endpoints >= PROMPT_ENDPOINTS_MIN,
+                short_prompts: reports_pace && own_endpoints >= PROMPT_ENDPOINTS_MIN,
+                // A copy of a long prompt in each zone moves far more bytes than its requests do.
+                long_prompts: false,
             },
             ZonePreference::On => Self {
                 plain: true,
-                prompts: true,
+                short_prompts: true,
+                long_prompts: true,
             },
         }
     }
--- a/crates/celeryknot_policy/tests/zone_overflow.rs
+++ b/crates/celeryknot_policy/tests/zone_overflow.rs
@@ -554,31 +554,34 @@
         preference: ZonePreference,
         reports_pace: bool,
         own_endpoints: usize,
-        plain: bool,
-        prompts: bool,
+        expected: ZoneUse,
     }
-    let case = |preference, reports_pace, own_endpoints, plain, prompts| Case {
+    let case = |preference, reports_pace, own_endpoints, [plain, short, long]: [bool; 3]| Case {
         preference,
         reports_pace,
         own_endpoints,
-        plain,
-        prompts,
+        expected: ZoneUse {
+            plain,
+            short_prompts: short,
+            long_prompts: long,
+        },
     };
     let cases = [
-        case(Off, true, 15, false, false),
-        case(Auto, false, 15, false, false),
-        case(Auto, true, 7, true, false),
-        case(Auto, true, 8, true, true),
-        case(On, false, 15, true, true),
-        case(On, true, 1, true, true),
+        case(Off, true, 15, [false, false, false]),
+        case(Auto, false, 15, [false, false, false]),
+        case(Auto, true, 7, [true, false, false]),
+        case(Auto, true, 8, [true, true, false]),
+        case(On, false, 15, [true, true, true]),
+        case(On, true, 1, [true, true, true]),
     ];
     for it in &cases {
         let found = ZoneUse::new(it.preference, it.reports_pace, it.own_endpoints);
-        let expected = ZoneUse {
-            plain: it.plain,
-            prompts: it.prompts,
-        };
-        assert_eq!(found, expected, "{:?}", (it.preference, it.own_endpoints));
+        assert_eq!(
+            found,
+            it.expected,
+            "{:?}",
+            (it.preference, it.own_endpoints)
+        );
     }
 }
 
