Send attempts for peers on new connections where rejections lack ids

A rejection without the request's id that a peer passed on from a reused connection left the outcome of a call that must run at most once unknown each time.

--- a/crates/celeryknot_gateway/src/traffic/hop/server.rs
+++ b/crates/celeryknot_gateway/src/traffic/hop/server.rs
@@ -128,7 +128,12 @@
         gateway, address, ..
     } = endpoint;
     let connected = async {
-        let connected = gateway.connect(*address, IDLE_MAX_NON_IDEMPOTENT).await;
+        let idle_max = IDLE_MAX_NON_IDEMPOTENT;
+        // The request may be one that must run at most once.
+        let connected = match gateway.are_refusal_ids_missing(&endpoint.service) {
+            true => gateway.connect_anew(*address, idle_max).await,
+            false => gateway.connect(*address, idle_max).await,
+        };
         connected.ok_or_else(|| {
             endpoint.observe_failure(AttemptFailure::NotSent);
             unreachable(endpoint)
--- a/crates/celeryknot_gateway/src/traffic/send.rs
+++ b/crates/celeryknot_gateway/src/traffic/send.rs
@@ -193,10 +193,6 @@
     if let Some(idle_max) = idle_max {
         received.connection.set_idle_max(idle_max);
     }
-    let is_refusal = answer_head.is_misdirected || answer_head.is_not_executed;
-    if is_refusal && answer_head.request_id.is_none() {
-        gateway.observe_refusal_without_id(&call.service);
-    }
     if let Some(failure) = classify_failure(call, &head, &answer_head, is_reused) {
         return Err(failure);
     }
@@ -229,6 +225,11 @@
     if let Some(load) = answer_head.load {
         endpoint.observe_load(load);
     }
+    let is_refusal = answer_head.is_misdirected || answer_head.is_not_executed;
+    if is_refusal && answer_head.request_id.is_none() {
+        let gateway = &endpoint.gateway;
+        gateway.observe_refusal_without_id(&endpoint.service);
+    }
     observe_limits(endpoint, request_id, sent_at, answer_head);
     if answer_head.is_leaving && !is_mismatched(request_id, answer_head) {
         endpoint.observe_leaving(sent_at, request_id);
