Keep a cold rate that has no effect in the configuration

The adapter dropped the rate for cold endpoints of a service without a cold start, so that a check could not see that the two contradict each other. The service keeps both as stated, and `Service::cold_rate_limit` decides whether the rate applies.

--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -283,7 +283,7 @@
     }
 
     fn pool_limits(&self, view: &View, bounds: &FleetBounds, service: &Service) -> PoolLimits {
-        let cold_rate_limit = service.cold_rate.map(|rate| FleetRateLimit {
+        let cold_rate_limit = service.cold_rate_limit().map(|rate| FleetRateLimit {
             rate,
             window_ms: COLD_WINDOW,
             max_per_window: rate.0 * bounds.cold_factor + bounds.cold_allowance,
--- a/crates/celeryknot_policy/src/routing.rs
+++ b/crates/celeryknot_policy/src/routing.rs
@@ -106,12 +106,39 @@
     pub health_path: Arc<str>,
     /// Maximum number of connections to one endpoint from all callers together.
     pub connections_max: u32,
+    /// Whether endpoints are cold after their start.
+    pub has_cold_start: bool,
     /// Requests per second that a cold endpoint sustains; `None` for no limit.
     pub cold_rate: Option<RatePerS>,
     /// Capacity of the endpoints if they run a model.
     pub engine: Option<EngineModel>,
 }
 
+impl Service {
+    /// Returns the limit on the requests to a cold endpoint; `None` if endpoints are never cold.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::RatePerS;
+    /// use celeryknot_policy::routing::Service;
+    ///
+    /// let service = Service {
+    ///     name: "wakai-llm".parse()?,
+    ///     health_path: "/healthz".into(),
+    ///     connections_max: 360,
+    ///     has_cold_start: false,
+    ///     cold_rate: Some(RatePerS(13.0)),
+    ///     engine: None,
+    /// };
+    /// assert_eq!(service.cold_rate_limit(), None);
+    /// # Ok::<(), celeryknot_core::IdError>(())
+    /// ```
+    pub fn cold_rate_limit(&self) -> Option<RatePerS> {
+        self.cold_rate.filter(|_| self.has_cold_start)
+    }
+}
+
 /// One customer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Customer {
