Review a configuration and its differences from the active one

Nothing told operators about entries that no request matches, limits that contradict each other, or what a new version changes. `routing::review` decides this on the decoded configuration.

--- a/crates/celeryknot_policy/src/routing.rs
+++ b/crates/celeryknot_policy/src/routing.rs
@@ -1,6 +1,7 @@
 //! The platform's configuration as router types: routes, services, customers, limits.
 
 pub mod active;
+pub mod review;
 pub mod table;
 
 use std::sync::Arc;
