Check the operators' configuration with celeryknot check

`celeryknot check` knew daemon files and values alone. A named `.json` file is the operators' configuration now; `--against` compares it with the active version and `--gateway` gives the zones for the check of regions. Status 2 is wrong use and 3 an unreachable daemon for all commands, so that warnings alone get status 4.

--- a/crates/celeryknot/src/arguments/mod.rs
+++ b/crates/celeryknot/src/arguments/mod.rs
@@ -67,15 +67,18 @@
     Json,
 }
 
-/// Check daemon files and trees of values offline, with the same checks as a daemon.
+/// Check daemon files, trees of values and the operators' configuration offline, with the same
+/// checks as a daemon.
 ///
 /// A file with the extension `.ini` is a daemon file. A file below a folder `teams` or `fleet` is
-/// the value of that path. Folders are searched for both.
+/// the value of that path. Folders are searched for both. A named file with the extension `.json`
+/// is the operators' configuration in the platform's form.
 #[derive(FromArgs, Debug)]
 #[argh(
     subcommand,
     name = "check",
-    example = "$ celeryknot check examples/kinrin-wakai\nchecked 9 daemon files and 16 values: no findings"
+    example = "$ celeryknot check examples/kinrin-wakai\nchecked 9 daemon files and 16 values: no findings",
+    example = "$ celeryknot check new.json --against active.json --gateway router.ini"
 )]
 pub struct CheckArguments {
     /// files or folders to check
@@ -84,6 +87,12 @@
     /// check a single file as the value of this path, regardless of its location
     #[argh(option, arg_name = "path")]
     pub as_path: Option<SettingPath>,
+    /// compare a single configuration with the active one in this file
+    #[argh(option, arg_name = "file")]
+    pub against: Option<PathBuf>,
+    /// check the regions of configurations against the zones in this gateway's settings file
+    #[argh(option, arg_name = "file")]
+    pub gateway: Option<PathBuf>,
     /// text (default) or json
     #[argh(option, default = "Format::default()")]
     pub format: Format,
--- a/crates/celeryknot/src/command/check.rs
+++ b/crates/celeryknot/src/command/check.rs
@@ -1,9 +1,10 @@
-//! `check` validates settings offline.
+//! `check` validates settings and the operators' configuration offline.
 
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::Path;
 
+use celeryknot_policy::routing::review::Severity;
 use celeryknot_settings::{
     DaemonFile, DaemonSettings, Diagnostic, ValueText, check_fleet, check_tree,
 };
@@ -13,13 +14,23 @@
 use crate::arguments::{CheckArguments, Format};
 use crate::exit_status::{ExitStatus, Failure};
 
+pub mod configuration;
 pub mod source;
 
+use configuration::{ConfigurationFinding, check_configurations};
 use source::{Sources, ValueFile};
 
 /// A finding in the JSON output.
 #[derive(Debug, Serialize)]
-struct Finding {
+#[serde(untagged)]
+enum Finding {
+    Settings(SettingsFinding),
+    Configuration(ConfigurationFinding),
+}
+
+/// A finding in a daemon file or a value.
+#[derive(Debug, Serialize)]
+struct SettingsFinding {
     source: String,
     line: Option<u32>,
     code: String,
@@ -27,7 +38,7 @@
     nearest: Option<String>,
 }
 
-impl From<Diagnostic> for Finding {
+impl From<Diagnostic> for SettingsFinding {
     fn from(diagnostic: Diagnostic) -> Self {
         Self {
             code: diagnostic.code.to_string(),
@@ -46,33 +57,109 @@
 /// Fails when a file can't be read or there is nothing to check.
 pub fn run(arguments: &CheckArguments, out: &mut impl Write) -> Result<ExitStatus, Failure> {
     let sources = read_sources(arguments)?;
-    let mut findings = check_daemons(&sources)?;
-    findings.extend(check_values(&sources)?);
-    let is_clean = findings.is_empty();
+    let mut diagnostics = check_daemons(&sources)?;
+    diagnostics.extend(check_values(&sources)?);
+    let configuration_findings = check_configurations(&sources.configurations, arguments)?;
+    let counts = Counts::new(&diagnostics, &configuration_findings);
     match arguments.format {
         Format::Json => {
-            let findings: Vec<Finding> = findings.into_iter().map(Finding::from).collect();
+            let diagnostics = diagnostics.into_iter().map(SettingsFinding::from);
+            let findings = diagnostics.map(Finding::Settings);
+            let configuration_findings = configuration_findings.into_iter();
+            let findings: Vec<Finding> = findings
+                .chain(configuration_findings.map(Finding::Configuration))
+                .collect();
             write_json(out, &findings)?;
         }
-        Format::Text => write_text(out, &sources, &findings)?,
+        Format::Text => {
+            for diagnostic in &diagnostics {
+                writeln!(out, "{diagnostic}")?;
+            }
+            for finding in &configuration_findings {
+                writeln!(out, "{finding}")?;
+            }
+            writeln!(out, "checked {sources}: {}", counts.describe(&sources))?;
+        }
+    }
+    Ok(counts.status())
+}
+
+/// The number of findings by severity; all findings in settings are errors.
+#[derive(Debug, Default)]
+struct Counts {
+    errors: usize,
+    warnings: usize,
+    notes: usize,
+}
+
+impl Counts {
+    fn new(diagnostics: &[Diagnostic], findings: &[ConfigurationFinding]) -> Self {
+        let mut counts = Self {
+            errors: diagnostics.len(),
+            ..Self::default()
+        };
+        for finding in findings {
+            match finding.severity {
+                Severity::Error => counts.errors += 1,
+                Severity::Warning => counts.warnings += 1,
+                Severity::Note => counts.notes += 1,
+            }
+        }
+        counts
+    }
+
+    fn status(&self) -> ExitStatus {
+        match (self.errors, self.warnings) {
+            (0, 0) => ExitStatus::Done,
+            (0, _) => ExitStatus::Warnings,
+            (_, _) => ExitStatus::Findings,
+        }
     }
-    if is_clean {
-        return Ok(ExitStatus::Done);
+
+    fn describe(&self, sources: &Sources) -> String {
+        let has_configurations = !sources.configurations.is_empty();
+        let counts = match has_configurations {
+            true => vec![
+                (self.errors, "error"),
+                (self.warnings, "warning"),
+                (self.notes, "note"),
+            ],
+            false => vec![(self.errors, "finding")],
+        };
+        let counts = counts.into_iter().filter(|(count, _)| *count > 0);
+        let counts: Vec<String> = counts
+            .map(|(count, what)| match count {
+                1 => format!("1 {what}"),
+                n => format!("{n} {what}s"),
+            })
+            .collect();
+        match counts.is_empty() {
+            true => "no findings".to_owned(),
+            false => counts.join(", "),
+        }
     }
-    Ok(ExitStatus::Findings)
 }
 
 fn read_sources(arguments: &CheckArguments) -> Result<Sources, Failure> {
-    let Some(path) = &arguments.as_path else {
-        if arguments.paths.is_empty() {
+    let single = |option: &str| match arguments.paths.as_slice() {
+        [file] => Ok(file.clone()),
+        _ => Err(Failure::usage(format!("{option} takes exactly one file"))),
+    };
+    let sources = match (&arguments.as_path, &arguments.against) {
+        (Some(_), Some(_)) => {
+            return Err(Failure::usage("--as-path and --against exclude each other"));
+        }
+        (Some(path), None) => Sources::single_value(single("--as-path")?, path.as_str()),
+        (None, Some(_)) => Sources::single_configuration(single("--against")?),
+        (None, None) if arguments.paths.is_empty() => {
             return Err(Failure::usage("no file or folder given to check"));
         }
-        return Sources::find(&arguments.paths);
-    };
-    let [file] = arguments.paths.as_slice() else {
-        return Err(Failure::usage("--as-path takes exactly one file"));
+        (None, None) => Sources::find(&arguments.paths)?,
     };
-    Ok(Sources::single_value(file.clone(), path.as_str()))
+    if arguments.gateway.is_some() && sources.configurations.is_empty() {
+        return Err(Failure::usage("--gateway needs a configuration to check"));
+    }
+    Ok(sources)
 }
 
 /// Checks each daemon file, and the files of each folder for conflicts.
@@ -155,8 +242,7 @@
 
 fn read_text(file: &Path) -> Result<Result<String, Diagnostic>, Failure> {
     use celeryknot_settings::DiagnosticCode::Syntax;
-    let bytes = std::fs::read(file)
-        .map_err(|error| Failure::usage(format!("{}: {error}", file.display())))?;
+    let bytes = read_bytes(file)?;
     Ok(String::from_utf8(bytes).map_err(|error| {
         let valid_len = error.utf8_error().valid_up_to();
         let newlines = error.as_bytes()[..valid_len]
@@ -167,19 +253,6 @@
     }))
 }
 
-fn write_text(
-    out: &mut impl Write,
-    sources: &Sources,
-    findings: &[Diagnostic],
-) -> Result<(), Failure> {
-    for finding in findings {
-        writeln!(out, "{finding}")?;
-    }
-    let count = match findings.len() {
-        0 => "no findings".to_owned(),
-        1 => "1 finding".to_owned(),
-        n => format!("{n} findings"),
-    };
-    writeln!(out, "checked {sources}: {count}")?;
-    Ok(())
+fn read_bytes(file: &Path) -> Result<Vec<u8>, Failure> {
+    std::fs::read(file).map_err(|error| Failure::usage(format!("{}: {error}", file.display())))
 }
--- a/crates/celeryknot/src/command/check/source.rs
+++ b/crates/celeryknot/src/command/check/source.rs
@@ -25,6 +25,8 @@
     pub daemons: Vec<PathBuf>,
     /// Values by the root folder of their tree.
     pub trees: BTreeMap<PathBuf, Vec<ValueFile>>,
+    /// Files with the operators' configuration.
+    pub configurations: Vec<PathBuf>,
     /// Whether folders were searched, so that the trees are complete.
     pub has_complete_trees: bool,
     /// Number of files that are not settings.
@@ -49,7 +51,10 @@
                 sources.add_given(path);
             }
         }
-        if sources.daemons.is_empty() && sources.trees.is_empty() {
+        if sources.daemons.is_empty()
+            && sources.trees.is_empty()
+            && sources.configurations.is_empty()
+        {
             return Err(Failure::usage(
                 "no settings here: daemons' files end in `.ini`, values lie below `teams` or `fleet`",
             ));
@@ -57,6 +62,14 @@
         Ok(sources)
     }
 
+    /// Uses a single file as the operators' configuration, regardless of its name.
+    pub fn single_configuration(file: PathBuf) -> Self {
+        Self {
+            configurations: vec![file],
+            ..Self::default()
+        }
+    }
+
     /// Uses a single file as the value of a path.
     pub fn single_value(file: PathBuf, path: &str) -> Self {
         let value = ValueFile {
@@ -102,7 +115,9 @@
 
     /// Adds a file given as an argument, which is checked regardless of its name.
     fn add_given(&mut self, file: &Path) {
-        if is_daemon_file(file) || !self.add_value(file) {
+        if is_configuration(file) {
+            self.configurations.push(file.to_owned());
+        } else if is_daemon_file(file) || !self.add_value(file) {
             self.daemons.push(file.to_owned());
         }
     }
@@ -129,6 +144,11 @@
     file.extension().is_some_and(|extension| extension == "ini")
 }
 
+fn is_configuration(file: &Path) -> bool {
+    file.extension()
+        .is_some_and(|extension| extension == "json")
+}
+
 /// Splits the path of a file into the root of its tree and the path of the value, which begins at
 /// the last folder `teams` or `fleet`.
 fn split_tree(file: &Path) -> Option<(PathBuf, String)> {
@@ -153,12 +173,21 @@
             1 => format!("1 {one}"),
             n => format!("{n} {many}"),
         };
-        let daemons = plural(self.daemons.len(), "daemon file", "daemon files");
-        let values = plural(self.trees.values().map(Vec::len).sum(), "value", "values");
-        match (self.daemons.is_empty(), self.trees.is_empty()) {
-            (false, false) => write!(f, "{daemons} and {values}")?,
-            (true, _) => f.write_str(&values)?,
-            (false, true) => f.write_str(&daemons)?,
+        let values = self.trees.values().map(Vec::len).sum();
+        let configurations = self.configurations.len();
+        let counts = [
+            (self.daemons.len(), "daemon file", "daemon files"),
+            (values, "value", "values"),
+            (configurations, "configuration", "configurations"),
+        ];
+        let counts = counts.into_iter().filter(|(count, _, _)| *count > 0);
+        let counts: Vec<String> = counts
+            .map(|(count, one, many)| plural(count, one, many))
+            .collect();
+        match counts.split_last() {
+            None => f.write_str(&plural(0, "value", "values"))?,
+            Some((last, [])) => f.write_str(last)?,
+            Some((last, others)) => write!(f, "{} and {last}", others.join(", "))?,
         }
         if self.other_files > 0 {
             write!(
--- a/crates/celeryknot/src/exit_status.rs
+++ b/crates/celeryknot/src/exit_status.rs
@@ -13,12 +13,14 @@
 pub enum ExitStatus {
     /// The command succeeded without findings.
     Done = 0,
-    /// Settings have findings, or a run violated a guarantee.
+    /// Settings have findings, a configuration has errors, or a run violated a guarantee.
     Findings = 1,
     /// An argument, or a file that it names, is invalid.
     Usage = 2,
     /// A daemon is unreachable or refused the request, or an address can't be bound.
     Unavailable = 3,
+    /// A configuration has warnings, and nothing has errors.
+    Warnings = 4,
 }
 
 impl From<ExitStatus> for ExitCode {
--- a/crates/celeryknot/tests/pages.rs
+++ b/crates/celeryknot/tests/pages.rs
@@ -12,6 +12,7 @@
 use celeryknot::arguments::{Arguments, Command};
 use celeryknot::exit_status::ExitStatus;
 use celeryknot_core::ErrorKind;
+use celeryknot_policy::routing::review::{FindingCode, Severity};
 use strum::IntoEnumIterator;
 
 const CODES: &str = include_str!("../../../docs/CODES.md");
@@ -88,6 +89,17 @@
     assert_eq!(on_page, expected);
 }
 
+#[test]
+fn commands_page_lists_every_finding_in_a_configuration() {
+    let rows = table(COMMANDS, "| finding |");
+    let on_page: Vec<&str> = rows.iter().map(|row| row[0]).collect();
+    let expected: Vec<&str> = FindingCode::iter().map(<&str>::from).collect();
+    assert_eq!(on_page, expected);
+    for row in &rows {
+        assert!(row[1].parse::<Severity>().is_ok(), "{row:?}");
+    }
+}
+
 #[test]
 fn every_command_has_help_with_an_example() {
     for command in Command::COMMANDS {
--- a/crates/celeryknot_policy/src/routing/review.rs
+++ b/crates/celeryknot_policy/src/routing/review.rs
@@ -130,7 +130,7 @@
 }
 
 /// The configuration that a place is in.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Document {
     /// The configuration under review.
     New,
