--- a/crates/celeryknot_policy/src/routing/review.rs
+++ b/crates/celeryknot_policy/src/routing/review.rs
@@ -93,7 +93,7 @@
     ZeroColdRate,
     /// An engine has more slots than connections.
     SlotsAboveConnections,
-    /// A limit on callers that admits no request.
+    /// A limit on callers is zero.
     ZeroLimit,
     /// The header timeout is above the idle timeout.
     HeaderTimeoutAboveIdle,
--- a/crates/celeryknot_policy/src/routing/review/limits.rs
+++ b/crates/celeryknot_policy/src/routing/review/limits.rs
@@ -92,17 +92,17 @@
         (
             FieldRef::HeaderSizeMax,
             limits.header_size_max_bytes.0,
-            "no request has a header block of 0 bytes",
+            "the maximum size of a header block is 0; gateways use a larger one",
         ),
         (
             FieldRef::HeaderTimeout,
             limits.header_timeout_ms.0,
-            "no header block arrives within 0ms",
+            "the header timeout is 0",
         ),
         (
             FieldRef::IdleTimeout,
             limits.idle_timeout_ms.0,
-            "connections are closed after 0ms without a request",
+            "the idle timeout is 0",
         ),
     ];
     let zeros = values.into_iter().filter(|(_, value, _)| *value == 0);
--- a/crates/celeryknot_policy/tests/routing_review.rs
+++ b/crates/celeryknot_policy/tests/routing_review.rs
@@ -471,7 +471,7 @@
             name: "an idle timeout of zero, which says it all",
             change: |it| it.limits.as_mut().unwrap().idle_timeout_ms = DurationMs(0),
             expected: vec![(Code::ZeroLimit, Error, limits(FieldRef::IdleTimeout), None)],
-            message: "connections are closed after 0ms without a request",
+            message: "the idle timeout is 0",
         },
         ReviewCase {
             name: "a header block of no bytes within no time",
@@ -483,7 +483,7 @@
             expected: [FieldRef::HeaderSizeMax, FieldRef::HeaderTimeout]
                 .map(|field| (Code::ZeroLimit, Error, limits(field), None))
                 .to_vec(),
-            message: "no request has a header block of 0 bytes",
+            message: "the maximum size of a header block is 0; gateways use a larger one",
         },
         ReviewCase {
             name: "no bodies",
