--- a/crates/celeryknot_policy/tests/routing_review.rs
+++ b/crates/celeryknot_policy/tests/routing_review.rs
@@ -730,6 +730,20 @@
             },
             expected: vec![],
         },
+        DifferenceCase {
+            name: "a key of a customer whose name can't be read any more is not removed",
+            active: unchanged,
+            new: |it| {
+                it.customers.clear();
+                it.unusable.customers = 1;
+                it.unusable.keys.push(KEY.to_owned());
+            },
+            expected: vec![(
+                Code::CustomerRemoved,
+                entry(EntryRef::Customer(0)).in_active(),
+                "the customer `otaru` is removed",
+            )],
+        },
         DifferenceCase {
             name: "all of a customer changed",
             active: unchanged,
