Make the fair queue usable by the gateway's decisions

The queue of an endpoint's owner divides turns between customers, and the gateway's admission needs the same. Only its visibility changes: one copy serves both.

--- a/crates/celeryknot_policy/src/admission.rs
+++ b/crates/celeryknot_policy/src/admission.rs
@@ -5,8 +5,8 @@
 //! ended, feeds in load reports, and calls `poll` after each event until it returns `None`.
 
 mod capacity;
-mod fair_queue;
-mod flow;
+pub(crate) mod fair_queue;
+pub(crate) mod flow;
 pub mod limits;
 mod refusal;
 pub mod request;
--- a/crates/celeryknot_policy/src/admission/fair_queue.rs
+++ b/crates/celeryknot_policy/src/admission/fair_queue.rs
@@ -24,14 +24,14 @@
 
 /// A request that was removed from the queue to start.
 #[derive(Debug, Clone)]
-pub(super) struct StartedRequest {
-    pub(super) customer: CustomerName,
-    pub(super) request: QueuedRequest,
+pub(crate) struct StartedRequest {
+    pub(crate) customer: CustomerName,
+    pub(crate) request: QueuedRequest,
 }
 
 /// The queued requests of all customers.
 #[derive(Debug, Clone, Default)]
-pub(super) struct FairQueue {
+pub(crate) struct FairQueue {
     flows: BTreeMap<CustomerName, Flow>,
     virtual_time: f64,
     next_sequence: u64,
@@ -40,40 +40,40 @@
 
 /// The slots of the endpoint, which customers share.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Slots {
+pub(crate) struct Slots {
     /// Maximum number of requests in flight that the endpoint itself can handle.
-    pub(super) endpoint_max: u32,
+    pub(crate) endpoint_max: u32,
     /// Requests in flight now, from all daemons.
-    pub(super) in_flight: u32,
+    pub(crate) in_flight: u32,
 }
 
 impl FairQueue {
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.len
     }
 
-    pub(super) fn is_empty(&self) -> bool {
+    pub(crate) fn is_empty(&self) -> bool {
         self.len == 0
     }
 
-    pub(super) fn contains(&self, id: RequestId) -> bool {
+    pub(crate) fn contains(&self, id: RequestId) -> bool {
         self.requests().any(|request| request.id == id)
     }
 
-    pub(super) fn requests(&self) -> impl Iterator<Item = &QueuedRequest> {
+    pub(crate) fn requests(&self) -> impl Iterator<Item = &QueuedRequest> {
         self.flows.values().flat_map(|flow| &flow.queue)
     }
 
-    pub(super) fn queued_of(&self, customer: &CustomerName) -> usize {
+    pub(crate) fn queued_of(&self, customer: &CustomerName) -> usize {
         self.flows.get(customer).map_or(0, |flow| flow.queue.len())
     }
 
-    pub(super) fn id_at(&self, customer: &CustomerName, index: usize) -> Option<RequestId> {
+    pub(crate) fn id_at(&self, customer: &CustomerName, index: usize) -> Option<RequestId> {
         let flow = self.flows.get(customer)?;
         flow.queue.get(index).map(|request| request.id)
     }
 
-    pub(super) fn push(&mut self, now: MonotonicMs, request: &AdmissionRequest) {
+    pub(crate) fn push(&mut self, now: MonotonicMs, request: &AdmissionRequest) {
         let virtual_time = self.virtual_time;
         let sequence = self.next_sequence;
         self.next_sequence += 1;
@@ -87,7 +87,7 @@
     }
 
     /// Returns the customer and index of the next request, if one may take a slot.
-    pub(super) fn next(&self, now: MonotonicMs, slots: Slots) -> Option<(CustomerName, usize)> {
+    pub(crate) fn next(&self, now: MonotonicMs, slots: Slots) -> Option<(CustomerName, usize)> {
         let total_weight = self.active_weight(now);
         let mut best: Option<(f64, u64, &CustomerName, usize)> = None;
         for (customer, flow) in &self.flows {
@@ -108,7 +108,7 @@
     }
 
     /// Removes the request at an index returned by `next` and charges its customer for it.
-    pub(super) fn start(
+    pub(crate) fn start(
         &mut self,
         now: MonotonicMs,
         customer: &CustomerName,
@@ -135,7 +135,7 @@
     }
 
     /// Removes a request without starting it; its customer is not charged.
-    pub(super) fn remove(&mut self, id: RequestId) -> Option<QueuedRequest> {
+    pub(crate) fn remove(&mut self, id: RequestId) -> Option<QueuedRequest> {
         let (flow, index) = self.flows.values_mut().find_map(|flow| {
             let index = flow.queue.iter().position(|request| request.id == id)?;
             Some((flow, index))
@@ -146,7 +146,7 @@
 
     /// Evicts the least urgent request of the customer with the most queued requests per weight,
     /// if `customer` would have fewer per weight with one more request.
-    pub(super) fn evict(
+    pub(crate) fn evict(
         &mut self,
         now: MonotonicMs,
         customer: &CustomerName,
@@ -166,7 +166,7 @@
     }
 
     /// Returns the ids of all queued requests and empties the queue.
-    pub(super) fn drain(&mut self) -> Vec<RequestId> {
+    pub(crate) fn drain(&mut self) -> Vec<RequestId> {
         self.len = 0;
         self.flows
             .values_mut()
@@ -176,7 +176,7 @@
     }
 
     /// Records the end of a started request.
-    pub(super) fn finish(&mut self, now: MonotonicMs, customer: &CustomerName) {
+    pub(crate) fn finish(&mut self, now: MonotonicMs, customer: &CustomerName) {
         if let Some(flow) = self.flows.get_mut(customer) {
             flow.in_flight = flow.in_flight.saturating_sub(1);
             flow.last_active_at = now;
@@ -187,7 +187,7 @@
     /// Returns how many places of a queue of `queue_len_max` a customer may use.
     ///
     /// The shares always leave capacity for one more customer of the mean weight.
-    pub(super) fn queue_share(
+    pub(crate) fn queue_share(
         &self,
         now: MonotonicMs,
         customer: &CustomerName,
@@ -204,7 +204,7 @@
     }
 
     /// Returns the queued tokens that are served before a new request of the customer.
-    pub(super) fn tokens_ahead(
+    pub(crate) fn tokens_ahead(
         &self,
         now: MonotonicMs,
         customer: &CustomerName,
@@ -230,7 +230,7 @@
     }
 
     /// Returns the mean, over active customers, of the tokens served before a new request.
-    pub(super) fn mean_tokens_ahead(&self, now: MonotonicMs) -> f64 {
+    pub(crate) fn mean_tokens_ahead(&self, now: MonotonicMs) -> f64 {
         let mut count = 0;
         let mut total = 0.0;
         for (customer, flow) in self.active(now).take(WAIT_FLOWS_MAX) {
--- a/crates/celeryknot_policy/src/admission/flow.rs
+++ b/crates/celeryknot_policy/src/admission/flow.rs
@@ -9,18 +9,18 @@
 
 /// A request that waits in the queue.
 #[derive(Debug, Clone)]
-pub(super) struct QueuedRequest {
-    pub(super) id: RequestId,
-    pub(super) sequence: u64,
-    pub(super) queued_at: MonotonicMs,
-    pub(super) urgency: u8,
-    pub(super) cost_tokens: u32,
-    pub(super) deadline_at: Option<MonotonicMs>,
-    pub(super) needs_complete_answer: bool,
+pub(crate) struct QueuedRequest {
+    pub(crate) id: RequestId,
+    pub(crate) sequence: u64,
+    pub(crate) queued_at: MonotonicMs,
+    pub(crate) urgency: u8,
+    pub(crate) cost_tokens: u32,
+    pub(crate) deadline_at: Option<MonotonicMs>,
+    pub(crate) needs_complete_answer: bool,
 }
 
 impl QueuedRequest {
-    pub(super) fn new(now: MonotonicMs, sequence: u64, request: &AdmissionRequest) -> Self {
+    pub(crate) fn new(now: MonotonicMs, sequence: u64, request: &AdmissionRequest) -> Self {
         Self {
             id: request.id,
             sequence,
@@ -33,7 +33,7 @@
     }
 
     /// Returns the urgency after ageing; lower is more urgent, without a lower bound.
-    pub(super) fn aged_urgency(&self, now: MonotonicMs) -> i64 {
+    pub(crate) fn aged_urgency(&self, now: MonotonicMs) -> i64 {
         i64::from(self.urgency) - ((now - self.queued_at).0 / AGE_STEP_MS) as i64
     }
 
@@ -44,19 +44,19 @@
 
 /// The requests of one customer, with its tags in virtual time.
 #[derive(Debug, Clone)]
-pub(super) struct Flow {
-    pub(super) weight: f64,
+pub(crate) struct Flow {
+    pub(crate) weight: f64,
     /// Virtual time at which the customer's next request starts while its queue is not empty.
-    pub(super) start_tag: f64,
+    pub(crate) start_tag: f64,
     /// Virtual time at which the customer's last started request ends.
-    pub(super) finish_tag: f64,
-    pub(super) queue: Vec<QueuedRequest>,
-    pub(super) in_flight: u32,
-    pub(super) last_active_at: MonotonicMs,
+    pub(crate) finish_tag: f64,
+    pub(crate) queue: Vec<QueuedRequest>,
+    pub(crate) in_flight: u32,
+    pub(crate) last_active_at: MonotonicMs,
 }
 
 impl Flow {
-    pub(super) fn new(now: MonotonicMs) -> Self {
+    pub(crate) fn new(now: MonotonicMs) -> Self {
         Self {
             weight: 1.0,
             start_tag: 0.0,
@@ -67,21 +67,21 @@
         }
     }
 
-    pub(super) fn is_idle(&self) -> bool {
+    pub(crate) fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.in_flight == 0
     }
 
     /// Returns the index of the request to start next.
-    pub(super) fn most_urgent(&self, now: MonotonicMs) -> Option<usize> {
+    pub(crate) fn most_urgent(&self, now: MonotonicMs) -> Option<usize> {
         (0..self.queue.len()).min_by_key(|index| self.queue[*index].rank(now))
     }
 
     /// Returns the index of the request to evict first.
-    pub(super) fn least_urgent(&self, now: MonotonicMs) -> Option<usize> {
+    pub(crate) fn least_urgent(&self, now: MonotonicMs) -> Option<usize> {
         (0..self.queue.len()).max_by_key(|index| self.queue[*index].rank(now))
     }
 
-    pub(super) fn queued_tokens(&self) -> f64 {
+    pub(crate) fn queued_tokens(&self) -> f64 {
         self.queue
             .iter()
             .map(|request| f64::from(request.cost_tokens))
@@ -89,7 +89,7 @@
     }
 
     /// Returns the tokens of this customer that are served before a new request of the urgency.
-    pub(super) fn tokens_before(&self, now: MonotonicMs, urgency: u8) -> f64 {
+    pub(crate) fn tokens_before(&self, now: MonotonicMs, urgency: u8) -> f64 {
         self.queue
             .iter()
             .filter(|request| request.aged_urgency(now) <= i64::from(urgency))
@@ -97,7 +97,7 @@
             .sum()
     }
 
-    pub(super) fn idle_ms(&self, now: MonotonicMs) -> DurationMs {
+    pub(crate) fn idle_ms(&self, now: MonotonicMs) -> DurationMs {
         now - self.last_active_at
     }
 }
