Decide which plain requests wait while their endpoints are full

A gateway sends every plain request at once, however many are at the endpoints, which then refuse a part of them; a customer with a surge takes the room of the others.

The gate sends a request while an endpoint that may serve it has a free slot by the fleet's counts, or a short queue. While all are full, requests wait in the daemon and leave at its part of the rate at which the endpoints finish requests, the most urgent first and within one priority by customer in turn. One that can't be answered in time is refused as not run. Without counts of the last 2 s every request is sent as before. The gateway doesn't use it yet.

--- a/crates/celeryknot_policy/src/direct.rs
+++ b/crates/celeryknot_policy/src/direct.rs
@@ -4,6 +4,7 @@
 //! They agree on placement through hashing, and on load through the reports that endpoints attach
 //! to each response.
 
+pub mod admission_gate;
 pub mod answer_times;
 pub mod attempt_history;
 pub mod crash_suspects;
@@ -23,6 +24,9 @@
 mod zone_order;
 pub mod zone_overflow;
 
+pub use admission_gate::{
+    AdmissionGate, GateAction, GateDecision, GateFigures, GatedRequest, ServiceRoom,
+};
 pub use answer_times::{AnswerTime, AnswerTimes, LongestAnswer};
 pub use attempt_history::{AttemptFailure, AttemptHistory};
 pub use crash_suspects::{
--- a/crates/celeryknot_policy/src/direct/endpoint.rs
+++ b/crates/celeryknot_policy/src/direct/endpoint.rs
@@ -417,15 +417,24 @@
     /// The fleet's in-flight total is preferred: the endpoint's own reports come with its
     /// responses, which are late under high load.
     pub(crate) fn load(&self, now: MonotonicMs) -> (u32, Option<DurationMs>) {
-        let fresh = |sample: &Option<LoadSample>, age_max| {
-            sample.filter(|sample| now - sample.at <= age_max)
-        };
-        let latest = fresh(&self.fleet_total, FLEET_TOTAL_AGE_MAX)
-            .or(fresh(&self.last_reported, REPORT_AGE_MAX));
-        let Some(sample) = latest else {
+        let Some(sample) = self.latest_sample(now) else {
             return (self.in_flight, None);
         };
         let current = (sample.requests + self.in_flight).saturating_sub(sample.own_in_flight);
         (current.max(self.in_flight), Some(now - sample.at))
     }
+
+    /// Returns by how many this daemon's requests in flight have grown since the estimate's sample.
+    pub(crate) fn own_growth(&self, now: MonotonicMs) -> i64 {
+        self.latest_sample(now).map_or(0, |sample| {
+            i64::from(self.in_flight) - i64::from(sample.own_in_flight)
+        })
+    }
+
+    fn latest_sample(&self, now: MonotonicMs) -> Option<LoadSample> {
+        let fresh = |sample: &Option<LoadSample>, age_max| {
+            sample.filter(|sample| now - sample.at <= age_max)
+        };
+        fresh(&self.fleet_total, FLEET_TOTAL_AGE_MAX).or(fresh(&self.last_reported, REPORT_AGE_MAX))
+    }
 }
--- a/crates/celeryknot_policy/src/direct/rate_admission.rs
+++ b/crates/celeryknot_policy/src/direct/rate_admission.rs
@@ -25,7 +25,7 @@
 
 impl RefusedRequests {
     /// Counts a refused request; returns when it may be served if the earlier ones return first.
-    fn next_turn_ms(&mut self, now: MonotonicMs, rate: RatePerS) -> DurationMs {
+    pub(super) fn next_turn_ms(&mut self, now: MonotonicMs, rate: RatePerS) -> DurationMs {
         let served = rate.count_in(now - self.at);
         self.count = (self.count - served).max(0.0) + 1.0;
         self.at = now;
--- a/crates/celeryknot_policy/src/direct/refusal_limit.rs
+++ b/crates/celeryknot_policy/src/direct/refusal_limit.rs
@@ -133,12 +133,12 @@
 }
 
 impl DecayingSum {
-    fn value(&self, now: MonotonicMs) -> f64 {
+    pub(super) fn value(&self, now: MonotonicMs) -> f64 {
         let elapsed = (now - self.at).0 as f64 / OFFER_WINDOW.0 as f64;
         self.sum * (-elapsed).exp()
     }
 
-    fn add(&mut self, now: MonotonicMs, amount: f64) {
+    pub(super) fn add(&mut self, now: MonotonicMs, amount: f64) {
         self.sum = self.value(now) + amount;
         self.at = now;
     }
