Let plain requests wait for room at their endpoints

A gateway sent each request without a prompt at once, also while all endpoints that may serve it were full. It now asks the admission gate before the first attempt of such a request: it is sent, waits, or is refused as not run with the figures in the log. A caller that leaves takes its request out of the queue, and a request on its way counts until it is placed.

Gates are polled at each tick of the timers: a timer for each waiting request would poll them no sooner.

--- a/crates/celeryknot_gateway/src/traffic.rs
+++ b/crates/celeryknot_gateway/src/traffic.rs
@@ -1,5 +1,6 @@
 //! The traffic thread: forwards callers' requests to endpoints and their responses back.
 
+mod admission;
 mod body;
 mod call;
 mod context;
@@ -78,6 +79,7 @@
         gateway.timers.advance(now);
         gateway.signal_final_answers();
         gateway.start_due_probes();
+        gateway.poll_admission();
         if now - checked_at >= IDLE_CHECK_INTERVAL {
             checked_at = now;
             gateway.connections.close_idle();
--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -20,12 +20,14 @@
 use celeryknot_policy::direct::endpoint::PAUSE_MAX;
 use celeryknot_policy::direct::{
     AttemptFailure, EndpointPaths, EndpointPool, Placement, PlacementRequest, PoolLimits,
-    RefusalIds, ReportedLoad, RetryBounds, RetryDelay, RetryEstimate, RetryShare, StreamVersions,
+    RefusalIds, ReportedLoad, RetryBounds, RetryDelay, RetryEstimate, RetryShare, ServiceRoom,
+    StreamVersions,
 };
 use celeryknot_policy::rate_limit::{FleetRateLimit, RateChange, RateStatement};
 use celeryknot_policy::routing::{RequestLimits, Service};
 use celeryknot_settings::FleetBounds;
 
+use super::admission::{AdmissionLanes, LaneKey};
 use super::call::Call;
 use super::crash_watch::CrashTable;
 use super::hop::HopBackoffs;
@@ -99,6 +101,8 @@
     pub(super) hops_in: Arc<AtomicU64>,
     /// Durations of answers, for requests that arrive during a shutdown.
     pub(super) route_times: RefCell<RouteTimes>,
+    /// Requests without a prompt that wait for room.
+    pub(super) admission_lanes: Rc<AdmissionLanes>,
     /// Closed when requests that still wait for an answer must end.
     pub(super) final_answers: Signal,
     _final_answers_sender: Sender<Infallible>,
@@ -174,6 +178,7 @@
             hop_backoffs: RefCell::default(),
             hops_in: Arc::default(),
             route_times: RefCell::default(),
+            admission_lanes: Rc::default(),
             final_answers,
             _final_answers_sender: final_answers_sender,
             is_ending: Cell::new(false),
@@ -468,6 +473,15 @@
         }
     }
 
+    /// Returns the room for requests without a prompt, if the service's endpoints report their pace.
+    pub(super) fn room(&self, lane: &LaneKey) -> Option<ServiceRoom> {
+        let services = self.services.borrow();
+        let pool = &services.get(&lane.service)?.pool;
+        let now = self.now();
+        let room = || pool.room(now, lane.allowed_zones.as_deref());
+        pool.reports_pace(now).then(room).flatten()
+    }
+
     /// Updates the gauge of the endpoints that state a rate limit.
     pub(crate) fn update_rate_limit_count(&self) {
         let now = self.now();
--- a/crates/celeryknot_gateway/src/traffic/forward.rs
+++ b/crates/celeryknot_gateway/src/traffic/forward.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 
 use celeryknot_callers::hop_by_hop;
-use celeryknot_core::{DurationMs, EndpointName, ErrorKind, Refusal, SoftwareVersion, SuspectTag};
+use celeryknot_core::{
+    DurationMs, EndpointName, ErrorKind, MonotonicMs, Refusal, SoftwareVersion, SuspectTag,
+};
 use celeryknot_endpoints::{EventId, sse};
 use celeryknot_policy::direct::{
     AttemptFailure, AttemptHistory, Placement, PlacementRequest, Prompt, RelativePace,
@@ -192,9 +194,13 @@
     async fn run_attempts<P: PlatformProtocol>(&mut self) -> Result<Answer, Refusal> {
         self.gateway.check_shutdown(&self.call)?;
         let mut placed = self.place_in_turn().await?;
+        let sent_at = self.gateway.now();
         loop {
             placed = match self.attempt::<P>(placed).await {
-                AttemptResult::Final(answer) => return Ok(answer),
+                AttemptResult::Final(answer) => {
+                    self.observe_answer(&answer, sent_at);
+                    return Ok(answer);
+                }
                 AttemptResult::Failed(failure) => {
                     let next = self.place_retry(failure)?;
                     let checked = self.gateway.check_shutdown(&self.call);
@@ -435,14 +441,29 @@
         })
     }
 
-    /// Picks the endpoint for the first attempt; if all are at their rate limits, waits for the
-    /// request's turn if that comes in time.
+    /// Records how long the first attempt took, if it was answered.
+    fn observe_answer(&self, answer: &Answer, sent_at: MonotonicMs) {
+        let is_first = self.history.failed_attempts() == 0;
+        if let Answer::Complete(response) = answer
+            && is_first
+            && !response.status().is_server_error()
+        {
+            let took_ms = self.gateway.now() - sent_at;
+            self.gateway.observe_admitted_answer(&self.call, took_ms);
+        }
+    }
+
+    /// Picks the endpoint for the first attempt; waits for room at the endpoints or, if all are at
+    /// their rate limits, for the request's turn, if that comes in time.
     async fn place_in_turn(&mut self) -> Result<PlacedAttempt, Refusal> {
+        let mut admitted = self.gateway.admit(&self.call).await?;
         let objective_ms = self.call.route.latency_objective_ms;
         let wait_until = self.gateway.now() + DurationMs(objective_ms.0 / TURN_WAIT_DIVISOR);
         loop {
             let wait_max_ms = wait_until - self.gateway.now();
             let placed = self.place_within(wait_max_ms.min(self.remaining_ms()))?;
+            // The endpoint's own count has it now.
+            drop(admitted.take());
             let Placement {
                 endpoint, wait_ms, ..
             } = &placed.placement;
--- a/crates/celeryknot_operators/src/metrics/gateway.rs
+++ b/crates/celeryknot_operators/src/metrics/gateway.rs
@@ -33,6 +33,10 @@
     first_byte_ms: Histogram,
     request_ms: Histogram,
     hops: IntCounterVec,
+    admission_refused: IntCounterVec,
+    admission_wait_ms: Histogram,
+    /// Requests without a prompt that wait for room at their endpoints.
+    pub admission_waiting: IntGauge,
     /// Times that an endpoint began to accept no connection of this daemon.
     pub paths_broken: IntCounter,
     /// Received requests of callers.
@@ -106,6 +110,9 @@
             first_byte_ms: histogram("celeryknot_gateway_first_byte_ms"),
             request_ms: histogram("celeryknot_gateway_request_ms"),
             hops: counters("celeryknot_gateway_hops_total"),
+            admission_refused: counters("celeryknot_gateway_admission_refused_total"),
+            admission_wait_ms: histogram("celeryknot_gateway_admission_wait_ms"),
+            admission_waiting: gauge("celeryknot_gateway_admission_waiting"),
             paths_broken: counter("celeryknot_gateway_paths_broken_total"),
             requests: counter("celeryknot_gateway_requests_total"),
             retries_denied: counter("celeryknot_gateway_sends_denied_total"),
@@ -140,6 +147,17 @@
         self.refusals.with_label_values(&[kind.code()]).inc();
     }
 
+    /// Counts a request without a prompt that was refused for lack of room at its endpoints.
+    pub fn refused_admission(&self, kind: ErrorKind) {
+        let counter = self.admission_refused.with_label_values(&[kind.code()]);
+        counter.inc();
+    }
+
+    /// Records the time for which a request waited for room at its endpoints.
+    pub fn observe_admission_wait(&self, time: DurationMs) {
+        observe_ms(&self.admission_wait_ms, time);
+    }
+
     /// Counts a request that was placed at an endpoint, by reason.
     pub fn placed(&self, reason: &'static str) {
         self.placements.with_label_values(&[reason]).inc();
--- a/crates/celeryknot_operators/tests/metrics.rs
+++ b/crates/celeryknot_operators/tests/metrics.rs
@@ -55,6 +55,7 @@
     metrics.set_zone_overflow(&service, 0.25);
     metrics.count_failed_attempt("refused");
     metrics.count_retry_delay("fixed");
+    metrics.refused_admission(ErrorKind::QueueFull);
     metrics.count_hop("made");
     metrics.count_store_call("failed");
     let text = metrics.render();
