Check that the admission gate decides each request once

Random sequences of arrivals, figures and callers that leave guard against lost and repeated decisions, and against refusals while a slot is free or figures are missing. A decision that waits for its delivery ends with its request.

--- a/crates/celeryknot_policy/src/direct/admission_gate.rs
+++ b/crates/celeryknot_policy/src/direct/admission_gate.rs
@@ -1,10 +1,10 @@
 //! Admission of requests without a prompt while the endpoints of their service are full.
 //!
 //! A request is sent at once while an endpoint that may serve it has a free slot by the fleet's
-//! counts, or a short queue. While all are full, requests wait in this daemon and leave at its part of the rate at
-//! which the endpoints finish requests, the most urgent first and within one urgency by customer
-//! in turn. A request that can't be answered in its remaining time is refused. Without recent
-//! counts, every request is sent at once.
+//! counts, or a short queue. While all are full, requests wait in this daemon and leave at its part
+//! of the rate at which the endpoints finish requests, the most urgent first and within one urgency
+//! by customer in turn. A request that can't be answered in its remaining time is refused. Without
+//! recent counts, every request is sent at once.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -22,7 +22,8 @@
 
 /// Maximum number of requests that wait at one gate.
 ///
-/// A daemon's part of the room answers some ten requests a second, and these have time for 1.5 s.
+/// A daemon's part of the room answers some ten requests a second, and a request waits for less than
+/// one: more of them wait only where daemons are few.
 pub const WAITING_MAX: usize = 256;
 
 /// Places of an endpoint for each of its slots: it runs as many requests as it has slots, and as many
@@ -100,6 +101,26 @@
 
 impl ServiceRoom {
     /// Adds requests of this daemon that are to be sent but not at an endpoint yet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celeryknot_core::{DurationMs, MonotonicMs};
+    /// use celeryknot_policy::direct::ServiceRoom;
+    ///
+    /// let room = ServiceRoom {
+    ///     slots: 6,
+    ///     load: 4,
+    ///     free: 2,
+    ///     places: 8,
+    ///     own_growth: 0,
+    ///     age_ms: DurationMs(200),
+    ///     counted_at: MonotonicMs(4_800),
+    ///     daemons: 4,
+    /// };
+    /// let room = room.with_unplaced(3);
+    /// assert_eq!((room.load, room.free, room.places, room.own_growth), (7, 0, 5, 3));
+    /// ```
     #[must_use]
     pub fn with_unplaced(self, requests: u32) -> Self {
         Self {
--- a/crates/celeryknot_policy/tests/admission_gate.rs
+++ b/crates/celeryknot_policy/tests/admission_gate.rs
@@ -15,6 +15,7 @@
     AdmissionGate, EndpointPool, GateAction, GateDecision, GatedRequest, ListedEndpoint,
     PlacementRequest, PoolLimits, ReportedLoad, ServiceRoom,
 };
+use proptest::prelude::*;
 use simulation::{Load, Report, simulate};
 
 const NOW: MonotonicMs = MonotonicMs(10_000);
@@ -302,6 +303,23 @@
     assert_eq!(gate.waiting(), WAITING_MAX);
 }
 
+/// Guards against a decision about a request whose caller left after it was made.
+#[test]
+fn a_pending_decision_ends_with_its_request() {
+    let mut gate = gate();
+    for id in 0..WAITING_MAX as u64 {
+        let surge = request(id, "surge", 1, 900_000);
+        let decision = gate.offer(NOW, &surge, Some(full()), 0.5);
+        assert_eq!(decision, GateDecision::Wait);
+    }
+    let other = request(1_000, "otaru", 1, 900_000);
+    let decision = gate.offer(NOW, &other, Some(full()), 0.5);
+    assert_eq!(decision, GateDecision::Wait, "another request is evicted");
+    (0..WAITING_MAX as u64).for_each(|id| gate.cancel(RequestId(id)));
+    assert_eq!(gate.poll(NOW, Some(full()), 0.5), None);
+    assert_eq!(gate.waiting(), 1);
+}
+
 /// Guards against retry delays that send all refused callers back at once, or at a time when the
 /// requests before them still wait.
 #[test]
@@ -390,6 +408,81 @@
     }
 }
 
+/// One step of a sequence of events at a gate.
+#[derive(Debug, Clone)]
+struct Step {
+    after_ms: u64,
+    /// Free slots by the figures; `None` if they are missing.
+    free: Option<u32>,
+    /// The priority, the customer and the time of a request that arrives.
+    arrival: Option<(u8, u8, u64)>,
+    /// Whether the caller of the oldest waiting request leaves.
+    leaves: bool,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let arrival = prop::option::weighted(0.8, (0..3_u8, 0..4_u8, 0..800_u64));
+    let free = prop::option::weighted(0.9, prop_oneof![4 => Just(0_u32), 1 => 1..4_u32]);
+    let step = (0..40_u64, free, arrival, prop::bool::weighted(0.1));
+    let step = step.prop_map(|(after_ms, free, arrival, leaves)| Step {
+        after_ms,
+        free,
+        arrival,
+        leaves,
+    });
+    prop::collection::vec(step, 1..200)
+}
+
+proptest! {
+    /// Guards against requests that are lost or decided twice, and against refusals while a slot is
+    /// free or without figures.
+    #[test]
+    fn each_request_gets_one_decision(steps in steps(), draw in 0.0..1.0_f64) {
+        let mut gate = gate();
+        let mut now = NOW;
+        let mut waiting: Vec<RequestId> = Vec::new();
+        for (id, step) in steps.iter().enumerate() {
+            now = now + DurationMs(step.after_ms);
+            let figures = step.free.map(|free| ServiceRoom {
+                counted_at: now,
+                ..room(free, 48 - free)
+            });
+            let may_refuse = step.free == Some(0);
+            if step.leaves && !waiting.is_empty() {
+                gate.cancel(waiting.remove(0));
+            }
+            if let Some((priority, customer, remaining_ms)) = step.arrival {
+                let request = GatedRequest {
+                    id: RequestId(id as u64),
+                    customer: format!("team-{customer}").parse().unwrap(),
+                    priority,
+                    answer_by: now + DurationMs(remaining_ms),
+                };
+                match gate.offer(now, &request, figures, draw) {
+                    GateDecision::Send => {}
+                    GateDecision::Wait => waiting.push(request.id),
+                    GateDecision::Refuse(_) => prop_assert!(may_refuse),
+                }
+            }
+            while let Some(action) = gate.poll(now, figures, draw) {
+                let id = match action {
+                    GateAction::Send(id) => id,
+                    GateAction::Refuse(id, _) => {
+                        prop_assert!(may_refuse);
+                        id
+                    }
+                };
+                let index = waiting.iter().position(|it| *it == id);
+                prop_assert!(index.is_some(), "decided twice, or after its caller left");
+                waiting.remove(index.unwrap());
+            }
+            prop_assert_eq!(gate.waiting(), waiting.len());
+        }
+        while gate.poll(now, None, draw).is_some() {}
+        prop_assert!(gate.is_idle());
+    }
+}
+
 fn pool() -> EndpointPool {
     let members = (0..4).map(|it| format!("edge-{it}").parse().unwrap());
     let mut pool = EndpointPool::new(PoolLimits {
