--- a/crates/celeryknot_policy/tests/admission_gate.rs
+++ b/crates/celeryknot_policy/tests/admission_gate.rs
@@ -544,6 +544,7 @@
         running: 6,
         waiting: 3,
         slots: 6,
+        pace: None,
     };
     pool.observe_load(stale, &"i-0".parse().unwrap(), report);
     assert_eq!(pool.room(stale, None), None, "one endpoint is unknown");
