--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -38,7 +38,12 @@
 ///
 /// A part that many prompts share is answered more often than this. Longer, it would hide the crashes
 /// under a part on which endpoints begin to crash: the platform allows five, and three seconds more.
-const CLEARED_TTL: DurationMs = DurationMs(2_000);
+const CLEARED_TTL: DurationMs = DurationMs(4_000);
+
+/// Crashes under a banned suspect that nothing else explains and that don't count against a request.
+///
+/// The first part of many prompts is at most crashes of endpoints, whatever their cause.
+const UNEXPLAINED_CRASHES_MAX: usize = 1;
 
 /// Minimum age of the last known answer before a later one is reported to peers again.
 const ANSWER_REPORT_INTERVAL: DurationMs = DurationMs(1_000);
@@ -384,8 +389,8 @@
         }
     }
 
-    /// Returns whether a banned suspect that a request doesn't have was at all crashes of one that it
-    /// has.
+    /// Returns whether banned suspects that a request doesn't have were at all but one of the crashes
+    /// of one that it has.
     ///
     /// The first part of sound prompts is at the same crashes as the part behind it on which endpoints
     /// crash. A prompt with the first part alone shows which of them it is.
@@ -398,11 +403,17 @@
         let Some(known) = self.suspects.get(&suspect) else {
             return false;
         };
-        let mut others = self
+        let causes: SmallVec<[&Suspect; 4]> = self
             .suspects
             .iter()
-            .filter(|(other, it)| it.is_banned(now) && !request.contains(other));
-        others.any(|(_, it)| it.was_at_crashes_of(known))
+            .filter(|(other, it)| it.is_banned(now) && !request.contains(other))
+            .map(|(_, it)| it)
+            .collect();
+        let is_unexplained = |(endpoint, at): &&(EndpointTag, MonotonicMs)| {
+            !causes.iter().any(|it| it.has_crash(*endpoint, *at))
+        };
+        let unexplained = known.crashes.iter().filter(is_unexplained).count();
+        unexplained <= UNEXPLAINED_CRASHES_MAX
     }
 
     /// Returns whether requests with it are refused, unless another suspect explains its crashes.
@@ -490,12 +501,6 @@
         crashes.any(|it| is_same_crash(*it, (endpoint, at)))
     }
 
-    /// Returns whether this one was at all crashes of another suspect.
-    fn was_at_crashes_of(&self, other: &Self) -> bool {
-        let mut crashes = other.crashes.iter();
-        crashes.all(|(endpoint, at)| self.has_crash(*endpoint, *at))
-    }
-
     fn is_cleared(&self, now: MonotonicMs) -> bool {
         self.cleared_at.is_some_and(|at| now - at < CLEARED_TTL)
     }
