--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -40,6 +40,9 @@
 /// under a part on which endpoints begin to crash: the platform allows five, and three seconds more.
 const CLEARED_TTL: DurationMs = DurationMs(4_000);
 
+/// Crashes that two suspects have in common from which on one may explain those of the other.
+const COMMON_CRASHES_MIN: usize = 2;
+
 /// Crashes under a banned suspect that nothing else explains and that don't count against a request.
 ///
 /// The first part of many prompts is at most crashes of endpoints, whatever their cause.
@@ -377,7 +380,7 @@
         runs_trials: impl FnOnce(SuspectTag) -> bool,
     ) -> RequestVerdict {
         let is_banned = |it: &&SuspectTag| {
-            self.is_banned(now, **it) && !self.is_explained_without(now, **it, suspects)
+            self.is_banned(now, **it) && !self.is_explained_without(**it, suspects)
         };
         let banned = suspects.iter().find(is_banned);
         match banned {
@@ -389,25 +392,21 @@
         }
     }
 
-    /// Returns whether banned suspects that a request doesn't have were at all but one of the crashes
-    /// of one that it has.
+    /// Returns whether suspects that a request doesn't have were at all but one of the crashes of a
+    /// banned one that it has.
     ///
     /// The first part of sound prompts is at the same crashes as the part behind it on which endpoints
     /// crash. A prompt with the first part alone shows which of them it is.
-    fn is_explained_without(
-        &self,
-        now: MonotonicMs,
-        suspect: SuspectTag,
-        request: &[SuspectTag],
-    ) -> bool {
+    fn is_explained_without(&self, suspect: SuspectTag, request: &[SuspectTag]) -> bool {
         let Some(known) = self.suspects.get(&suspect) else {
             return false;
         };
         let causes: SmallVec<[&Suspect; 4]> = self
             .suspects
             .iter()
-            .filter(|(other, it)| it.is_banned(now) && !request.contains(other))
+            .filter(|(other, _)| !request.contains(other))
             .map(|(_, it)| it)
+            .filter(|it| it.common_crashes(known) >= COMMON_CRASHES_MIN)
             .collect();
         let is_unexplained = |(endpoint, at): &&(EndpointTag, MonotonicMs)| {
             !causes.iter().any(|it| it.has_crash(*endpoint, *at))
@@ -501,6 +500,12 @@
         crashes.any(|it| is_same_crash(*it, (endpoint, at)))
     }
 
+    fn common_crashes(&self, other: &Self) -> usize {
+        let is_common =
+            |(endpoint, at): &&(EndpointTag, MonotonicMs)| self.has_crash(*endpoint, *at);
+        other.crashes.iter().filter(is_common).count()
+    }
+
     fn is_cleared(&self, now: MonotonicMs) -> bool {
         self.cleared_at.is_some_and(|at| now - at < CLEARED_TTL)
     }
--- a/crates/celeryknot_policy/tests/crash_suspects.rs
+++ b/crates/celeryknot_policy/tests/crash_suspects.rs
@@ -810,6 +810,17 @@
             allowed: &[&[1], &[1, 10], &[1, 8]],
             refused: &[&[1, 7]],
         },
+        PartsCase {
+            name: "the bad part is not banned yet",
+            events: &[
+                Answer(&[1, 10], 0),
+                Crash(1, &[1, 7], 5_000),
+                Crash(2, &[1, 7], 6_000),
+                Crash(3, &[1, 8], 7_000),
+            ],
+            allowed: &[&[1], &[1, 10], &[7, 10]],
+            refused: &[&[1, 7]],
+        },
         PartsCase {
             name: "prompts with the first part alone crash two endpoints",
             events: &[
