--- a/crates/celeryknot_policy/src/direct/crash_suspects.rs
+++ b/crates/celeryknot_policy/src/direct/crash_suspects.rs
@@ -404,7 +404,8 @@
         let causes: SmallVec<[&Suspect; 4]> = self
             .suspects
             .iter()
-            .filter(|(other, _)| !request.contains(other))
+            // A request that was sent again crashes two endpoints by itself, whatever part is the cause.
+            .filter(|(other, _)| other.part().is_some() && !request.contains(other))
             .map(|(_, it)| it)
             .filter(|it| it.common_crashes(known) >= COMMON_CRASHES_MIN)
             .collect();
--- a/crates/celeryknot_policy/tests/crash_suspects.rs
+++ b/crates/celeryknot_policy/tests/crash_suspects.rs
@@ -911,3 +911,15 @@
         "after {crashes} crashes"
     );
 }
+
+#[test]
+fn request_that_crashed_two_endpoints_does_not_lift_the_ban_of_its_part() {
+    let mut suspects = CrashSuspects::default();
+    let [first, second] = [RequestTag(1), RequestTag(2)].map(SuspectTag::Request);
+    for (endpoint, own) in [(1, first), (2, first), (3, second)] {
+        let at = MonotonicMs(u64::from(endpoint) * 1_000);
+        suspects.record_crashed_request(at, EndpointTag(endpoint), &[PART], Some(own));
+    }
+    let verdict = suspects.check(MonotonicMs(4_000), &[PART], |_| false);
+    assert_eq!(verdict, RequestVerdict::Banned(PART));
+}
