Say what the retry delay leaves out

The comment dated from before the admission gate, at which requests do wait. Only the comment changes; formatter and clippy of the crate were run.

--- a/crates/celeryknot_gateway/src/traffic/context.rs
+++ b/crates/celeryknot_gateway/src/traffic/context.rs
@@ -343,7 +343,7 @@
         let state = services.get_mut(service)?;
         state.retry_delay.observe_refused(now);
         let is_active = state.pool.reports_pace(now);
-        // No request waits in the daemon but for an endpoint's rate limit, which states the time.
+        // Requests that wait at the admission gate aren't counted.
         is_active.then(|| state.retry_delay.estimate(now, 0))?
     }
 
