--- a/review/standins-2/fleet.py
+++ b/review/6/stand-ins/fleet.py
@@ -17,7 +17,7 @@
 import threading
 import time
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..", ".."))
 DAEMON = os.path.join(ROOT, "target", "release", "celeryknotd")
 HOST = "desk.example"
 KEY = "key-of-otaru"
